--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,223 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// Handler answers one call from its serialized request. An error it returns
+// reaches the caller as a typed error. The context ends when the caller closes
+// the stream.
+type Handler func(ctx context.Context, from Identity, request []byte) (proto.Message, error)
+
+// Server accepts connections from peers and dispatches their calls.
+type Server struct {
+	identity Identity
+	meter    Meter
+	tls      *tls.Config
+
+	mu       sync.Mutex
+	handlers map[schema.Method]Handler
+	sessions map[*yamux.Session]struct{}
+	listener net.Listener
+	closed   bool
+	wg       sync.WaitGroup
+}
+
+// NewServer returns a server for the node. tlsConfig may be nil.
+func NewServer(identity Identity, meter Meter, tlsConfig *tls.Config) *Server {
+	return &Server{
+		identity: identity,
+		meter:    meter,
+		tls:      tlsConfig,
+		handlers: make(map[schema.Method]Handler),
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+}
+
+// Handle registers the function that answers a method. It must be called
+// before Serve. request must return a new, empty request message.
+func Handle[Req, Resp proto.Message](s *Server, method schema.Method, request func() Req,
+	answer func(ctx context.Context, from Identity, req Req) (Resp, error)) {
+	s.handlers[method] = func(ctx context.Context, from Identity, raw []byte) (proto.Message, error) {
+		req := request()
+		if err := proto.Unmarshal(raw, req); err != nil {
+			return nil, fault.Wrap(schema.ErrorKind_ERROR_KIND_BAD_REQUEST, err,
+				"request message is malformed", "run nodes of adjoining releases only")
+		}
+		return answer(ctx, from, req)
+	}
+}
+
+// Serve accepts connections until Close. It returns nil after Close.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return listener.Close()
+	}
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return nil
+			}
+			return err
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.serveConn(conn)
+		}()
+	}
+}
+
+// Close stops accepting, ends all sessions and waits for their handlers.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for session := range s.sessions {
+		session.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer conn.Close()
+	if s.tls != nil {
+		conn = tls.Server(conn, s.tls)
+	}
+	from, err := s.acceptHello(conn)
+	if err != nil {
+		return
+	}
+	session, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		return
+	}
+	if !s.track(session) {
+		session.Close()
+		return
+	}
+	defer s.untrack(session)
+	for {
+		conn, err := session.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.serveStream(conn, from)
+		}()
+	}
+}
+
+func (s *Server) track(session *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.sessions[session] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(session *yamux.Session) {
+	session.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, session)
+}
+
+func (s *Server) acceptHello(conn net.Conn) (Identity, error) {
+	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return Identity{}, err
+	}
+	hello := &schema.Hello{}
+	if err := readMessage(conn, hello); err != nil {
+		return Identity{}, err
+	}
+	refusal := s.identity.checkHello(hello)
+	reply := &schema.HelloReply{
+		Error:       fault.ToProto(refusal),
+		Node:        s.identity.Node,
+		Incarnation: s.identity.Incarnation,
+	}
+	if err := writeMessage(conn, reply); err != nil {
+		return Identity{}, err
+	}
+	if refusal != nil {
+		return Identity{}, refusal
+	}
+	from := Identity{
+		Cluster:          hello.GetCluster(),
+		Node:             hello.GetNode(),
+		AvailabilityZone: hello.GetAvailabilityZone(),
+		Incarnation:      hello.GetIncarnation(),
+	}
+	return from, conn.SetDeadline(time.Time{})
+}
+
+func (s *Server) serveStream(conn net.Conn, from Identity) {
+	stream := newStream(conn)
+	defer stream.Close()
+	header := &schema.CallHeader{}
+	if err := stream.Receive(header); err != nil {
+		return
+	}
+	request, err := stream.receiveRaw()
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		// The caller sends nothing more, so a read ends only with the stream.
+		_, _ = io.Copy(io.Discard, stream.reader)
+		cancel()
+	}()
+	reply, err := s.answer(ctx, from, header.GetMethod(), request)
+	s.sendReply(stream, reply, err)
+	s.meter.CountCall(header.GetMethod(), stream.sent, len(request))
+}
+
+func (s *Server) answer(ctx context.Context, from Identity, method schema.Method, request []byte) (proto.Message, error) {
+	handler, ok := s.handlers[method]
+	if !ok {
+		return nil, fault.New(schema.ErrorKind_ERROR_KIND_INCOMPATIBLE,
+			"method "+method.String()+" is not served here", "run nodes of adjoining releases only")
+	}
+	return handler(ctx, from, request)
+}
+
+func (s *Server) sendReply(stream *Stream, reply proto.Message, err error) {
+	status := &schema.CallStatus{Error: fault.ToProto(err)}
+	if sendErr := stream.Send(status); sendErr != nil || err != nil {
+		return
+	}
+	// A lost reply shows at the caller as a broken stream.
+	_ = stream.Send(reply)
+}
