--- /dev/null
+++ b/routing/claims.go
@@ -0,0 +1,139 @@
+package routing
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/topology"
+)
+
+// claimTimeout bounds the search for a shard's owner.
+const claimTimeout = 3 * time.Second
+
+// Ledger is this node's own ledger owner.
+type Ledger interface {
+	Claim(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error)
+	Finish(ctx context.Context, r *schema.FinishRequest) (*schema.FinishReply, error)
+	ShardOf(team, requestID string) uint32
+}
+
+// Claims asks the owners of ledger shards on behalf of this entry.
+type Claims struct {
+	place   Place
+	caller  Caller
+	local   Ledger
+	current *topology.Current
+}
+
+// NewClaims returns a Claims for the entry at place.
+func NewClaims(place Place, caller Caller, local Ledger, current *topology.Current) *Claims {
+	return &Claims{place: place, caller: caller, local: local, current: current}
+}
+
+// Claim asks for the right to run a request id. A lost owner is replaced and
+// asked again under the same attempt, which finds a claim that was made but
+// not confirmed. Errors have outcome not run: without a claim this entry does
+// not dispatch.
+func (c *Claims) Claim(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
+	var reply *schema.ClaimReply
+	err := c.retry(ctx, func(ctx context.Context) error {
+		var err error
+		reply, err = c.claim(ctx, r)
+		return err
+	})
+	if err != nil {
+		return nil, claimError(err)
+	}
+	return reply, nil
+}
+
+func claimError(err error) error {
+	e := fault.From(err)
+	if e.Outcome == schema.Outcome_OUTCOME_UNSPECIFIED {
+		return e.NotRun()
+	}
+	return e
+}
+
+// Finish records the progress or the end of a claimed request.
+func (c *Claims) Finish(ctx context.Context, r *schema.FinishRequest) error {
+	return c.retry(ctx, func(ctx context.Context) error { return c.finish(ctx, r) })
+}
+
+func (c *Claims) claim(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
+	address, local, err := c.owner(r.GetTeam(), r.GetRequestId())
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return c.local.Claim(ctx, r)
+	}
+	reply := &schema.ClaimReply{}
+	err = c.caller.Call(ctx, address, schema.Method_METHOD_CLAIM, r, reply)
+	return reply, err
+}
+
+func (c *Claims) finish(ctx context.Context, r *schema.FinishRequest) error {
+	address, local, err := c.owner(r.GetTeam(), r.GetRequestId())
+	if err != nil {
+		return err
+	}
+	if local {
+		_, err := c.local.Finish(ctx, r)
+		return err
+	}
+	return c.caller.Call(ctx, address, schema.Method_METHOD_FINISH, r, &schema.FinishReply{})
+}
+
+// owner returns the address of the shard's owner, or local true if it is this
+// node.
+func (c *Claims) owner(team, id string) (address string, local bool, err error) {
+	snapshot := c.current.Load()
+	owner := snapshot.ShardOwner(c.local.ShardOf(team, id))
+	if owner == c.place.Node {
+		return "", true, nil
+	}
+	member, ok := snapshot.Member(owner)
+	if !ok {
+		return "", false, unknownOwner(owner)
+	}
+	return member.GetPeerAddress(), false, nil
+}
+
+func (c *Claims) retry(ctx context.Context, try func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	wait := newBackOff()
+	for {
+		err := c.untilMoved(ctx, try)
+		if err == nil || !retryable(err) {
+			return err
+		}
+		if !sleep(ctx, wait.NextBackOff()) {
+			return fault.Wrap(schema.ErrorKind_ERROR_KIND_UNREACHABLE, err,
+				"the ledger's owner cannot be reached", "retry with the same idempotency key").After(retryAfterDefault)
+		}
+	}
+}
+
+// untilMoved runs one try and gives it up when the topology changes, because
+// the shard may have another owner then.
+func (c *Claims) untilMoved(ctx context.Context, try func(context.Context) error) error {
+	_, changed := c.current.Wait()
+	tryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-tryCtx.Done():
+		}
+	}()
+	err := try(tryCtx)
+	if err != nil && tryCtx.Err() != nil && ctx.Err() == nil {
+		return fault.Wrap(schema.ErrorKind_ERROR_KIND_UNREACHABLE, err, "the ledger's owner may have moved", "retry")
+	}
+	return err
+}
