--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,82 @@
+// Package explain keeps the decisions of recent requests in memory, so that an
+// operator can ask a node why a request went where it went.
+package explain
+
+import (
+	"context"
+	"fmt"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// maxRequests is the number of requests whose decisions are kept.
+const maxRequests = 4096
+
+// Recorder keeps the decision lines of recent requests. It is safe for
+// concurrent use.
+type Recorder struct {
+	lines *lru.Cache[string, []string]
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() (*Recorder, error) {
+	lines, err := lru.New[string, []string](maxRequests)
+	if err != nil {
+		return nil, fmt.Errorf("explain: create cache: %w", err)
+	}
+	return &Recorder{lines: lines}, nil
+}
+
+// Add appends a line to a request's decisions.
+func (r *Recorder) Add(requestID, line string) {
+	before, _ := r.lines.Get(requestID)
+	// The stored slice is shared with readers, so it is copied.
+	r.lines.Add(requestID, append(before[:len(before):len(before)], line))
+}
+
+// Handle answers an operator's question. The error has kind not-found when
+// the request is not among those kept here.
+func (r *Recorder) Handle(_ context.Context, q *schema.ExplainRequest) (*schema.ExplainReply, error) {
+	lines, ok := r.lines.Get(q.GetRequestId())
+	if !ok {
+		return nil, fault.New(schema.ErrorKind_ERROR_KIND_NOT_FOUND,
+			"request "+q.GetRequestId()+" is not among the recent requests of this node",
+			"ask the other nodes, or search the logs for the id")
+	}
+	return &schema.ExplainReply{Lines: lines}, nil
+}
+
+// Permits grants permits; it is what Recording wraps.
+type Permits interface {
+	Acquire(ctx context.Context, r *schema.PermitRequest) (*schema.Permit, error)
+	Return(r *schema.PermitReturn)
+}
+
+// Recording passes calls on and records how each request was decided.
+type Recording struct {
+	Permits
+	Recorder *Recorder
+}
+
+// Acquire implements Permits.
+func (r Recording) Acquire(ctx context.Context, q *schema.PermitRequest) (*schema.Permit, error) {
+	permit, err := r.Permits.Acquire(ctx, q)
+	if err != nil {
+		r.Recorder.Add(q.GetRequestId(), "refused "+err.Error())
+		return nil, err
+	}
+	r.Recorder.Add(q.GetRequestId(), permit.GetDecision())
+	return permit, nil
+}
+
+// Return implements Permits.
+func (r Recording) Return(q *schema.PermitReturn) {
+	line := fmt.Sprintf("event=returned target=%s result=%s first_token_ms=%d total_ms=%d output_tokens=%d",
+		q.GetTarget(), q.GetResult(), q.GetFirstToken().AsDuration().Milliseconds(),
+		q.GetTotal().AsDuration().Milliseconds(), q.GetOutputTokens())
+	r.Recorder.Add(q.GetRequestId(), line)
+	r.Permits.Return(q)
+}
