--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,63 @@
+// Command standin runs one stand-in for an outside system: the platform's
+// object API, a model engine, a plain service, or a relay whose links can be
+// cut.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/phuslu/log"
+)
+
+// stopTimeout bounds a graceful shutdown.
+const stopTimeout = 60 * time.Second
+
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Run the platform's object API."`
+	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
+	Relay    relayCommand    `cmd:"" help:"Run TCP relays whose links can be cut."`
+}
+
+func main() {
+	log.DefaultLogger.Writer = &log.ConsoleWriter{Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter}
+	var c commands
+	parsed := kong.Parse(&c, kong.Name("standin"), kong.UsageOnError())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run())
+}
+
+// serveHTTP serves until the context ends, then lets drain finish the work
+// and closes the server.
+func serveHTTP(ctx context.Context, address string, handler http.Handler, drain func(context.Context)) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	log.Info().Str("event", "serving").Str("address", listener.Addr().String()).Msg("")
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	drain(stopping)
+	if err := server.Shutdown(stopping); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	return nil
+}
