Add the logger and the meters

Conclusion: lines are formatted by one goroutine behind a queue of 8192; a full queue makes the caller wait, so no line is lost.

--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,102 @@
+// Package logging builds the node's logger: one line of key=value pairs for
+// each event. The field "event" names the event; the message stays empty.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const (
+	// queueLines is how many lines may wait for the writer; a full queue makes
+	// the caller wait, so that no line is lost.
+	queueLines = 8192
+	timeField  = "time"
+	timeFormat = "2006-01-02T15:04:05.000Z07:00"
+	fileMode   = 0o640
+)
+
+// New returns a logger that writes to the settings' file, or to standard
+// error if the file is empty. It returns a bad-request error for an unknown
+// level and the cause when the file cannot be opened. Lines are formatted and
+// written by one goroutine; Close writes what is left.
+func New(settings *schema.LogSettings) (*log.Logger, error) {
+	level, err := parseLevel(settings.GetLevel())
+	if err != nil {
+		return nil, err
+	}
+	out, err := open(settings.GetFile())
+	if err != nil {
+		return nil, err
+	}
+	return newLogger(level, out), nil
+}
+
+// Close flushes and closes the logger's writer.
+func Close(logger *log.Logger) error {
+	closer, ok := logger.Writer.(io.Closer)
+	if !ok {
+		return nil
+	}
+	return closer.Close()
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *log.Logger {
+	return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
+}
+
+func newLogger(level log.Level, out io.Writer) *log.Logger {
+	return &log.Logger{
+		Level:      level,
+		TimeField:  timeField,
+		TimeFormat: timeFormat,
+		Writer: &log.AsyncWriter{
+			ChannelSize: queueLines,
+			Writer: &log.ConsoleWriter{
+				Formatter: formatLine,
+				Writer:    out,
+			},
+		},
+	}
+}
+
+func parseLevel(name string) (log.Level, error) {
+	switch name {
+	case "debug":
+		return log.DebugLevel, nil
+	case "", "info":
+		return log.InfoLevel, nil
+	case "warn":
+		return log.WarnLevel, nil
+	case "error":
+		return log.ErrorLevel, nil
+	default:
+		return 0, fault.New(schema.ErrorKind_ERROR_KIND_BAD_REQUEST,
+			fmt.Sprintf("log.level is %q", name), "set it to debug, info, warn or error")
+	}
+}
+
+// standardError hides the file's Close, so that closing the logger leaves
+// standard error open.
+type standardError struct{}
+
+// Write implements io.Writer.
+func (standardError) Write(p []byte) (int, error) { return os.Stderr.Write(p) }
+
+func open(file string) (io.Writer, error) {
+	if file == "" {
+		return standardError{}, nil
+	}
+	f, err := os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("open log.file: %w", err)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,257 @@
+// Package telemetry holds the node's meters, recorded through OpenTelemetry
+// and served in the Prometheus text format.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const meterName = "github.com/primrosemoor/primrosemoor"
+
+// Bounds of the latency histograms, in seconds. They are dense around the
+// goals for the first token and between tokens.
+var (
+	firstTokenBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.81, 1, 1.5, 2.5, 5, 10, 30}
+	interTokenBounds = []float64{0.001, 0.0025, 0.005, 0.01, 0.015, 0.02, 0.027, 0.035, 0.05, 0.1, 0.25, 1}
+)
+
+// Telemetry records the node's measures. Its methods may be called by any
+// goroutine.
+type Telemetry struct {
+	registry *prometheus.Registry
+	provider *sdkmetric.MeterProvider
+	meter    metric.Meter
+	counters counters
+	first    metric.Float64Histogram
+	gap      metric.Float64Histogram
+	// options caches the attribute sets of each series, keyed by labels.
+	options sync.Map
+}
+
+type counters struct {
+	requests, goodRequests, goodTokens       metric.Int64Counter
+	promptTokens, cachedTokens, wastedTokens metric.Int64Counter
+	sheds, permits, claims                   metric.Int64Counter
+	peerCalls, peerSent, peerReceived        metric.Int64Counter
+	platformCalls, platformBytes             metric.Int64Counter
+}
+
+// New returns a Telemetry with its own registry.
+func New() (*Telemetry, error) {
+	registry := prometheus.NewRegistry()
+	// The process collector reports the processor time and resident memory.
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry),
+		otelprometheus.WithoutScopeInfo(), otelprometheus.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("prometheus exporter: %w", err)
+	}
+	t := &Telemetry{registry: registry}
+	t.provider = sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	t.meter = t.provider.Meter(meterName)
+	if err := t.createCounters(); err != nil {
+		return nil, err
+	}
+	if err := t.createHistograms(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Handler serves the measures in the Prometheus text format.
+func (t *Telemetry) Handler() http.Handler {
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown ends the recording.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	return t.provider.Shutdown(ctx)
+}
+
+func (t *Telemetry) createCounters() error {
+	c := &t.counters
+	list := []struct {
+		counter     *metric.Int64Counter
+		name, usage string
+	}{
+		{&c.requests, "requests", "Requests ended, by tier, service and result."},
+		{&c.goodRequests, "goodput.requests", "Requests whose whole answer was delivered, by tier."},
+		{&c.goodTokens, "goodput.tokens", "Output tokens of delivered answers, by tier."},
+		{&c.promptTokens, "prompt.tokens", "Prompt tokens of dispatched requests, by tier."},
+		{&c.cachedTokens, "prompt.cached.tokens", "Prompt tokens found in a target's prefix cache, by tier."},
+		{&c.wastedTokens, "prefill.wasted.tokens", "Prefilled prompt tokens of requests whose answer was not delivered, by tier."},
+		{&c.sheds, "sheds", "Requests shed, by tier."},
+		{&c.permits, "permits", "Permits returned, by result."},
+		{&c.claims, "ledger.claims", "Ledger claims answered, by state."},
+		{&c.peerCalls, "peer.calls", "Calls between nodes, by method."},
+		{&c.peerSent, "peer.sent.bytes", "Payload bytes sent to other nodes, by method."},
+		{&c.peerReceived, "peer.received.bytes", "Payload bytes received from other nodes, by method."},
+		{&c.platformCalls, "platform.calls", "Calls to the object API, by operation and result."},
+		{&c.platformBytes, "platform.bytes", "Payload bytes to and from the object API, by operation."},
+	}
+	for _, item := range list {
+		counter, err := t.meter.Int64Counter("primrosemoor."+item.name, metric.WithDescription(item.usage))
+		if err != nil {
+			return fmt.Errorf("counter %s: %w", item.name, err)
+		}
+		*item.counter = counter
+	}
+	return nil
+}
+
+func (t *Telemetry) createHistograms() error {
+	var err error
+	t.first, err = t.meter.Float64Histogram("primrosemoor.first.token",
+		metric.WithDescription("Time from a request's arrival to its first token, by tier."),
+		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(firstTokenBounds...))
+	if err != nil {
+		return fmt.Errorf("histogram first.token: %w", err)
+	}
+	t.gap, err = t.meter.Float64Histogram("primrosemoor.inter.token",
+		metric.WithDescription("Time between tokens, by tier."),
+		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(interTokenBounds...))
+	if err != nil {
+		return fmt.Errorf("histogram inter.token: %w", err)
+	}
+	return nil
+}
+
+// labels are the attributes of one series; empty ones are left out.
+type labels struct {
+	tier, service, result, method, operation, state string
+}
+
+// with returns the measurement option of a series. Label values come from the
+// configuration and from enumerations, so the cache is bounded by them.
+func (t *Telemetry) with(l labels) metric.MeasurementOption {
+	if option, ok := t.options.Load(l); ok {
+		return option.(metric.MeasurementOption)
+	}
+	var attributes []attribute.KeyValue
+	add := func(key, value string) {
+		if value != "" {
+			attributes = append(attributes, attribute.String(key, value))
+		}
+	}
+	add("tier", l.tier)
+	add("service", l.service)
+	add("result", l.result)
+	add("method", l.method)
+	add("operation", l.operation)
+	add("state", l.state)
+	option := metric.WithAttributeSet(attribute.NewSet(attributes...))
+	t.options.Store(l, option)
+	return option
+}
+
+// Request is the measure of one ended request.
+type Request struct {
+	Tier    string
+	Service string
+	// Result is a short name such as "completed" or an error kind.
+	Result string
+	// Delivered says that the caller got its whole answer.
+	Delivered bool
+	// Dispatched says that bytes of the request went to a target.
+	Dispatched   bool
+	PromptTokens uint32
+	CachedTokens uint32
+	OutputTokens uint32
+	// FirstToken is the time from arrival to the first token; 0 if none came.
+	FirstToken time.Duration
+	// Gaps are times between tokens.
+	Gaps []time.Duration
+}
+
+// RecordRequest adds one ended request.
+func (t *Telemetry) RecordRequest(r Request) {
+	ctx := context.Background()
+	tier := t.with(labels{tier: r.Tier})
+	t.counters.requests.Add(ctx, 1, t.with(labels{tier: r.Tier, service: r.Service, result: r.Result}))
+	if r.Dispatched {
+		t.counters.promptTokens.Add(ctx, int64(r.PromptTokens), tier)
+		t.counters.cachedTokens.Add(ctx, int64(r.CachedTokens), tier)
+	}
+	if r.Delivered {
+		t.counters.goodRequests.Add(ctx, 1, tier)
+		t.counters.goodTokens.Add(ctx, int64(r.OutputTokens), tier)
+	} else if r.Dispatched {
+		wasted := r.PromptTokens - min(r.CachedTokens, r.PromptTokens)
+		t.counters.wastedTokens.Add(ctx, int64(wasted), tier)
+	}
+	if r.FirstToken > 0 {
+		t.first.Record(ctx, r.FirstToken.Seconds(), tier)
+	}
+	for _, gap := range r.Gaps {
+		t.gap.Record(ctx, gap.Seconds(), tier)
+	}
+}
+
+// CountShed adds one shed request of a tier.
+func (t *Telemetry) CountShed(tier string) {
+	t.counters.sheds.Add(context.Background(), 1, t.with(labels{tier: tier}))
+}
+
+// CountPermit adds one returned permit.
+func (t *Telemetry) CountPermit(result schema.PermitResult) {
+	t.counters.permits.Add(context.Background(), 1, t.with(labels{result: result.String()}))
+}
+
+// CountClaim adds one answered ledger claim.
+func (t *Telemetry) CountClaim(state schema.ClaimState) {
+	t.counters.claims.Add(context.Background(), 1, t.with(labels{state: state.String()}))
+}
+
+// CountCall implements peer.Meter.
+func (t *Telemetry) CountCall(method schema.Method, sent, received int) {
+	ctx := context.Background()
+	option := t.with(labels{method: method.String()})
+	t.counters.peerCalls.Add(ctx, 1, option)
+	t.counters.peerSent.Add(ctx, int64(sent), option)
+	t.counters.peerReceived.Add(ctx, int64(received), option)
+}
+
+// CountPlatformCall adds one call to the object API with its payload bytes in
+// both directions. A waiting watch counts as one call.
+func (t *Telemetry) CountPlatformCall(operation, result string, bytes int) {
+	ctx := context.Background()
+	t.counters.platformCalls.Add(ctx, 1, t.with(labels{operation: operation, result: result}))
+	t.counters.platformBytes.Add(ctx, int64(bytes), t.with(labels{operation: operation}))
+}
+
+// QueueDepth is the number of requests that wait in one tier of a service.
+type QueueDepth struct {
+	Service string
+	Tier    string
+	Waiting int
+}
+
+// ObserveQueues reports queue depths at each scrape; depths must not block.
+func (t *Telemetry) ObserveQueues(depths func() []QueueDepth) error {
+	_, err := t.meter.Int64ObservableGauge("primrosemoor.queue.requests",
+		metric.WithDescription("Requests that wait for a permit, by service and tier."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, d := range depths() {
+				o.Observe(int64(d.Waiting), t.with(labels{tier: d.Tier, service: d.Service}))
+			}
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("gauge queue.requests: %w", err)
+	}
+	return nil
+}
