--- /dev/null
+++ b/standin/checker/checker_test.go
@@ -0,0 +1,166 @@
+package checker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/standin/checker"
+	"github.com/primrosemoor/primrosemoor/standin/history"
+	"github.com/primrosemoor/primrosemoor/standin/record"
+)
+
+// scene builds a history; times are in milliseconds.
+type scene struct {
+	lines   []history.Line
+	records []record.Line
+	attempt uint64
+}
+
+func at(millis int64) int64 { return millis * int64(time.Millisecond) }
+
+func (s *scene) send(sent, received int64, q history.Request, r history.Response) {
+	s.attempt++
+	s.lines = append(s.lines,
+		history.Line{Kind: history.KindSent, At: at(sent), Attempt: s.attempt, Request: &q},
+		history.Line{Kind: history.KindReceived, At: at(received), Attempt: s.attempt, Response: &r})
+}
+
+func (s *scene) start(millis int64, target, id string) {
+	s.records = append(s.records, record.Line{
+		Kind: record.KindStart, Target: target, RequestID: id, StartUnixNanos: at(millis),
+	})
+}
+
+func (s *scene) event(millis int64, line history.Line) {
+	line.At = at(millis)
+	s.lines = append(s.lines, line)
+}
+
+func chat(id string, rank int) history.Request {
+	return history.Request{ID: id, Entry: "n1", Service: "llm", Rank: rank, Chat: true, MaxTokens: 2}
+}
+
+func booking(id string) history.Request {
+	return history.Request{ID: id, Entry: "n1", Service: "app", Method: "POST", Path: "/book"}
+}
+
+func answer(text string) history.Response {
+	return history.Response{Result: history.ResultAnswer, Status: 200, Text: text}
+}
+
+func refused(problem, outcome string) history.Response {
+	return history.Response{Result: history.ResultRefused, Status: 503, Problem: problem, Outcome: outcome}
+}
+
+var broken = history.Response{Result: history.ResultBroken}
+
+// sound is a run that keeps every promise, with each promise judged.
+func sound(s *scene) {
+	s.send(0, 50, chat("a", 0), answer("a:0 a:1 "))
+	s.start(10, "e1", "a")
+	s.send(100, 150, booking("b"), answer(`{"request_id":"b"}`))
+	s.start(110, "s1", "b")
+	s.send(200, 2000, chat("low", 2), refused("overloaded", "not_run"))
+	s.send(600, 1800, chat("high", 0), refused("overloaded", "not_run"))
+	s.event(3000, history.Line{Kind: history.KindLeaving, Targets: []string{"e1"}})
+	s.send(3000, 3500, chat("c", 0), answer("c:0 c:1 "))
+	s.start(3100, "e1", "c")
+	s.event(3200, history.Line{Kind: history.KindStop, Node: "n1"})
+	s.event(3600, history.Line{Kind: history.KindStopped, Node: "n1"})
+	s.event(4000, history.Line{Kind: history.KindAccepted, Revision: 2})
+	s.event(5000, history.Line{Kind: history.KindObserved, Node: "n2", Revision: 1})
+	s.event(12000, history.Line{Kind: history.KindObserved, Node: "n2", Revision: 2})
+}
+
+func TestSoundRunPasses(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	sound(&s)
+	report := checker.Judge(s.lines, s.records)
+	is.True(!report.Failed())
+	for _, v := range report.Verdicts {
+		is.True(v.Judged > 0) // each promise applies
+	}
+}
+
+func TestEachPromiseCanBeBroken(t *testing.T) {
+	cases := []struct {
+		name    string
+		promise checker.Promise
+		add     func(*scene)
+	}{
+		{"chat runs twice", checker.DispatchedOnce, func(s *scene) { s.start(20, "e2", "a") }},
+		{"booking runs twice", checker.NonIdempotentOnce, func(s *scene) { s.start(120, "s2", "b") }},
+		{"low tier runs after a shed", checker.TierOrder, func(s *scene) {
+			s.send(150, 2500, chat("overtaker", 1), answer("overtaker:0 overtaker:1 "))
+			s.start(2300, "e1", "overtaker")
+		}},
+		{"answer is cut short", checker.WholeAnswer, func(s *scene) {
+			s.send(0, 50, chat("d", 0), answer("d:0 "))
+		}},
+		{"answer of another request", checker.WholeAnswer, func(s *scene) {
+			s.send(0, 50, booking("d"), answer(`{"request_id":"b"}`))
+		}},
+		{"part of an answer of another request", checker.WholeAnswer, func(s *scene) {
+			r := refused("target-failed", "unknown")
+			r.Text = "a:0 "
+			s.send(0, 50, chat("d", 0), r)
+		}},
+		{"connection breaks for no reason", checker.WholeAnswer, func(s *scene) {
+			s.send(0, 50, chat("d", 0), broken)
+		}},
+		{"not_run after it ran", checker.NotRunIsTrue, func(s *scene) {
+			s.send(0, 50, booking("d"), refused("no-target", "not_run"))
+			s.start(10, "s1", "d")
+		}},
+		{"not_run, then it runs without being sent again", checker.NotRunIsTrue, func(s *scene) {
+			s.send(0, 50, booking("d"), refused("no-target", "not_run"))
+			s.start(500, "s1", "d")
+		}},
+		{"second send told not_run though the first ran", checker.NotRunIsTrue, func(s *scene) {
+			s.send(0, 50, booking("d"), broken)
+			s.start(10, "s1", "d")
+			s.send(60, 90, booking("d"), refused("conflict", "not_run"))
+		}},
+		{"leaving target gets work", checker.LeavingTarget, func(s *scene) { s.start(6500, "e1", "c") }},
+		{"target's own signal is passed over", checker.LeavingTarget, func(s *scene) {
+			s.records = append(s.records, record.Line{Kind: record.KindLeaving, Target: "e2", StartUnixNanos: at(100)})
+			s.start(3200, "e2", "a")
+		}},
+		{"stop cuts a stream", checker.GracefulStop, func(s *scene) { s.send(3100, 3300, chat("d", 0), broken) }},
+		{"stop refuses what was accepted", checker.GracefulStop, func(s *scene) {
+			s.send(3100, 3300, chat("d", 0), refused("draining", "not_run"))
+		}},
+		{"revision is late", checker.Configuration, func(s *scene) {
+			s.event(13100, history.Line{Kind: history.KindObserved, Node: "n3", Revision: 1})
+		}},
+		{"revision reverts", checker.Configuration, func(s *scene) {
+			s.event(4500, history.Line{Kind: history.KindObserved, Node: "n3", Revision: 2})
+			s.event(4600, history.Line{Kind: history.KindObserved, Node: "n3", Revision: 1})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var s scene
+			sound(&s)
+			c.add(&s)
+			report := checker.Judge(s.lines, s.records)
+			is.True(len(report.Verdict(c.promise).Violations) > 0)
+		})
+	}
+}
+
+func TestFailuresExplainWhatTheyMay(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	s.event(20, history.Line{Kind: history.KindFault, Node: "n1", Fault: history.FaultKill})
+	s.send(0, 21, chat("a", 0), broken) // its entry was killed
+	s.start(10, "e1", "a")
+	s.send(0, 50, booking("b"), refused("no-target", "not_run"))
+	s.send(60, 90, booking("b"), answer(`{"request_id":"b"}`)) // sent again after not_run
+	s.start(70, "s1", "b")
+	is.True(!checker.Judge(s.lines, s.records).Failed())
+}
--- /dev/null
+++ b/standin/checker/operations.go
@@ -0,0 +1,144 @@
+package checker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/standin/history"
+	"github.com/primrosemoor/primrosemoor/standin/record"
+)
+
+const (
+	// leavingTime is the time after which a leaving target gets no new work.
+	leavingTime = 3 * time.Second
+	// acceptedTime is the time after which an accepted revision is in force
+	// everywhere.
+	acceptedTime = 9 * time.Second
+)
+
+// judgeLeaving compares the starts at each target with the times at which it
+// was leaving.
+func judgeLeaving(r *run, v *verdict) {
+	announced := slices.Clone(r.events)
+	for _, line := range r.records {
+		if line.Kind == record.KindLeaving {
+			announced = append(announced, history.Line{
+				Kind: history.KindLeaving, At: line.StartUnixNanos, Targets: []string{line.Target},
+			})
+		}
+	}
+	for _, e := range announced {
+		if e.Kind != history.KindLeaving {
+			continue
+		}
+		for _, target := range e.Targets {
+			v.Judged++
+			judgeLeavingTarget(r, v, target, e.At+int64(leavingTime), returnTime(r, target, e.At))
+		}
+	}
+}
+
+// returnTime returns the time at which the target may receive work again.
+func returnTime(r *run, target string, after int64) int64 {
+	for _, e := range r.events {
+		if e.Kind == history.KindReturned && e.At > after && slices.Contains(e.Targets, target) {
+			return e.At
+		}
+	}
+	return int64(1<<63 - 1)
+}
+
+func judgeLeavingTarget(r *run, v *verdict, target string, from, to int64) {
+	for _, line := range r.records {
+		if line.Kind != record.KindStart || line.Target != target {
+			continue
+		}
+		if line.StartUnixNanos > from && line.StartUnixNanos < to {
+			late := time.Duration(line.StartUnixNanos - from + int64(leavingTime))
+			v.breaks(line.RequestID, "started at %s %v after it was leaving", target, late.Round(time.Millisecond))
+		}
+	}
+}
+
+// judgeStops checks that no answer in flight at a node was cut by its planned
+// stop.
+func judgeStops(r *run, v *verdict) {
+	for _, e := range r.events {
+		if e.Kind != history.KindStop {
+			continue
+		}
+		end := stopEnd(r, e)
+		for _, a := range r.attempts {
+			if a.request.Entry != e.Node || a.sent > end || a.response == nil || a.received < e.At {
+				continue
+			}
+			if a.neverSent() || r.disturbed(e.Node, a.sent, a.received) {
+				continue
+			}
+			v.Judged++
+			if cut(a, e.At) {
+				v.breaks(a.request.ID, "%s with outcome %q during the planned stop of %s",
+					a.response.Result, a.response.Outcome, e.Node)
+			}
+		}
+	}
+}
+
+// problemDraining is the refusal of a node that is stopping.
+const problemDraining = "draining"
+
+// cut reports whether the stop took the answer away: the connection broke,
+// the outcome is not known, or a request that the node had before the stop
+// was refused because of it.
+func cut(a *attempt, stop int64) bool {
+	switch a.response.Result {
+	case history.ResultBroken:
+		return true
+	case history.ResultRefused:
+		if a.response.Problem == problemDraining {
+			return a.openAt(stop)
+		}
+		return a.response.Outcome == history.OutcomeUnknown
+	default:
+		return false
+	}
+}
+
+func stopEnd(r *run, stop history.Line) int64 {
+	for _, e := range r.events {
+		if e.Kind == history.KindStopped && e.Node == stop.Node && e.At > stop.At {
+			return e.At
+		}
+	}
+	return int64(1<<63 - 1)
+}
+
+// judgeConfiguration compares what callers saw of the configuration with the
+// revisions that were accepted.
+func judgeConfiguration(r *run, v *verdict) {
+	accepted := make([]history.Line, 0, len(r.events))
+	last := make(map[string]uint64)
+	for _, e := range r.events {
+		switch e.Kind {
+		case history.KindAccepted:
+			accepted = append(accepted, e)
+		case history.KindObserved:
+			v.Judged++
+			if e.Revision < last[e.Node] {
+				v.breaks(e.Node, "showed revision %d after %d", e.Revision, last[e.Node])
+			}
+			last[e.Node] = max(last[e.Node], e.Revision)
+			judgeObserved(v, e, accepted)
+		}
+	}
+}
+
+func judgeObserved(v *verdict, seen history.Line, accepted []history.Line) {
+	for _, a := range accepted {
+		if a.At+int64(acceptedTime) < seen.At && a.Revision > seen.Revision {
+			late := time.Duration(seen.At - a.At).Round(time.Millisecond)
+			v.breaks(seen.Node, "showed revision %d %v after %d was accepted", seen.Revision, late, a.Revision)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/checker/run.go
@@ -0,0 +1,116 @@
+package checker
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/primrosemoor/primrosemoor/standin/history"
+	"github.com/primrosemoor/primrosemoor/standin/record"
+)
+
+// attempt is one send of a request by its caller.
+type attempt struct {
+	request  history.Request
+	sent     int64
+	received int64
+	// response is nil when the run ended before the attempt did.
+	response *history.Response
+}
+
+func (a *attempt) toldNotRun() bool {
+	return a.response != nil && a.response.Outcome == history.OutcomeNotRun
+}
+
+// neverSent reports whether no byte of the attempt left its caller.
+func (a *attempt) neverSent() bool {
+	return a.response != nil && a.response.Result == history.ResultUnreachable
+}
+
+// openAt reports whether the attempt was waiting for its answer at a time.
+func (a *attempt) openAt(at int64) bool {
+	return a.sent < at && (a.response == nil || a.received > at)
+}
+
+// request is all attempts and runs under one id.
+type request struct {
+	id       string
+	attempts []*attempt
+	starts   []record.Line
+}
+
+func (q *request) first() history.Request {
+	return q.attempts[0].request
+}
+
+func (q *request) answered() bool {
+	return slices.ContainsFunc(q.attempts, func(a *attempt) bool {
+		return a.response != nil && a.response.Result == history.ResultAnswer
+	})
+}
+
+func (q *request) allNotRun() bool {
+	return !slices.ContainsFunc(q.attempts, func(a *attempt) bool {
+		return !a.toldNotRun() && !a.neverSent()
+	})
+}
+
+// run is the history in the order that the judges read it.
+type run struct {
+	attempts []*attempt
+	requests []*request
+	// events are the lines that are not attempts, in order of time.
+	events  []history.Line
+	records []record.Line
+}
+
+func newRun(lines []history.Line, records []record.Line) *run {
+	r := &run{records: records}
+	lines = slices.Clone(lines)
+	slices.SortStableFunc(lines, func(a, b history.Line) int { return cmp.Compare(a.At, b.At) })
+	byNumber := make(map[uint64]*attempt)
+	byID := make(map[string]*request)
+	for _, line := range lines {
+		switch line.Kind {
+		case history.KindSent:
+			a := &attempt{request: *line.Request, sent: line.At}
+			byNumber[line.Attempt] = a
+			r.attempts = append(r.attempts, a)
+			q, ok := byID[line.Request.ID]
+			if !ok {
+				q = &request{id: line.Request.ID}
+				byID[q.id] = q
+				r.requests = append(r.requests, q)
+			}
+			q.attempts = append(q.attempts, a)
+		case history.KindReceived:
+			if a, ok := byNumber[line.Attempt]; ok {
+				a.response = line.Response
+				a.received = line.At
+			}
+		default:
+			r.events = append(r.events, line)
+		}
+	}
+	for _, line := range records {
+		if q, ok := byID[line.RequestID]; ok && line.Kind == record.KindStart {
+			q.starts = append(q.starts, line)
+		}
+	}
+	return r
+}
+
+// disturbed reports whether a fault was brought about at the node between two
+// times, or was in force at the first.
+func (r *run) disturbed(node string, from, to int64) bool {
+	inForce := false
+	for _, e := range r.events {
+		if e.Kind != history.KindFault || e.Node != node || e.At > to {
+			continue
+		}
+		inForce = e.Fault != history.FaultThaw && e.Fault != history.FaultHeal
+		if e.At >= from {
+			return true
+		}
+	}
+	return inForce
+}
