Add the ledger: claims group-committed to shard segments

Ruled out: answering NEW from memory, which a stale owner could do after another took the shard; NEW now needs a conditional update, or an entry of the same attempt. Dropping claims whose callers gave up: the owner cannot know whether the attempt got its answer, so only the attempt itself releases its claim, by Finish with NotRun.

--- /dev/null
+++ b/ledger/claim.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// claim is one waiting Claim call.
+type claim struct {
+	ctx     context.Context
+	request *schema.ClaimRequest
+	key     requestKey
+	shard   uint32
+	attempt uint64
+	digest  uint64
+	// result has room for one answer, so that the Run goroutine never waits.
+	result chan claimResult
+}
+
+type claimResult struct {
+	reply *schema.ClaimReply
+	err   error
+}
+
+var errNoCommit = errors.New("ledger: the commit took too long")
+
+// late returns the answer of a claim whose time is up: one that came in time,
+// or an error.
+func (c *claim) late() (*schema.ClaimReply, error) {
+	select {
+	case r := <-c.result:
+		return r.reply, r.err
+	default:
+	}
+	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+		return nil, errStoreUnavailable(errNoCommit)
+	}
+	return nil, errStoreUnavailable(c.ctx.Err())
+}
+
+func (c *claim) fail(err error) {
+	c.result <- claimResult{err: err}
+}
+
+// entry returns the stored form of the claim.
+func (c *claim) entry(nowUnixMs int64) *schema.LedgerEntry {
+	return &schema.LedgerEntry{
+		Key:           c.key[:],
+		ClaimedUnixMs: nowUnixMs,
+		Digest:        c.digest,
+		Attempt:       c.attempt,
+	}
+}
+
+func (c *claim) record() *record {
+	return &record{
+		attempt:   c.attempt,
+		digest:    c.digest,
+		state:     schema.ClaimState_CLAIM_STATE_NEW,
+		entryNode: c.request.GetEntryNode(),
+	}
+}
+
+// decide answers a claim from the loaded segment and the records. It reports
+// false if the id is free, so that the claim has to be written first.
+func (s *shard) decide(c *claim) (claimResult, bool) {
+	rec := s.records.get(c.key)
+	entry := s.held(c.key)
+	if entry == nil {
+		return s.decideWithoutEntry(c, rec)
+	}
+	if entry.GetDigest() != c.digest {
+		return claimResult{err: errKeyReused()}, true
+	}
+	if rec != nil && rec.attempt != entry.GetAttempt() {
+		s.records.remove(c.key)
+		rec = nil
+	}
+	if entry.GetAttempt() == c.attempt {
+		return s.decideOwn(c, rec), true
+	}
+	return claimResult{reply: s.decideForeign(entry, rec)}, true
+}
+
+// decideWithoutEntry answers from a record of a request that runs without a
+// stored claim.
+func (s *shard) decideWithoutEntry(c *claim, rec *record) (claimResult, bool) {
+	if rec == nil || !rec.unclaimed {
+		return claimResult{}, false
+	}
+	if rec.digest != c.digest {
+		return claimResult{err: errKeyReused()}, true
+	}
+	if rec.attempt == c.attempt && rec.state == schema.ClaimState_CLAIM_STATE_NEW {
+		return claimResult{reply: rec.reply(rec.state)}, true
+	}
+	return claimResult{reply: rec.reply(s.foreignState(rec))}, true
+}
+
+// decideOwn answers the attempt that holds the claim.
+func (s *shard) decideOwn(c *claim, rec *record) claimResult {
+	if rec == nil {
+		rec = c.record()
+		s.records.run(c.key, rec)
+	}
+	return claimResult{reply: rec.reply(rec.state)}
+}
+
+func (s *shard) decideForeign(entry *schema.LedgerEntry, rec *record) *schema.ClaimReply {
+	if rec != nil {
+		return rec.reply(s.foreignState(rec))
+	}
+	state := schema.ClaimState_CLAIM_STATE_UNKNOWN
+	if entry.GetDone() {
+		state = schema.ClaimState_CLAIM_STATE_DONE
+	}
+	return &schema.ClaimReply{State: state}
+}
+
+// foreignState returns what another attempt is told of a record: a request is
+// running only as long as its entry node is a member.
+func (s *shard) foreignState(rec *record) schema.ClaimState {
+	if rec.state == schema.ClaimState_CLAIM_STATE_DONE {
+		return rec.state
+	}
+	if _, ok := s.manager.topology.Member(rec.entryNode); !ok {
+		return schema.ClaimState_CLAIM_STATE_UNKNOWN
+	}
+	return schema.ClaimState_CLAIM_STATE_RUNNING
+}
+
+// held returns the stored entry of a key, unless it was released.
+func (s *shard) held(key requestKey) *schema.LedgerEntry {
+	entry := s.segment.index[key]
+	if entry == nil || s.isReleased(key, entry.GetAttempt()) {
+		return nil
+	}
+	return entry
+}
+
+func (s *shard) isReleased(key requestKey, attempt uint64) bool {
+	released, ok := s.released[key]
+	return ok && released == attempt
+}
--- /dev/null
+++ b/ledger/finish.go
@@ -0,0 +1,84 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// finish is one waiting Finish call.
+type finish struct {
+	request *schema.FinishRequest
+	key     requestKey
+	shard   uint32
+	attempt uint64
+	result  chan error
+}
+
+// record applies a finish to a loaded shard. One of an attempt that does not
+// hold the claim changes nothing, except that a release is remembered in case
+// the attempt's write takes effect later.
+func (s *shard) record(f *finish) {
+	if f.request.GetNotRun() {
+		s.release(f)
+		return
+	}
+	rec := s.recordOf(f)
+	if rec == nil {
+		return
+	}
+	rec.target = f.request.GetTarget()
+	rec.address = f.request.GetAddress()
+	rec.streamID = f.request.GetStreamId()
+	if f.request.GetState() != schema.ClaimState_CLAIM_STATE_DONE {
+		rec.state = schema.ClaimState_CLAIM_STATE_RUNNING
+		return
+	}
+	rec.state = schema.ClaimState_CLAIM_STATE_DONE
+	if uint64(len(f.request.GetOutcome().GetBody())) <= s.manager.maxOutcomeBytes {
+		rec.outcome = f.request.GetOutcome()
+	}
+	s.records.finish(f.key, rec)
+	s.markDone(f.key)
+}
+
+// recordOf returns the attempt's record, a new one if only the entry is known,
+// or nil if the attempt holds no claim or has ended.
+func (s *shard) recordOf(f *finish) *record {
+	rec := s.records.get(f.key)
+	if rec != nil && rec.attempt == f.attempt {
+		if rec.state == schema.ClaimState_CLAIM_STATE_DONE {
+			return nil
+		}
+		return rec
+	}
+	entry := s.held(f.key)
+	if entry == nil || entry.GetAttempt() != f.attempt {
+		return nil
+	}
+	rec = &record{attempt: f.attempt, digest: entry.GetDigest(), entryNode: f.request.GetEntryNode()}
+	s.records.run(f.key, rec)
+	return rec
+}
+
+func (s *shard) release(f *finish) {
+	rec := s.records.get(f.key)
+	if rec != nil && rec.attempt == f.attempt {
+		s.records.remove(f.key)
+		delete(s.unclaimed, f.key)
+	}
+	if len(s.released) < maxReleased {
+		s.released[f.key] = f.attempt
+	}
+}
+
+func (s *shard) markDone(key requestKey) {
+	entry := s.held(key)
+	if entry == nil || entry.GetDone() {
+		return
+	}
+	if len(s.done) == 0 {
+		s.doneSince = time.Now()
+	}
+	s.done[key] = entry.GetAttempt()
+}
--- /dev/null
+++ b/ledger/io.go
@@ -0,0 +1,245 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/topology"
+)
+
+type claimEvent struct{ claim *claim }
+
+func (e claimEvent) apply(m *Manager) {
+	s, err := m.ownedShard(e.claim.shard)
+	if err != nil {
+		e.claim.fail(err)
+		return
+	}
+	s.waiting = append(s.waiting, e.claim)
+	s.advance()
+}
+
+type finishEvent struct{ finish *finish }
+
+func (e finishEvent) apply(m *Manager) {
+	s, err := m.ownedShard(e.finish.shard)
+	if err != nil {
+		e.finish.result <- err
+		return
+	}
+	s.finishes = append(s.finishes, e.finish)
+	s.advance()
+}
+
+// wakeEvent advances a shard after a delay.
+type wakeEvent struct{ shard *shard }
+
+func (e wakeEvent) apply(*Manager) {
+	e.shard.wake = time.Time{}
+	if e.shard.owned {
+		e.shard.advance()
+	}
+}
+
+// loadedEvent ends a read of the segment.
+type loadedEvent struct {
+	shard   *shard
+	segment *segment
+	err     error
+}
+
+func (e loadedEvent) apply(m *Manager) {
+	s := e.shard
+	s.busy = false
+	if e.err != nil {
+		s.postpone("ledger_load_failed", e.err)
+		return
+	}
+	s.retry.Reset()
+	s.segment = e.segment
+	s.pruneMarks()
+	if s.owned {
+		s.advance()
+	}
+}
+
+// writtenEvent ends a write of the segment.
+type writtenEvent struct {
+	shard   *shard
+	segment *segment
+	err     error
+}
+
+func (e writtenEvent) apply(m *Manager) {
+	s := e.shard
+	s.busy = false
+	s.notBefore = s.lastWrite.Add(m.interval)
+	switch {
+	case e.err == nil:
+		s.retry.Reset()
+		s.segment = e.segment
+		s.pruneMarks()
+		s.pruneReleased()
+	case platform.IsConflict(e.err), platform.IsUnknownEffect(e.err):
+		s.segment = nil
+		s.notBefore = time.Time{}
+		s.log("ledger_reload", e.err)
+	default:
+		s.postpone("ledger_write_failed", e.err)
+		return
+	}
+	if s.owned {
+		s.advance()
+	}
+}
+
+// ownedShard returns the shard if this node owns it by the latest topology.
+func (m *Manager) ownedShard(number uint32) (*shard, error) {
+	if m.topology == nil {
+		return nil, errNotOwner(number, "")
+	}
+	owner := m.topology.ShardOwner(number)
+	if owner != m.node {
+		return nil, errNotOwner(number, owner)
+	}
+	s, ok := m.shards[number]
+	if !ok {
+		s = newShard(m, number)
+		m.shards[number] = s
+	}
+	return s, nil
+}
+
+func (m *Manager) adoptTopology(snapshot *topology.Snapshot) {
+	m.topology = snapshot
+	for number, s := range m.shards {
+		owner := snapshot.ShardOwner(number)
+		if owner == m.node {
+			continue
+		}
+		s.drop(owner)
+		delete(m.shards, number)
+	}
+}
+
+func (s *shard) load() {
+	s.busy = true
+	s.manager.start(func(ctx context.Context) event {
+		segment, err := s.manager.readSegment(ctx, s.number)
+		return loadedEvent{shard: s, segment: segment, err: err}
+	})
+}
+
+func (s *shard) write() {
+	next := s.next(time.Now())
+	if len(next.entries) >= maxEntries && !s.claimsIn(next) {
+		s.failFull()
+	}
+	s.busy = true
+	s.lastWrite = time.Now()
+	expect := s.segment.version
+	s.manager.start(func(ctx context.Context) event {
+		err := s.manager.writeSegment(ctx, s.number, next, expect)
+		return writtenEvent{shard: s, segment: next, err: err}
+	})
+}
+
+// claimsIn reports whether any waiting claim found room in the segment.
+func (s *shard) claimsIn(next *segment) bool {
+	for _, c := range s.waiting {
+		if e, ok := next.index[c.key]; ok && e.GetAttempt() == c.attempt {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Manager) readSegment(ctx context.Context, number uint32) (*segment, error) {
+	object, err := m.store.Get(ctx, segmentKey(number))
+	if err != nil && !platform.IsNotFound(err) {
+		return nil, err
+	}
+	return decodeSegment(object)
+}
+
+func (m *Manager) writeSegment(ctx context.Context, number uint32, next *segment, expect platform.Version) error {
+	value, err := next.encode(number, m.node, newNonce())
+	if err != nil {
+		return err
+	}
+	next.version, err = m.store.Put(ctx, segmentKey(number), value, expect)
+	return err
+}
+
+// start runs one read or write beside the Run goroutine and posts its event.
+func (m *Manager) start(work func(ctx context.Context) event) {
+	ctx := m.ctx
+	m.io.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, ioTimeout)
+		defer cancel()
+		e := work(ctx)
+		_ = m.post(context.Background(), e)
+	})
+}
+
+// postpone schedules the next try after a failure.
+func (s *shard) postpone(name string, err error) {
+	s.log(name, err)
+	s.notBefore = time.Now().Add(s.retry.NextBackOff())
+	if !s.owned {
+		return
+	}
+	if fault.KindOf(err) == schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE {
+		s.runUnclaimed()
+	}
+	s.advance()
+}
+
+// wakeAfter advances the shard again after a delay.
+func (s *shard) wakeAfter(delay time.Duration) {
+	at := time.Now().Add(delay)
+	if !s.wake.IsZero() && !s.wake.After(at) {
+		return
+	}
+	s.wake = at
+	m := s.manager
+	time.AfterFunc(delay, func() { _ = m.post(m.ctx, wakeEvent{s}) })
+}
+
+// pruneMarks forgets done marks that are stored or whose claims are gone, and
+// unclaimed requests that the segment holds by now.
+func (s *shard) pruneMarks() {
+	for key, attempt := range s.done {
+		entry := s.segment.index[key]
+		if entry == nil || entry.GetAttempt() != attempt || entry.GetDone() {
+			delete(s.done, key)
+		}
+	}
+	for key := range s.unclaimed {
+		if s.held(key) == nil {
+			continue
+		}
+		delete(s.unclaimed, key)
+		if rec := s.records.get(key); rec != nil {
+			rec.unclaimed = false
+		}
+	}
+}
+
+// pruneReleased forgets releases whose claims are gone. It is called after a
+// successful write, when no earlier write can take effect any more.
+func (s *shard) pruneReleased() {
+	for key, attempt := range s.released {
+		entry := s.segment.index[key]
+		if entry == nil || entry.GetAttempt() != attempt {
+			delete(s.released, key)
+		}
+	}
+}
+
+func (s *shard) log(name string, err error) {
+	s.manager.logger.Warn().Str("event", name).Uint32("shard", s.number).Int("waiting", len(s.waiting)).Err(err).Msg("")
+}
--- /dev/null
+++ b/ledger/key.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// keyBytes is the length of a hashed request id.
+const keyBytes = 16
+
+// requestKey is a hash of team and request id.
+type requestKey [keyBytes]byte
+
+// newRequestKey hashes the team's length before the team, so that no two pairs
+// are hashed alike. The hash resists collisions made on purpose.
+func newRequestKey(team, requestID string) requestKey {
+	buffer := binary.AppendUvarint(nil, uint64(len(team)))
+	buffer = append(buffer, team...)
+	buffer = append(buffer, requestID...)
+	sum := sha256.Sum256(buffer)
+	return requestKey(sum[:keyBytes])
+}
+
+func (k requestKey) shard(shards uint32) uint32 {
+	return uint32(binary.BigEndian.Uint64(k[:8]) % uint64(shards))
+}
+
+// entryKey returns a stored entry's key; a malformed one becomes zero.
+func entryKey(e *schema.LedgerEntry) requestKey {
+	var k requestKey
+	copy(k[:], e.GetKey())
+	return k
+}
+
+func hashAttempt(attempt string) uint64 {
+	return xxhash.Sum64String(attempt)
+}
+
+// shortDigest returns the part of a request's digest that entries keep.
+func shortDigest(digest []byte) uint64 {
+	var b [8]byte
+	copy(b[:], digest)
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// idTime returns the time that a request id in the form of a UUID of version 7
+// carries.
+func idTime(requestID string) (time.Time, bool) {
+	id, err := uuid.Parse(requestID)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	var b [8]byte
+	copy(b[2:], id[:6])
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(b[:]))), true
+}
--- /dev/null
+++ b/ledger/shard.go
@@ -0,0 +1,244 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// maxReleased bounds the releases that wait for a write of one shard.
+const maxReleased = 10_000
+
+// Retry intervals after a failed read or write of a segment.
+const (
+	initialRetryInterval = 50 * time.Millisecond
+	maxRetryInterval     = time.Second
+)
+
+// shard is one owned shard. The Run goroutine owns it.
+type shard struct {
+	manager *Manager
+	number  uint32
+	owned   bool
+	// busy is set while a read or write of the segment is under way.
+	busy bool
+	// segment is nil until it is loaded, and again after a write whose
+	// effect is not certain.
+	segment  *segment
+	records  *records
+	waiting  []*claim
+	finishes []*finish
+	// released and done hold attempts by key; they wait for the next write.
+	released map[requestKey]uint64
+	done     map[requestKey]uint64
+	// unclaimed requests run without a stored claim until the next write.
+	unclaimed map[requestKey]*claim
+	doneSince time.Time
+	lastWrite time.Time
+	// wake is the time of the earliest pending wake event, or zero.
+	wake time.Time
+	// notBefore is the earliest time of the next read or write.
+	notBefore time.Time
+	retry     *backoff.ExponentialBackOff
+}
+
+func newShard(m *Manager, number uint32) *shard {
+	retry := platform.NewBackOff()
+	retry.InitialInterval = initialRetryInterval
+	retry.MaxInterval = maxRetryInterval
+	return &shard{
+		manager:   m,
+		number:    number,
+		owned:     true,
+		records:   newRecords(),
+		released:  make(map[requestKey]uint64),
+		done:      make(map[requestKey]uint64),
+		unclaimed: make(map[requestKey]*claim),
+		retry:     retry,
+	}
+}
+
+// advance does whatever the shard's state allows: it answers what can be
+// answered, and starts a read or a write if one is needed.
+func (s *shard) advance() {
+	if s.segment != nil {
+		s.recordFinishes()
+		s.answerWaiting()
+	}
+	if s.busy {
+		return
+	}
+	if !s.needsIO() {
+		s.awaitDoneMarks()
+		return
+	}
+	if wait := time.Until(s.notBefore); wait > 0 {
+		s.wakeAfter(wait)
+		return
+	}
+	if s.segment == nil {
+		s.load()
+		return
+	}
+	s.write()
+}
+
+func (s *shard) needsIO() bool {
+	if s.segment == nil {
+		return len(s.waiting) > 0 || len(s.finishes) > 0
+	}
+	return len(s.waiting) > 0 || len(s.unclaimed) > 0 || s.releasesStored() || s.doneDue()
+}
+
+// awaitDoneMarks makes sure that done marks are written without a claim.
+func (s *shard) awaitDoneMarks() {
+	if len(s.done) > 0 {
+		s.wakeAfter(doneMarkDelay - time.Since(s.doneSince))
+	}
+}
+
+// releasesStored reports whether the segment holds a released claim.
+func (s *shard) releasesStored() bool {
+	for key, attempt := range s.released {
+		entry := s.segment.index[key]
+		if entry != nil && entry.GetAttempt() == attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// doneDue reports whether the oldest done mark has waited long enough.
+func (s *shard) doneDue() bool {
+	return len(s.done) > 0 && time.Since(s.doneSince) >= doneMarkDelay
+}
+
+func (s *shard) recordFinishes() {
+	for _, f := range s.finishes {
+		s.record(f)
+		f.result <- nil
+	}
+	s.finishes = nil
+}
+
+// answerWaiting answers the claims that need no write and forgets those whose
+// callers are gone.
+func (s *shard) answerWaiting() {
+	s.waiting = slices.DeleteFunc(s.waiting, func(c *claim) bool {
+		if c.ctx.Err() != nil {
+			return true
+		}
+		result, decided := s.decide(c)
+		if decided {
+			c.result <- result
+		}
+		return decided
+	})
+}
+
+// drop fails what waits, after another node became the owner.
+func (s *shard) drop(owner string) {
+	s.owned = false
+	for _, c := range s.waiting {
+		c.fail(errNotOwner(s.number, owner))
+	}
+	for _, f := range s.finishes {
+		f.result <- errNotOwner(s.number, owner)
+	}
+	s.waiting = nil
+	s.finishes = nil
+}
+
+// next returns the segment that the next write stores: the present one without
+// what was released or is too old, and with the waiting claims.
+func (s *shard) next(now time.Time) *segment {
+	horizon := trimTime(now, s.manager.retention).UnixMilli()
+	entries := make([]*schema.LedgerEntry, 0, len(s.segment.entries)+len(s.waiting))
+	for _, e := range s.segment.entries {
+		if e.GetClaimedUnixMs() < horizon {
+			s.records.remove(entryKey(e))
+			continue
+		}
+		if s.isReleased(entryKey(e), e.GetAttempt()) {
+			continue
+		}
+		entries = append(entries, s.withDoneMark(e))
+	}
+	added := make(map[requestKey]bool)
+	for _, c := range s.unwritten() {
+		if added[c.key] || len(entries) >= maxEntries {
+			continue
+		}
+		added[c.key] = true
+		entries = append(entries, c.entry(now.UnixMilli()))
+	}
+	n := &segment{epoch: s.segment.epoch + 1, trimmed: max(s.segment.trimmed, horizon)}
+	n.setEntries(entries)
+	return n
+}
+
+// unwritten returns the claims that the next write adds.
+func (s *shard) unwritten() []*claim {
+	claims := make([]*claim, 0, len(s.unclaimed)+len(s.waiting))
+	for key, c := range s.unclaimed {
+		if s.held(key) == nil {
+			claims = append(claims, c)
+		}
+	}
+	return append(claims, s.waiting...)
+}
+
+func (s *shard) withDoneMark(e *schema.LedgerEntry) *schema.LedgerEntry {
+	attempt, ok := s.done[entryKey(e)]
+	if !ok || attempt != e.GetAttempt() {
+		return e
+	}
+	return &schema.LedgerEntry{
+		Key:           e.GetKey(),
+		ClaimedUnixMs: e.GetClaimedUnixMs(),
+		Digest:        e.GetDigest(),
+		Attempt:       e.GetAttempt(),
+		Done:          true,
+	}
+}
+
+// failFull refuses the waiting claims that found no room.
+func (s *shard) failFull() {
+	for _, c := range s.waiting {
+		c.fail(errShardFull(s.number))
+	}
+	s.waiting = nil
+}
+
+// runUnclaimed lets waiting idempotent requests run without a stored claim, if
+// the settings allow it and the segment shows that their ids were free.
+func (s *shard) runUnclaimed() {
+	if !s.manager.runWithoutClaim || s.segment == nil {
+		return
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(c *claim) bool {
+		if !c.request.GetIdempotent() || c.ctx.Err() != nil {
+			return false
+		}
+		if s.records.get(c.key) == nil {
+			rec := c.record()
+			rec.unclaimed = true
+			s.records.run(c.key, rec)
+			s.unclaimed[c.key] = c
+		}
+		result, decided := s.decideWithoutEntry(c, s.records.get(c.key))
+		if decided {
+			c.result <- result
+		}
+		return decided
+	})
+}
+
+func newNonce() string {
+	return uuid.NewString()
+}
