Read settings and register files, with every problem named

Ruled out: go-toml's strict decoding into the generated structs (it knows no durations or enums and stops at the type); protojson's own unknown-key error (reports one at a time, without a line).

--- /dev/null
+++ b/tomlproto/problem.go
@@ -0,0 +1,56 @@
+package tomlproto
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault found in a file.
+type Problem struct {
+	File string
+	// Line counts from 1; 0 means that the fault has no one line.
+	Line int
+	// Key is the dotted path of the value, such as "vms[3].state".
+	Key string
+	// Found says what the file holds.
+	Found string
+	// Remedy says how to correct it.
+	Remedy string
+}
+
+// String returns "file:line: key: found (remedy)".
+func (p Problem) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
+	}
+	if p.File != "" {
+		b.WriteString(": ")
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
+	}
+	fmt.Fprintf(&b, "%s (%s)", p.Found, p.Remedy)
+	return b.String()
+}
+
+// Problems are all faults found in one pass. It implements error.
+type Problems []Problem
+
+// Error returns one problem on each line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns p as an error, or nil if there are no problems.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
--- /dev/null
+++ b/tomlproto/walk.go
@@ -0,0 +1,188 @@
+package tomlproto
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+const durationName = "google.protobuf.Duration"
+
+// walker converts a generic value into the form that protojson accepts, and
+// collects what does not fit the schema.
+type walker struct {
+	document *Document
+	problems Problems
+}
+
+func (w *walker) fail(path, found, remedy string) any {
+	w.problems = append(w.problems, w.document.Problem(path, found, remedy))
+	return nil
+}
+
+func (w *walker) message(path string, value any, schema protoreflect.MessageDescriptor) any {
+	if schema.FullName() == durationName {
+		return w.duration(path, value)
+	}
+	table, ok := value.(map[string]any)
+	if !ok {
+		return w.wrongType(path, value, "a table")
+	}
+	out := make(map[string]any, len(table))
+	for _, key := range slices.Sorted(maps.Keys(table)) {
+		field := schema.Fields().ByName(protoreflect.Name(key))
+		if field == nil {
+			w.fail(join(path, key), "unknown key", "remove it or use one of: "+fieldNames(schema))
+			continue
+		}
+		out[key] = w.field(join(path, key), table[key], field)
+	}
+	return out
+}
+
+func (w *walker) field(path string, value any, field protoreflect.FieldDescriptor) any {
+	if !field.IsList() {
+		return w.single(path, value, field)
+	}
+	list, ok := value.([]any)
+	if !ok {
+		return w.wrongType(path, value, "a list")
+	}
+	out := make([]any, len(list))
+	for i, element := range list {
+		out[i] = w.single(fmt.Sprintf("%s[%d]", path, i), element, field)
+	}
+	return out
+}
+
+func (w *walker) single(path string, value any, field protoreflect.FieldDescriptor) any {
+	switch field.Kind() {
+	case protoreflect.MessageKind:
+		return w.message(path, value, field.Message())
+	case protoreflect.EnumKind:
+		return w.enum(path, value, field.Enum())
+	case protoreflect.StringKind:
+		return typed[string](w, path, value, "a string")
+	case protoreflect.BoolKind:
+		return typed[bool](w, path, value, "true or false")
+	case protoreflect.DoubleKind:
+		return w.float(path, value)
+	case protoreflect.Uint32Kind:
+		return w.integer(path, value, 0, math.MaxUint32)
+	case protoreflect.Uint64Kind:
+		return w.integer(path, value, 0, math.MaxInt64)
+	default:
+		return w.integer(path, value, math.MinInt64, math.MaxInt64)
+	}
+}
+
+func typed[T any](w *walker, path string, value any, want string) any {
+	if v, ok := value.(T); ok {
+		return v
+	}
+	return w.wrongType(path, value, want)
+}
+
+func (w *walker) wrongType(path string, value any, want string) any {
+	return w.fail(path, "found "+describe(value), "write "+want)
+}
+
+func (w *walker) float(path string, value any) any {
+	switch v := value.(type) {
+	case int64:
+		return v
+	case float64:
+		if !math.IsInf(v, 0) && !math.IsNaN(v) {
+			return v
+		}
+	}
+	return w.wrongType(path, value, "a finite number")
+}
+
+func (w *walker) integer(path string, value any, low, high int64) any {
+	v, ok := value.(int64)
+	if !ok {
+		return w.wrongType(path, value, "a whole number")
+	}
+	if v < low || v > high {
+		return w.fail(path, fmt.Sprintf("%d is out of range", v), fmt.Sprintf("write a number from %d to %d", low, high))
+	}
+	return v
+}
+
+func (w *walker) duration(path string, value any) any {
+	text, ok := value.(string)
+	if !ok {
+		return w.wrongType(path, value, `a duration such as "250ms" or "5s"`)
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return w.wrongType(path, value, `a duration such as "250ms" or "5s"`)
+	}
+	seconds, nanos := d/time.Second, d%time.Second
+	sign := ""
+	if d < 0 {
+		sign, seconds, nanos = "-", -seconds, -nanos
+	}
+	return fmt.Sprintf("%s%d.%09ds", sign, seconds, nanos)
+}
+
+func (w *walker) enum(path string, value any, enum protoreflect.EnumDescriptor) any {
+	text, ok := value.(string)
+	prefix := enumPrefix(enum)
+	if ok {
+		v := enum.Values().ByName(protoreflect.Name(prefix + strings.ToUpper(text)))
+		if v != nil && v.Number() != 0 {
+			return string(v.Name())
+		}
+	}
+	return w.wrongType(path, value, "one of: "+enumNames(enum))
+}
+
+// enumPrefix is the part that all value names of an enum share.
+func enumPrefix(enum protoreflect.EnumDescriptor) string {
+	return strings.TrimSuffix(string(enum.Values().Get(0).Name()), "UNSPECIFIED")
+}
+
+func enumNames(enum protoreflect.EnumDescriptor) string {
+	var names []string
+	for i := 1; i < enum.Values().Len(); i++ {
+		names = append(names, enumText(enum, enum.Values().Get(i).Number()))
+	}
+	return strings.Join(names, ", ")
+}
+
+func enumText(enum protoreflect.EnumDescriptor, number protoreflect.EnumNumber) string {
+	v := enum.Values().ByNumber(number)
+	if v == nil {
+		return strconv.Itoa(int(number))
+	}
+	return strings.ToLower(strings.TrimPrefix(string(v.Name()), enumPrefix(enum)))
+}
+
+func fieldNames(schema protoreflect.MessageDescriptor) string {
+	names := make([]string, schema.Fields().Len())
+	for i := range names {
+		names[i] = string(schema.Fields().Get(i).Name())
+	}
+	return strings.Join(names, ", ")
+}
+
+func describe(value any) string {
+	switch v := value.(type) {
+	case string:
+		return strconv.Quote(v)
+	case map[string]any:
+		return "a table"
+	case []any:
+		return "a list"
+	default:
+		return fmt.Sprint(v)
+	}
+}
