--- /dev/null
+++ b/register/part.go
@@ -0,0 +1,183 @@
+package register
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const (
+	// HeadKey is the key of the head object.
+	HeadKey = "config/head"
+
+	partPrefix = "config/part/"
+	rulesPart  = "rules"
+	hashBytes  = 16
+
+	// A bucket holds about 16 items: their number doubles or halves when the
+	// mean leaves these bounds.
+	maxBucketMean = 24
+	minBucketMean = 8
+)
+
+// partKey returns the key of a part object. It holds the revision that
+// introduced the part: only that revision's head can be the first to name it,
+// so that a retired part never comes back into use and may be deleted.
+func partKey(p *schema.ConfigPart) string {
+	return fmt.Sprintf("%s%d-%s", partPrefix, p.GetRevision(), hex.EncodeToString(p.GetHash()))
+}
+
+func contentHash(content []byte) []byte {
+	sum := sha256.Sum256(content)
+	return sum[:hashBytes]
+}
+
+// headHash returns the hash of a head without its retired parts.
+func headHash(head *schema.ConfigHead) []byte {
+	bare := &schema.ConfigHead{
+		Revision:     head.GetRevision(),
+		Parts:        head.GetParts(),
+		Author:       head.GetAuthor(),
+		Nonce:        head.GetNonce(),
+		TeamBuckets:  head.GetTeamBuckets(),
+		VmBuckets:    head.GetVmBuckets(),
+		RecentNonces: head.GetRecentNonces(),
+	}
+	return contentHash(marshal(bare))
+}
+
+// marshal serializes a message of this package; such messages always can be.
+func marshal(m proto.Message) []byte {
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("register: marshal: %v", err))
+	}
+	return raw
+}
+
+// bucketCount returns the number of buckets for items, a power of two, given
+// the present number; 0 means none yet.
+func bucketCount(items int, present uint32) uint32 {
+	n := present
+	if n == 0 || bits.OnesCount32(n) != 1 {
+		n = 1
+	}
+	for items > maxBucketMean*int(n) {
+		n *= 2
+	}
+	for n > 1 && items < minBucketMean*int(n) {
+		n /= 2
+	}
+	return n
+}
+
+func bucketOf(name string, buckets uint32) uint32 {
+	return uint32(xxhash.Sum64String(name)) & (buckets - 1)
+}
+
+func teamPart(i uint32) string { return fmt.Sprintf("t%d", i) }
+
+func vmPart(i uint32) string { return fmt.Sprintf("v%d", i) }
+
+// partNames lists the parts in canonical order.
+func partNames(teamBuckets, vmBuckets uint32) []string {
+	names := make([]string, 0, 1+teamBuckets+vmBuckets)
+	names = append(names, rulesPart)
+	for i := range teamBuckets {
+		names = append(names, teamPart(i))
+	}
+	for i := range vmBuckets {
+		names = append(names, vmPart(i))
+	}
+	return names
+}
+
+// split spreads a sorted configuration over its parts.
+func split(c *schema.Config, teamBuckets, vmBuckets uint32) map[string]*schema.Config {
+	parts := make(map[string]*schema.Config)
+	for _, name := range partNames(teamBuckets, vmBuckets) {
+		parts[name] = &schema.Config{}
+	}
+	rules := parts[rulesPart]
+	rules.AvailabilityZones = c.GetAvailabilityZones()
+	rules.Tiers = c.GetTiers()
+	rules.Services = c.GetServices()
+	for _, team := range c.GetTeams() {
+		p := parts[teamPart(bucketOf(team.GetName(), teamBuckets))]
+		p.Teams = append(p.Teams, team)
+	}
+	for _, vm := range c.GetVms() {
+		p := parts[vmPart(bucketOf(vm.GetName(), vmBuckets))]
+		p.Vms = append(p.Vms, vm)
+	}
+	return parts
+}
+
+// part is one piece of a held configuration.
+type part struct {
+	ref     *schema.ConfigPart
+	content []byte
+	config  *schema.Config
+}
+
+// decodePart verifies content against ref and decodes it.
+func decodePart(ref *schema.ConfigPart, content []byte) (*part, error) {
+	if string(contentHash(content)) != string(ref.GetHash()) {
+		return nil, damaged(ref.GetName(), nil)
+	}
+	c := &schema.Config{}
+	if err := proto.Unmarshal(content, c); err != nil {
+		return nil, damaged(ref.GetName(), err)
+	}
+	return &part{ref: ref, content: content, config: c}, nil
+}
+
+func damaged(name string, cause error) error {
+	return fault.Wrap(schema.ErrorKind_ERROR_KIND_INTERNAL, cause,
+		"configuration part "+name+" does not match its hash",
+		"apply the register again with primrosectl apply")
+}
+
+// held is one complete revision. It is immutable.
+type held struct {
+	head   *schema.ConfigHead
+	hash   []byte
+	parts  map[string]*part
+	config *schema.Config
+}
+
+// newHeld joins the parts that head names.
+func newHeld(head *schema.ConfigHead, parts map[string]*part) *held {
+	c := &schema.Config{Revision: head.GetRevision()}
+	for _, ref := range head.GetParts() {
+		p := parts[ref.GetName()].config
+		c.AvailabilityZones = append(c.AvailabilityZones, p.GetAvailabilityZones()...)
+		c.Tiers = append(c.Tiers, p.GetTiers()...)
+		c.Services = append(c.Services, p.GetServices()...)
+		c.Teams = append(c.Teams, p.GetTeams()...)
+		c.Vms = append(c.Vms, p.GetVms()...)
+	}
+	Sort(c)
+	return &held{head: head, hash: headHash(head), parts: parts, config: c}
+}
+
+func (h *held) revision() uint64 {
+	if h == nil {
+		return 0
+	}
+	return h.head.GetRevision()
+}
+
+func (h *held) part(name string) *part {
+	if h == nil {
+		return nil
+	}
+	return h.parts[name]
+}
