Bring every accepted revision to every node by watch, relay and comparison

Ruled out: every node watching the store; pushing whole configurations. Tests in virtual time, race detector on: 8 nodes with one watcher in force within 3 s; new node in an outage takes its peers' highest; a lost notice heals; a store that lost revisions reverts nobody.

--- a/register/delta.go
+++ b/register/delta.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"fmt"
+	"errors"
 
 	"google.golang.org/protobuf/proto"
 
@@ -76,8 +76,10 @@
 	return newHeld(full, parts), nil
 }
 
+var errUnfitting = errors.New("the delta does not fit the revision held")
+
 func unfitting(name string) error {
-	return fault.New(schema.ErrorKind_ERROR_KIND_INTERNAL,
-		fmt.Sprintf("a peer's configuration delta does not fit the revision held: %s", name),
+	return fault.Wrap(schema.ErrorKind_ERROR_KIND_INTERNAL, errUnfitting,
+		"a peer's configuration cannot be joined at part "+name,
 		"the node asks for the whole configuration next")
 }
--- a/register/helper_test.go
+++ b/register/helper_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // deadline returns the test's context with a timeout.
@@ -13,3 +15,15 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// pause waits and reports whether the context is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func sizeOf(m proto.Message) int { return proto.Size(m) }
--- /dev/null
+++ b/register/manager_test.go
@@ -0,0 +1,244 @@
+package register_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/register"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// linkDelay is the one-way latency between nodes of a cluster in tests.
+const linkDelay = 20 * time.Millisecond
+
+// cluster is a set of managers whose peers are reached in the process.
+type cluster struct {
+	store    *platform.Memory
+	mu       sync.Mutex
+	managers map[string]*register.Manager
+	cut      map[string]bool
+	bytes    map[string]int
+}
+
+func newCluster() *cluster {
+	return &cluster{
+		store:    platform.NewMemory(),
+		managers: make(map[string]*register.Manager),
+		cut:      make(map[string]bool),
+		bytes:    make(map[string]int),
+	}
+}
+
+// start runs a manager until the test ends and checks that it never reverts.
+func (c *cluster) start(t *testing.T, address string, watcher bool) *register.Manager {
+	m := register.NewManager(register.Options{Store: c.store, Peers: link{c, address}, Seed: uint64(len(c.managers) + 1)})
+	m.SetWatcher(watcher)
+	var last uint64
+	m.Subscribe(func(config *schema.Config) {
+		if config.GetRevision() <= last {
+			t.Errorf("%s went from revision %d to %d", address, last, config.GetRevision())
+		}
+		last = config.GetRevision()
+	})
+	c.mu.Lock()
+	c.managers[address] = m
+	c.mu.Unlock()
+	go m.Run(t.Context())
+	return m
+}
+
+// heartbeat makes every node hear the revision of one other, as heartbeats do.
+func (c *cluster) heartbeat(t *testing.T, interval time.Duration) {
+	go func() {
+		for pause(t.Context(), interval) {
+			c.mu.Lock()
+			all := make([]string, 0, len(c.managers))
+			for address := range c.managers {
+				all = append(all, address)
+			}
+			c.mu.Unlock()
+			slices.Sort(all)
+			hub := c.manager(all[0])
+			for _, address := range all {
+				hub.NoteRevision(address, c.manager(address).Revision())
+				c.manager(address).NoteRevision(all[0], hub.Revision())
+			}
+		}
+	}()
+}
+
+func (c *cluster) manager(address string) *register.Manager {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.managers[address]
+}
+
+func (c *cluster) setCut(address string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[address] = cut
+}
+
+// link is the view that one node has of the others.
+type link struct {
+	cluster *cluster
+	self    string
+}
+
+func (l link) Addresses() []string {
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
+	var others []string
+	for address := range l.cluster.managers {
+		if address != l.self {
+			others = append(others, address)
+		}
+	}
+	slices.Sort(others)
+	return others
+}
+
+func (l link) ConfigDelta(ctx context.Context, address string, r *schema.ConfigDeltaRequest) (*schema.ConfigDelta, error) {
+	l.cluster.mu.Lock()
+	m := l.cluster.managers[address]
+	cut := l.cluster.cut[address] || l.cluster.cut[l.self]
+	l.cluster.mu.Unlock()
+	if cut || m == nil {
+		return nil, fault.New(schema.ErrorKind_ERROR_KIND_UNREACHABLE, "cut", "")
+	}
+	pause(ctx, 2*linkDelay)
+	delta, err := m.HandleDelta(ctx, peer.Identity{Node: l.self}, r)
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
+	l.cluster.bytes[l.self] += sizeOf(r) + sizeOf(delta)
+	return delta, err
+}
+
+func outage(platform.Operation, string) platform.Fault {
+	return platform.Fault{Unavailable: true}
+}
+
+func TestChangeReachesEveryNodeThroughOneWatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		config := install(t, c.store, drumlin(t))
+		for i := range 8 {
+			c.start(t, fmt.Sprintf("n%d", i), i == 3)
+		}
+		c.heartbeat(t, time.Second)
+		time.Sleep(5 * time.Second)
+		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
+		is.NoErr(err)
+		time.Sleep(3 * time.Second)
+		for address, m := range c.managers {
+			is.Equal(m.Revision(), uint64(2)) // In force on every node.
+			is.Equal(len(register.Diff(m.Current(), accepted(t, c.store))), 0)
+			is.True(c.bytes[address] < 64_000)
+		}
+	})
+}
+
+func TestNewNodeInAnOutageTakesTheHighestRevisionOfItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		config := install(t, c.store, drumlin(t))
+		stale := c.start(t, "a-stale", false)
+		time.Sleep(time.Second)
+		c.setCut("a-stale", true)
+		fresh := c.start(t, "b-fresh", true)
+		time.Sleep(time.Second)
+		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		is.Equal(fresh.Revision(), uint64(2))
+		c.store.Inject(outage)
+		is.Equal(stale.Revision(), uint64(1))
+		c.setCut("a-stale", false)
+		m := c.start(t, "c-new", false)
+		time.Sleep(time.Minute)
+		is.Equal(m.Revision(), uint64(2))
+		is.Equal(stale.Revision(), uint64(2))
+	})
+}
+
+func TestNodeThatKnowsNoPeerStartsOnceTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		install(t, c.store, drumlin(t))
+		c.store.Inject(outage)
+		m := c.start(t, "alone", true)
+		time.Sleep(time.Hour)
+		is.True(m.Current() == nil)
+		c.store.Inject(nil)
+		time.Sleep(3 * time.Second)
+		is.Equal(m.Revision(), uint64(1))
+	})
+}
+
+func TestPeriodicComparisonHealsALostNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		config := install(t, c.store, drumlin(t))
+		c.start(t, "watcher", true)
+		deaf := c.start(t, "deaf", false) // No heartbeat tells it of revisions.
+		time.Sleep(time.Second)
+		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
+		is.NoErr(err)
+		time.Sleep(2 * register.DefaultCompareInterval)
+		is.Equal(deaf.Revision(), uint64(2))
+	})
+}
+
+func TestChangeAcceptedDuringAWatchersOutageIsAdoptedAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		config := install(t, c.store, drumlin(t))
+		m := c.start(t, "watcher", true)
+		time.Sleep(time.Second)
+		c.store.Inject(func(operation platform.Operation, _ string) platform.Fault {
+			return platform.Fault{Unavailable: operation == platform.OperationWatch}
+		})
+		time.Sleep(time.Minute)
+		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
+		is.NoErr(err)
+		c.store.Inject(nil)
+		time.Sleep(3 * time.Second)
+		is.Equal(m.Revision(), uint64(2))
+	})
+}
+
+func TestStoreThatLostRevisionsDoesNotRevertANode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		config := install(t, c.store, drumlin(t))
+		m := c.start(t, "watcher", true)
+		time.Sleep(time.Second)
+		backup, err := c.store.Get(t.Context(), register.HeadKey)
+		is.NoErr(err)
+		_, err = register.Apply(t.Context(), c.store, leaving(config, 0), "x")
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		now, err := c.store.Get(t.Context(), register.HeadKey)
+		is.NoErr(err)
+		_, err = c.store.Put(t.Context(), register.HeadKey, backup.Value, now.Version)
+		is.NoErr(err)
+		time.Sleep(10 * time.Minute)
+		is.Equal(m.Revision(), uint64(2))
+	})
+}
--- a/register/store.go
+++ b/register/store.go
@@ -7,7 +7,6 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
@@ -28,7 +27,7 @@
 // readHead returns the head and its version; both are zero when there is none.
 func readHead(ctx context.Context, store platform.Store) (*schema.ConfigHead, platform.Version, error) {
 	object, err := store.Get(ctx, HeadKey)
-	if fault.KindOf(err) == schema.ErrorKind_ERROR_KIND_NOT_FOUND {
+	if platform.IsNotFound(err) {
 		return &schema.ConfigHead{}, 0, nil
 	}
 	if err != nil {
@@ -58,7 +57,7 @@
 		if err == nil {
 			return h, version, nil
 		}
-		if fault.KindOf(err) != schema.ErrorKind_ERROR_KIND_NOT_FOUND {
+		if !platform.IsNotFound(err) {
 			return nil, 0, err
 		}
 		again, _, err := readHead(ctx, store)
