Add the adapters to engines and plain services

Ruled out: httptrace.WroteHeaders as the mark of a sent request, because a header beyond the write buffer leaves before it fires; a body without GetBody alone, because net/http replays GET, HEAD, OPTIONS and anything that carries Idempotency-Key on a reused connection. Done instead, in two layers: what makes a request replayable is taken away; and each connection counts attempted writes, is sealed when its request fails, and seals any second connection after a first byte was sent. Conclusion: a target's failure is told apart as sent or not sent.

--- /dev/null
+++ b/engine/chat_test.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+func TestWholeAnswerIsAssembledFromChunks(t *testing.T) {
+	is := is.New(t)
+	var a Assembler
+	for _, chunk := range []string{
+		`{"id":"c1","created":5,"model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":"He"},"finish_reason":null}]}`,
+		`{"id":"c1","created":5,"model":"m","choices":[{"index":0,"delta":{"content":"llo"},"finish_reason":null}]}`,
+		`{"id":"c1","created":5,"model":"m","choices":[{"index":1,"delta":{"tool_calls":[{"index":0,"id":"t","type":"function","function":{"name":"book","arguments":"{\"a\""}}]}}]}`,
+		`{"id":"c1","created":5,"model":"m","choices":[{"index":1,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"tool_calls"}]}`,
+		`{"id":"c1","created":5,"model":"m","choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":2,"total_tokens":5}}`,
+	} {
+		is.NoErr(a.Add([]byte(chunk)))
+	}
+	body, err := a.JSON()
+	is.NoErr(err)
+	var c Completion
+	is.NoErr(json.Unmarshal(body, &c))
+	is.Equal(c.Object, "chat.completion")
+	is.Equal(*c.Choices[0].Message.Content, "Hello")
+	is.Equal(*c.Choices[0].FinishReason, "stop")
+	is.Equal(c.Choices[1].Message.ToolCalls[0].Function.Arguments, `{"a":1}`)
+	is.True(c.Choices[1].Message.Content == nil)
+	is.Equal(c.Usage.TotalTokens, uint32(5))
+}
+
+func TestAssemblerBoundsIndexes(t *testing.T) {
+	is := is.New(t)
+	var a Assembler
+	is.Equal(a.Add([]byte(`{"choices":[{"index":1000000}]}`)), ErrAnswerTooLarge)
+	is.Equal(a.Add([]byte(`{"choices":[{"delta":{"tool_calls":[{"index":-1}]}}]}`)), ErrAnswerTooLarge)
+}
+
+func TestChunkEndIsFoundOnlyWhereItIs(t *testing.T) {
+	is := is.New(t)
+	_, ok := ParseChunkEnd([]byte(`{"choices":[{"delta":{"content":"a"},"finish_reason":null}],"usage":null}`))
+	is.True(!ok)
+	end, ok := ParseChunkEnd([]byte(`{"choices":[{"delta":{},"finish_reason":"length"}],"usage":{"completion_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}`))
+	is.True(ok)
+	is.Equal(end.FinishReason, "length")
+	is.Equal(end.Usage.CompletionTokens, uint32(9))
+	is.Equal(end.Usage.PromptDetails.CachedTokens, uint32(4))
+	end, ok = ParseChunkEnd([]byte(`{"choices":[],"usage":{"completion_tokens":9}}`))
+	is.True(ok && end.UsageOnly)
+}
+
+func TestNormalizedRequestIgnoresOrderSpaceAndDelivery(t *testing.T) {
+	is := is.New(t)
+	a, err := NormalizeChat([]byte(`{"model":"m", "messages":[{"role":"user","content":"x"}], "stream":true}`))
+	is.NoErr(err)
+	b, err := NormalizeChat([]byte(`{"stream_options":{},"messages":[{"role":"user","content":"x"}],"model":"m"}`))
+	is.NoErr(err)
+	is.Equal(string(a), string(b))
+	var r ChatRequest
+	is.NoErr(json.Unmarshal(StreamedBody(a), &r))
+	is.True(r.Stream && r.IncludeUsage())
+}
+
+func TestContentMayBeParts(t *testing.T) {
+	is := is.New(t)
+	r, err := ParseChat([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]},{"role":"assistant","content":null}]}`))
+	is.NoErr(err)
+	is.Equal(r.Messages[0].Content, Content("ab"))
+	_, err = ParseChat([]byte(`{"model":"m","messages":[]}`))
+	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_BAD_REQUEST)
+}
+
+func TestHopByHopHeadersAreDropped(t *testing.T) {
+	is := is.New(t)
+	h := EndToEnd(http.Header{"Connection": {"close, X-Link"}, "X-Link": {"1"}, "Upgrade": {"x"}, "X-Kept": {"1"}})
+	is.Equal(len(h), 1)
+	is.Equal(h.Get("X-Kept"), "1")
+}
--- /dev/null
+++ b/engine/plain.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop lists headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// PlainCall is a request to a plain service.
+type PlainCall struct {
+	Address   string
+	RequestID string
+	Method    string
+	// Path begins with a slash and may carry a query; it is sent as it is.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// CallPlain sends the call and returns the target's response, whatever its
+// status; the caller closes its body. The error is a *SendError, or a
+// *StatusError if the target stated that it did not start the request.
+func (c *Client) CallPlain(ctx context.Context, call PlainCall) (*http.Response, error) {
+	req, err := newRequest(ctx, call.Method, call.Address, call.Path, call.Body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = EndToEnd(call.Header)
+	req.Header.Set(HeaderRequestID, call.RequestID)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		req.Header.Set("User-Agent", "")
+	}
+	resp, err := c.send(req)
+	if err != nil {
+		return nil, err
+	}
+	if notStarted(resp) {
+		defer resp.Body.Close()
+		return nil, statusError(resp)
+	}
+	return resp, nil
+}
+
+// EndToEnd returns a copy of header without hop-by-hop headers, including
+// those that Connection names.
+func EndToEnd(header http.Header) http.Header {
+	h := header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	return h
+}
--- /dev/null
+++ b/engine/sse.go
@@ -0,0 +1,143 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+const (
+	// MaxEventBytes bounds one server-sent event.
+	MaxEventBytes = 1 << 20
+	readBuffer    = 4 << 10
+)
+
+// ErrEventTooLarge ends a stream whose event exceeds MaxEventBytes.
+var ErrEventTooLarge = errors.New("engine: event exceeds the size limit")
+
+var doneMarker = []byte("[DONE]")
+
+// Event is one server-sent event. Data is valid until the next call of Next.
+type Event struct {
+	// ID is the event's index, counted from 1; 0 if it carries none.
+	ID   uint64
+	Data []byte
+}
+
+// Done reports whether the event ends the stream.
+func (e Event) Done() bool {
+	return bytes.Equal(e.Data, doneMarker)
+}
+
+// EventReader parses server-sent events.
+type EventReader struct {
+	reader *bufio.Reader
+	line   []byte
+	data   []byte
+}
+
+// NewEventReader returns a reader of the events in r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(r, readBuffer)}
+}
+
+// Next returns the next event that carries data. It returns io.EOF at a clean
+// end and io.ErrUnexpectedEOF when the stream breaks off within an event.
+func (r *EventReader) Next() (Event, error) {
+	event := Event{}
+	r.data = r.data[:0]
+	started := false
+	for {
+		line, err := r.readLine()
+		if err == io.EOF && started {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			if len(r.data) == 0 {
+				event = Event{}
+				started = false
+				continue
+			}
+			event.Data = r.data[:len(r.data)-1]
+			return event, nil
+		}
+		started = true
+		if err := r.addField(&event, line); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// addField takes one line into the event. Unknown fields and comments are
+// ignored, as the format demands.
+func (r *EventReader) addField(event *Event, line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "data":
+		if len(r.data)+len(value) >= MaxEventBytes {
+			return ErrEventTooLarge
+		}
+		r.data = append(r.data, value...)
+		r.data = append(r.data, '\n')
+	case "id":
+		id, err := strconv.ParseUint(string(value), 10, 64)
+		if err == nil {
+			event.ID = id
+		}
+	}
+	return nil
+}
+
+// readLine returns one line without its end. An unfinished last line counts
+// as broken off.
+func (r *EventReader) readLine() ([]byte, error) {
+	part, err := r.reader.ReadSlice('\n')
+	if err == nil {
+		return trimEnd(part), nil
+	}
+	r.line = r.line[:0]
+	for err == bufio.ErrBufferFull {
+		r.line = append(r.line, part...)
+		if len(r.line) > MaxEventBytes {
+			return nil, ErrEventTooLarge
+		}
+		part, err = r.reader.ReadSlice('\n')
+	}
+	r.line = append(r.line, part...)
+	if err == io.EOF && len(r.line) > 0 {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	return trimEnd(r.line), nil
+}
+
+func trimEnd(line []byte) []byte {
+	line = line[:len(line)-1]
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
+
+// AppendEvent appends the event in the wire format.
+func AppendEvent(buffer []byte, event Event) []byte {
+	if event.ID > 0 {
+		buffer = append(buffer, "id: "...)
+		buffer = strconv.AppendUint(buffer, event.ID, 10)
+		buffer = append(buffer, '\n')
+	}
+	rest := event.Data
+	for more := true; more; {
+		var line []byte
+		line, rest, more = bytes.Cut(rest, []byte("\n"))
+		buffer = append(buffer, "data: "...)
+		buffer = append(buffer, line...)
+		buffer = append(buffer, '\n')
+	}
+	return append(buffer, '\n')
+}
--- /dev/null
+++ b/engine/transport_test.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// breakingTarget answers the first request of each connection and closes the
+// connection on the second, after reading it.
+type breakingTarget struct {
+	listener net.Listener
+	seen     chan string
+}
+
+func newBreakingTarget(t *testing.T) *breakingTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &breakingTarget{listener: listener, seen: make(chan string, 16)}
+	go target.serve()
+	t.Cleanup(func() { listener.Close() })
+	return target
+}
+
+func (b *breakingTarget) serve() {
+	for {
+		conn, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		go b.serveConn(conn)
+	}
+}
+
+func (b *breakingTarget) serveConn(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		b.seen <- req.Header.Get(HeaderRequestID)
+		if !first {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func callOnce(t *testing.T, c *Client, address, id, method string, body []byte) error {
+	t.Helper()
+	header := http.Header{"Idempotency-Key": {"k"}}
+	resp, err := c.CallPlain(t.Context(), PlainCall{Address: address, RequestID: id, Method: method,
+		Path: "/x", Header: header, Body: body})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	return err
+}
+
+func TestRequestOnAClosedKeptAliveConnectionIsNotSentAgain(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "DELETE", "POST", "PUT"} {
+		for _, body := range []string{"", "content"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				is := is.New(t)
+				target := newBreakingTarget(t)
+				c := NewClient(Options{})
+				defer c.Close()
+				address := target.listener.Addr().String()
+				is.NoErr(callOnce(t, c, address, "first", "POST", []byte("warm up")))
+				is.Equal(<-target.seen, "first")
+				err := callOnce(t, c, address, "second", method, []byte(body))
+				var sendErr *SendError
+				is.True(errors.As(err, &sendErr))
+				is.True(sendErr.Sent)
+				is.Equal(<-target.seen, "second")
+				is.NoErr(callOnce(t, c, address, "third", "POST", []byte("x")))
+				is.Equal(<-target.seen, "third") // The second request came once.
+			})
+		}
+	}
+}
+
+func TestRefusedConnectionCountsAsNothingSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	err = callOnce(t, NewClient(Options{}), address, "id", "POST", []byte("x"))
+	var sendErr *SendError
+	is.True(errors.As(err, &sendErr))
+	is.True(!sendErr.Sent)
+}
+
+func TestSealedConnectionSendsNothingAfterTheReport(t *testing.T) {
+	is := is.New(t)
+	left, right := net.Pipe()
+	defer right.Close()
+	conn := &trackedConn{Conn: left}
+	is.Equal(conn.seal(), int64(0))
+	_, err := conn.Write([]byte("late"))
+	is.True(errors.Is(err, errSealed))
+}
+
+func TestConnectionsLeaveFromTheSourceAddress(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		c := NewClient(Options{SourceAddress: "127.0.0.9"})
+		_, _ = c.StartChat(ctx, listener.Addr().String(), "id", []byte("{}"))
+	}()
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	is.Equal(conn.RemoteAddr().(*net.TCPAddr).IP.String(), "127.0.0.9")
+}
