Own groups: tiered fair queue, permits and shed floors

Cause: engines know no priorities, so the queue is kept in front of them by one owner for each group. Strict between tiers, start-time fair queueing between teams, deadlines, and shed floors confirmed by sibling owners stage by stage. Ruled out: a pledge with a time limit alone, because a sibling could dispatch after a late answer; leases per rank with sequence numbers replace it.

--- /dev/null
+++ b/admission/limits.go
@@ -0,0 +1,49 @@
+package admission
+
+import "time"
+
+// MaxRanks is the number of tiers that an owner distinguishes; lower ranks
+// are treated as the last one.
+const MaxRanks = 8
+
+const (
+	defaultWait             = 30 * time.Second
+	defaultMaxQueue         = 1024
+	defaultPermitTimeout    = 2 * time.Second
+	defaultFirstTokenGoal   = 810 * time.Millisecond
+	defaultTokenTimeGoal    = 27 * time.Millisecond
+	defaultPlainConcurrency = 32
+	// hardQueueFactor times the queue's bound is never exceeded.
+	hardQueueFactor = 4
+	// expiryFactor times the expected duration is how long a permit is held
+	// for an entry that does not return it.
+	expiryFactor = 4
+	minExpiry    = 60 * time.Second
+
+	firstFailurePause   = 250 * time.Millisecond
+	maxFailurePause     = 10 * time.Second
+	maxFailureDoublings = 6
+
+	// LeaseDuration is how long a dispatch lease between sibling owners holds.
+	LeaseDuration = 2 * time.Second
+	// renewInterval separates floor updates to one sibling.
+	renewInterval = 500 * time.Millisecond
+	// SplitAfter is how long a sibling must fail to answer before its leases
+	// are no longer asked for.
+	SplitAfter       = 3 * LeaseDuration
+	minSplitFailures = 3
+	// floorHold is how long a floor stays after the last pressure, and
+	// floorStep separates the steps in which it is lowered.
+	floorHold = 2 * time.Second
+	floorStep = time.Second
+
+	// drainMemory is the share of the measured queue drain kept each second.
+	drainMemory    = 0.7
+	drainInterval  = time.Second
+	minDrainGrants = 8
+
+	retryAfterShed = time.Second
+
+	// tickInterval separates the owner's periodic checks.
+	tickInterval = 50 * time.Millisecond
+)
--- /dev/null
+++ b/admission/owner_test.go
@@ -0,0 +1,218 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/primrosemoor/primrosemoor/admission"
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/topology"
+)
+
+const testGroup = "llm/a/0"
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func testConfig(targets int) *schema.Config {
+	c := &schema.Config{
+		Revision:          1,
+		AvailabilityZones: []*schema.AvailabilityZone{{Name: "a", Region: "r1"}, {Name: "b", Region: "r2"}, {Name: "c", Region: "r3"}},
+		Tiers:             []*schema.Tier{{Name: "high", Rank: 0}, {Name: "middle", Rank: 1}, {Name: "low", Rank: 2}},
+		Services: []*schema.Service{
+			{Name: "llm", Kind: schema.ServiceKind_SERVICE_KIND_ENGINE, Models: []string{"m"}},
+			{Name: "app", Kind: schema.ServiceKind_SERVICE_KIND_PLAIN, MaxConcurrency: 2},
+		},
+	}
+	for i := range targets {
+		c.Vms = append(c.Vms, &schema.VM{
+			Name: fmt.Sprintf("vm%d", i), AvailabilityZone: "a",
+			Workloads: []*schema.Workload{
+				{Service: "llm", Address: fmt.Sprintf("10.0.0.%d:1", i), Models: []string{"m"}},
+				{Service: "app", Address: fmt.Sprintf("10.0.0.%d:2", i)},
+			},
+		})
+	}
+	return c
+}
+
+func member(node, zone string) *schema.Member {
+	return &schema.Member{Node: node, AvailabilityZone: zone, State: schema.MemberState_MEMBER_STATE_ACTIVE}
+}
+
+func testTopology(targets int, options topology.Options) *topology.Snapshot {
+	return topology.Build(testConfig(targets), []*schema.Member{member("n0", "a")}, options)
+}
+
+// result is what one waiter was answered.
+type result struct {
+	reply *schema.PermitReply
+	err   error
+}
+
+func (r *result) kind() schema.ErrorKind { return fault.KindOf(r.err) }
+
+func newOwner(settings *schema.SchedulingSettings, targets int) *admission.Owner {
+	o := admission.NewOwner(admission.OwnerOptions{Node: "n0", Settings: settings, Explain: true})
+	o.Apply(start, testTopology(targets, topology.Options{}))
+	return o
+}
+
+func ask(o *admission.Owner, now time.Time, r *schema.PermitRequest) *result {
+	out := &result{}
+	if r.Group == "" {
+		r.Group = testGroup
+	}
+	if r.Model == "" && r.Group == testGroup {
+		r.Model = "m"
+	}
+	o.Enqueue(now, admission.NewWaiter(now, r, func(reply *schema.PermitReply, err error) {
+		out.reply, out.err = reply, err
+	}))
+	return out
+}
+
+// fill grants large requests until the next one has to wait.
+func fill(o *admission.Owner, now time.Time) (granted []*result) {
+	for {
+		r := ask(o, now, &schema.PermitRequest{PromptTokens: 8000, Team: "filler"})
+		if r.reply == nil {
+			return granted
+		}
+		granted = append(granted, r)
+	}
+}
+
+func giveBack(o *admission.Owner, now time.Time, r *result) {
+	p := r.reply.GetPermit()
+	o.Return(now, &schema.PermitReturn{Number: p.GetNumber(), Group: p.GetGroup(),
+		Result: schema.PermitResult_PERMIT_RESULT_CANCELLED})
+}
+
+func TestHigherTierIsServedFirst(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 1)
+	running := fill(o, start)
+	low := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 2})
+	high := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 0, Team: "t"})
+	giveBack(o, start, running[0])
+	giveBack(o, start, running[0])
+	is.True(high.reply.GetPermit() != nil || low.reply.GetPermit() == nil)
+	is.True(low.reply == nil)
+}
+
+func TestTeamsShareByWeight(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 1)
+	first := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Team: "x"})
+	var big, small []*result
+	for range 20 {
+		big = append(big, ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Team: "big"}))
+	}
+	for range 5 {
+		small = append(small, ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Team: "small"}))
+	}
+	running := first
+	served := map[string]int{}
+	for range 10 {
+		giveBack(o, start, running)
+		for team, list := range map[string][]*result{"big": big, "small": small} {
+			for i, r := range list {
+				if r.reply.GetPermit() != nil {
+					served[team]++
+					running = r
+					list[i] = &result{}
+				}
+			}
+		}
+	}
+	is.Equal(served["small"], 5)
+	is.Equal(served["big"], 5)
+}
+
+func TestLeavingTargetGetsNoPermit(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 2)
+	o.Apply(start, testTopology(2, topology.Options{LeavingVMs: []string{"vm0"}}))
+	for range 20 {
+		r := ask(o, start, &schema.PermitRequest{PromptTokens: 10})
+		is.Equal(r.reply.GetPermit().GetTarget(), "vm1/llm")
+	}
+}
+
+func TestUnknownModelIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	r := ask(newOwner(nil, 1), start, &schema.PermitRequest{Model: "other"})
+	is.Equal(r.kind(), schema.ErrorKind_ERROR_KIND_NO_TARGET)
+	is.Equal(fault.From(r.err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
+}
+
+func TestFullQueueShedsTheLowestTierFirst(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(&schema.SchedulingSettings{MaxQueueRequests: 3}, 1)
+	fill(o, start)
+	low := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 2})
+	middle := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 1})
+	ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 0})
+	is.Equal(low.kind(), schema.ErrorKind_ERROR_KIND_OVERLOADED)
+	is.NoErr(middle.err)
+	ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 0})
+	is.Equal(middle.kind(), schema.ErrorKind_ERROR_KIND_OVERLOADED)
+}
+
+func TestWaitEndsAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 1)
+	fill(o, start)
+	r := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Deadline: durationpb.New(time.Second)})
+	o.Tick(start.Add(900 * time.Millisecond))
+	is.NoErr(r.err)
+	o.Tick(start.Add(time.Second))
+	is.Equal(r.kind(), schema.ErrorKind_ERROR_KIND_DEADLINE)
+}
+
+func TestLostPermitExpiresAndItsLateReturnDoesNoHarm(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 1)
+	running := fill(o, start)
+	later := start.Add(time.Hour)
+	o.Tick(later)
+	is.Equal(o.Counts().LostPermits, uint64(len(running)))
+	giveBack(o, later, running[0])
+	is.True(o.Status()[1].GetTargets()[0].GetOutstandingTokens() >= 0)
+	is.Equal(o.Status()[1].GetTargets()[0].GetInFlight(), uint32(0))
+}
+
+func TestPermitOfAGoneEntryIsReleased(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 1)
+	ask(o, start, &schema.PermitRequest{PromptTokens: 8000, EntryNode: "gone"})
+	o.Apply(start, testTopology(1, topology.Options{}))
+	o.Tick(start)
+	is.Equal(o.Counts().LostPermits, uint64(1))
+}
+
+func TestPlainServiceIsBoundedByConcurrency(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 2)
+	for i := range 4 {
+		r := ask(o, start, &schema.PermitRequest{Group: "app/a/0"})
+		is.True(r.reply.GetPermit() != nil)
+		is.Equal(r.reply.GetPermit().GetTarget(), fmt.Sprintf("vm%d/app", i%2))
+	}
+	r := ask(o, start, &schema.PermitRequest{Group: "app/a/0"})
+	is.True(r.reply == nil)
+}
+
+func TestWaitersMoveToTheNewOwner(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 1)
+	fill(o, start)
+	r := ask(o, start, &schema.PermitRequest{PromptTokens: 8000})
+	o.Apply(start, topology.Build(testConfig(1), []*schema.Member{member("n1", "a")}, topology.Options{}))
+	is.Equal(r.kind(), schema.ErrorKind_ERROR_KIND_NOT_OWNER)
+}
--- /dev/null
+++ b/admission/pool.go
@@ -0,0 +1,305 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// pool is this owner's part in shedding the tiers of one service in strict
+// order with the sibling owners. docs/design/shedding.md defines the order.
+type pool struct {
+	service string
+	lowest  uint32
+	// floor is the lowest rank that this owner admits.
+	floor    uint32
+	sequence uint64
+	// want is the most important rank that has to be shed; the floor follows
+	// it one rank at a time.
+	want uint32
+	// lowered is when the floor last moved to a more important rank.
+	lowered time.Time
+	// pressure is when a rank was last shed or wanted to be.
+	pressure time.Time
+	stepped  time.Time
+	siblings map[string]*sibling
+	// skipAck is set by tests to show that they notice a missing
+	// acknowledgement.
+	skipAck bool
+}
+
+// sibling is another owner of groups of the same service.
+type sibling struct {
+	node string
+	// listed siblings own a group in the current topology.
+	listed bool
+	// seen is the highest sequence received, with the floor it carried.
+	seen  uint64
+	floor uint32
+	// asOf is the latest time for which floor is known to have held.
+	asOf time.Time
+	// acked is the floor that the sibling confirmed to have applied.
+	acked uint32
+	// lease is until when this owner may dispatch queued requests of a rank.
+	lease [MaxRanks]time.Time
+	// granted is until when the sibling may hold a lease from this owner.
+	granted [MaxRanks]time.Time
+	sent    time.Time
+	failing time.Time
+	fails   int
+	// split siblings do not answer, and their leases are not asked for.
+	split bool
+	loads []*schema.GroupLoad
+	// loadsAt is when loads were received.
+	loadsAt time.Time
+}
+
+func newPool(now time.Time, service string) *pool {
+	return &pool{
+		service:  service,
+		lowest:   MaxRanks - 1,
+		floor:    MaxRanks - 1,
+		want:     MaxRanks - 1,
+		sequence: uint64(now.UnixMilli()) << 16,
+		siblings: make(map[string]*sibling),
+	}
+}
+
+func (p *pool) sibling(node string) *sibling {
+	s, ok := p.siblings[node]
+	if !ok {
+		s = &sibling{node: node, floor: MaxRanks - 1, acked: MaxRanks - 1}
+		p.siblings[node] = s
+	}
+	return s
+}
+
+// list sets which nodes own groups of the service now.
+func (p *pool) list(now time.Time, nodes map[string]bool) {
+	for node := range nodes {
+		p.sibling(node)
+	}
+	for node, s := range p.siblings {
+		s.listed = nodes[node]
+		if !s.listed && !s.holdsLease(now, 0) {
+			delete(p.siblings, node)
+		}
+	}
+}
+
+// setLowest sets the rank of the least important tier.
+func (p *pool) setLowest(rank uint32) {
+	if p.floor == p.lowest {
+		p.floor = rank
+	}
+	if p.want == p.lowest {
+		p.want = rank
+	}
+	p.lowest = rank
+	p.floor = min(p.floor, rank)
+	p.want = min(p.want, rank)
+}
+
+// imposed returns the lowest rank that all siblings' floors admit.
+func (p *pool) imposed() uint32 {
+	floor := uint32(MaxRanks - 1)
+	for _, s := range p.siblings {
+		if s.listed && !s.split {
+			floor = min(floor, s.floor)
+		}
+	}
+	return floor
+}
+
+// mayRefuse reports whether a request that a floor keeps out may be refused
+// now. That is a shed, so the floor must be known to be in force still.
+func (p *pool) mayRefuse(now time.Time, rank uint32) bool {
+	if rank >= p.lowest || p.floor < rank {
+		return true
+	}
+	for _, s := range p.siblings {
+		if s.listed && s.floor < rank && now.Sub(s.asOf) < floorStep {
+			return true
+		}
+	}
+	return false
+}
+
+// mayDispatch reports whether a queued request of a rank may be dispatched:
+// every sibling has leased the rank, or has not answered for SplitAfter. Rank
+// 0 needs no lease, because nothing is shed after it.
+func (p *pool) mayDispatch(now time.Time, rank uint32) bool {
+	if rank == 0 {
+		return true
+	}
+	for _, s := range p.siblings {
+		if s.listed && !s.split && !s.lease[rank].After(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayShed reports whether a request of a rank may be shed: nothing of a less
+// important rank waits here or at a sibling that could still dispatch it.
+func (p *pool) mayShed(now time.Time, rank uint32) bool {
+	if rank >= p.lowest {
+		return true
+	}
+	if p.floor > rank {
+		return false
+	}
+	if p.skipAck {
+		return true
+	}
+	for _, s := range p.siblings {
+		if s.acked <= rank {
+			continue
+		}
+		if s.listed && now.Before(p.lowered.Add(LeaseDuration)) {
+			return false
+		}
+		if s.holdsLease(now, rank) {
+			return false
+		}
+	}
+	return true
+}
+
+// holdsLease reports whether the sibling may hold a lease for a rank less
+// important than rank.
+func (s *sibling) holdsLease(now time.Time, rank uint32) bool {
+	for _, until := range s.granted[rank+1:] {
+		if until.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// press notes that a rank has to be shed.
+func (p *pool) press(now time.Time, rank uint32) {
+	p.pressure = now
+	p.stepped = now
+	p.want = min(p.want, rank)
+}
+
+// advance moves the floor one rank towards what is wanted, once everything
+// below that rank is shed everywhere. It reports whether the floor moved.
+func (p *pool) advance(now time.Time) bool {
+	if p.floor <= p.want || !p.mayShed(now, p.floor) {
+		return false
+	}
+	p.floor--
+	p.lowered = now
+	p.sequence++
+	return true
+}
+
+// relax admits one more rank once the pressure is gone and all siblings know
+// of the present floor. It reports whether the floor moved.
+func (p *pool) relax(now time.Time) bool {
+	if now.Sub(p.pressure) < floorHold {
+		return false
+	}
+	p.want = p.lowest
+	if p.floor >= p.lowest || now.Sub(p.stepped) < floorStep || !p.known() {
+		return false
+	}
+	p.floor++
+	p.stepped = now
+	p.sequence++
+	for _, s := range p.siblings {
+		s.acked = max(s.acked, p.floor)
+	}
+	return true
+}
+
+// known reports whether every sibling has confirmed the floor or is split.
+func (p *pool) known() bool {
+	for _, s := range p.siblings {
+		if s.listed && !s.split && s.acked > p.floor {
+			return false
+		}
+	}
+	return true
+}
+
+// hear takes a sibling's floor. Older messages are ignored.
+func (s *sibling) hear(floor uint32, sequence uint64) (current bool) {
+	s.fails, s.split = 0, false
+	if sequence < s.seen {
+		return false
+	}
+	s.seen = sequence
+	s.floor = min(floor, MaxRanks-1)
+	for rank := s.floor + 1; rank < MaxRanks; rank++ {
+		s.lease[rank] = time.Time{}
+	}
+	return true
+}
+
+// receive applies a sibling's update and returns the acknowledgement, which
+// leases the ranks down to this owner's floor.
+func (p *pool) receive(now time.Time, node string, u *schema.FloorUpdate) *schema.FloorAck {
+	s := p.sibling(node)
+	if s.hear(u.GetFloor(), u.GetSequence()) {
+		s.loads, s.loadsAt = u.GetLoads(), now
+	}
+	for rank := uint32(0); rank <= p.granting(); rank++ {
+		s.granted[rank] = now.Add(LeaseDuration)
+	}
+	return &schema.FloorAck{Floor: p.granting(), Sequence: p.sequence, Confirmed: s.seen}
+}
+
+// granting returns the lowest rank that this owner leases to its siblings.
+func (p *pool) granting() uint32 {
+	if p.floor >= p.lowest {
+		return MaxRanks - 1
+	}
+	return p.floor
+}
+
+// acknowledged takes the answer to an update sent at sent.
+func (p *pool) acknowledged(now, sent time.Time, node string, a *schema.FloorAck) {
+	s := p.sibling(node)
+	current := s.hear(a.GetFloor(), a.GetSequence())
+	if a.GetConfirmed() > p.sequence {
+		// The sibling remembers an earlier run of this node.
+		p.sequence = a.GetConfirmed() + 1
+		return
+	}
+	if a.GetConfirmed() == p.sequence {
+		s.acked = p.granting()
+	}
+	if !current {
+		return
+	}
+	s.loads, s.loadsAt = a.GetLoads(), now
+	s.asOf = later(s.asOf, sent)
+	for rank := uint32(0); rank <= s.floor; rank++ {
+		s.lease[rank] = later(s.lease[rank], sent.Add(LeaseDuration))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// unanswered notes that an update sent at sent had no answer.
+func (p *pool) unanswered(now, sent time.Time, node string) {
+	s, ok := p.siblings[node]
+	if !ok {
+		return
+	}
+	if s.fails == 0 {
+		s.failing = sent
+	}
+	s.fails++
+	if s.fails >= minSplitFailures && now.Sub(s.failing) >= SplitAfter {
+		s.split = true
+	}
+}
--- /dev/null
+++ b/admission/refuse.go
@@ -0,0 +1,39 @@
+package admission
+
+import (
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+func errNotOwner(group string) error {
+	return fault.New(schema.ErrorKind_ERROR_KIND_NOT_OWNER,
+		"this node does not own group "+group,
+		"ask the owner in the current topology").NotRun()
+}
+
+func errDraining() error {
+	return fault.New(schema.ErrorKind_ERROR_KIND_DRAINING,
+		"the group's owner is shutting down",
+		"ask the next owner").NotRun()
+}
+
+func errOverloaded(service string) error {
+	return fault.New(schema.ErrorKind_ERROR_KIND_OVERLOADED,
+		"service "+service+" is overloaded and sheds this tier",
+		"retry later with backoff, or add targets to the service").NotRun().After(retryAfterShed)
+}
+
+func errDeadline() error {
+	return fault.New(schema.ErrorKind_ERROR_KIND_DEADLINE,
+		"the request cannot get its first token before its deadline",
+		"retry later, or allow a longer deadline").NotRun().After(retryAfterShed)
+}
+
+func errNoTarget(service, model string) error {
+	message := "no target of service " + service + " can run the request"
+	if model != "" {
+		message += " for model " + model
+	}
+	return fault.New(schema.ErrorKind_ERROR_KIND_NO_TARGET, message,
+		"list the model on a workload of the service, or add a target").NotRun()
+}
--- /dev/null
+++ b/admission/shed.go
@@ -0,0 +1,249 @@
+package admission
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// keptOut refuses or condemns a new request whose rank is below a floor.
+func (o *Owner) keptOut(now time.Time, g *group, w *Waiter) bool {
+	if w.rank <= min(g.pool.floor, g.pool.imposed()) {
+		return false
+	}
+	if g.pool.mayRefuse(now, w.rank) {
+		o.shed(w)
+		return true
+	}
+	w.condemned = true
+	g.condemned = append(g.condemned, w)
+	return true
+}
+
+// tooLate sheds a request that would wait beyond its deadline, if the order of
+// tiers allows that now.
+func (o *Owner) tooLate(now time.Time, g *group, w *Waiter) bool {
+	wait := g.wait(w.rank, laneKey{w.request.Model, w.request.Alone}, w.request.Team, w.weight)
+	if wait <= w.deadline.Sub(now) {
+		return false
+	}
+	if o.redirect(now, g, w) {
+		return true
+	}
+	g.pool.press(now, w.rank)
+	o.advance(now, g.pool)
+	if !g.pool.mayShed(now, w.rank) {
+		return false
+	}
+	o.counts.Shed[w.rank]++
+	w.answer(nil, errDeadline())
+	return true
+}
+
+// trim sheds waiters above the queue's bound, the least important first.
+func (o *Owner) trim(now time.Time, g *group) {
+	for g.queue.length > o.maxQueue {
+		rank, _ := g.queue.lowest()
+		g.pool.press(now, rank)
+		o.advance(now, g.pool)
+		lowest, ok := g.queue.lowest()
+		if !ok || lowest != rank {
+			continue
+		}
+		w := g.queue.last(rank)
+		if !g.pool.mayShed(now, rank) {
+			if g.queue.length+len(g.condemned) <= hardQueueFactor*o.maxQueue {
+				return
+			}
+			o.counts.OutOfOrder++
+		}
+		g.queue.remove(w)
+		o.shed(w)
+	}
+}
+
+func (o *Owner) shed(w *Waiter) {
+	o.counts.Shed[w.rank]++
+	w.answer(nil, errOverloaded(w.request.Service))
+}
+
+// advance moves a pool's floor as far as siblings have confirmed, sheds what
+// falls below it, and tells the siblings.
+func (o *Owner) advance(now time.Time, p *pool) {
+	moved := false
+	for p.advance(now) {
+		moved = true
+		o.evict(now, p)
+	}
+	if moved {
+		o.broadcast(now, p)
+	}
+}
+
+// evict sheds the waiters below this owner's floor, the least important first,
+// and condemns those below a sibling's.
+func (o *Owner) evict(now time.Time, p *pool) {
+	imposed := p.imposed()
+	for rank := p.lowest; rank > min(p.floor, imposed); rank-- {
+		for _, g := range o.ordered {
+			if g.pool != p {
+				continue
+			}
+			g.queue.all(rank, func(w *Waiter) {
+				g.queue.remove(w)
+				w.condemned = true
+				g.condemned = append(g.condemned, w)
+			})
+		}
+	}
+	o.refuseCondemned(now, p)
+}
+
+// refuseCondemned sheds condemned waiters, the least important first, as far
+// as the order of tiers allows.
+func (o *Owner) refuseCondemned(now time.Time, p *pool) {
+	for rank := p.lowest; rank > 0; rank-- {
+		if !p.mayRefuse(now, rank) {
+			return
+		}
+		for _, g := range o.ordered {
+			if g.pool == p {
+				g.keepCondemned(func(w *Waiter) bool { return w.rank != rank }, o.shed)
+			}
+		}
+	}
+}
+
+// keepCondemned passes the condemned waiters for which keep is false to drop.
+func (g *group) keepCondemned(keep func(*Waiter) bool, drop func(*Waiter)) {
+	kept := g.condemned[:0]
+	for _, w := range g.condemned {
+		if keep(w) {
+			kept = append(kept, w)
+			continue
+		}
+		drop(w)
+	}
+	clear(g.condemned[len(kept):])
+	g.condemned = kept
+}
+
+// Floor takes a sibling owner's floor update and returns the answer.
+func (o *Owner) Floor(now time.Time, from string, u *schema.FloorUpdate) *schema.FloorAck {
+	p := o.pool(now, u.GetService())
+	ack := p.receive(now, from, u)
+	ack.Owner = o.options.Node
+	ack.Loads = o.loads(p)
+	o.evict(now, p)
+	if p.imposed() < p.lowest {
+		o.renew(now, p)
+	}
+	return ack
+}
+
+// FloorAnswered takes the answer to an update sent at sent; ack is nil if
+// there was none.
+func (o *Owner) FloorAnswered(now, sent time.Time, node, service string, ack *schema.FloorAck) {
+	p, ok := o.pools[service]
+	if !ok {
+		return
+	}
+	if ack == nil {
+		p.unanswered(now, sent, node)
+	} else {
+		p.acknowledged(now, sent, node, ack)
+	}
+	o.evict(now, p)
+	o.advance(now, p)
+	for _, g := range o.ordered {
+		if g.pool == p {
+			o.trim(now, g)
+			o.dispatch(now, g)
+		}
+	}
+}
+
+func (o *Owner) broadcast(now time.Time, p *pool) {
+	for _, s := range p.siblings {
+		if s.listed {
+			o.sendFloor(now, p, s)
+		}
+	}
+}
+
+func (o *Owner) sendFloor(now time.Time, p *pool, s *sibling) {
+	s.sent = now
+	if o.options.SendFloor == nil {
+		return
+	}
+	o.options.SendFloor(now, s.node, &schema.FloorUpdate{
+		Service:  p.service,
+		Owner:    o.options.Node,
+		Floor:    p.granting(),
+		Sequence: p.sequence,
+		Loads:    o.loads(p),
+	})
+}
+
+// renew asks siblings for leases while requests wait, confirms this owner's
+// floor, and follows floors of siblings.
+func (o *Owner) renew(now time.Time, p *pool) {
+	if !o.needsSiblings(p) {
+		return
+	}
+	for _, s := range p.siblings {
+		if s.listed && now.Sub(s.sent) >= renewInterval {
+			o.sendFloor(now, p, s)
+		}
+	}
+}
+
+func (o *Owner) needsSiblings(p *pool) bool {
+	if p.floor < p.lowest || p.imposed() < p.lowest {
+		return true
+	}
+	for _, g := range o.ordered {
+		if g.pool == p && g.queue.length+len(g.condemned) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// loads describes the room in this owner's groups of a pool.
+func (o *Owner) loads(p *pool) []*schema.GroupLoad {
+	var loads []*schema.GroupLoad
+	for _, g := range o.ordered {
+		if g.pool == p {
+			loads = append(loads, g.load(p.lowest))
+		}
+	}
+	return loads
+}
+
+func (g *group) load(lowest uint32) *schema.GroupLoad {
+	l := &schema.GroupLoad{Group: g.id}
+	models := make(map[string]bool)
+	for _, t := range g.targets {
+		if t.info.Leaving {
+			continue
+		}
+		if t.plain() {
+			l.FreeTokens += float64(max(t.maxInFlight()-t.inFlight, 0))
+			continue
+		}
+		l.FreeTokens += max(t.limit.Tokens()-t.tokens, 0)
+		for _, m := range t.models {
+			models[m] = true
+		}
+	}
+	l.Models = slices.Sorted(maps.Keys(models))
+	for rank := uint32(0); rank <= lowest; rank++ {
+		l.Waits = append(l.Waits, durationpb.New(g.backlog(rank)))
+	}
+	return l
+}
