Add the scenario language over real processes

testscript carries the language; commands start a deployment of the real binaries, send requests, bring about failures and state expectations. Every process has a loopback IP of its own, and every link between nodes, targets and the platform goes through the relay, so that a cut needs no privileges. Failures are noted in the history before they take effect. After each script the checker judges the run; its verdict decides together with the script.

Ruled out: running nodes inside the test's process (no kill, no freeze); retries below the caller (net/http sends again under an Idempotency-Key on a reused connection, so each attempt has its own).

--- a/standin/checker/run.go
+++ b/standin/checker/run.go
@@ -114,3 +114,18 @@
 	}
 	return inForce
 }
+
+// connectedSince returns the end of the node's last failure before a time; it
+// reports false if a failure was in force.
+func (r *run) connectedSince(node string, at int64) (int64, bool) {
+	var since int64
+	connected := true
+	for _, e := range r.events {
+		if e.Kind != history.KindFault || e.Node != node || e.At > at {
+			continue
+		}
+		connected = e.Fault != history.FaultFreeze && e.Fault != history.FaultCut
+		since = e.At
+	}
+	return since, connected
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -25,6 +25,8 @@
 	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
 	Relay    relayCommand    `cmd:"" help:"Run TCP relays whose links can be cut."`
+	Scenario scenarioCommand `cmd:"" help:"Run scenario files over the real binaries."`
+	Check    checkCommand    `cmd:"" help:"Judge the history of a run."`
 }
 
 func main() {
--- /dev/null
+++ b/standin/cmd/standin/scenario.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/standin/checker"
+	"github.com/primrosemoor/primrosemoor/standin/scenario"
+)
+
+type scenarioCommand struct {
+	Files     []string      `arg:"" type:"existingfile" help:"Scenario files."`
+	Binaries  string        `help:"Folder of the built programs." default:".bin" type:"existingdir"`
+	Directory string        `help:"Folder for logs." default:".run"`
+	Results   string        `help:"File to append results to, one JSON line each."`
+	Seed      uint64        `help:"Seed of every random choice." default:"1"`
+	Limit     time.Duration `help:"Bound on one scenario's time." default:"90s"`
+	Keep      bool          `help:"Keep the logs of runs that passed."`
+}
+
+// Run implements kong's command interface.
+func (c *scenarioCommand) Run(ctx context.Context) error {
+	binaries, err := filepath.Abs(c.Binaries)
+	if err != nil {
+		return err
+	}
+	directory, err := filepath.Abs(c.Directory)
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for _, file := range c.Files {
+		result := scenario.Run(ctx, file, scenario.Options{
+			Binaries:  binaries,
+			Directory: directory,
+			Seed:      c.Seed,
+			Limit:     c.Limit,
+			Output:    os.Stdout,
+			Keep:      c.Keep,
+		})
+		if !result.Passed {
+			failed++
+		}
+		if err := appendResult(c.Results, result); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("interrupted: %w", ctx.Err())
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d scenarios failed", failed, len(c.Files))
+	}
+	return nil
+}
+
+func appendResult(path string, result scenario.Result) error {
+	if path == "" {
+		return nil
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return json.NewEncoder(file).Encode(result)
+}
+
+type checkCommand struct {
+	Directory string `arg:"" type:"existingdir" help:"Folder of a run."`
+}
+
+// Run implements kong's command interface.
+func (c *checkCommand) Run(context.Context) error {
+	report, err := checker.JudgeDirectory(c.Directory)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(report); err != nil {
+		return err
+	}
+	if report.Failed() {
+		return fmt.Errorf("promises were broken")
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/deployment/faults.go
@@ -0,0 +1,234 @@
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/primrosemoor/primrosemoor/standin/engine"
+	"github.com/primrosemoor/primrosemoor/standin/history"
+	"github.com/primrosemoor/primrosemoor/standin/platform"
+	"github.com/primrosemoor/primrosemoor/standin/relay"
+)
+
+// Link is the connection from a node to a node, a target or the platform.
+type Link struct {
+	From      string
+	To        string
+	Direction relay.Direction
+}
+
+// Cut holds back the bytes on a link.
+func (d *Deployment) Cut(l Link) error {
+	return d.setLink(l, "cut", history.FaultCut)
+}
+
+// Heal lets the bytes on a link pass again; empty names select all links.
+func (d *Deployment) Heal(l Link) error {
+	return d.setLink(l, "heal", history.FaultHeal)
+}
+
+func (d *Deployment) setLink(l Link, action string, f history.Fault) error {
+	selected := relay.Link{Direction: l.Direction}
+	for _, n := range d.nodesNamed(l.From) {
+		selected.Source = n.SourceIP
+		if err := d.options.History.Write(history.Line{Kind: history.KindFault, Node: n.Name, Fault: f}); err != nil {
+			return err
+		}
+	}
+	if l.To != "" {
+		listen, err := d.relayAddress(l.To)
+		if err != nil {
+			return err
+		}
+		selected.Listen = listen
+	}
+	if l.From == "" {
+		selected.Source = ""
+	}
+	return d.post("http://"+d.relayAdmin()+"/admin/"+action, selected)
+}
+
+// nodesNamed returns the named node, or all for an empty name.
+func (d *Deployment) nodesNamed(name string) []Node {
+	var nodes []Node
+	for i := range d.Nodes {
+		if n := d.Node(i); name == "" || n.Name == name {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+func (d *Deployment) relayAddress(name string) (string, error) {
+	if name == NamePlatform {
+		return d.platformRelay(), nil
+	}
+	if n, err := d.FindNode(name); err == nil {
+		return n.PeerAdvertise, nil
+	}
+	t, err := d.FindTarget(name)
+	return t.Address, err
+}
+
+// FindTarget returns a target's place by name.
+func (d *Deployment) FindTarget(name string) (Target, error) {
+	for _, t := range d.Targets() {
+		if t.Name == name {
+			return t, nil
+		}
+	}
+	return Target{}, fmt.Errorf("target %q is not known", name)
+}
+
+// Isolate cuts all links of a node to other nodes and to the platform.
+func (d *Deployment) Isolate(name string) error {
+	for i := range d.Nodes {
+		other := d.Node(i).Name
+		if other == name {
+			continue
+		}
+		if err := d.Cut(Link{From: name, To: other}); err != nil {
+			return err
+		}
+		if err := d.Cut(Link{From: other, To: name}); err != nil {
+			return err
+		}
+	}
+	return d.Cut(Link{From: name, To: NamePlatform})
+}
+
+// CutRegion cuts the links between a region's nodes and everything elsewhere.
+func (d *Deployment) CutRegion(region string) error {
+	for i := range d.Nodes {
+		for j := range d.Nodes {
+			a, b := d.Node(i), d.Node(j)
+			if (a.Region == region) == (b.Region == region) {
+				continue
+			}
+			if err := d.Cut(Link{From: a.Name, To: b.Name}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// SetPlatform replaces the platform's faults.
+func (d *Deployment) SetPlatform(f platform.Faults) error {
+	return d.post("http://"+d.platform()+"/admin/faults", f)
+}
+
+// SetSpeed changes the pace of an engine.
+func (d *Deployment) SetSpeed(target string, speed float64) error {
+	t, err := d.FindTarget(target)
+	if err != nil {
+		return err
+	}
+	return d.post("http://"+t.Listen+"/admin/speed", engine.SpeedSetting{Speed: speed})
+}
+
+// SignalLeaving lets a target announce that it leaves.
+func (d *Deployment) SignalLeaving(target string) error {
+	t, err := d.FindTarget(target)
+	if err != nil {
+		return err
+	}
+	return d.post("http://"+t.Listen+"/admin/leaving", engine.State{Leaving: true})
+}
+
+// ListLeaving marks VMs as leaving in the platform's lagging list.
+func (d *Deployment) ListLeaving(vms ...string) error {
+	return d.setVMs(vms)
+}
+
+func (d *Deployment) setVMs(leaving []string) error {
+	var list []platform.VM
+	for _, t := range d.Targets() {
+		list = append(list, platform.VM{Name: t.VM, Leaving: slices.Contains(leaving, t.VM)})
+	}
+	return d.post("http://"+d.platform()+"/admin/vms", list)
+}
+
+// Change edits the configuration, applies it and returns the tool's output.
+func (d *Deployment) Change(ctx context.Context, change func(*Edit)) (string, error) {
+	d.mu.Lock()
+	e := Edit{
+		Revision: d.edit.Revision + 1,
+		Leaving:  slices.Clone(d.edit.Leaving),
+		Removed:  slices.Clone(d.edit.Removed),
+	}
+	change(&e)
+	d.mu.Unlock()
+	output, err := d.Apply(ctx, e)
+	if err != nil {
+		return output, err
+	}
+	d.mu.Lock()
+	d.edit = e
+	d.mu.Unlock()
+	return output, nil
+}
+
+// Apply applies a configuration and notes that it was accepted.
+func (d *Deployment) Apply(ctx context.Context, e Edit) (string, error) {
+	path := filepath.Join(d.options.Directory, fmt.Sprintf("config-%d.toml", e.Revision))
+	if err := os.WriteFile(path, []byte(d.ConfigText(e)), 0o644); err != nil {
+		return "", err
+	}
+	output, err := d.control(ctx, "apply", path, "--platform", "http://"+d.platform())
+	if err != nil {
+		return output, err
+	}
+	line := history.Line{Kind: history.KindAccepted, Revision: e.Revision}
+	return output, d.options.History.Write(line)
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Data []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID string `json:"id"`
+}
+
+// Observe asks a node for its models as a caller does, and notes the revision
+// that the answer shows. It returns 0 if the node gave no answer.
+func (d *Deployment) Observe(ctx context.Context, n Node) (uint64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, n.URL()+"/v1/models", nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+Teams[0].Key())
+	response, err := d.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	var list modelList
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&list) != nil {
+		return 0, nil
+	}
+	var revision uint64
+	for _, m := range list.Data {
+		var r uint64
+		if strings.HasPrefix(m.ID, revisionPrefix) {
+			fmt.Sscanf(m.ID, revisionPrefix+"%d", &r)
+		}
+		revision = max(revision, r)
+	}
+	return revision, d.options.History.Write(history.Line{Kind: history.KindObserved, Node: n.Name, Revision: revision})
+}
+
+// Revision returns the last revision that was accepted.
+func (d *Deployment) Revision() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.edit.Revision
+}
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -112,13 +112,13 @@
 	})
 }
 
-// speedSetting is the body of POST /admin/speed.
-type speedSetting struct {
+// SpeedSetting is the body of POST /admin/speed.
+type SpeedSetting struct {
 	Speed float64 `json:"speed"`
 }
 
 func (e *Engine) serveSpeed(w http.ResponseWriter, r *http.Request) {
-	var s speedSetting
+	var s SpeedSetting
 	if err := json.NewDecoder(r.Body).Decode(&s); err != nil || s.Speed <= 0 {
 		http.Error(w, "speed must be a number above 0", http.StatusBadRequest)
 		return
--- /dev/null
+++ b/standin/scenario/send.go
@@ -0,0 +1,66 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"time"
+)
+
+// entryAny lets each request go to a node chosen by the seed.
+const entryAny = "any"
+
+// sendOptions are the flags of the send command.
+type sendOptions struct {
+	Kind        string
+	Count       int
+	Rate        float64
+	Parallel    int
+	Entry       string
+	Team        string
+	Tokens      int
+	Prompt      int
+	Resend      int
+	ResendAfter time.Duration
+	Timeout     time.Duration
+	Crash       bool
+	Background  bool
+}
+
+const (
+	defaultParallel    = 64
+	defaultResendAfter = 300 * time.Millisecond
+	defaultSendTimeout = 30 * time.Second
+	// maxCount bounds the requests of one group.
+	maxCount = 20_000
+)
+
+// parseSend reads "send NAME [flags]".
+func parseSend(args []string) (string, sendOptions, error) {
+	var o sendOptions
+	if len(args) == 0 {
+		return "", o, fmt.Errorf("usage: send NAME [flags]")
+	}
+	flags := flag.NewFlagSet("send", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	flags.StringVar(&o.Kind, "kind", kindStream, "stream, whole, book, charge, dispatch or lookup")
+	flags.IntVar(&o.Count, "count", 1, "number of requests")
+	flags.Float64Var(&o.Rate, "rate", 0, "requests a second; 0 sends as many at a time as -parallel allows")
+	flags.IntVar(&o.Parallel, "parallel", defaultParallel, "requests at a time")
+	flags.StringVar(&o.Entry, "entry", entryAny, "node that is asked")
+	flags.StringVar(&o.Team, "team", "guests", "team that sends")
+	flags.IntVar(&o.Tokens, "tokens", 16, "output tokens of a chat")
+	flags.IntVar(&o.Prompt, "prompt", 200, "bytes of prompt")
+	flags.IntVar(&o.Resend, "resend", 0, "times that a request without an answer is sent again")
+	flags.DurationVar(&o.ResendAfter, "resend-after", defaultResendAfter, "pause before it is sent again")
+	flags.DurationVar(&o.Timeout, "timeout", defaultSendTimeout, "time after which the caller gives up an attempt")
+	flags.BoolVar(&o.Crash, "crash", false, "prompts end the engine that reads them")
+	flags.BoolVar(&o.Background, "background", false, "do not wait for the answers")
+	if err := flags.Parse(args[1:]); err != nil {
+		return "", o, err
+	}
+	if flags.NArg() > 0 || o.Count < 1 || o.Count > maxCount || o.Parallel < 1 {
+		return "", o, fmt.Errorf("send: want flags only, 1 to %d requests and a parallel above 0", maxCount)
+	}
+	return args[0], o, nil
+}
