Send mixed traffic, duplicates and overload from scenarios

Cause: each failure has to be met by every kind of request, so that all promises are judged in each run.

Requests without a key are judged under the id that the answer names.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,9 @@
 	URL string
 	// Key is the team's bearer key.
 	Key string
+	// Deadline is the time allowed to the first token; zero leaves it to the
+	// entry.
+	Deadline time.Duration
 	// Model and Prompt are those of a chat; Body is that of a plain call.
 	Model  string
 	Prompt string
@@ -52,6 +56,12 @@
 
 const dialTimeout = 2 * time.Second
 
+// Headers between callers and entries.
+const (
+	headerKey      = "Idempotency-Key"
+	headerDeadline = "X-Deadline-Ms"
+)
+
 // Send sends the call once and returns what came back. The error concerns the
 // history only.
 func (c *Caller) Send(ctx context.Context, call Call) (history.Response, error) {
@@ -82,10 +92,15 @@
 		return history.Response{Result: history.ResultUnreachable, Problem: err.Error()}
 	}
 	defer answer.Body.Close()
+	response := readWhole
 	if call.Stream && answer.StatusCode == http.StatusOK {
-		return readStream(answer.Body, started)
+		response = readStream
+	}
+	r := response(answer, call.Chat, started)
+	if r.RequestID == "" {
+		r.RequestID = answer.Header.Get(headerKey)
 	}
-	return readWhole(answer, call.Chat)
+	return r
 }
 
 // chatBody is a chat completion request.
@@ -121,7 +136,12 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Authorization", "Bearer "+call.Key)
-	request.Header.Set("Idempotency-Key", call.ID)
+	if call.ID != "" {
+		request.Header.Set(headerKey, call.ID)
+	}
+	if call.Deadline > 0 {
+		request.Header.Set(headerDeadline, strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	}
 	return request, nil
 }
 
@@ -130,6 +150,8 @@
 	Type    string `json:"type"`
 	Kind    string `json:"kind"`
 	Outcome string `json:"outcome"`
+	// RequestID names the request that the error concerns.
+	RequestID string `json:"request_id"`
 }
 
 // name returns the kind, or the last part of the type.
@@ -146,15 +168,16 @@
 
 func (p problem) response(status int, text string) history.Response {
 	return history.Response{
-		Result:  history.ResultRefused,
-		Status:  status,
-		Problem: p.name(),
-		Outcome: p.Outcome,
-		Text:    text,
+		Result:    history.ResultRefused,
+		Status:    status,
+		Problem:   p.name(),
+		Outcome:   p.Outcome,
+		RequestID: p.RequestID,
+		Text:      text,
 	}
 }
 
-func readWhole(answer *http.Response, chat bool) history.Response {
+func readWhole(answer *http.Response, chat bool, _ time.Time) history.Response {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
 		return history.Response{Result: history.ResultBroken, Status: answer.StatusCode, Problem: err.Error()}
--- a/standin/cmd/standin/scenario.go
+++ b/standin/cmd/standin/scenario.go
@@ -18,6 +18,7 @@
 	Directory string        `help:"Folder for logs." default:".run"`
 	Results   string        `help:"File to append results to, one JSON line each."`
 	Seed      uint64        `help:"Seed of every random choice." default:"1"`
+	Size      string        `help:"Deployment size in place of the one that a scenario names."`
 	Limit     time.Duration `help:"Bound on one scenario's time." default:"90s"`
 	Keep      bool          `help:"Keep the logs of runs that passed."`
 }
@@ -38,6 +39,7 @@
 			Binaries:  binaries,
 			Directory: directory,
 			Seed:      c.Seed,
+			Size:      c.Size,
 			Limit:     c.Limit,
 			Output:    os.Stdout,
 			Keep:      c.Keep,
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -63,7 +63,8 @@
 
 // Request is what a caller sent.
 type Request struct {
-	ID      string `json:"id"`
+	// ID is empty if the caller gave none; the answer then names it.
+	ID      string `json:"id,omitempty"`
 	Entry   string `json:"entry"`
 	Service string `json:"service"`
 	Team    string `json:"team,omitempty"`
@@ -103,7 +104,9 @@
 // Response is what a caller received.
 type Response struct {
 	Result Result `json:"result"`
-	Status int    `json:"status,omitempty"`
+	// RequestID is the id that the answer names.
+	RequestID string `json:"request_id,omitempty"`
+	Status    int    `json:"status,omitempty"`
 	// Problem and Outcome are those of a typed error.
 	Problem string `json:"problem,omitempty"`
 	Outcome string `json:"outcome,omitempty"`
--- a/standin/scenario/group.go
+++ b/standin/scenario/group.go
@@ -21,7 +21,7 @@
 	done    chan struct{}
 
 	mu      sync.Mutex
-	results map[string]history.Response
+	results map[int]history.Response
 	err     error
 }
 
@@ -43,7 +43,7 @@
 		options: o,
 		random:  rand.New(rand.NewPCG(seed, uint64(len(name)))),
 		done:    make(chan struct{}),
-		results: make(map[string]history.Response),
+		results: make(map[int]history.Response),
 	}
 }
 
@@ -75,6 +75,10 @@
 			defer func() { <-slots }()
 			g.request(ctx, d, c, i, entry, prompt)
 		})
+		for range g.options.Duplicates {
+			other := pick(g.random, d.RunningNodes(), entry)
+			wg.Go(func() { g.request(ctx, d, c, i, other, prompt) })
+		}
 	}
 }
 
@@ -109,7 +113,7 @@
 			g.fail(err)
 			return
 		}
-		g.note(call.ID, response)
+		g.note(i, response)
 		if settled(response) || try >= g.options.Resend || !sleep(ctx, g.options.ResendAfter) {
 			return
 		}
@@ -131,9 +135,9 @@
 	if err != nil {
 		return caller.Call{}, err
 	}
-	call := caller.Call{URL: node.URL(), Key: team.Key()}
+	call := caller.Call{URL: node.URL(), Key: team.Key(), Deadline: g.options.Deadline}
 	call.Request = history.Request{
-		ID:     fmt.Sprintf("%s-%d", g.name, i),
+		ID:     g.id(i),
 		Entry:  entry,
 		Team:   team.Name,
 		Rank:   team.Rank,
@@ -147,13 +151,21 @@
 	}
 	call.Service = d.PlainService()
 	call.Path = "/services/" + call.Service + "/" + g.options.Kind
-	call.Body = fmt.Sprintf(`{"booking":%q}`, call.ID)
+	call.Body = fmt.Sprintf(`{"booking":"%s-%d"}`, g.name, i)
 	if g.options.Kind == kindLookup {
 		call.Method, call.Body, call.Idempotent = "GET", "", true
 	}
 	return call, nil
 }
 
+// id returns the key that the caller gives a request, if any.
+func (g *group) id(i int) string {
+	if g.options.NoKey {
+		return ""
+	}
+	return fmt.Sprintf("%s-%d", g.name, i)
+}
+
 // prompt returns a text of the group's length; the start is shared by a tenth
 // of the group.
 func (g *group) prompt(i int) string {
@@ -166,10 +178,13 @@
 	return text
 }
 
-func (g *group) note(id string, r history.Response) {
+// note keeps the last response to a request; an answer is kept for good.
+func (g *group) note(i int, r history.Response) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.results[id] = r
+	if !settled(g.results[i]) {
+		g.results[i] = r
+	}
 }
 
 func (g *group) fail(err error) {
--- a/standin/scenario/runner.go
+++ b/standin/scenario/runner.go
@@ -26,6 +26,8 @@
 	// Directory receives a folder of logs for each run.
 	Directory string
 	Seed      uint64
+	// Size replaces the size that scenarios name; empty leaves it.
+	Size string
 	// Limit bounds the time of one scenario.
 	Limit  time.Duration
 	Output io.Writer
@@ -53,7 +55,7 @@
 	directory := filepath.Join(o.Directory, fmt.Sprintf("%s-%d-%d", name, o.Seed, started.UnixNano()))
 	ctx, cancel := context.WithTimeout(ctx, o.Limit)
 	defer cancel()
-	s, err := newSession(ctx, directory, o.Binaries, o.Seed)
+	s, err := newSession(ctx, directory, o)
 	if err != nil {
 		result.Reason = err.Error()
 		return result
--- a/standin/scenario/send.go
+++ b/standin/scenario/send.go
@@ -23,6 +23,9 @@
 	Resend      int
 	ResendAfter time.Duration
 	Timeout     time.Duration
+	Deadline    time.Duration
+	NoKey       bool
+	Duplicates  int
 	Crash       bool
 	Background  bool
 }
@@ -54,6 +57,9 @@
 	flags.IntVar(&o.Resend, "resend", 0, "times that a request without an answer is sent again")
 	flags.DurationVar(&o.ResendAfter, "resend-after", defaultResendAfter, "pause before it is sent again")
 	flags.DurationVar(&o.Timeout, "timeout", defaultSendTimeout, "time after which the caller gives up an attempt")
+	flags.DurationVar(&o.Deadline, "deadline", 0, "time allowed to the first token; 0 leaves it to the node")
+	flags.BoolVar(&o.NoKey, "no-key", false, "send no Idempotency-Key")
+	flags.IntVar(&o.Duplicates, "duplicates", 0, "further sends of each request at the same moment, to other entries")
 	flags.BoolVar(&o.Crash, "crash", false, "prompts end the engine that reads them")
 	flags.BoolVar(&o.Background, "background", false, "do not wait for the answers")
 	if err := flags.Parse(args[1:]); err != nil {
