--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,29 @@
 
 generate: $(BIN)/buf ## Regenerate Go from schema/*.proto; needs buf and protoc-gen-go, built by this target from tools/go.mod.
 	$(BIN)/buf generate
+
+SEED ?= 1
+SIZE ?=
+SOAK ?= 10m
+RESULTS ?= .run/results.jsonl
+SCENARIOS_ALL = $(wildcard standin/scenarios/*.txtar)
+# The set that CI runs; every kind of failure once, in a few minutes.
+SCENARIOS_CI = $(addprefix standin/scenarios/,$(addsuffix .txtar,double-runs not-run entry-kill platform-down lost-answers tier-order leaving-target))
+SCENARIO = $(BIN)/standin scenario --binaries $(BIN) --seed $(SEED) $(if $(SIZE),--size $(SIZE))
+
+.PHONY: scenario scenario-ci soak proof
+
+scenario: build ## Run scenario files: make scenario FILES='a.txtar b.txtar' [SEED=N] [SIZE=drumlin].
+	$(SCENARIO) $(or $(FILES),$(SCENARIOS_ALL))
+
+scenario-ci: build ## Run the scenarios of CI.
+	$(SCENARIO) $(SCENARIOS_CI)
+
+soak: build ## Run scenarios with random failures for a bounded time: make soak [SOAK=10m] [SEED=N].
+	$(BIN)/standin soak --binaries $(BIN) --seed $(SEED) --for $(SOAK)
+
+proof: build ## Run all scenarios at both deployments' sizes and write docs/PROOF.md from their results.
+	rm -f $(RESULTS)
+	-$(SCENARIO) --size drumlin --results $(RESULTS) $(SCENARIOS_ALL)
+	-$(SCENARIO) --size kowhai --results $(RESULTS) $(SCENARIOS_ALL)
+	$(BIN)/standin proof --results $(RESULTS) --output docs/PROOF.md
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -26,6 +26,8 @@
 	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
 	Relay    relayCommand    `cmd:"" help:"Run TCP relays whose links can be cut."`
 	Scenario scenarioCommand `cmd:"" help:"Run scenario files over the real binaries."`
+	Soak     soakCommand     `cmd:"" help:"Run scenarios with random failures."`
+	Proof    proofCommand    `cmd:"" help:"Write the table of promises and failures from results."`
 	Check    checkCommand    `cmd:"" help:"Judge the history of a run."`
 }
 
--- /dev/null
+++ b/standin/proof/proof.go
@@ -0,0 +1,132 @@
+// Package proof renders the results of scenarios as the table of promises and
+// failures in docs/PROOF.md.
+package proof
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/primrosemoor/primrosemoor/standin/checker"
+	"github.com/primrosemoor/primrosemoor/standin/history"
+	"github.com/primrosemoor/primrosemoor/standin/scenario"
+)
+
+// cell is what the runs show of one promise under one failure.
+type cell struct {
+	judged  int
+	runs    int
+	broken  []string
+	applied []string
+}
+
+// add takes one result into the cell.
+func (c *cell) add(r scenario.Result, p checker.Promise) {
+	if r.Report == nil {
+		return
+	}
+	v := r.Report.Verdict(p)
+	name := fmt.Sprintf("%s:%d", r.Scenario, r.Seed)
+	if len(v.Violations) > 0 {
+		c.broken = append(c.broken, name)
+	}
+	if v.Judged > 0 {
+		c.runs++
+		c.judged += v.Judged
+		c.applied = append(c.applied, name)
+	}
+}
+
+func (c *cell) text() string {
+	switch {
+	case len(c.broken) > 0:
+		return "**failed** in " + strings.Join(c.broken, ", ")
+	case c.runs == 0:
+		return "not run"
+	default:
+		return fmt.Sprintf("passed (%s; %d)", strings.Join(c.applied, ", "), c.judged)
+	}
+}
+
+// ReadResults reads the file that the scenario command writes.
+func ReadResults(path string) ([]scenario.Result, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("read results: %w", err)
+	}
+	defer file.Close()
+	return history.ReadLines[scenario.Result](file)
+}
+
+const header = `# What the runs show
+
+Made by ` + "`make proof`" + ` from the results of scenario runs; do not edit. A cell names
+the scenarios with their seeds and the number of requests or events that the
+checker judged. "Not run" means that no run applied the promise to the failure.
+Run one again with ` + "`make scenario FILES=standin/scenarios/NAME.txtar SEED=N SIZE=SIZE`" + `.
+
+`
+
+// Write renders the results.
+func Write(w io.Writer, results []scenario.Result) error {
+	var b strings.Builder
+	b.WriteString(header)
+	for _, size := range sizes(results) {
+		writeSize(&b, size, results)
+	}
+	writeRuns(&b, results)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func sizes(results []scenario.Result) []string {
+	var names []string
+	for _, r := range results {
+		if !slices.Contains(names, r.Size) {
+			names = append(names, r.Size)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func writeSize(b *strings.Builder, size string, results []scenario.Result) {
+	fmt.Fprintf(b, "## Deployment %s\n\n| failure |", size)
+	for _, p := range checker.Promises {
+		fmt.Fprintf(b, " %s |", p)
+	}
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(checker.Promises)) + "\n")
+	for _, f := range scenario.Failures {
+		fmt.Fprintf(b, "| %s |", f)
+		for _, p := range checker.Promises {
+			var c cell
+			for _, r := range results {
+				if r.Size == size && slices.Contains(r.Covers, f) {
+					c.add(r, p)
+				}
+			}
+			fmt.Fprintf(b, " %s |", c.text())
+		}
+		b.WriteString("\n")
+	}
+	b.WriteString("\n")
+}
+
+func writeRuns(b *strings.Builder, results []scenario.Result) {
+	b.WriteString("## Runs\n\n| scenario | size | seed | verdict | requests | answered | not run | unknown |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|\n")
+	for _, r := range results {
+		verdict := "passed"
+		if !r.Passed {
+			verdict = "**failed**: " + strings.ReplaceAll(r.Reason, "|", "/")
+		}
+		report := r.Report
+		if report == nil {
+			report = &checker.Report{}
+		}
+		fmt.Fprintf(b, "| %s | %s | %d | %s | %d | %d | %d | %d |\n", r.Scenario, r.Size, r.Seed, verdict,
+			report.Requests, report.Answered, report.NotRun, report.Unknown)
+	}
+}
--- a/standin/scenario/group.go
+++ b/standin/scenario/group.go
@@ -167,15 +167,14 @@
 }
 
 // prompt returns a text of the group's length; the start is shared by a tenth
-// of the group.
+// of the group. Prompts that crash engines are all alike.
 func (g *group) prompt(i int) string {
-	text := fmt.Sprintf("farm %d asks: ", i%10)
-	text += strings.Repeat("which walk suits a nervous grandparent? ", 1+g.options.Prompt/40)
-	text = text[:max(g.options.Prompt, 16)] + fmt.Sprintf(" (%s %d)", g.name, i)
 	if g.options.Crash {
-		text += " " + deployment.CrashMarker
+		return "please read: " + deployment.CrashMarker
 	}
-	return text
+	text := fmt.Sprintf("farm %d asks: ", i%10)
+	text += strings.Repeat("which walk suits a nervous grandparent? ", 1+g.options.Prompt/40)
+	return text[:max(g.options.Prompt, 16)] + fmt.Sprintf(" (%s %d)", g.name, i)
 }
 
 // note keeps the last response to a request; an answer is kept for good.
