--- /dev/null
+++ b/cmd/primrosectl/main.go
@@ -0,0 +1,28 @@
+// Command primrosectl is the operator's tool.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/primrosemoor/primrosemoor/ctl"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(ctl.Run(ctx, os.Args[1:], ctl.Environment{
+		Stdin:     os.Stdin,
+		Stdout:    os.Stdout,
+		Stderr:    os.Stderr,
+		OpenStore: openStore,
+	}))
+}
+
+func openStore(s *schema.PlatformSettings) (platform.Store, error) {
+	return platform.NewHTTP(s, "")
+}
--- a/register/merge.go
+++ b/register/merge.go
@@ -46,3 +46,15 @@
 		fmt.Sprintf("another edit came first (revision %d): %s", revision, strings.Join(conflicts, ", ")),
 		"read the register again with primrosectl get, redo the edit of these items and apply it")
 }
+
+// Overlay returns config with the items of partial added; those of the same
+// kind and name are replaced. The result shares items with both.
+func Overlay(config, partial *schema.Config) *schema.Config {
+	set := itemsOf(config)
+	for key, item := range itemsOf(partial) {
+		set[key] = item
+	}
+	overlaid := set.config()
+	overlaid.Revision = config.GetRevision()
+	return overlaid
+}
