Add the dispatcher and the problem bodies

Ruled out: checking the permit's validity before the call only, because a dial may take a second and a process may be paused in it; the connection checks the monotonic clock before its first write. Ruled out too: releasing a claim past the queue of reports, because a late RUNNING report would bring the released claim back. An unknown outcome is stored as its problem, so that every later send of the key is told the same. A keyed request and a non-idempotent call run to their end when the caller hangs up, so that a second send finds the answer; others are cancelled. Result: go test -race -count=3 ./dispatch passes; targets that die before the header and mid-stream, repeat and skip events, refuse, forget; expired permits; hang-ups; two entries with one key; 60 callers at once.

--- /dev/null
+++ b/dispatch/chat_test.go
@@ -0,0 +1,279 @@
+package dispatch_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/engine"
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const validity = 10 * time.Second
+
+func content(t *testing.T, body []byte) string {
+	t.Helper()
+	var c engine.Completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		t.Fatalf("answer %q: %v", body, err)
+	}
+	return *c.Choices[0].Message.Content
+}
+
+// streamed joins the contents of a streamed answer and fails unless its events
+// are numbered without gap and it ends with the end marker.
+func streamed(t *testing.T, body string) string {
+	t.Helper()
+	reader := engine.NewEventReader(strings.NewReader(body))
+	var a engine.Assembler
+	for want := uint64(1); ; want++ {
+		event, err := reader.Next()
+		if err != nil {
+			t.Fatalf("stream ends early: %v in %q", err, body)
+		}
+		if event.Done() {
+			break
+		}
+		if event.ID != want {
+			t.Fatalf("event %d where %d belongs", event.ID, want)
+		}
+		if err := a.Add(event.Data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	whole, err := a.JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content(t, whole)
+}
+
+func TestWholeAndStreamedAnswersAreDelivered(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 5)
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	d := newDispatcher(permits, nil)
+	w := httptest.NewRecorder()
+	result, err := d.Serve(t.Context(), w, chatRequest("a", false))
+	is.NoErr(err)
+	is.Equal(content(t, w.Body.Bytes()), e.text("a"))
+	is.True(result.Delivered)
+	is.Equal(result.OutputTokens, uint32(5))
+	w = httptest.NewRecorder()
+	_, err = d.Serve(t.Context(), w, chatRequest("b", true))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("b"))
+	back := permits.back[1]
+	is.Equal(back.GetResult(), schema.PermitResult_PERMIT_RESULT_COMPLETED)
+	is.Equal(back.GetPromptTokens(), uint32(11))
+	is.Equal(back.GetCachedTokens(), uint32(4))
+	is.True(back.GetFirstToken().AsDuration() > 0)
+	is.True(back.GetTokenGap() != nil)
+}
+
+func TestTargetThatDiesBeforeItsHeaderEndsAsUnknown(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 5)
+	e.script = func(int, int, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	w := httptest.NewRecorder()
+	result, err := newDispatcher(permits, nil).Serve(t.Context(), w, chatRequest("a", true))
+	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_TARGET_FAILED)
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+	is.Equal(result.Status, 0)
+	is.Equal(e.started(), []string{"a"})
+	is.Equal(permits.results(), []schema.PermitResult{schema.PermitResult_PERMIT_RESULT_TARGET_FAILED})
+}
+
+func TestBrokenStreamIsResumedWithoutLossOrRepeat(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprint(stream), func(t *testing.T) {
+			is := is.New(t)
+			e := newFakeEngine(t, 9)
+			e.script = func(connection, event int, _ http.ResponseWriter, _ *http.Request) {
+				if connection < 4 && event == 3*connection {
+					panic(http.ErrAbortHandler)
+				}
+			}
+			permits := &fakePermits{address: e.address(), validFor: validity}
+			w := httptest.NewRecorder()
+			result, err := newDispatcher(permits, nil).Serve(t.Context(), w, chatRequest("a", stream))
+			is.NoErr(err)
+			is.Equal(result.Resumes, 3)
+			if stream {
+				is.Equal(streamed(t, w.Body.String()), e.text("a"))
+			} else {
+				is.Equal(content(t, w.Body.Bytes()), e.text("a"))
+			}
+			is.Equal(e.started(), []string{"a"})
+		})
+	}
+}
+
+func TestTargetThatForgotItsStreamEndsAsUnknown(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 9)
+	e.script = func(_, event int, _ http.ResponseWriter, _ *http.Request) {
+		if event == 4 {
+			e.mu.Lock()
+			e.streams = map[string]string{}
+			e.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	w := httptest.NewRecorder()
+	result, err := newDispatcher(permits, nil).Serve(t.Context(), w, chatRequest("a", true))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+	is.True(result.Truncated)
+	is.True(!strings.Contains(w.Body.String(), "[DONE]"))
+	is.True(strings.Contains(w.Body.String(), "event: error\ndata: {"))
+	is.True(strings.Contains(w.Body.String(), `"outcome":"unknown"`))
+	is.Equal(e.started(), []string{"a"})
+}
+
+func TestRepeatedAndReorderedEventsAreDeliveredOnceInOrder(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 6)
+	e.script = func(connection, event int, w http.ResponseWriter, _ *http.Request) {
+		switch {
+		case event == 3: // Repeats what was sent.
+			fmt.Fprintf(w, "id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", e.chunk("a", 1), e.chunk("a", 2))
+		case connection == 1 && event == 5: // Skips ahead.
+			fmt.Fprintf(w, "id: 6\ndata: %s\n\n", e.chunk("a", 6))
+		}
+	}
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	w := httptest.NewRecorder()
+	_, err := newDispatcher(permits, nil).Serve(t.Context(), w, chatRequest("a", true))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("a"))
+}
+
+func TestUnreachableTargetIsNotRunAndAsksForOtherPermits(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	permits := &fakePermits{address: listener.Addr().String(), validFor: validity}
+	is.NoErr(listener.Close())
+	result, err := newDispatcher(permits, nil).Serve(t.Context(), httptest.NewRecorder(), chatRequest("a", true))
+	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_NO_TARGET)
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
+	is.True(!result.Dispatched)
+	is.Equal(len(permits.results()), 4)
+}
+
+func TestTargetThatStatesItDidNotStartIsLeftForAnother(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 3)
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	d := newDispatcher(permits, nil)
+	w := httptest.NewRecorder()
+	e.script = func(connection, event int, w http.ResponseWriter, _ *http.Request) {
+		if connection == 1 && event == 0 {
+			w.Header().Set(engine.HeaderNotStarted, "true")
+			w.Header().Set("Content-Length", "0")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	_, err := d.Serve(t.Context(), w, chatRequest("a", true))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("a"))
+	is.Equal(permits.results(), []schema.PermitResult{
+		schema.PermitResult_PERMIT_RESULT_REFUSED, schema.PermitResult_PERMIT_RESULT_COMPLETED})
+}
+
+func TestServerErrorWithoutStatementIsNeverSentAgain(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 3)
+	e.script = func(_, event int, w http.ResponseWriter, _ *http.Request) {
+		if event == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	_, err := newDispatcher(permits, nil).Serve(t.Context(), httptest.NewRecorder(), chatRequest("a", true))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+	is.Equal(e.started(), []string{"a"})
+}
+
+func TestPermitThatExpiredInAPauseIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 3)
+	permits := &fakePermits{address: e.address(), validFor: time.Nanosecond}
+	_, err := newDispatcher(permits, nil).Serve(t.Context(), httptest.NewRecorder(), chatRequest("a", true))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
+	is.Equal(len(e.started()), 0)
+	for _, result := range permits.results() {
+		is.Equal(result, schema.PermitResult_PERMIT_RESULT_UNUSED)
+	}
+}
+
+func TestCallerThatHangsUpHasItsStreamCancelled(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	e.script = func(_, event int, _ http.ResponseWriter, r *http.Request) {
+		if event == 2 {
+			cancel()
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	d := newDispatcher(permits, nil)
+	result, err := d.Serve(ctx, httptest.NewRecorder(), chatRequest("a", true))
+	is.True(err != nil)
+	is.True(result.CallerGone)
+	is.NoErr(d.Wait(t.Context()))
+	is.Equal(<-e.cancelled, "s-a")
+	is.Equal(permits.results(), []schema.PermitResult{schema.PermitResult_PERMIT_RESULT_CANCELLED})
+}
+
+func TestRefusedPermitIsNotRun(t *testing.T) {
+	is := is.New(t)
+	refusal := fault.New(schema.ErrorKind_ERROR_KIND_OVERLOADED, "shed", "retry")
+	d := newDispatcher(&fakePermits{err: refusal}, nil)
+	_, err := d.Serve(t.Context(), httptest.NewRecorder(), chatRequest("a", true))
+	is.True(errors.Is(err, &fault.Error{Kind: schema.ErrorKind_ERROR_KIND_OVERLOADED}))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
+}
+
+func TestConcurrentCallersEachGetTheirOwnWholeAnswer(t *testing.T) {
+	e := newFakeEngine(t, 20)
+	e.script = func(connection, event int, _ http.ResponseWriter, _ *http.Request) {
+		if connection%3 == 0 && event == 7 {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	d := newDispatcher(&fakePermits{address: e.address(), validFor: validity}, nil)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			id := fmt.Sprintf("r%d", i)
+			w := httptest.NewRecorder()
+			if _, err := d.Serve(t.Context(), w, chatRequest(id, true)); err != nil {
+				t.Errorf("%s: %v", id, err)
+				return
+			}
+			if got := streamed(t, w.Body.String()); got != e.text(id) {
+				t.Errorf("%s got %q", id, got)
+			}
+		})
+	}
+	wg.Wait()
+	if len(e.started()) != 60 {
+		t.Errorf("%d dispatches of 60 requests", len(e.started()))
+	}
+}
--- /dev/null
+++ b/dispatch/claim_test.go
@@ -0,0 +1,147 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/dispatch"
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+func keyedRequest(id string) *dispatch.Request {
+	r := chatRequest(id, true)
+	r.CallerKey = true
+	return r
+}
+
+func TestSecondSendThroughAnotherEntryAttachesToTheRunningStream(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 6)
+	release := make(chan struct{})
+	e.script = func(connection, event int, _ http.ResponseWriter, _ *http.Request) {
+		if connection == 1 && event == 3 {
+			<-release
+		}
+	}
+	claims := newFakeClaims()
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	first, second := newDispatcher(permits, claims), newDispatcher(permits, claims)
+	w1 := httptest.NewRecorder()
+	done := make(chan error)
+	go func() {
+		_, err := first.Serve(t.Context(), w1, keyedRequest("k"))
+		done <- err
+	}()
+	<-claims.changed // The first entry reported its stream.
+	w2 := httptest.NewRecorder()
+	result, err := second.Serve(t.Context(), w2, keyedRequest("k"))
+	is.NoErr(err)
+	is.Equal(result.Source, dispatch.SourceAttached)
+	is.Equal(streamed(t, w2.Body.String()), e.text("k"))
+	close(release)
+	is.NoErr(<-done)
+	is.Equal(streamed(t, w1.Body.String()), e.text("k"))
+	is.Equal(e.started(), []string{"k"})
+	is.Equal(len(permits.results()), 1)
+}
+
+func TestFinishedRequestIsReplayedNotRun(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 4)
+	claims := newFakeClaims()
+	d := newDispatcher(&fakePermits{address: e.address(), validFor: validity}, claims)
+	w1 := httptest.NewRecorder()
+	_, err := d.Serve(t.Context(), w1, keyedRequest("k"))
+	is.NoErr(err)
+	is.NoErr(d.Wait(t.Context()))
+	w2 := httptest.NewRecorder()
+	result, err := d.Serve(t.Context(), w2, keyedRequest("k"))
+	is.NoErr(err)
+	is.Equal(result.Source, dispatch.SourceStored)
+	is.Equal(w2.Body.String(), w1.Body.String())
+	is.Equal(w2.Header().Get(dispatch.HeaderReplayed), "true")
+	is.Equal(e.started(), []string{"k"})
+}
+
+func TestUnknownOutcomeStaysUnknownOnEverySend(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 4)
+	e.script = func(int, int, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	d := newDispatcher(&fakePermits{address: e.address(), validFor: validity}, newFakeClaims())
+	_, err := d.Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+	is.NoErr(d.Wait(t.Context()))
+	w := httptest.NewRecorder()
+	_, err = d.Serve(t.Context(), w, keyedRequest("k"))
+	is.NoErr(err)
+	is.Equal(w.Code, http.StatusBadGateway)
+	is.Equal(e.started(), []string{"k"})
+}
+
+func TestRequestThatWasNotRunMayBeSentAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 4)
+	permits := &fakePermits{err: fault.New(schema.ErrorKind_ERROR_KIND_OVERLOADED, "shed", "retry")}
+	d := newDispatcher(permits, newFakeClaims())
+	_, err := d.Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
+	permits.err, permits.address, permits.validFor = nil, e.address(), validity
+	w := httptest.NewRecorder()
+	_, err = d.Serve(t.Context(), w, keyedRequest("k"))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("k"))
+}
+
+func TestClaimStatesThatRefuse(t *testing.T) {
+	for state, want := range map[schema.ClaimState]schema.ErrorKind{
+		schema.ClaimState_CLAIM_STATE_RUNNING: schema.ErrorKind_ERROR_KIND_IN_PROGRESS,
+		schema.ClaimState_CLAIM_STATE_DONE:    schema.ErrorKind_ERROR_KIND_ALREADY_FINISHED,
+		schema.ClaimState_CLAIM_STATE_UNKNOWN: schema.ErrorKind_ERROR_KIND_UNKNOWN_EFFECT,
+	} {
+		is := is.New(t)
+		claims := newFakeClaims()
+		claims.entries["k"] = &schema.ClaimReply{State: state}
+		permits := &fakePermits{}
+		_, err := newDispatcher(permits, claims).Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+		is.Equal(fault.KindOf(err), want)
+		is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+		is.Equal(permits.granted, 0)
+	}
+}
+
+func TestAnotherEntryResumesByTicket(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 6)
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	w := httptest.NewRecorder()
+	_, err := newDispatcher(permits, nil).Serve(t.Context(), w, chatRequest("a", true))
+	is.NoErr(err)
+	ticket := w.Header().Get(dispatch.HeaderStreamTicket)
+	other := newDispatcher(permits, nil)
+	w = httptest.NewRecorder()
+	result, err := other.Resume(t.Context(), w, "drumlin", ticket, 4)
+	is.NoErr(err)
+	is.Equal(result.Source, dispatch.SourceResumed)
+	is.True(len(w.Body.String()) > 0)
+	is.Equal(w.Body.String()[:6], "id: 5\n")
+	_, err = other.Resume(t.Context(), httptest.NewRecorder(), "medlar", ticket, 4)
+	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_BAD_REQUEST)
+	_, err = other.Resume(t.Context(), httptest.NewRecorder(), "drumlin", "A"+ticket[1:], 4)
+	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_BAD_REQUEST)
+	is.Equal(e.started(), []string{"a"})
+}
+
+func TestIDsOfNodesAreRecognised(t *testing.T) {
+	is := is.New(t)
+	s, err := dispatch.NewSigner("c2hhcmVk")
+	is.NoErr(err)
+	id := s.NewID("drumlin")
+	is.Equal(s.Origin(id, "drumlin"), dispatch.IDFromNode)
+	is.Equal(s.Origin(id, "medlar"), dispatch.IDForged)
+	is.Equal(s.Origin(id[:len(id)-1]+"x", "drumlin"), dispatch.IDForged)
+	is.Equal(s.Origin("order-7", "drumlin"), dispatch.IDFromCaller)
+}
--- /dev/null
+++ b/dispatch/resume.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// attach reads the stream of a request that another send of the same key
+// runs, from its start.
+func (d *Dispatcher) attach(ctx context.Context, w http.ResponseWriter, r *Request, reply *schema.ClaimReply) (Result, error) {
+	if reply.GetStreamId() == "" || reply.GetAddress() == "" {
+		return d.refuse(r, fault.New(schema.ErrorKind_ERROR_KIND_IN_PROGRESS,
+			"a request with this key is running", "send it again later with the same key").
+			Unknown().After(inProgressWait))
+	}
+	run := d.newRun(ctx, w, r, nil)
+	run.result.Source = SourceAttached
+	err := run.follow(reply.GetTarget(), reply.GetAddress(), reply.GetStreamId(), 0)
+	return run.finish(err)
+}
+
+// Resume continues the stream that a ticket names after the event with index
+// after. It serves callers whose entry died.
+func (d *Dispatcher) Resume(ctx context.Context, w http.ResponseWriter, team, ticketText string, after uint64) (Result, error) {
+	arrived := time.Now()
+	ticket, err := d.options.Signer.OpenTicket(ticketText, team)
+	if err != nil {
+		return Result{Source: SourceResumed, Total: time.Since(arrived)}, err
+	}
+	r := &Request{ID: ticket.GetRequestId(), Team: team, Stream: true, IncludeUsage: true, Arrived: arrived}
+	run := d.newRun(ctx, w, r, nil)
+	run.result.Source = SourceResumed
+	err = run.follow(ticket.GetTarget(), ticket.GetAddress(), ticket.GetStreamId(), after)
+	return run.finish(err)
+}
+
+// follow delivers a stream that was started elsewhere. It holds no permit and
+// leaves the stream running when the caller hangs up: whoever started it may
+// still read it, and an engine ends streams without a reader itself.
+func (r *run) follow(target, address, streamID string, after uint64) error {
+	cancel := r.startWork()
+	defer cancel()
+	defer context.AfterFunc(r.caller, cancel)()
+	r.result.Target = target
+	r.result.StreamID = streamID
+	stream, err := r.dispatcher.options.Engine.ResumeChat(r.work, address, streamID, after)
+	if err != nil {
+		return targetFailed(err, "the target does not resume the stream")
+	}
+	d := r.newDelivery(address, target, stream)
+	d.last = after
+	return d.deliver()
+}
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -60,27 +60,41 @@
 	return s.events.Next()
 }
 
+// Buffered reports whether more of the stream has been received already.
+func (s *Stream) Buffered() bool {
+	return s.events.reader.Buffered() > 0
+}
+
 // Close stops reading; the stream goes on at the engine until it is cancelled.
 func (s *Stream) Close() error {
 	return s.body.Close()
 }
 
-// StartChat sends a chat completion to the target at address. The error is a
-// *SendError, a *StatusError, or a typed error if the answer is not for this
-// request.
-func (c *Client) StartChat(ctx context.Context, address, requestID string, body []byte) (*Stream, error) {
-	req, err := newRequest(ctx, http.MethodPost, address, chatPath, body)
+// ChatCall is a chat completion to be sent to one target.
+type ChatCall struct {
+	Address   string
+	RequestID string
+	// Body is a chat completion request that asks for a streamed answer.
+	Body []byte
+	// NotAfter is the latest time to send the first byte; zero sets no bound.
+	NotAfter time.Time
+}
+
+// StartChat sends a chat completion. The error is a *SendError, a
+// *StatusError, or a typed error if the answer is not for this request.
+func (c *Client) StartChat(ctx context.Context, call ChatCall) (*Stream, error) {
+	req, err := newRequest(ctx, http.MethodPost, call.Address, chatPath, call.Body)
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
-	req.Header.Set(HeaderRequestID, requestID)
-	stream, answered, err := c.open(req)
+	req.Header.Set(HeaderRequestID, call.RequestID)
+	stream, answered, err := c.open(req, call.NotAfter)
 	if err != nil {
 		return nil, err
 	}
-	if answered != "" && answered != requestID {
+	if answered != "" && answered != call.RequestID {
 		stream.Close()
 		return nil, fault.New(schema.ErrorKind_ERROR_KIND_TARGET_FAILED,
 			"target answered another request", "check the target's engine").Unknown()
@@ -97,7 +111,7 @@
 		return nil, err
 	}
 	req.Header.Set("Accept", "text/event-stream")
-	stream, _, err := c.open(req)
+	stream, _, err := c.open(req, time.Time{})
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.send(req)
+	resp, err := c.send(req, time.Time{})
 	if err != nil {
 		return err
 	}
@@ -127,8 +141,8 @@
 
 // open sends a request for a stream and returns it with the request id that
 // the target states.
-func (c *Client) open(req *http.Request) (*Stream, string, error) {
-	resp, err := c.send(req)
+func (c *Client) open(req *http.Request, notAfter time.Time) (*Stream, string, error) {
+	resp, err := c.send(req, notAfter)
 	if err != nil {
 		return nil, "", err
 	}
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"time"
 )
 
 // hopByHop lists headers that concern one connection only (RFC 9110, 7.6.1).
@@ -22,6 +23,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// NotAfter is the latest time to send the first byte; zero sets no bound.
+	NotAfter time.Time
 }
 
 // CallPlain sends the call and returns the target's response, whatever its
@@ -38,7 +41,7 @@
 		// An empty value keeps net/http from adding its own.
 		req.Header.Set("User-Agent", "")
 	}
-	resp, err := c.send(req)
+	resp, err := c.send(req, call.NotAfter)
 	if err != nil {
 		return nil, err
 	}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // maxReportBytes bounds a load report or a list of cache events.
@@ -77,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.send(req)
+	resp, err := c.send(req, time.Time{})
 	if err != nil {
 		return err
 	}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -24,6 +24,10 @@
 // errSealed ends a write that would follow the report of a failed request.
 var errSealed = errors.New("engine: connection is sealed after a failed request")
 
+// ErrExpired is the cause of a SendError when the time allowed for sending
+// was over before the first byte was written.
+var ErrExpired = errors.New("engine: time allowed for sending is over")
+
 // SendError is a request that got no response. Sent tells whether any byte of
 // it may have reached the target.
 type SendError struct {
@@ -50,41 +54,65 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	expired bool
+	// notAfter bounds the time of the next write only.
+	notAfter time.Time
 }
 
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if err := c.admit(len(p)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// admit counts a write of n bytes, unless it must not happen any more. The
+// clock is read last before the bytes leave, and it is monotonic, so that a
+// process that was paused does not act on an expired permit.
+func (c *trackedConn) admit(n int) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.sealed {
-		c.mu.Unlock()
-		return 0, errSealed
+		return errSealed
 	}
-	c.written += int64(len(p))
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	if !c.notAfter.IsZero() && time.Now().After(c.notAfter) {
+		c.sealed = true
+		c.expired = true
+		return ErrExpired
+	}
+	c.notAfter = time.Time{}
+	c.written += int64(n)
+	return nil
 }
 
-func (c *trackedConn) count() int64 {
+// begin prepares for a request and returns the bytes written before it.
+func (c *trackedConn) begin(notAfter time.Time) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.notAfter = notAfter
 	return c.written
 }
 
-// seal refuses later writes and returns the bytes attempted so far.
-func (c *trackedConn) seal() int64 {
+// seal refuses later writes. It returns the bytes attempted so far, and
+// whether a write was refused because its time was over.
+func (c *trackedConn) seal() (written int64, expired bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
-	return c.written
+	return c.written, c.expired
 }
 
 // sendTrace follows one request through the transport. The transport may take
 // a second connection only while nothing was written to the first.
 type sendTrace struct {
-	mu   sync.Mutex
-	conn *trackedConn
-	base int64
-	sent bool
+	notAfter time.Time
+
+	mu      sync.Mutex
+	conn    *trackedConn
+	base    int64
+	sent    bool
+	expired bool
 }
 
 func (t *sendTrace) gotConn(info httptrace.GotConnInfo) {
@@ -99,24 +127,29 @@
 		conn.seal()
 	}
 	t.conn = conn
-	t.base = conn.count()
+	t.base = conn.begin(t.notAfter)
 }
 
-// fail seals the connection and reports whether any byte may have been sent.
-func (t *sendTrace) fail() bool {
+// fail seals the connection and returns the error to report for cause.
+func (t *sendTrace) fail(address string, cause error) *SendError {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closeLocked()
-	return t.sent
+	if t.expired && !t.sent {
+		cause = ErrExpired
+	}
+	return &SendError{Address: address, Sent: t.sent, Err: cause}
 }
 
 func (t *sendTrace) closeLocked() {
 	if t.conn == nil {
 		return
 	}
-	if t.conn.seal() > t.base {
+	written, expired := t.conn.seal()
+	if written > t.base {
 		t.sent = true
 	}
+	t.expired = t.expired || expired
 	t.conn = nil
 }
 
@@ -173,14 +206,15 @@
 	c.transport.CloseIdleConnections()
 }
 
-// send performs one request at most once. Its error is a *SendError.
-func (c *Client) send(req *http.Request) (*http.Response, error) {
-	trace := &sendTrace{}
+// send performs one request at most once; a zero notAfter sets no bound on the
+// time of its first byte. The error is a *SendError.
+func (c *Client) send(req *http.Request, notAfter time.Time) (*http.Response, error) {
+	trace := &sendTrace{notAfter: notAfter}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: trace.gotConn})
 	forbidReplay(req)
 	resp, err := c.transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
-		return nil, &SendError{Address: req.URL.Host, Sent: trace.fail(), Err: err}
+		return nil, trace.fail(req.URL.Host, err)
 	}
 	return resp, nil
 }
--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -105,12 +106,29 @@
 	is.True(!sendErr.Sent)
 }
 
+func TestRequestAfterItsTimeIsNotSent(t *testing.T) {
+	is := is.New(t)
+	target := newBreakingTarget(t)
+	c := NewClient(Options{})
+	defer c.Close()
+	call := ChatCall{Address: target.listener.Addr().String(), RequestID: "late", Body: []byte("{}"),
+		NotAfter: time.Now().Add(-time.Nanosecond)}
+	_, err := c.StartChat(t.Context(), call)
+	var sendErr *SendError
+	is.True(errors.As(err, &sendErr))
+	is.True(!sendErr.Sent)
+	is.True(errors.Is(err, ErrExpired))
+	is.NoErr(callOnce(t, c, call.Address, "next", "GET", nil))
+	is.Equal(<-target.seen, "next")
+}
+
 func TestSealedConnectionSendsNothingAfterTheReport(t *testing.T) {
 	is := is.New(t)
 	left, right := net.Pipe()
 	defer right.Close()
 	conn := &trackedConn{Conn: left}
-	is.Equal(conn.seal(), int64(0))
+	written, _ := conn.seal()
+	is.Equal(written, int64(0))
 	_, err := conn.Write([]byte("late"))
 	is.True(errors.Is(err, errSealed))
 }
@@ -124,7 +142,7 @@
 	defer cancel()
 	go func() {
 		c := NewClient(Options{SourceAddress: "127.0.0.9"})
-		_, _ = c.StartChat(ctx, listener.Addr().String(), "id", []byte("{}"))
+		_, _ = c.StartChat(ctx, ChatCall{Address: listener.Addr().String(), RequestID: "id", Body: []byte("{}")})
 	}()
 	conn, err := listener.Accept()
 	is.NoErr(err)
