Name commands apart from testscript's own, and fail early endings

Cause: a trial with a plain proxy in the node's place passed graceful-stop in a second: stop, kill and wait are testscript's own commands and came first, and its stop ends a script as passed.

The reason of a failure is taken from the script's log, which comes after the failure.

--- a/standin/scenario/runner.go
+++ b/standin/scenario/runner.go
@@ -63,7 +63,7 @@
 	script := &scriptRun{log: filepath.Join(directory, "script.log")}
 	script.run(file, s)
 	s.close()
-	result.Reason = script.reason
+	result.Reason = script.result()
 	result.judge(s)
 	result.Passed = result.Reason == ""
 	result.Seconds = time.Since(started).Seconds()
@@ -124,9 +124,18 @@
 // scriptRun implements testscript.T for one script.
 type scriptRun struct {
 	log    string
+	failed bool
 	reason string
 }
 
+// result returns why the script failed, or an empty string.
+func (t *scriptRun) result() string {
+	if t.failed && t.reason == "" {
+		return "the script failed; see script.log"
+	}
+	return t.reason
+}
+
 func (t *scriptRun) run(file string, s *session) {
 	defer func() {
 		if err := recover(); err != nil && err != errFailed {
@@ -161,13 +170,21 @@
 	file.WriteString(text)
 }
 
-// failMark begins testscript's line on a failed command.
-const failMark = "FAIL: "
+// Marks of testscript's lines on a failed command, and on a script that ended
+// itself early, which has shown nothing.
+const (
+	failMark = "FAIL: "
+	stopMark = "stop: "
+)
 
 // keepReason takes the reason of a failure out of the script's log.
 func (t *scriptRun) keepReason(text string) {
 	for line := range strings.Lines(text) {
-		if reason, ok := strings.CutPrefix(line, failMark); ok && t.reason == "" {
+		reason, ok := strings.CutPrefix(line, failMark)
+		if strings.HasPrefix(line, stopMark) {
+			reason, ok = "the script ended itself by "+line, true
+		}
+		if ok && t.reason == "" {
 			t.reason = strings.TrimSpace(reason)
 		}
 	}
@@ -181,9 +198,7 @@
 
 // FailNow implements testscript.T.
 func (t *scriptRun) FailNow() {
-	if t.reason == "" {
-		t.reason = "script failed"
-	}
+	t.failed = true
 	panic(errFailed)
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -22,14 +22,14 @@
 	target := []string{"e1", "e2", "e3", "s1", "s2"}[random.IntN(5)]
 	engine := fmt.Sprintf("e%d", 1+random.IntN(3))
 	return []disturbance{
-		{"kill " + node, "restart " + node + "\nready " + node},
+		{"kill-process " + node, "restart " + node + "\nready " + node},
 		{"freeze " + node, "thaw " + node},
-		{"stop " + node, "restart " + node + "\nready " + node},
+		{"stop-node " + node, "restart " + node + "\nready " + node},
 		{"isolate " + node, "heal"},
 		{"cut " + node + " " + other + " in", "heal"},
 		{"cut " + node + " platform", "heal"},
 		{"cut " + node + " " + target + " out", "heal"},
-		{"kill " + target, "restart " + target},
+		{"kill-process " + target, "restart " + target},
 		{"speed " + engine + " 0.1", "speed " + engine + " 1"},
 		{"platform down", "platform up"},
 		{"platform slow 700", "platform up"},
