--- a/standin/deployment/config.go
+++ b/standin/deployment/config.go
@@ -47,6 +47,15 @@
 	Removed []string
 }
 
+// next returns a copy of the edit with a revision.
+func (e Edit) next(revision uint64) Edit {
+	return Edit{
+		Revision: revision,
+		Leaving:  slices.Clone(e.Leaving),
+		Removed:  slices.Clone(e.Removed),
+	}
+}
+
 // revisionPrefix begins the names of models that mark revisions.
 const revisionPrefix = "rev-"
 
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -76,7 +76,7 @@
 	if err := d.startOutside(ctx); err != nil {
 		return d, err
 	}
-	if _, err := d.Apply(ctx, Edit{Revision: 1}); err != nil {
+	if err := d.apply(ctx, nil, d.edit); err != nil {
 		return d, err
 	}
 	for i := range d.Nodes {
@@ -312,14 +312,14 @@
 	return nil
 }
 
-// control runs the operators' tool and returns its output.
-func (d *Deployment) control(ctx context.Context, args ...string) (string, error) {
+// control runs the operators' tool.
+func (d *Deployment) control(ctx context.Context, args ...string) error {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(d.options.Binaries, "primrosectl"), args...)
 	output, err := cmd.CombinedOutput()
 	if err != nil {
-		return string(output), fmt.Errorf("primrosectl %s: %w: %s", args[0], err, output)
+		return fmt.Errorf("primrosectl %s: %w: %s", args[0], err, output)
 	}
-	return string(output), nil
+	return nil
 }
--- a/standin/deployment/faults.go
+++ b/standin/deployment/faults.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 
@@ -155,38 +154,55 @@
 	return d.post("http://"+d.platform()+"/admin/vms", list)
 }
 
-// Change edits the configuration, applies it and returns the tool's output.
-func (d *Deployment) Change(ctx context.Context, change func(*Edit)) (string, error) {
+// Change edits the configuration from its present state and applies it. Edits
+// at the same moment begin from the same state.
+func (d *Deployment) Change(ctx context.Context, change func(*Edit)) error {
 	d.mu.Lock()
-	e := Edit{
-		Revision: d.edit.Revision + 1,
-		Leaving:  slices.Clone(d.edit.Leaving),
-		Removed:  slices.Clone(d.edit.Removed),
-	}
-	change(&e)
+	before := d.edit
 	d.mu.Unlock()
-	output, err := d.Apply(ctx, e)
-	if err != nil {
-		return output, err
+	after := before.next(before.Revision + 1)
+	change(&after)
+	if err := d.apply(ctx, &before, after); err != nil {
+		return err
 	}
 	d.mu.Lock()
-	d.edit = e
-	d.mu.Unlock()
-	return output, nil
+	defer d.mu.Unlock()
+	merged := d.edit.next(max(d.edit.Revision, after.Revision))
+	change(&merged)
+	d.edit = merged
+	return nil
 }
 
-// Apply applies a configuration and notes that it was accepted.
-func (d *Deployment) Apply(ctx context.Context, e Edit) (string, error) {
-	path := filepath.Join(d.options.Directory, fmt.Sprintf("config-%d.toml", e.Revision))
-	if err := os.WriteFile(path, []byte(d.ConfigText(e)), 0o644); err != nil {
-		return "", err
+// apply applies a configuration and notes that it was accepted. Without a
+// state before the edit it replaces what is in force.
+func (d *Deployment) apply(ctx context.Context, before *Edit, after Edit) error {
+	path, err := d.writeConfig(after)
+	if err != nil {
+		return err
 	}
-	output, err := d.control(ctx, "apply", path, "--platform", "http://"+d.platform())
+	args := []string{"apply", path, "--platform", "http://" + d.platform()}
+	if before != nil {
+		base, err := d.writeConfig(*before)
+		if err != nil {
+			return err
+		}
+		args = append(args, "--base", base)
+	}
+	if err := d.control(ctx, args...); err != nil {
+		return err
+	}
+	return d.options.History.Write(history.Line{Kind: history.KindAccepted, Revision: after.Revision})
+}
+
+// writeConfig writes a configuration file of its own for each edit.
+func (d *Deployment) writeConfig(e Edit) (string, error) {
+	file, err := os.CreateTemp(d.options.Directory, fmt.Sprintf("config-%d-*.toml", e.Revision))
 	if err != nil {
-		return output, err
+		return "", err
 	}
-	line := history.Line{Kind: history.KindAccepted, Revision: e.Revision}
-	return output, d.options.History.Write(line)
+	defer file.Close()
+	_, err = file.WriteString(d.ConfigText(e))
+	return file.Name(), err
 }
 
 // modelList is the answer to GET /v1/models.
--- a/standin/scenario/operations.go
+++ b/standin/scenario/operations.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.Change(s.ctx, func(e *deployment.Edit) { e.Leaving = append(e.Leaving, vms...) })
+	err = d.Change(s.ctx, func(e *deployment.Edit) { e.Leaving = append(e.Leaving, vms...) })
 	if err != nil {
 		return err
 	}
@@ -115,8 +115,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.Change(s.ctx, func(*deployment.Edit) {})
-	return err
+	return d.Change(s.ctx, func(*deployment.Edit) {})
 }
 
 // applyAtOnce lets two operators edit the register at the same moment, both
