Add the HTTP interface for callers

Ruled out: refusing over-limit requests before the ledger is asked, because 'not run' under a key whose earlier send ran would be untrue; the limits are asked after the claim. Ruled out too: routes told by the path as written, because /search/../charge would count as idempotent; dot segments are refused, and routes match the resolved path. The caller's bearer key is not passed on to plain targets: it would let a target act as the team.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,6 +60,9 @@
 	MaxOutputTokens uint32
 	PrefixBlocks    []uint64
 	Fingerprint     uint64
+	// Admit, if set, is asked once before the first permit. For a caller's key
+	// that is after the claim, so that its refusal truly was not run.
+	Admit func() error
 	// Arrived is when the request's header was read.
 	Arrived time.Time
 	// Deadline is the time from arrival to the first token.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -54,6 +55,9 @@
 // execute acquires permits until the request has been sent, and delivers the
 // answer.
 func (r *run) execute() error {
+	if err := r.admit(); err != nil {
+		return err
+	}
 	for {
 		if err := r.acquire(); err != nil {
 			return err
@@ -75,6 +79,17 @@
 	}
 }
 
+func (r *run) admit() error {
+	if r.request.Admit == nil {
+		return nil
+	}
+	if err := r.request.Admit(); err != nil {
+		e := *fault.From(err)
+		return e.NotRun()
+	}
+	return nil
+}
+
 func noTarget(err error) error {
 	return fault.Wrap(schema.ErrorKind_ERROR_KIND_NO_TARGET, err,
 		"no target took the request", "retry; if it lasts, check the targets with primrosectl status").
@@ -229,8 +244,9 @@
 	}
 }
 
-func rejected(err error) *fault.Error {
-	return fault.Wrap(schema.ErrorKind_ERROR_KIND_BAD_REQUEST, err,
+// rejected passes the target's explanation on as the cause.
+func rejected(err *engine.StatusError) *fault.Error {
+	return fault.Wrap(schema.ErrorKind_ERROR_KIND_BAD_REQUEST, errors.New(strings.TrimSpace(err.Message)),
 		"the target refused the request as malformed", "correct the request's fields")
 }
 
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -37,13 +37,14 @@
 	// NotStarted says that the target stated that it did not start the request.
 	NotStarted bool
 	RetryAfter time.Duration
-	// Message is the start of the answer's body.
+	// Message is the start of the answer's body. It may repeat what the caller
+	// sent, so it is not part of the error's text.
 	Message string
 }
 
 // Error implements error.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("target answered %d: %s", e.Status, e.Message)
+	return fmt.Sprintf("target answered %d", e.Status)
 }
 
 // Stream is one running chat completion. Its methods are not safe for
--- /dev/null
+++ b/front/plain.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/primrosemoor/primrosemoor/dispatch"
+	"github.com/primrosemoor/primrosemoor/engine"
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const servicesPrefix = "/services/"
+
+// ownHeaders concern this system and are not passed on to targets; the key
+// would let a target act as the team.
+var ownHeaders = []string{"Authorization", HeaderTier, HeaderDeadline, dispatch.HeaderStreamTicket}
+
+func (f *Front) servePlain(w http.ResponseWriter, r *http.Request) {
+	e := f.newExchange(w, r)
+	err := e.preparePlain()
+	e.serve(err)
+}
+
+// preparePlain fills in the dispatcher's request from the caller's.
+func (e *exchange) preparePlain() error {
+	if err := e.authenticate(); err != nil {
+		return err
+	}
+	service, err := e.plainService()
+	if err != nil {
+		return err
+	}
+	path, unescaped, err := targetPath(e.http.URL)
+	if err != nil {
+		return err
+	}
+	body, err := e.front.readBody(e.writer, e.http)
+	if err != nil {
+		return err
+	}
+	route := routeFor(service, e.http.Method, unescaped)
+	if err := e.assign(service, route); err != nil {
+		return err
+	}
+	q := &e.request
+	q.Idempotent = isIdempotent(route, e.http.Method)
+	q.Method = e.http.Method
+	q.Path = path
+	q.Header = passedHeaders(e.http.Header)
+	q.Body = body
+	q.Digest = digest([]byte(q.Method), []byte(q.Path), body)
+	q.PromptTokens = countTokens(body)
+	q.Fingerprint = xxhash.Sum64(q.Digest)
+	return nil
+}
+
+func (e *exchange) plainService() (*schema.Service, error) {
+	name, err := url.PathUnescape(mux.Vars(e.http)["service"])
+	if err != nil {
+		return nil, badRequest("the service's name is malformed", "escape the name as RFC 3986 states")
+	}
+	service, ok := e.snapshot.Service(name)
+	if !ok || service.GetKind() != schema.ServiceKind_SERVICE_KIND_PLAIN {
+		return nil, fault.New(schema.ErrorKind_ERROR_KIND_NOT_FOUND,
+			"no plain service has this name", "use a service of kind plain in the configuration").NotRun()
+	}
+	return service, nil
+}
+
+// targetPath returns the path and query for the target as the caller wrote
+// them, and the unescaped path for the routes.
+func targetPath(u *url.URL) (escaped, unescaped string, err error) {
+	_, escaped, _ = strings.Cut(strings.TrimPrefix(u.EscapedPath(), servicesPrefix), "/")
+	unescaped, err = url.PathUnescape(escaped)
+	if err != nil || hasDotSegments(unescaped) {
+		return "", "", badRequest("the path has dot segments or is malformed", "send the resolved path")
+	}
+	escaped = "/" + escaped
+	if u.RawQuery != "" {
+		escaped += "?" + u.RawQuery
+	}
+	return escaped, unescaped, nil
+}
+
+func passedHeaders(header http.Header) http.Header {
+	h := engine.EndToEnd(header)
+	for _, name := range ownHeaders {
+		h.Del(name)
+	}
+	return h
+}
