State an unanswered claim's outcome as unknown

Cause: the ledger's errors say 'not run' of this send, but an earlier send of the same key may have run, and a caller may act on the word. Ruled out: trusting the ledger's segment for it, because an owner that lost its shard may hold an old one. Before: a second send during an outage was told not_run after the first ran. After: unknown, with the remedy to send the same key again; not_run stays for a malformed or reused key. The report names its entry, which the ledger needs when it has lost the record.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -63,14 +63,18 @@
 	}
 }
 
-// claimError keeps the ledger's word on the outcome. Without one the outcome
-// is unknown, because an earlier send of the key may have run.
+// claimError states the outcome of a request whose claim was not answered.
+// This send was not dispatched, but an earlier send of the key may have run
+// and the ledger could not tell, so the outcome is unknown unless the error
+// meets every send of this request.
 func claimError(err error) error {
 	e := *fault.From(err)
-	if e.Outcome == schema.Outcome_OUTCOME_UNSPECIFIED {
+	switch e.Kind {
+	case schema.ErrorKind_ERROR_KIND_BAD_REQUEST, schema.ErrorKind_ERROR_KIND_KEY_REUSED:
+		return e.NotRun()
+	default:
 		return e.Unknown()
 	}
-	return &e
 }
 
 func (d *Dispatcher) refuse(r *Request, err error) (Result, error) {
@@ -151,6 +155,7 @@
 func (c *claim) report(state schema.ClaimState) *schema.FinishRequest {
 	return &schema.FinishRequest{
 		RequestId: c.requestID,
+		EntryNode: c.dispatcher.options.Node,
 		Team:      c.team,
 		Attempt:   c.attempt,
 		State:     state,
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -113,6 +113,22 @@
 	}
 }
 
+func TestClaimThatIsNotAnsweredLeavesTheOutcomeUnknown(t *testing.T) {
+	for kind, want := range map[schema.ErrorKind]schema.Outcome{
+		schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE: schema.Outcome_OUTCOME_UNKNOWN,
+		schema.ErrorKind_ERROR_KIND_UNREACHABLE:       schema.Outcome_OUTCOME_UNKNOWN,
+		schema.ErrorKind_ERROR_KIND_KEY_EXPIRED:       schema.Outcome_OUTCOME_UNKNOWN,
+		schema.ErrorKind_ERROR_KIND_KEY_REUSED:        schema.Outcome_OUTCOME_NOT_RUN,
+	} {
+		is := is.New(t)
+		claims := newFakeClaims()
+		claims.err = fault.New(kind, "message", "remedy").NotRun()
+		_, err := newDispatcher(&fakePermits{}, claims).Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+		is.Equal(fault.KindOf(err), kind)
+		is.Equal(fault.From(err).Outcome, want)
+	}
+}
+
 func TestAnotherEntryResumesByTicket(t *testing.T) {
 	is := is.New(t)
 	e := newFakeEngine(t, 6)
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -156,6 +156,8 @@
 
 // fakeClaims is a ledger in memory, shared by several dispatchers.
 type fakeClaims struct {
+	// err refuses every claim.
+	err     error
 	mu      sync.Mutex
 	entries map[string]*schema.ClaimReply
 	changed chan struct{}
@@ -166,6 +168,9 @@
 }
 
 func (c *fakeClaims) Claim(_ context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
+	if c.err != nil {
+		return nil, c.err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if entry, ok := c.entries[r.GetRequestId()]; ok {
