--- a/admission/target.go
+++ b/admission/target.go
@@ -43,6 +43,9 @@
 	cached int
 	batch  int
 	print  uint64
+	// adopted permits were granted by the group's previous owner, so that
+	// nothing is known of what was expected of them.
+	adopted bool
 }
 
 func newTarget(info topology.Target) *target {
@@ -119,7 +122,7 @@
 // learn takes the measurements of a completed request.
 func (t *target) learn(policy *scheduling.Policy, p *permit, r *schema.PermitReturn, batch int) {
 	t.failures = 0
-	if t.plain() {
+	if t.plain() || p.adopted {
 		return
 	}
 	first := r.GetFirstToken().AsDuration()
--- /dev/null
+++ b/cmd/primrosemoor/main.go
@@ -0,0 +1,109 @@
+// Command primrosemoor runs one node of the request scheduler.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/primrosemoor/primrosemoor/node"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
+type cli struct {
+	Run           runCommand   `cmd:"" help:"Run a node."`
+	CheckSettings checkCommand `cmd:"" help:"Check a settings file and exit with 2 if it has faults."`
+}
+
+type runCommand struct {
+	Settings string `type:"path" help:"Settings file (TOML)." xor:"source" required:""`
+	Dev      bool   `help:"Run one node with objects in memory and an echo engine." xor:"source" required:""`
+}
+
+type checkCommand struct {
+	File string `arg:"" type:"path" help:"Settings file (TOML)."`
+}
+
+// settingsError marks an error that ends the process with exitBadSettings.
+type settingsError struct{ error }
+
+func main() {
+	var c cli
+	parser := kong.Parse(&c, kong.Name("primrosemoor"),
+		kong.Description("Request scheduler for unlike engines: one node."))
+	err := parser.Run()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var bad settingsError
+	if errors.As(err, &bad) {
+		os.Exit(exitBadSettings)
+	}
+	os.Exit(exitFailed)
+}
+
+// Run starts the node and blocks until it has stopped.
+func (r *runCommand) Run() error {
+	if r.Dev {
+		return runDev()
+	}
+	s, err := settings.Load(r.Settings)
+	if err != nil {
+		return settingsError{err}
+	}
+	return runNode(s, node.Options{})
+}
+
+// Run checks the file.
+func (c *checkCommand) Run() error {
+	if _, err := settings.Load(c.File); err != nil {
+		return settingsError{err}
+	}
+	fmt.Println(c.File + ": ok")
+	return nil
+}
+
+func runNode(s *schema.Settings, options node.Options) error {
+	app := node.New(s, options)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	exitOnSecondSignal(s.GetShutdown().GetSecondSignalExits())
+	app.Run()
+	return nil
+}
+
+// exitOnSecondSignal ends the process at SIGQUIT, and at a second SIGTERM or
+// interrupt if the settings ask for it. The first starts the graceful shutdown.
+func exitOnSecondSignal(enabled bool) {
+	quit := make(chan os.Signal, 1)
+	signal.Notify(quit, syscall.SIGQUIT)
+	term := make(chan os.Signal, 2)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		terminations := 0
+		for {
+			select {
+			case <-quit:
+				os.Exit(exitFailed)
+			case <-term:
+				terminations++
+			}
+			if enabled && terminations > 1 {
+				os.Exit(exitFailed)
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/node/state.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"sync/atomic"
+
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/membership"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/topology"
+)
+
+// state is what readiness and status need to know of the process.
+type state struct {
+	draining atomic.Bool
+}
+
+func newState() *state {
+	return &state{}
+}
+
+// ready returns nil if the balancer may send requests here.
+func (s *state) ready(current *topology.Current, members *membership.Manager) error {
+	switch {
+	case s.draining.Load():
+		return fault.New(schema.ErrorKind_ERROR_KIND_DRAINING, "the node is shutting down", "use another node")
+	case members.Isolated():
+		return fault.New(schema.ErrorKind_ERROR_KIND_ISOLATED,
+			"the node reaches neither the object API nor its peers", "check the node's network")
+	case current.Load().Revision() == 0:
+		return fault.New(schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE,
+			"no configuration is in force", "apply one with primrosectl apply")
+	default:
+		return nil
+	}
+}
+
+// status returns the node's view of itself.
+func (p *parts) status() *schema.StatusReply {
+	snapshot := p.Current.Load()
+	reply := &schema.StatusReply{
+		Node:             p.Settings.GetNode().GetName(),
+		AvailabilityZone: p.Settings.GetNode().GetAvailabilityZone(),
+		ConfigRevision:   snapshot.Revision(),
+		Draining:         p.State.draining.Load(),
+		Isolated:         p.Membership.Isolated(),
+		Groups:           p.Admission.Status(),
+		InFlight:         uint32(p.Front.handler.InFlight()),
+	}
+	for _, m := range p.Membership.Members() {
+		reply.Members = append(reply.Members, &schema.MemberStatus{
+			Node:             m.GetNode(),
+			AvailabilityZone: m.GetAvailabilityZone(),
+			Address:          m.GetPeerAddress(),
+			State:            m.GetState().String(),
+			ConfigRevision:   m.GetConfigRevision(),
+		})
+	}
+	return reply
+}
--- /dev/null
+++ b/node/wiring.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/admission"
+	"github.com/primrosemoor/primrosemoor/dispatch"
+	"github.com/primrosemoor/primrosemoor/engine"
+	"github.com/primrosemoor/primrosemoor/explain"
+	"github.com/primrosemoor/primrosemoor/front"
+	"github.com/primrosemoor/primrosemoor/ledger"
+	"github.com/primrosemoor/primrosemoor/logging"
+	"github.com/primrosemoor/primrosemoor/membership"
+	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/register"
+	"github.com/primrosemoor/primrosemoor/routing"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/telemetry"
+	"github.com/primrosemoor/primrosemoor/topology"
+)
+
+func newLogger(s *schema.Settings) (*log.Logger, error) {
+	return logging.New(s.GetLog())
+}
+
+func newTelemetry() (*telemetry.Telemetry, error) {
+	return telemetry.New()
+}
+
+// newIdentity takes the start time as the incarnation, because a node keeps
+// nothing from its last run.
+func newIdentity(s *schema.Settings) peer.Identity {
+	return peer.Identity{
+		Cluster:          s.GetNode().GetCluster(),
+		Node:             s.GetNode().GetName(),
+		AvailabilityZone: s.GetNode().GetAvailabilityZone(),
+		Incarnation:      uint64(time.Now().UnixNano()),
+	}
+}
+
+func newPlace(s *schema.Settings) routing.Place {
+	return routing.Place{
+		Node:             s.GetNode().GetName(),
+		AvailabilityZone: s.GetNode().GetAvailabilityZone(),
+		Region:           s.GetNode().GetRegion(),
+	}
+}
+
+func newStore(s *schema.Settings, o Options) (platform.Store, error) {
+	if o.Store != nil {
+		return o.Store, nil
+	}
+	return platform.NewHTTP(s.GetPlatform(), s.GetNode().GetSourceAddress())
+}
+
+func newPool(s *schema.Settings, id peer.Identity, t *telemetry.Telemetry) *peer.Pool {
+	return peer.NewPool(peer.PoolOptions{
+		Identity:      id,
+		Meter:         t,
+		SourceAddress: s.GetNode().GetSourceAddress(),
+		DialTimeout:   s.GetPeer().GetDialTimeout().AsDuration(),
+		CallTimeout:   s.GetPeer().GetCallTimeout().AsDuration(),
+	})
+}
+
+func newServer(id peer.Identity, t *telemetry.Telemetry) *peer.Server {
+	return peer.NewServer(id, t, nil)
+}
+
+func newLinks(s *schema.Settings, pool *peer.Pool, current *topology.Current) *links {
+	return &links{
+		pool:    pool,
+		current: current,
+		self:    s.GetNode().GetName(),
+		zone:    s.GetNode().GetAvailabilityZone(),
+	}
+}
+
+func newMembership(s *schema.Settings, id peer.Identity, store platform.Store, l *links, logger *log.Logger) *membership.Manager {
+	address := s.GetPeer().GetAdvertiseAddress()
+	if address == "" {
+		address = s.GetPeer().GetListenAddress()
+	}
+	return membership.New(membership.Options{
+		Self: &schema.Member{
+			Node:             id.Node,
+			AvailabilityZone: id.AvailabilityZone,
+			Region:           s.GetNode().GetRegion(),
+			PeerAddress:      address,
+			Incarnation:      id.Incarnation,
+			State:            schema.MemberState_MEMBER_STATE_ACTIVE,
+		},
+		Store:    store,
+		Peers:    l,
+		Settings: s.GetMembership(),
+		Logger:   logger,
+	})
+}
+
+func newRegister(store platform.Store, l *links, members *membership.Manager, logger *log.Logger) *register.Manager {
+	l.members = members
+	return register.NewManager(register.Options{Store: store, Peers: l, Logger: logger})
+}
+
+func newLedger(s *schema.Settings, store platform.Store, logger *log.Logger) *ledger.Manager {
+	return ledger.New(ledger.Options{
+		Node:     s.GetNode().GetName(),
+		Store:    store,
+		Settings: s.GetLedger(),
+		Logger:   logger,
+	})
+}
+
+func newAdmission(s *schema.Settings, l *links, logger *log.Logger) *admission.Manager {
+	return admission.New(admission.Options{
+		Node:     s.GetNode().GetName(),
+		Region:   s.GetNode().GetRegion(),
+		Settings: s.GetScheduling(),
+		Siblings: l,
+		Logger:   logger,
+	})
+}
+
+func newPermits(place routing.Place, pool *peer.Pool, owner *admission.Manager, current *topology.Current, logger *log.Logger) *routing.Permits {
+	return routing.NewPermits(place, pool, owner, current, logger)
+}
+
+func newClaims(place routing.Place, pool *peer.Pool, owner *ledger.Manager, current *topology.Current) *routing.Claims {
+	return routing.NewClaims(place, pool, owner, current)
+}
+
+func newEngine(s *schema.Settings) *engine.Client {
+	return engine.NewClient(engine.Options{SourceAddress: s.GetNode().GetSourceAddress()})
+}
+
+func newSigner(s *schema.Settings) (*dispatch.Signer, error) {
+	signer, err := dispatch.NewSigner(s.GetPeer().GetTicketKey())
+	if err != nil {
+		return nil, fmt.Errorf("read the ticket key: %w", err)
+	}
+	return signer, nil
+}
+
+func newDispatcher(s *schema.Settings, permits *routing.Permits, claims *routing.Claims, recorder *explain.Recorder,
+	client *engine.Client, signer *dispatch.Signer) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{
+		Node:              s.GetNode().GetName(),
+		Region:            s.GetNode().GetRegion(),
+		Permits:           explain.Recording{Permits: permits, Recorder: recorder},
+		Claims:            claims,
+		Engine:            client,
+		Signer:            signer,
+		MaxStreamDuration: s.GetHttp().GetMaxStreamDuration().AsDuration(),
+		MaxStoredOutcome:  int(s.GetLedger().GetMaxStoredOutcomeBytes()),
+	})
+}
+
+// frontServer is the callers' HTTP service.
+type frontServer struct {
+	handler *front.Front
+	server  *http.Server
+}
+
+func newFront(s *schema.Settings, d *dispatch.Dispatcher, signer *dispatch.Signer, current *topology.Current,
+	members *membership.Manager, st *state, t *telemetry.Telemetry, logger *log.Logger) *frontServer {
+	handler := front.New(front.Options{
+		Settings:   s.GetHttp(),
+		Snapshot:   current.Load,
+		Dispatcher: d,
+		Signer:     signer,
+		Ready:      func() error { return st.ready(current, members) },
+		Limits:     front.NoLimits{},
+		Telemetry:  t,
+		Logger:     logger,
+	})
+	return &frontServer{handler: handler, server: handler.NewServer()}
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -26,6 +26,7 @@
 	tls         *tls.Config
 	dialer      net.Dialer
 	callTimeout time.Duration
+	counter     trafficCounter
 
 	mu     sync.Mutex
 	links  map[string]*link
@@ -113,6 +114,11 @@
 	return stream.Receive(resp)
 }
 
+// Traffic returns the bytes that this node's outgoing links carried.
+func (p *Pool) Traffic() Traffic {
+	return p.counter.traffic()
+}
+
 // Close ends all sessions; later calls fail with ErrClosed.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -192,6 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = &countedConn{Conn: conn, counter: &p.counter}
 	if p.tls != nil {
 		conn = tls.Client(conn, tlsFor(p.tls, address))
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,7 @@
 	identity Identity
 	meter    Meter
 	tls      *tls.Config
+	counter  trafficCounter
 
 	mu       sync.Mutex
 	handlers map[schema.Method]Handler
@@ -84,6 +85,11 @@
 	}
 }
 
+// Traffic returns the bytes that this node's incoming links carried.
+func (s *Server) Traffic() Traffic {
+	return s.counter.traffic()
+}
+
 // Close stops accepting, ends all sessions and waits for their handlers.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -106,6 +112,7 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer conn.Close()
+	conn = &countedConn{Conn: conn, counter: &s.counter}
 	if s.tls != nil {
 		conn = tls.Server(conn, s.tls)
 	}
--- /dev/null
+++ b/peer/wire.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic is the number of bytes that links carried, including handshakes and
+// multiplexing but not TCP's own headers.
+type Traffic struct {
+	Sent     uint64
+	Received uint64
+}
+
+// Add returns the sum of both.
+func (t Traffic) Add(other Traffic) Traffic {
+	return Traffic{Sent: t.Sent + other.Sent, Received: t.Received + other.Received}
+}
+
+type trafficCounter struct {
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+func (c *trafficCounter) traffic() Traffic {
+	return Traffic{Sent: c.sent.Load(), Received: c.received.Load()}
+}
+
+// countedConn counts the bytes of one connection.
+type countedConn struct {
+	net.Conn
+	counter *trafficCounter
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.sent.Add(uint64(n))
+	return n, err
+}
