Send a call's header and request in one write

Cause: a permit cost 0.86 ms of processor time (8,000 permits taken by one entry from owners on other nodes, 26 nodes in one process); the profile had 29 % in system calls, because each message was a frame of its own and each frame two writes. Ruled out: the decision itself (0.07 ms of it) and allocation.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -98,10 +98,7 @@
 }
 
 func exchange(stream *Stream, method schema.Method, req, resp proto.Message) error {
-	if err := stream.Send(&schema.CallHeader{Method: method}); err != nil {
-		return err
-	}
-	if err := stream.Send(req); err != nil {
+	if err := stream.Send(&schema.CallHeader{Method: method}, req); err != nil {
 		return err
 	}
 	status := &schema.CallStatus{}
--- a/peer/server.go
+++ b/peer/server.go
@@ -220,11 +220,12 @@
 	return handler(ctx, from, request)
 }
 
+// sendReply answers the call. A reply that is lost shows at the caller as a
+// broken stream.
 func (s *Server) sendReply(stream *Stream, reply proto.Message, err error) {
-	status := &schema.CallStatus{Error: fault.ToProto(err)}
-	if sendErr := stream.Send(status); sendErr != nil || err != nil {
+	if err != nil {
+		_ = stream.Send(&schema.CallStatus{Error: fault.ToProto(err)})
 		return
 	}
-	// A lost reply shows at the caller as a broken stream.
-	_ = stream.Send(reply)
+	_ = stream.Send(&schema.CallStatus{}, reply)
 }
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"time"
@@ -28,9 +29,16 @@
 	return s
 }
 
-// Send writes one message.
-func (s *Stream) Send(m proto.Message) error {
-	n, err := protodelim.MarshalTo(s.conn, m)
+// Send writes messages in one piece, because each write costs a frame and two
+// system calls.
+func (s *Stream) Send(messages ...proto.Message) error {
+	var buffer bytes.Buffer
+	for _, m := range messages {
+		if _, err := protodelim.MarshalTo(&buffer, m); err != nil {
+			return err
+		}
+	}
+	n, err := s.conn.Write(buffer.Bytes())
 	s.sent += n
 	return err
 }
