--- /dev/null
+++ b/standin/capacity/store.go
@@ -0,0 +1,80 @@
+package capacity
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/platform"
+)
+
+// storeUse counts calls of the object API.
+type storeUse struct {
+	reads  atomic.Int64
+	writes atomic.Int64
+	bytes  atomic.Int64
+}
+
+// storeCounts is a reading of storeUse.
+type storeCounts struct {
+	reads  int64
+	writes int64
+	bytes  int64
+}
+
+func (u *storeUse) read() storeCounts {
+	return storeCounts{reads: u.reads.Load(), writes: u.writes.Load(), bytes: u.bytes.Load()}
+}
+
+func (c storeCounts) minus(o storeCounts) storeCounts {
+	return storeCounts{reads: c.reads - o.reads, writes: c.writes - o.writes, bytes: c.bytes - o.bytes}
+}
+
+// countingStore counts every call, a waiting watch as one.
+type countingStore struct {
+	platform.Store
+	use *storeUse
+}
+
+func (s countingStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	s.use.reads.Add(1)
+	o, err := s.Store.Get(ctx, key)
+	s.use.bytes.Add(int64(len(o.Value)))
+	return o, err
+}
+
+func (s countingStore) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	s.use.writes.Add(1)
+	s.use.bytes.Add(int64(len(value)))
+	return s.Store.Put(ctx, key, value, expect)
+}
+
+func (s countingStore) Delete(ctx context.Context, key string, expect platform.Version) error {
+	s.use.writes.Add(1)
+	return s.Store.Delete(ctx, key, expect)
+}
+
+func (s countingStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	s.use.reads.Add(1)
+	objects, err := s.Store.List(ctx, prefix)
+	s.count(objects)
+	return objects, err
+}
+
+func (s countingStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Changes, error) {
+	s.use.reads.Add(1)
+	changes, err := s.Store.Watch(ctx, prefix, cursor, wait)
+	s.count(changes.Objects)
+	return changes, err
+}
+
+func (s countingStore) VMs(ctx context.Context) ([]platform.VMStatus, error) {
+	s.use.reads.Add(1)
+	return s.Store.VMs(ctx)
+}
+
+func (s countingStore) count(objects []platform.Object) {
+	for _, o := range objects {
+		s.use.bytes.Add(int64(len(o.Value)))
+	}
+}
