Shed in strict order across owners by dispatch leases

Cause: a request of a higher tier must never be shed before a waiting one of a lower tier, whichever owner holds it. Ruled out: refusing below a sibling's floor at once. Each owner now confirms its own floor before it refuses. Moving the floor one rank at a time became needless with that and is removed. Found besides: a split was declared from timeouts older than the last message; timeouts noticed late after a pause now count no more.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -32,6 +32,8 @@
 	// are no longer asked for.
 	SplitAfter       = 3 * LeaseDuration
 	minSplitFailures = 3
+	// floorTimeout bounds the exchange of one floor update.
+	floorTimeout = time.Second
 	// floorHold is how long a floor stays after the last pressure, and
 	// floorStep separates the steps in which it is lowered.
 	floorHold = 2 * time.Second
--- a/admission/manager.go
+++ b/admission/manager.go
@@ -37,10 +37,7 @@
 	Metrics Metrics
 }
 
-const (
-	eventBuffer  = 256
-	floorTimeout = time.Second
-)
+const eventBuffer = 256
 
 // Manager runs an Owner in one goroutine. Its other methods may be called
 // from any goroutine and send that one events.
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -46,6 +46,11 @@
 	next          uint64
 	draining      bool
 	counts        Counts
+	// hardQueue bounds the waiters of a group, whatever the order of tiers.
+	hardQueue int
+	// onShed and skipAck serve tests.
+	onShed  func(*Waiter)
+	skipAck bool
 }
 
 // Counts are totals since the start.
@@ -62,6 +67,7 @@
 // NewOwner returns an owner without groups.
 func NewOwner(options OwnerOptions) *Owner {
 	s := options.Settings
+	maxQueue := cmp.Or(int(s.GetMaxQueueRequests()), defaultMaxQueue)
 	return &Owner{
 		options: options,
 		policy: scheduling.Policy{
@@ -70,7 +76,8 @@
 			CrossRegionPrice: s.GetCrossRegionPrice(),
 		},
 		permitTimeout: cmp.Or(s.GetPermitTimeout().AsDuration(), defaultPermitTimeout),
-		maxQueue:      cmp.Or(int(s.GetMaxQueueRequests()), defaultMaxQueue),
+		maxQueue:      maxQueue,
+		hardQueue:     hardQueueFactor * maxQueue,
 		groups:        make(map[string]*group),
 		pools:         make(map[string]*pool),
 		targets:       make(map[string]*target),
@@ -121,6 +128,7 @@
 	p, ok := o.pools[service]
 	if !ok {
 		p = newPool(now, service)
+		p.skipAck = o.skipAck
 		o.pools[service] = p
 	}
 	return p
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -14,15 +16,15 @@
 	// floor is the lowest rank that this owner admits.
 	floor    uint32
 	sequence uint64
-	// want is the most important rank that has to be shed; the floor follows
-	// it one rank at a time.
+	// want is the most important rank that has to be shed.
 	want uint32
 	// lowered is when the floor last moved to a more important rank.
 	lowered time.Time
 	// pressure is when a rank was last shed or wanted to be.
 	pressure time.Time
 	stepped  time.Time
-	siblings map[string]*sibling
+	// siblings are in order of their nodes' names.
+	siblings []*sibling
 	// skipAck is set by tests to show that they notice a missing
 	// acknowledgement.
 	skipAck bool
@@ -36,8 +38,6 @@
 	// seen is the highest sequence received, with the floor it carried.
 	seen  uint64
 	floor uint32
-	// asOf is the latest time for which floor is known to have held.
-	asOf time.Time
 	// acked is the floor that the sibling confirmed to have applied.
 	acked uint32
 	// lease is until when this owner may dispatch queued requests of a rank.
@@ -45,6 +45,9 @@
 	// granted is until when the sibling may hold a lease from this owner.
 	granted [MaxRanks]time.Time
 	sent    time.Time
+	// heard is when the last message was received.
+	heard time.Time
+	// failing is the start of the failures counted in fails.
 	failing time.Time
 	fails   int
 	// split siblings do not answer, and their leases are not asked for.
@@ -61,17 +64,18 @@
 		floor:    MaxRanks - 1,
 		want:     MaxRanks - 1,
 		sequence: uint64(now.UnixMilli()) << 16,
-		siblings: make(map[string]*sibling),
 	}
 }
 
 func (p *pool) sibling(node string) *sibling {
-	s, ok := p.siblings[node]
+	i, ok := slices.BinarySearchFunc(p.siblings, node, func(s *sibling, node string) int {
+		return cmp.Compare(s.node, node)
+	})
 	if !ok {
-		s = &sibling{node: node, floor: MaxRanks - 1, acked: MaxRanks - 1}
-		p.siblings[node] = s
+		s := &sibling{node: node, floor: MaxRanks - 1, acked: MaxRanks - 1}
+		p.siblings = slices.Insert(p.siblings, i, s)
 	}
-	return s
+	return p.siblings[i]
 }
 
 // list sets which nodes own groups of the service now.
@@ -79,12 +83,12 @@
 	for node := range nodes {
 		p.sibling(node)
 	}
-	for node, s := range p.siblings {
-		s.listed = nodes[node]
-		if !s.listed && !s.holdsLease(now, 0) {
-			delete(p.siblings, node)
-		}
+	for _, s := range p.siblings {
+		s.listed = nodes[s.node]
 	}
+	p.siblings = slices.DeleteFunc(p.siblings, func(s *sibling) bool {
+		return !s.listed && !s.holdsLease(now, 0)
+	})
 }
 
 // setLowest sets the rank of the least important tier.
@@ -111,20 +115,6 @@
 	return floor
 }
 
-// mayRefuse reports whether a request that a floor keeps out may be refused
-// now. That is a shed, so the floor must be known to be in force still.
-func (p *pool) mayRefuse(now time.Time, rank uint32) bool {
-	if rank >= p.lowest || p.floor < rank {
-		return true
-	}
-	for _, s := range p.siblings {
-		if s.listed && s.floor < rank && now.Sub(s.asOf) < floorStep {
-			return true
-		}
-	}
-	return false
-}
-
 // mayDispatch reports whether a queued request of a rank may be dispatched:
 // every sibling has leased the rank, or has not answered for SplitAfter. Rank
 // 0 needs no lease, because nothing is shed after it.
@@ -184,13 +174,12 @@
 	p.want = min(p.want, rank)
 }
 
-// advance moves the floor one rank towards what is wanted, once everything
-// below that rank is shed everywhere. It reports whether the floor moved.
+// advance moves the floor to what is wanted and reports whether it moved.
 func (p *pool) advance(now time.Time) bool {
-	if p.floor <= p.want || !p.mayShed(now, p.floor) {
+	if p.floor <= p.want {
 		return false
 	}
-	p.floor--
+	p.floor = p.want
 	p.lowered = now
 	p.sequence++
 	return true
@@ -226,8 +215,9 @@
 }
 
 // hear takes a sibling's floor. Older messages are ignored.
-func (s *sibling) hear(floor uint32, sequence uint64) (current bool) {
+func (s *sibling) hear(now time.Time, floor uint32, sequence uint64) (current bool) {
 	s.fails, s.split = 0, false
+	s.heard = now
 	if sequence < s.seen {
 		return false
 	}
@@ -243,7 +233,7 @@
 // leases the ranks down to this owner's floor.
 func (p *pool) receive(now time.Time, node string, u *schema.FloorUpdate) *schema.FloorAck {
 	s := p.sibling(node)
-	if s.hear(u.GetFloor(), u.GetSequence()) {
+	if s.hear(now, u.GetFloor(), u.GetSequence()) {
 		s.loads, s.loadsAt = u.GetLoads(), now
 	}
 	for rank := uint32(0); rank <= p.granting(); rank++ {
@@ -263,7 +253,7 @@
 // acknowledged takes the answer to an update sent at sent.
 func (p *pool) acknowledged(now, sent time.Time, node string, a *schema.FloorAck) {
 	s := p.sibling(node)
-	current := s.hear(a.GetFloor(), a.GetSequence())
+	current := s.hear(now, a.GetFloor(), a.GetSequence())
 	if a.GetConfirmed() > p.sequence {
 		// The sibling remembers an earlier run of this node.
 		p.sequence = a.GetConfirmed() + 1
@@ -276,7 +266,6 @@
 		return
 	}
 	s.loads, s.loadsAt = a.GetLoads(), now
-	s.asOf = later(s.asOf, sent)
 	for rank := uint32(0); rank <= s.floor; rank++ {
 		s.lease[rank] = later(s.lease[rank], sent.Add(LeaseDuration))
 	}
@@ -289,14 +278,16 @@
 	return b
 }
 
-// unanswered notes that an update sent at sent had no answer.
+// unanswered notes that an update sent at sent had no answer. A timeout that
+// is noticed late says that this node was paused, not that the sibling failed.
 func (p *pool) unanswered(now, sent time.Time, node string) {
-	s, ok := p.siblings[node]
-	if !ok {
+	s := p.sibling(node)
+	if now.Sub(sent) > 2*floorTimeout {
+		s.fails = 0
 		return
 	}
 	if s.fails == 0 {
-		s.failing = sent
+		s.failing = later(sent, s.heard)
 	}
 	s.fails++
 	if s.fails >= minSplitFailures && now.Sub(s.failing) >= SplitAfter {
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -10,17 +10,13 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// keptOut refuses or condemns a new request whose rank is below a floor.
+// keptOut condemns a new request whose rank is below a floor.
 func (o *Owner) keptOut(now time.Time, g *group, w *Waiter) bool {
 	if w.rank <= min(g.pool.floor, g.pool.imposed()) {
 		return false
 	}
-	if g.pool.mayRefuse(now, w.rank) {
-		o.shed(w)
-		return true
-	}
-	w.condemned = true
-	g.condemned = append(g.condemned, w)
+	g.condemn(w)
+	o.refuseCondemned(now, g.pool)
 	return true
 }
 
@@ -39,8 +35,7 @@
 	if !g.pool.mayShed(now, w.rank) {
 		return false
 	}
-	o.counts.Shed[w.rank]++
-	w.answer(nil, errDeadline())
+	o.shedAs(w, errDeadline())
 	return true
 }
 
@@ -56,7 +51,7 @@
 		}
 		w := g.queue.last(rank)
 		if !g.pool.mayShed(now, rank) {
-			if g.queue.length+len(g.condemned) <= hardQueueFactor*o.maxQueue {
+			if g.queue.length+len(g.condemned) <= o.hardQueue {
 				return
 			}
 			o.counts.OutOfOrder++
@@ -67,47 +62,59 @@
 }
 
 func (o *Owner) shed(w *Waiter) {
+	o.shedAs(w, errOverloaded(w.request.Service))
+}
+
+func (o *Owner) shedAs(w *Waiter, reason error) {
 	o.counts.Shed[w.rank]++
-	w.answer(nil, errOverloaded(w.request.Service))
+	if o.onShed != nil {
+		o.onShed(w)
+	}
+	w.answer(nil, reason)
 }
 
-// advance moves a pool's floor as far as siblings have confirmed, sheds what
+// advance moves a pool's floor to the rank that has to be shed, condemns what
 // falls below it, and tells the siblings.
 func (o *Owner) advance(now time.Time, p *pool) {
-	moved := false
-	for p.advance(now) {
-		moved = true
-		o.evict(now, p)
-	}
-	if moved {
+	if p.advance(now) {
 		o.broadcast(now, p)
+		o.evict(now, p)
 	}
 }
 
-// evict sheds the waiters below this owner's floor, the least important first,
-// and condemns those below a sibling's.
+// evict condemns the waiters below this owner's floor or a sibling's.
 func (o *Owner) evict(now time.Time, p *pool) {
-	imposed := p.imposed()
-	for rank := p.lowest; rank > min(p.floor, imposed); rank-- {
-		for _, g := range o.ordered {
-			if g.pool != p {
-				continue
-			}
+	floor := min(p.floor, p.imposed())
+	for _, g := range o.ordered {
+		if g.pool != p {
+			continue
+		}
+		for rank := floor + 1; rank < MaxRanks; rank++ {
 			g.queue.all(rank, func(w *Waiter) {
 				g.queue.remove(w)
-				w.condemned = true
-				g.condemned = append(g.condemned, w)
+				g.condemn(w)
 			})
 		}
 	}
 	o.refuseCondemned(now, p)
 }
 
+// condemn keeps a waiter that must never be dispatched until it may be
+// refused: a sibling may shed a more important request meanwhile.
+func (g *group) condemn(w *Waiter) {
+	g.condemned = append(g.condemned, w)
+}
+
 // refuseCondemned sheds condemned waiters, the least important first, as far
-// as the order of tiers allows.
+// as the order of tiers allows, and presses for the rest.
 func (o *Owner) refuseCondemned(now time.Time, p *pool) {
 	for rank := p.lowest; rank > 0; rank-- {
-		if !p.mayRefuse(now, rank) {
+		if !o.hasCondemned(p, rank) {
+			continue
+		}
+		p.press(now, rank)
+		o.advance(now, p)
+		if !p.mayShed(now, rank) {
 			return
 		}
 		for _, g := range o.ordered {
@@ -118,6 +125,18 @@
 	}
 }
 
+func (o *Owner) hasCondemned(p *pool, rank uint32) bool {
+	for _, g := range o.ordered {
+		if g.pool != p {
+			continue
+		}
+		if slices.ContainsFunc(g.condemned, func(w *Waiter) bool { return w.rank == rank }) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepCondemned passes the condemned waiters for which keep is false to drop.
 func (g *group) keepCondemned(keep func(*Waiter) bool, drop func(*Waiter)) {
 	kept := g.condemned[:0]
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -27,9 +27,6 @@
 	reply    Reply
 	group    *group
 	flow     *flow
-	// condemned waiters are never dispatched: a sibling may have shed a more
-	// important request meanwhile.
-	condemned bool
 	// fresh is true until the request has to wait.
 	fresh  bool
 	permit uint64
