--- a/register/apply.go
+++ b/register/apply.go
@@ -21,7 +21,7 @@
 	maxRecentNonces = 32
 	// maxRetired is how many parts out of use are kept for readers that still
 	// hold an older head.
-	maxRetired = 64
+	maxRetired = 24
 
 	firstRetry = 20 * time.Millisecond
 	lastRetry  = time.Second
@@ -83,6 +83,8 @@
 	author  string
 	nonce   string
 	wait    *backoff.ExponentialBackOff
+	// read is what the last attempt read.
+	read *held
 	// unsettled is the revision of an earlier attempt that may have taken
 	// effect; 0 means none.
 	unsettled uint64
@@ -90,10 +92,11 @@
 
 // attempt reads, merges, checks and writes once.
 func (w *writer) attempt(ctx context.Context) (uint64, error) {
-	current, version, err := readAccepted(ctx, w.store, nil)
+	current, version, err := readAccepted(ctx, w.store, w.read)
 	if err != nil {
 		return 0, err
 	}
+	w.read = current
 	if revision, done := w.settled(current.head); done {
 		return revision, nil
 	}
@@ -144,7 +147,7 @@
 			return 0, err
 		}
 	}
-	_, err := w.store.Put(ctx, HeadKey, marshal(next.head), version)
+	_, err := w.store.Put(ctx, HeadKey, encodeHead(next.head), version)
 	switch fault.KindOf(err) {
 	case schema.ErrorKind_ERROR_KIND_UNSPECIFIED:
 		deleteParts(ctx, w.store, dropped)
--- a/register/apply_test.go
+++ b/register/apply_test.go
@@ -181,5 +181,5 @@
 	}
 	objects, err := store.List(t.Context(), "config/part/")
 	is.NoErr(err)
-	is.True(len(objects) <= 70) // 64 retired parts and those in use.
+	is.True(len(objects) <= 30) // 24 retired parts and those in use.
 }
--- a/register/bench_internal_test.go
+++ b/register/bench_internal_test.go
@@ -94,7 +94,7 @@
 				}
 			}
 			b.ReportMetric(float64(len(raw)), "delta-B")
-			b.ReportMetric(float64(len(marshal(next.head))), "head-B")
+			b.ReportMetric(float64(len(encodeHead(next.head))), "head-B")
 			b.ReportMetric(float64(len(marshal(next.deltaSince(0)))), "whole-B")
 		})
 	}
--- a/register/check.go
+++ b/register/check.go
@@ -86,10 +86,10 @@
 	problems tomlproto.Problems
 	// naming makes the checker build the keys of values, which costs more than
 	// the check itself.
-	naming bool
-	zone     map[string]bool
-	tier     map[string]bool
-	service  map[string]*schema.Service
+	naming  bool
+	zone    map[string]bool
+	tier    map[string]bool
+	service map[string]*schema.Service
 }
 
 func newChecker(c *schema.Config) *checker {
--- a/register/part.go
+++ b/register/part.go
@@ -19,7 +19,7 @@
 
 	partPrefix = "config/part/"
 	rulesPart  = "rules"
-	hashBytes  = 16
+	hashBytes  = 8
 
 	// A bucket holds about 16 items: their number doubles or halves when the
 	// mean leaves these bounds.
--- a/register/store.go
+++ b/register/store.go
@@ -37,14 +37,34 @@
 	return head, object.Version, err
 }
 
+// decodeHead restores the names of parts, which the stored head leaves out
+// because their order tells them.
 func decodeHead(value []byte) (*schema.ConfigHead, error) {
 	head := &schema.ConfigHead{}
 	if err := proto.Unmarshal(value, head); err != nil {
 		return nil, damaged("head", err)
 	}
+	names := partNames(head.GetTeamBuckets(), head.GetVmBuckets())
+	if len(names) != len(head.GetParts()) {
+		return nil, damaged("head", nil)
+	}
+	for i, ref := range head.GetParts() {
+		ref.Name = names[i]
+	}
 	return head, nil
 }
 
+func encodeHead(head *schema.ConfigHead) []byte {
+	stored := proto.CloneOf(head)
+	for _, ref := range stored.GetParts() {
+		ref.Name = ""
+	}
+	for _, ref := range stored.GetRetired() {
+		ref.Name = ""
+	}
+	return marshal(stored)
+}
+
 // readAccepted reads the head and those of its parts that have lacks. When a
 // part has been deleted meanwhile, the head has moved on and is read again.
 func readAccepted(ctx context.Context, store platform.Store, have *held) (*held, platform.Version, error) {
@@ -72,38 +92,69 @@
 
 // readParts completes head with the parts that have lacks.
 func readParts(ctx context.Context, store platform.Store, head *schema.ConfigHead, have *held) (*held, error) {
-	var mu sync.Mutex
-	parts := make(map[string]*part, len(head.GetParts()))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxParallelReads)
+	r := &partReader{store: store, parts: make(map[string]*part, len(head.GetParts()))}
+	var lacking []*schema.ConfigPart
 	for _, ref := range head.GetParts() {
 		if p := have.part(ref.GetName()); p != nil && proto.Equal(p.ref, ref) {
-			mu.Lock()
-			parts[ref.GetName()] = p
-			mu.Unlock()
-			continue
+			r.parts[ref.GetName()] = p
+		} else {
+			lacking = append(lacking, ref)
 		}
-		group.Go(func() error {
-			p, err := readPart(ctx, store, ref)
-			if err != nil {
-				return err
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			parts[ref.GetName()] = p
-			return nil
-		})
+	}
+	if err := r.list(ctx, len(lacking)); err != nil {
+		return nil, err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxParallelReads)
+	for _, ref := range lacking {
+		group.Go(func() error { return r.read(ctx, ref) })
 	}
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	return newHeld(head, parts), nil
+	return newHeld(head, r.parts), nil
 }
 
-func readPart(ctx context.Context, store platform.Store, ref *schema.ConfigPart) (*part, error) {
-	object, err := store.Get(ctx, partKey(ref))
+// partReader collects the parts of one head.
+type partReader struct {
+	store  platform.Store
+	listed map[string][]byte
+
+	mu    sync.Mutex
+	parts map[string]*part
+}
+
+// list reads all parts by one call if many are lacking.
+func (r *partReader) list(ctx context.Context, lacking int) error {
+	if lacking <= maxParallelReads {
+		return nil
+	}
+	objects, err := r.store.List(ctx, partPrefix)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	r.listed = make(map[string][]byte, len(objects))
+	for _, o := range objects {
+		r.listed[o.Key] = o.Value
+	}
+	return nil
+}
+
+func (r *partReader) read(ctx context.Context, ref *schema.ConfigPart) error {
+	content, ok := r.listed[partKey(ref)]
+	if !ok {
+		object, err := r.store.Get(ctx, partKey(ref))
+		if err != nil {
+			return err
+		}
+		content = object.Value
+	}
+	p, err := decodePart(ref, content)
+	if err != nil {
+		return err
 	}
-	return decodePart(ref, object.Value)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parts[ref.GetName()] = p
+	return nil
 }
