Recover streams of dead entries, and read silent streams again

Cause: a second send of a key whose entry died was refused as unknown though the ledger knew the stream and the engine still ran it; and a half-open connection held an answer until its longest duration. Ruled out: dispatching anew, which may run the request twice; ending a silent stream at once, because resuming it costs one call and loses nothing. After: the stream is read from its start; a stream silent for 10 s is read again on another connection. net/http's own errors go to the logger; Expect is not passed on. Result: go test -race -count=5 ./front ./dispatch passes, with callers that close their connection and answers that come late and out of order. Conclusion: an entry's death costs its keyed callers one more send.

--- a/dispatch/chat_test.go
+++ b/dispatch/chat_test.go
@@ -250,11 +250,33 @@
 	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
 }
 
+func TestSilentStreamIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 5)
+	e.script = func(connection, event int, _ http.ResponseWriter, r *http.Request) {
+		if connection == 1 && event == 3 {
+			<-r.Context().Done()
+		}
+	}
+	w := httptest.NewRecorder()
+	result, err := newDispatcher(&fakePermits{address: e.address(), validFor: validity}, nil).
+		Serve(t.Context(), w, chatRequest("a", true))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("a"))
+	is.Equal(result.Resumes, 1)
+}
+
 func TestConcurrentCallersEachGetTheirOwnWholeAnswer(t *testing.T) {
 	e := newFakeEngine(t, 20)
+	last := make(chan struct{})
 	e.script = func(connection, event int, _ http.ResponseWriter, _ *http.Request) {
-		if connection%3 == 0 && event == 7 {
+		switch {
+		case connection%3 == 0 && event == 7:
 			panic(http.ErrAbortHandler)
+		case connection == 60 && event == 0:
+			close(last)
+		case connection%5 == 1 && connection < 60 && event == 12:
+			<-last // Comes late, after others that began later.
 		}
 	}
 	d := newDispatcher(&fakePermits{address: e.address(), validFor: validity}, nil)
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -57,12 +57,21 @@
 	case schema.ClaimState_CLAIM_STATE_DONE:
 		return d.replay(w, r, reply.GetOutcome())
 	default:
-		return d.refuse(r, fault.New(schema.ErrorKind_ERROR_KIND_UNKNOWN_EFFECT,
-			"the entry that ran this key is gone, the request may have run",
-			"check the request's effect; use a new key only if it did not run").Unknown())
+		return d.recover(ctx, w, r, reply)
 	}
 }
 
+// recover reads the stream of a request whose entry is gone, if the ledger
+// knows it: the engine may still run it or keep its answer.
+func (d *Dispatcher) recover(ctx context.Context, w http.ResponseWriter, r *Request, reply *schema.ClaimReply) (Result, error) {
+	if hasStream(reply) {
+		return d.attach(ctx, w, r, reply)
+	}
+	return d.refuse(r, fault.New(schema.ErrorKind_ERROR_KIND_UNKNOWN_EFFECT,
+		"the entry that ran this key is gone, the request may have run",
+		"check the request's effect; use a new key only if it did not run").Unknown())
+}
+
 // claimError states the outcome of a request whose claim was not answered.
 // This send was not dispatched, but an earlier send of the key may have run
 // and the ledger could not tell, so the outcome is unknown unless the error
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -96,6 +96,23 @@
 	is.Equal(streamed(t, w.Body.String()), e.text("k"))
 }
 
+func TestStreamWhoseEntryDiedIsRecoveredByTheNextSend(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 6)
+	e.streams["s-k"] = "k"
+	claims := newFakeClaims()
+	claims.entries["k"] = &schema.ClaimReply{State: schema.ClaimState_CLAIM_STATE_UNKNOWN,
+		Target: "vm/llm", Address: e.address(), StreamId: "s-k"}
+	w := httptest.NewRecorder()
+	_, err := newDispatcher(&fakePermits{}, claims).Serve(t.Context(), w, keyedRequest("k"))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("k"))
+	is.Equal(len(e.started()), 0)
+	delete(e.streams, "s-k")
+	_, err = newDispatcher(&fakePermits{}, claims).Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+}
+
 func TestClaimStatesThatRefuse(t *testing.T) {
 	for state, want := range map[schema.ClaimState]schema.ErrorKind{
 		schema.ClaimState_CLAIM_STATE_RUNNING: schema.ErrorKind_ERROR_KIND_IN_PROGRESS,
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// stallTimeout is how long a stream may be silent before it is resumed on
-	// another connection.
-	stallTimeout = 10 * time.Second
 	// maxFailedResumes bounds the resumes that bring no new event.
 	maxFailedResumes = 8
 	resumeInterval   = 20 * time.Millisecond
@@ -125,6 +122,7 @@
 func (d *delivery) readConnection() error {
 	stream := d.stream
 	var stalled atomic.Bool
+	stallTimeout := d.run.dispatcher.options.StallTimeout
 	timer := time.AfterFunc(stallTimeout, func() {
 		// Silence is no failure of the target: the stream is read again.
 		stalled.Store(true)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -121,12 +121,18 @@
 	Signer  *Signer
 	// MaxStreamDuration bounds one answer.
 	MaxStreamDuration time.Duration
+	// StallTimeout is how long a stream may be silent before it is read again
+	// on another connection.
+	StallTimeout time.Duration
 	// MaxStoredOutcome bounds the answer kept for a repeated request, in bytes.
 	MaxStoredOutcome int
 }
 
-// DefaultMaxStreamDuration bounds one answer if the settings name no bound.
-const DefaultMaxStreamDuration = 10 * time.Minute
+// Defaults of Options.
+const (
+	DefaultMaxStreamDuration = 10 * time.Minute
+	DefaultStallTimeout      = 10 * time.Second
+)
 
 // Dispatcher carries requests to targets. Its methods may be called by any
 // goroutine.
@@ -141,6 +147,9 @@
 	if options.MaxStreamDuration <= 0 {
 		options.MaxStreamDuration = DefaultMaxStreamDuration
 	}
+	if options.StallTimeout <= 0 {
+		options.StallTimeout = DefaultStallTimeout
+	}
 	return &Dispatcher{options: options}
 }
 
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -199,7 +199,8 @@
 func newDispatcher(permits dispatch.Permits, claims dispatch.Claims) *dispatch.Dispatcher {
 	signer, _ := dispatch.NewSigner("c2hhcmVk")
 	return dispatch.New(dispatch.Options{Node: "n1", Permits: permits, Claims: claims,
-		Engine: engine.NewClient(engine.Options{}), Signer: signer, MaxStoredOutcome: 1 << 16})
+		Engine: engine.NewClient(engine.Options{}), Signer: signer, MaxStoredOutcome: 1 << 16,
+		StallTimeout: 200 * time.Millisecond})
 }
 
 func chatRequest(id string, stream bool) *dispatch.Request {
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -12,7 +12,7 @@
 // attach reads the stream of a request that another send of the same key
 // runs, from its start.
 func (d *Dispatcher) attach(ctx context.Context, w http.ResponseWriter, r *Request, reply *schema.ClaimReply) (Result, error) {
-	if reply.GetStreamId() == "" || reply.GetAddress() == "" {
+	if !hasStream(reply) {
 		return d.refuse(r, fault.New(schema.ErrorKind_ERROR_KIND_IN_PROGRESS,
 			"a request with this key is running", "send it again later with the same key").
 			Unknown().After(inProgressWait))
@@ -23,6 +23,10 @@
 	return run.finish(err)
 }
 
+func hasStream(reply *schema.ClaimReply) bool {
+	return reply.GetStreamId() != "" && reply.GetAddress() != ""
+}
+
 // Resume continues the stream that a ticket names after the event with index
 // after. It serves callers whose entry died.
 func (d *Dispatcher) Resume(ctx context.Context, w http.ResponseWriter, team, ticketText string, after uint64) (Result, error) {
--- a/front/front.go
+++ b/front/front.go
@@ -135,6 +135,7 @@
 		ReadHeaderTimeout: f.bounds.read,
 		IdleTimeout:       f.bounds.idle,
 		MaxHeaderBytes:    headerSlack * f.bounds.maxHeader,
+		ErrorLog:          f.options.Logger.Std("", 0),
 	}
 }
 
--- a/front/plain.go
+++ b/front/plain.go
@@ -16,9 +16,9 @@
 
 const servicesPrefix = "/services/"
 
-// ownHeaders concern this system and are not passed on to targets; the key
-// would let a target act as the team.
-var ownHeaders = []string{"Authorization", HeaderTier, HeaderDeadline, dispatch.HeaderStreamTicket}
+// ownHeaders concern the caller's exchange with this system and are not passed
+// on to targets; the key would let a target act as the team.
+var ownHeaders = []string{"Authorization", "Expect", HeaderTier, HeaderDeadline, dispatch.HeaderStreamTicket}
 
 func (f *Front) servePlain(w http.ResponseWriter, r *http.Request) {
 	e := f.newExchange(w, r)
