--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,9 @@
 	$(BIN)/standin proof --results $(RESULTS) --output docs/PROOF.md
 soak-scheduling: ## Run 100,000 seeded histories of the shedding order.
 	go test ./admission -run 'TestNoLowerTierIsDispatchedAfterAHigherWasShed' -rapid.checks=100000 -rapid.seed=7 -timeout 30m
+
+.PHONY: bench-path
+
+bench-path: ## Measure what the node adds to a target's answers, side by side with the target called directly.
+	go test -run '^$$' -bench AddedTime -benchtime 5x ./front
+	go test -run '^$$' -bench 'Request$$' -cpu 1 -benchtime 3s ./front
