--- a/register/inforce_test.go
+++ b/register/inforce_test.go
@@ -238,7 +238,6 @@
 type inForceCase struct {
 	name                string
 	nodes, zones, vms   int
-	changes, burst      int
 	spread, settle, cap time.Duration
 }
 
