--- a/register/inforce_test.go
+++ b/register/inforce_test.go
@@ -238,6 +238,7 @@
 type inForceCase struct {
 	name                string
 	nodes, zones, vms   int
+	changes             int
 	spread, settle, cap time.Duration
 }
 
