Pass over targets that refuse new work; read the VM list in every zone

Only two zones' reporters polled, to save calls; at 13 zones all of them make 13 reads a second of 2,000. A target's refusal (REFUSED) changed nothing at the owner, so that the next request went there as well (test failed first).

--- a/admission/owner.go
+++ b/admission/owner.go
@@ -293,7 +293,9 @@
 	case schema.PermitResult_PERMIT_RESULT_COMPLETED:
 		p.target.learn(&o.policy, p, r, batch)
 		o.estimator.Observe(r.GetTeam(), g.service, int(r.GetOutputTokens()))
-	case schema.PermitResult_PERMIT_RESULT_TARGET_FAILED:
+	case schema.PermitResult_PERMIT_RESULT_TARGET_FAILED, schema.PermitResult_PERMIT_RESULT_REFUSED:
+		// A target that refuses new work is leaving or overloaded; both pass
+		// over it as a failure does.
 		p.target.failed(now)
 	}
 	o.screenResult(now, g, p, r)
--- a/admission/owner_test.go
+++ b/admission/owner_test.go
@@ -216,3 +216,16 @@
 	o.Apply(start, topology.Build(testConfig(1), []*schema.Member{member("n1", "a")}, topology.Options{}))
 	is.Equal(r.kind(), schema.ErrorKind_ERROR_KIND_NOT_OWNER)
 }
+
+func TestTargetThatRefusesNewWorkIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(&schema.SchedulingSettings{}, 2)
+	first := ask(o, start, plainAsk()).reply.GetPermit()
+	o.Return(start, &schema.PermitReturn{
+		Number: first.GetNumber(), Group: plainGroup, Result: schema.PermitResult_PERMIT_RESULT_REFUSED,
+	})
+	for range 2 {
+		next := ask(o, start, plainAsk()).reply.GetPermit()
+		is.True(next.GetTarget() != first.GetTarget())
+	}
+}
--- a/membership/cycle.go
+++ b/membership/cycle.go
@@ -18,8 +18,6 @@
 	cycleTimeout = 2 * time.Second
 	// vmPollInterval is how often a reporter reads the platform's list of VMs.
 	vmPollInterval = time.Second
-	// vmPollers is the number of zones whose reporters read it.
-	vmPollers = 2
 )
 
 // readEvent is the end of a round of reads.
@@ -68,14 +66,11 @@
 	})
 }
 
-// pollsVMs reports whether it is this reporter's turn to read the list of VMs.
+// pollsVMs reports whether it is time to read the list of VMs. Every reporter
+// reads it, because its news would otherwise reach the other zones two report
+// intervals later.
 func (m *Manager) pollsVMs(now time.Time) bool {
-	s := m.state
-	if now.Sub(s.lastPoll) < vmPollInterval {
-		return false
-	}
-	names := slices.DeleteFunc(s.zoneNames(), func(name string) bool { return s.zones[name].summary.GetLost() })
-	return slices.Index(names, s.ownZone()) < vmPollers
+	return now.Sub(m.state.lastPoll) >= vmPollInterval
 }
 
 // read lists the summaries and gets the reports that are not held, except
--- a/standin/capacity/measure.go
+++ b/standin/capacity/measure.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
@@ -33,6 +35,8 @@
 	reads  float64
 	writes float64
 	bytes  float64
+	// report is the size of the largest zone report in bytes.
+	report float64
 }
 
 // measureRest runs n nodes without requests.
@@ -56,9 +60,23 @@
 		reads:  float64(used.reads) / seconds,
 		writes: float64(used.writes) / seconds,
 		bytes:  float64(used.bytes) / seconds,
+		report: c.largest("membership/report/"),
 	}, nil
 }
 
+// largest returns the size of the largest object under a prefix.
+func (c *cluster) largest(prefix string) float64 {
+	objects, err := c.memory.List(context.Background(), prefix)
+	if err != nil {
+		return 0
+	}
+	size := 0
+	for _, o := range objects {
+		size = max(size, len(o.Value))
+	}
+	return float64(size)
+}
+
 // change is the cost of configuration changes in a cluster.
 type change struct {
 	// p50 and max are the times from acceptance until in force at a node, over
@@ -68,6 +86,11 @@
 	// sent is the bytes that one node sends to peers for one change.
 	sent float64
 	cpu  float64
+	// head and part are the sizes of the configuration's objects in bytes.
+	head float64
+	part float64
+	// rss is the process's resident memory for one node, in bytes.
+	rss float64
 }
 
 // measureChanges applies single changes one after the other.
@@ -97,9 +120,27 @@
 		max:  times[len(times)-1],
 		sent: max(float64(c.traffic()-sent)-idle, 0) / per,
 		cpu:  (cpuTime() - cpu).Seconds() / per,
+		head: c.largest("config/head"),
+		part: c.largest("config/part/"),
+		rss:  residentMemory() / float64(n),
 	}, nil
 }
 
+// residentMemory returns the process's resident set in bytes after unused
+// memory has been given back.
+func residentMemory() float64 {
+	debug.FreeOSMemory()
+	content, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var total, resident float64
+	if _, err := fmt.Sscan(string(content), &total, &resident); err != nil {
+		return 0
+	}
+	return resident * float64(os.Getpagesize())
+}
+
 // restTraffic returns the bytes a second that all nodes send without changes.
 func (c *cluster) restTraffic() float64 {
 	before := c.traffic()
--- a/standin/capacity/run.go
+++ b/standin/capacity/run.go
@@ -19,8 +19,10 @@
 
 // Sizes at which the series are measured.
 var (
-	nodeSizes   = []int{4, 8, 16, 32, 64}
-	changeSizes = []int{4, 8, 16, 32, 64}
+	// nodeSizes are multiples of the number of availability zones, so that
+	// every size has the same number of zone reports.
+	nodeSizes   = []int{13, 26, 39, 52, 65}
+	changeSizes = []int{13, 26, 39, 52, 65}
 	vmSizes     = []int{650, 1300, 2600, 5200}
 	permitSizes = []int{1000, 2000, 4000, 8000}
 	claimRates  = []int{50, 100, 200, 400, 800}
@@ -84,6 +86,10 @@
 	seriesChangeCPU    = "change-cpu"
 	seriesPermitBytes  = "permit-bytes"
 	seriesPermitCPU    = "permit-cpu"
+	seriesRSS          = "rss"
+	seriesHead         = "config-head"
+	seriesPart         = "config-part-max"
+	seriesReport       = "zone-report"
 	seriesClaimWrites  = "claim-store-writes"
 	seriesClaimBytes   = "claim-store-bytes"
 	seriesClaimWaitP99 = "claim-wait-p99"
@@ -110,6 +116,7 @@
 		r.add(seriesRestReads, "nodes", "reads/s", size, rest.reads)
 		r.add(seriesRestWrites, "nodes", "writes/s", size, rest.writes)
 		r.add(seriesRestStore, "nodes", "B/s", size, rest.bytes)
+		r.add(seriesReport, "nodes", "B", size, rest.report)
 	}
 	return nil
 }
@@ -133,6 +140,9 @@
 			return fmt.Errorf("measure changes of %d VMs: %w", vms, err)
 		}
 		r.add(seriesChangeCPU, "VMs", "ms", float64(vms), c.cpu*1000)
+		r.add(seriesHead, "VMs", "kB", float64(vms), c.head/1000)
+		r.add(seriesPart, "VMs", "kB", float64(vms), c.part/1000)
+		r.add(seriesRSS, "VMs", "MB", float64(vms), c.rss/1e6)
 	}
 	return nil
 }
--- /dev/null
+++ b/standin/cmd/capacity/main.go
@@ -0,0 +1,46 @@
+// Command capacity measures how a node's cost grows and writes the tables of
+// docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/primrosemoor/primrosemoor/standin/capacity"
+)
+
+type cli struct {
+	Page   string `default:"docs/CAPACITY.md" help:"Page whose tables are replaced."`
+	JSON   string `default:"docs/results/capacity.json" help:"File for the measurement."`
+	Render bool   `help:"Write the tables from the last measurement, without measuring."`
+}
+
+func main() {
+	var c cli
+	kong.Parse(&c, kong.Description("Measure the capacity of a node and project it to the target."))
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func (c *cli) run() error {
+	result, err := c.result()
+	if err != nil {
+		return err
+	}
+	return result.WritePage(c.Page)
+}
+
+func (c *cli) result() (*capacity.Result, error) {
+	if c.Render {
+		return capacity.ReadJSON(c.JSON)
+	}
+	result, err := capacity.Run(os.Stderr)
+	if err != nil {
+		return nil, err
+	}
+	return result, result.WriteJSON(c.JSON)
+}
