Quarantine requests that crash targets

Cause: one request sent again and again can take down a service target by target. Suspect after the first death, alone on one idle target, quarantined after a death alone; shared deaths quarantine at the third only, so that a failing rack does not condemn a popular request. Ruled out: counting 5xx answers and refused connections as deaths; a new permit result TARGET_DIED says that the connection broke after the request was sent. Result: go test ./quarantine ./admission pass. Open: dispatch has to send TARGET_DIED, and the node has to wire quarantine.Manager and its notices.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	-$(SCENARIO) --size drumlin --results $(RESULTS) $(SCENARIOS_ALL)
 	-$(SCENARIO) --size kowhai --results $(RESULTS) $(SCENARIOS_ALL)
 	$(BIN)/standin proof --results $(RESULTS) --output docs/PROOF.md
+
 soak-scheduling: ## Run 100,000 seeded histories of the shedding order.
 	go test ./admission -run 'TestNoLowerTierIsDispatchedAfterAHigherWasShed' -rapid.checks=100000 -rapid.seed=7 -timeout 30m
 
--- a/admission/group.go
+++ b/admission/group.go
@@ -80,7 +80,7 @@
 func (g *group) decide(now time.Time, policy *scheduling.Policy, w *Waiter) scheduling.Decision {
 	g.candidates = g.candidates[:0]
 	for _, t := range g.targets {
-		g.candidates = append(g.candidates, t.candidate(now, &w.request))
+		g.candidates = append(g.candidates, t.candidate(now, w))
 	}
 	d := scheduling.Decide(policy, &w.request, g.candidates, g.yielded, g.scores)
 	g.scores = d.Scores
@@ -185,6 +185,9 @@
 			o.noTarget(g, w)
 			return true
 		}
+		if w.request.Alone {
+			g.reserve(w)
+		}
 		g.block(w)
 	}
 }
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -293,10 +293,10 @@
 	case schema.PermitResult_PERMIT_RESULT_COMPLETED:
 		p.target.learn(&o.policy, p, r, batch)
 		o.estimator.Observe(r.GetTeam(), g.service, int(r.GetOutputTokens()))
-	case schema.PermitResult_PERMIT_RESULT_TARGET_FAILED:
+	case schema.PermitResult_PERMIT_RESULT_TARGET_FAILED, schema.PermitResult_PERMIT_RESULT_TARGET_DIED:
 		p.target.failed(now)
 	}
-	o.screenResult(now, g, p, r)
+	o.screenResult(now, p, r)
 	o.dispatch(now, g)
 }
 
--- a/admission/owner_test.go
+++ b/admission/owner_test.go
@@ -18,6 +18,8 @@
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
+var noOptions = topology.Options{}
+
 func testConfig(targets int) *schema.Config {
 	c := &schema.Config{
 		Revision:          1,
@@ -58,7 +60,7 @@
 
 func newOwner(settings *schema.SchedulingSettings, targets int) *admission.Owner {
 	o := admission.NewOwner(admission.OwnerOptions{Node: "n0", Settings: settings, Explain: true})
-	o.Apply(start, testTopology(targets, topology.Options{}))
+	o.Apply(start, testTopology(targets, noOptions))
 	return o
 }
 
@@ -191,7 +193,7 @@
 	is := is.New(t)
 	o := newOwner(nil, 1)
 	ask(o, start, &schema.PermitRequest{PromptTokens: 8000, EntryNode: "gone"})
-	o.Apply(start, testTopology(1, topology.Options{}))
+	o.Apply(start, testTopology(1, noOptions))
 	o.Tick(start)
 	is.Equal(o.Counts().LostPermits, uint64(1))
 }
@@ -213,6 +215,6 @@
 	o := newOwner(nil, 1)
 	fill(o, start)
 	r := ask(o, start, &schema.PermitRequest{PromptTokens: 8000})
-	o.Apply(start, topology.Build(testConfig(1), []*schema.Member{member("n1", "a")}, topology.Options{}))
+	o.Apply(start, topology.Build(testConfig(1), []*schema.Member{member("n1", "a")}, noOptions))
 	is.Equal(r.kind(), schema.ErrorKind_ERROR_KIND_NOT_OWNER)
 }
--- a/admission/screen.go
+++ b/admission/screen.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/primrosemoor/primrosemoor/scheduling"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -24,8 +25,11 @@
 	// Check returns the verdict on a fingerprint, and the typed error to refuse
 	// a quarantined one with.
 	Check(now time.Time, fingerprint uint64) (Verdict, error)
-	// Died notes that a target died while the fingerprints ran on it.
-	Died(now time.Time, target string, fingerprints []uint64)
+	// Died notes that a target died while the fingerprint ran on it, alone or
+	// among others.
+	Died(now time.Time, target string, fingerprint uint64, alone bool)
+	// Survived notes that a request ran to its end alone on its target.
+	Survived(fingerprint uint64)
 }
 
 // screen refuses a quarantined request and marks a suspect one.
@@ -41,14 +45,37 @@
 	return nil
 }
 
-// screenResult reports a target's death with what ran on it.
-func (o *Owner) screenResult(now time.Time, g *group, p *permit, r *schema.PermitReturn) {
-	if o.options.Screen == nil || r.GetResult() != schema.PermitResult_PERMIT_RESULT_TARGET_FAILED {
+// screenResult reports how a request with a fingerprint ended.
+func (o *Owner) screenResult(now time.Time, p *permit, r *schema.PermitReturn) {
+	if o.options.Screen == nil || p.print == 0 {
 		return
 	}
-	var running []uint64
-	if p.print != 0 {
-		running = append(running, p.print)
+	switch r.GetResult() {
+	case schema.PermitResult_PERMIT_RESULT_TARGET_DIED:
+		o.options.Screen.Died(now, p.target.info.Name, p.print, p.alone)
+	case schema.PermitResult_PERMIT_RESULT_COMPLETED:
+		if p.alone {
+			o.options.Screen.Survived(p.print)
+		}
+	}
+}
+
+// reserve sets one target aside for a suspect request that needs it idle. A
+// group has one such target at a time.
+func (g *group) reserve(w *Waiter) {
+	best := -1
+	for i, t := range g.targets {
+		if t.reserved() {
+			return
+		}
+		if g.scores[i].Reason != scheduling.ReasonNotIdle {
+			continue
+		}
+		if best < 0 || t.inFlight < g.targets[best].inFlight {
+			best = i
+		}
+	}
+	if best >= 0 {
+		g.targets[best].reservedFor = w
 	}
-	o.options.Screen.Died(now, p.target.info.Name, running)
 }
--- a/admission/target.go
+++ b/admission/target.go
@@ -25,6 +25,10 @@
 	// cause.
 	failures int
 	retryAt  time.Time
+	// reservedFor is a suspect request that waits for the target to be idle,
+	// and alone the permit of one that runs.
+	reservedFor *Waiter
+	alone       *permit
 }
 
 // permit is one grant in use.
@@ -43,6 +47,7 @@
 	cached int
 	batch  int
 	print  uint64
+	alone  bool
 	// adopted permits were granted by the group's previous owner, so that
 	// nothing is known of what was expected of them.
 	adopted bool
@@ -58,14 +63,16 @@
 	}
 }
 
-// candidate describes the target to a decision on r.
-func (t *target) candidate(now time.Time, r *scheduling.Request) scheduling.Candidate {
+// candidate describes the target to a decision on w.
+func (t *target) candidate(now time.Time, w *Waiter) scheduling.Candidate {
+	r := &w.request
 	return scheduling.Candidate{
 		Name:              t.info.Name,
 		Region:            t.info.Region,
 		Plain:             t.plain(),
 		Leaving:           t.info.Leaving,
 		Models:            t.models,
+		Reserved:          t.alone != nil || (t.reserved() && t.reservedFor != w),
 		Failing:           t.retryAt.After(now),
 		InFlight:          t.inFlight,
 		MaxInFlight:       t.maxInFlight(),
@@ -78,6 +85,11 @@
 	}
 }
 
+// reserved reports whether a suspect request waits for the target or has it.
+func (t *target) reserved() bool {
+	return t.alone != nil || (t.reservedFor != nil && t.reservedFor.flow != nil)
+}
+
 func (t *target) plain() bool {
 	return t.info.Kind == schema.ServiceKind_SERVICE_KIND_PLAIN
 }
@@ -98,6 +110,9 @@
 	p.wait = c.PrefillWait
 	p.ahead = c.PrefillWait.Seconds()*c.PrefillRate + uncached
 	p.cached = c.CachedTokens
+	if r.Alone {
+		t.alone, t.reservedFor, p.alone = p, nil, true
+	}
 	t.inFlight++
 	p.batch = t.inFlight
 	t.tokens += p.cost
@@ -111,6 +126,9 @@
 
 // give removes a permit's work from the target.
 func (t *target) give(p *permit) {
+	if t.alone == p {
+		t.alone = nil
+	}
 	t.inFlight--
 	t.tokens = max(t.tokens-p.cost, 0)
 	if t.inFlight == 0 {
--- /dev/null
+++ b/quarantine/manager.go
@@ -0,0 +1,219 @@
+package quarantine
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemoor/primrosemoor/admission"
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// Key is the key of the stored list.
+const Key = "quarantine"
+
+const (
+	// pollInterval separates reads of the stored list.
+	pollInterval = 20 * time.Second
+	storeTimeout = 10 * time.Second
+)
+
+// Spreader sends a notice to the other nodes. It must not block.
+type Spreader interface {
+	Spread(n *schema.QuarantineNotice)
+}
+
+// Options configures a Manager.
+type Options struct {
+	Store platform.Store
+	// Spreader may be nil.
+	Spreader Spreader
+	Logger   *log.Logger
+}
+
+// Manager is one node's view of the list: it judges requests for admission,
+// tells other nodes, and keeps quarantined fingerprints in the store. It is
+// safe for concurrent use.
+type Manager struct {
+	options Options
+	// changed wakes Run when a fingerprint has to be stored.
+	changed chan struct{}
+
+	mu   sync.Mutex
+	list *List
+}
+
+var _ admission.Screen = (*Manager)(nil)
+
+// New returns a manager with an empty list.
+func New(options Options) *Manager {
+	return &Manager{options: options, changed: make(chan struct{}, 1), list: NewList()}
+}
+
+// Run reads and writes the stored list until ctx ends. It returns nil.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		m.sync(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// Check implements admission.Screen.
+func (m *Manager) Check(now time.Time, fingerprint uint64) (admission.Verdict, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.list.State(now, fingerprint) {
+	case Quarantined:
+		return admission.VerdictQuarantined, errQuarantined(fingerprint, m.list.Expires(fingerprint).Sub(now))
+	case Suspect:
+		return admission.VerdictSuspect, nil
+	default:
+		return admission.VerdictClear, nil
+	}
+}
+
+// Died implements admission.Screen.
+func (m *Manager) Died(now time.Time, target string, fingerprint uint64, alone bool) {
+	m.mu.Lock()
+	state := m.list.Died(now, fingerprint, target, alone)
+	m.mu.Unlock()
+	deaths := uint32(1)
+	if state == Quarantined {
+		deaths = 2
+		m.wake()
+	}
+	m.log("target_died", fingerprint, target, state)
+	m.spread(&schema.QuarantineNotice{Fingerprint: fingerprint, Deaths: deaths})
+}
+
+// Survived implements admission.Screen.
+func (m *Manager) Survived(fingerprint uint64) {
+	m.mu.Lock()
+	was := m.list.Survived(fingerprint)
+	m.mu.Unlock()
+	if was {
+		m.log("suspect_cleared", fingerprint, "", Clear)
+		m.spread(&schema.QuarantineNotice{Fingerprint: fingerprint, Released: true})
+	}
+}
+
+// HandleNotice takes over another node's finding.
+func (m *Manager) HandleNotice(now time.Time, n *schema.QuarantineNotice) *schema.QuarantineAck {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case n.GetReleased():
+		m.list.Release(n.GetFingerprint())
+	case n.GetDeaths() > 1:
+		m.list.Quarantine(now, n.GetFingerprint())
+	default:
+		m.list.Suspect(now, n.GetFingerprint(), int(n.GetDeaths()))
+	}
+	return &schema.QuarantineAck{}
+}
+
+func (m *Manager) wake() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) spread(n *schema.QuarantineNotice) {
+	if m.options.Spreader != nil {
+		m.options.Spreader.Spread(n)
+	}
+}
+
+func (m *Manager) log(event string, fingerprint uint64, target string, state State) {
+	if m.options.Logger != nil {
+		m.options.Logger.Warn().Str("event", event).Str("fingerprint", fmt.Sprintf("%016x", fingerprint)).
+			Str("target", target).Str("state", state.String()).Msg("")
+	}
+}
+
+// sync writes what the stored list lacks and takes over what it holds. While
+// the store cannot be reached the local list stays in force.
+func (m *Manager) sync(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	m.mu.Lock()
+	missing := m.list.Unstored(time.Now())
+	m.mu.Unlock()
+	object, err := m.exchange(ctx, missing)
+	if err != nil {
+		return
+	}
+	stored := &schema.QuarantineList{}
+	if err := proto.Unmarshal(object.Value, stored); err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list.Load(time.Now(), stored)
+}
+
+// exchange returns the stored list, after adding entries if there are any.
+func (m *Manager) exchange(ctx context.Context, entries []*schema.Quarantine) (platform.Object, error) {
+	if len(entries) > 0 {
+		return platform.Update(ctx, m.options.Store, addition(entries, rand.Text(), time.Now()))
+	}
+	object, err := m.options.Store.Get(ctx, Key)
+	if fault.KindOf(err) == schema.ErrorKind_ERROR_KIND_NOT_FOUND {
+		return platform.Object{}, nil
+	}
+	return object, err
+}
+
+// addition is the update that adds entries and drops expired ones.
+func addition(entries []*schema.Quarantine, nonce string, now time.Time) platform.Change {
+	return platform.Change{
+		Key: Key,
+		Mutate: func(current platform.Object) ([]byte, error) {
+			list := &schema.QuarantineList{}
+			if err := proto.Unmarshal(current.Value, list); err != nil {
+				return nil, fmt.Errorf("decode %s: %w", Key, err)
+			}
+			list.Entries = merge(list.GetEntries(), entries, now)
+			list.Nonce = nonce
+			return proto.Marshal(list)
+		},
+		Owned: func(stored []byte) bool {
+			list := &schema.QuarantineList{}
+			return proto.Unmarshal(stored, list) == nil && list.GetNonce() == nonce
+		},
+	}
+}
+
+func merge(old, added []*schema.Quarantine, now time.Time) []*schema.Quarantine {
+	present := make(map[uint64]bool)
+	var merged []*schema.Quarantine
+	for _, q := range append(old, added...) {
+		if present[q.GetFingerprint()] || q.GetExpiresUnixMs() <= now.UnixMilli() {
+			continue
+		}
+		present[q.GetFingerprint()] = true
+		merged = append(merged, q)
+	}
+	return merged
+}
+
+func errQuarantined(fingerprint uint64, rest time.Duration) error {
+	return fault.New(schema.ErrorKind_ERROR_KIND_QUARANTINED,
+		fmt.Sprintf("request %016x crashed more than one target and is in quarantine", fingerprint),
+		fmt.Sprintf("change the request, or release it with primrosectl release %016x", fingerprint)).NotRun().After(rest)
+}
--- /dev/null
+++ b/quarantine/manager_test.go
@@ -0,0 +1,54 @@
+package quarantine_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemoor/primrosemoor/admission"
+	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/quarantine"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// spreader delivers notices to another manager at once.
+type spreader struct{ to *quarantine.Manager }
+
+func (s spreader) Spread(n *schema.QuarantineNotice) { s.to.HandleNotice(time.Now(), n) }
+
+func TestVerdictReachesPeersStoreAndNewNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := platform.NewMemory()
+		peer := quarantine.New(quarantine.Options{Store: store})
+		m := quarantine.New(quarantine.Options{Store: store, Spreader: spreader{peer}})
+		go m.Run(ctx)
+		m.Died(time.Now(), "vm0", poison, false)
+		verdict, _ := peer.Check(time.Now(), poison)
+		is.Equal(verdict, admission.VerdictSuspect)
+		m.Died(time.Now(), "vm1", poison, true)
+		verdict, err := peer.Check(time.Now(), poison)
+		is.Equal(verdict, admission.VerdictQuarantined)
+		is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_QUARANTINED)
+		is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
+		synctest.Wait()
+		object, err := store.Get(ctx, quarantine.Key)
+		is.NoErr(err)
+		list := &schema.QuarantineList{}
+		is.NoErr(proto.Unmarshal(object.Value, list))
+		is.Equal(list.GetEntries()[0].GetTargets(), []string{"vm0", "vm1"})
+		late := quarantine.New(quarantine.Options{Store: store})
+		go late.Run(ctx)
+		synctest.Wait()
+		verdict, _ = late.Check(time.Now(), poison)
+		is.Equal(verdict, admission.VerdictQuarantined)
+		cancel()
+		synctest.Wait()
+	})
+}
