--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,14 @@
 bench-path: ## Measure what the node adds to a target's answers, side by side with the target called directly.
 	go test -run '^$$' -bench AddedTime -benchtime 5x ./front
 	go test -run '^$$' -bench 'Request$$' -cpu 1 -benchtime 3s ./front
+.PHONY: soak-ledger
+
+SOAK_LEDGER_SEEDS := 1 2 3 4
+SOAK_LEDGER_CHECKS := 50000
+
+soak-ledger: ## Check 200,000 seeded histories of the ledger for double claims.
+	go test -c -o $(BIN)/ledger.test ./ledger
+	@for seed in $(SOAK_LEDGER_SEEDS); do \
+		$(BIN)/ledger.test -test.v -test.run '^TestNoIDIsClaimedTwice$$' -test.timeout 30m \
+			-rapid.nofailfile -rapid.seed=$$seed -rapid.checks=$(SOAK_LEDGER_CHECKS) || exit 1; \
+	done
