--- a/Makefile
+++ b/Makefile
@@ -74,3 +74,12 @@
 		$(BIN)/ledger.test -test.v -test.run '^TestNoIDIsClaimedTwice$$' -test.timeout 30m \
 			-rapid.nofailfile -rapid.seed=$$seed -rapid.checks=$(SOAK_LEDGER_CHECKS) || exit 1; \
 	done
+.PHONY: bench-configuration bench-limits
+
+bench-configuration: ## Measure the time until a change is in force; results in docs/results.
+	PRIMROSEMOOR_RESULTS=$(CURDIR)/docs/results/config-in-force.json go test ./register -run InForceWithin -timeout 10m
+	go test ./register -run xxx -bench Adopt
+
+bench-limits: ## Measure limits shared among nodes; results in docs/results.
+	PRIMROSEMOOR_RESULTS=$(CURDIR)/docs/results/limits.json go test ./limits -run Overshoot
+	go test ./limits -run xxx -bench .
