Wire quarantine, team limits and mutual TLS into the node

A mechanism that only its tests call is not done: quarantine screens every permit request and its notices go to all members; limits admit at the entry; links use TLS when the settings name certificate, key and CA.

--- a/node/handlers.go
+++ b/node/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/peer"
@@ -35,6 +36,14 @@
 			p.Admission.Adopt(h)
 			return &schema.HandoverReply{}, nil
 		})
+	peer.Handle(s, schema.Method_METHOD_QUARANTINE, newMessage[schema.QuarantineNotice],
+		func(_ context.Context, _ peer.Identity, n *schema.QuarantineNotice) (*schema.QuarantineAck, error) {
+			return p.Quarantine.HandleNotice(time.Now(), n), nil
+		})
+	peer.Handle(s, schema.Method_METHOD_LIMIT_SHARE, newMessage[schema.LimitShareRequest],
+		func(ctx context.Context, from peer.Identity, r *schema.LimitShareRequest) (*schema.LimitShareReply, error) {
+			return p.Limits.HandleShare(ctx, from, r)
+		})
 }
 
 func registerLedger(s *peer.Server, p *parts) {
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -44,7 +44,7 @@
 		members:  p.Membership,
 		configs:  p.Register,
 		current:  p.Current,
-		appliers: []topologyApplier{p.Admission, p.Ledger},
+		appliers: []topologyApplier{p.Admission, p.Ledger, p.Limits},
 		logger:   p.Logger,
 		wake:     make(chan struct{}, 1),
 	}
@@ -66,7 +66,8 @@
 	l.cancel = cancel
 	l.running.Go(func() { l.report("peer_server_ended", l.Server.Serve(peers)) })
 	l.running.Go(func() { l.Register.Run(ctx) })
-	for _, r := range []runner{l.Membership, l.Ledger, l.Admission, l.Permits} {
+	l.running.Go(func() { l.Limits.Run(ctx) })
+	for _, r := range []runner{l.Membership, l.Ledger, l.Admission, l.Permits, l.Quarantine} {
 		l.running.Go(func() { l.report("manager_ended", r.Run(ctx)) })
 	}
 	l.running.Go(func() { l.controller.run(ctx) })
--- a/node/links.go
+++ b/node/links.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
 
+// noticeTimeout bounds the delivery of a quarantine notice.
+const noticeTimeout = 2 * time.Second
+
 // links carries the calls of the node's managers to its peers.
 type links struct {
 	pool    *peer.Pool
@@ -47,6 +51,25 @@
 	return delta, err
 }
 
+// LimitShare implements limits.Peers.
+func (l *links) LimitShare(ctx context.Context, address string, r *schema.LimitShareRequest) (*schema.LimitShareReply, error) {
+	reply := &schema.LimitShareReply{}
+	err := l.pool.Call(ctx, address, schema.Method_METHOD_LIMIT_SHARE, r, reply)
+	return reply, err
+}
+
+// Spread implements quarantine.Spreader. A notice that is lost is made up for
+// by the stored list.
+func (l *links) Spread(n *schema.QuarantineNotice) {
+	for _, address := range l.Addresses() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+			defer cancel()
+			_ = l.pool.Call(ctx, address, schema.Method_METHOD_QUARANTINE, n, &schema.QuarantineAck{})
+		}()
+	}
+}
+
 // Addresses implements register.Peers: the other nodes, those of this
 // availability zone first.
 func (l *links) Addresses() []string {
--- a/node/node.go
+++ b/node/node.go
@@ -14,9 +14,11 @@
 	"github.com/primrosemoor/primrosemoor/dispatch"
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/ledger"
+	"github.com/primrosemoor/primrosemoor/limits"
 	"github.com/primrosemoor/primrosemoor/membership"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/quarantine"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/routing"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -48,6 +50,8 @@
 	Register   *register.Manager
 	Ledger     *ledger.Manager
 	Admission  *admission.Manager
+	Quarantine *quarantine.Manager
+	Limits     *limits.Limiter
 	Permits    *routing.Permits
 	Explain    *explain.Recorder
 	Dispatcher *dispatch.Dispatcher
@@ -70,6 +74,7 @@
 			newState,
 			newIdentity,
 			newStore,
+			newTLS,
 			newPool,
 			newServer,
 			topology.NewCurrent,
@@ -78,6 +83,8 @@
 			newMembership,
 			newRegister,
 			newLedger,
+			newQuarantine,
+			newLimits,
 			newAdmission,
 			newPermits,
 			newClaims,
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -13,10 +13,13 @@
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/front"
 	"github.com/primrosemoor/primrosemoor/ledger"
+	"github.com/primrosemoor/primrosemoor/limits"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/membership"
 	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/peertls"
 	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/quarantine"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/routing"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -58,18 +61,23 @@
 	return platform.NewHTTP(s.GetPlatform(), s.GetNode().GetSourceAddress())
 }
 
-func newPool(s *schema.Settings, id peer.Identity, t *telemetry.Telemetry) *peer.Pool {
+func newTLS(s *schema.Settings) (peertls.Configs, error) {
+	return peertls.Load(s.GetPeer())
+}
+
+func newPool(s *schema.Settings, id peer.Identity, c peertls.Configs, t *telemetry.Telemetry) *peer.Pool {
 	return peer.NewPool(peer.PoolOptions{
 		Identity:      id,
 		Meter:         t,
+		TLS:           c.Client,
 		SourceAddress: s.GetNode().GetSourceAddress(),
 		DialTimeout:   s.GetPeer().GetDialTimeout().AsDuration(),
 		CallTimeout:   s.GetPeer().GetCallTimeout().AsDuration(),
 	})
 }
 
-func newServer(id peer.Identity, t *telemetry.Telemetry) *peer.Server {
-	return peer.NewServer(id, t, nil)
+func newServer(id peer.Identity, c peertls.Configs, t *telemetry.Telemetry) *peer.Server {
+	return peer.NewServer(id, t, c.Server)
 }
 
 func newLinks(s *schema.Settings, pool *peer.Pool, current *topology.Current) *links {
@@ -116,12 +124,21 @@
 	})
 }
 
-func newAdmission(s *schema.Settings, l *links, logger *log.Logger) *admission.Manager {
+func newQuarantine(store platform.Store, l *links, logger *log.Logger) *quarantine.Manager {
+	return quarantine.New(quarantine.Options{Store: store, Spreader: l, Logger: logger})
+}
+
+func newLimits(s *schema.Settings, l *links, logger *log.Logger) *limits.Limiter {
+	return limits.New(limits.Options{Node: s.GetNode().GetName(), Peers: l, Logger: logger})
+}
+
+func newAdmission(s *schema.Settings, l *links, screen *quarantine.Manager, logger *log.Logger) *admission.Manager {
 	return admission.New(admission.Options{
 		Node:     s.GetNode().GetName(),
 		Region:   s.GetNode().GetRegion(),
 		Settings: s.GetScheduling(),
 		Siblings: l,
+		Screen:   screen,
 		Logger:   logger,
 	})
 }
@@ -167,14 +184,14 @@
 }
 
 func newFront(s *schema.Settings, d *dispatch.Dispatcher, signer *dispatch.Signer, current *topology.Current,
-	members *membership.Manager, st *state, t *telemetry.Telemetry, logger *log.Logger) *frontServer {
+	members *membership.Manager, limiter *limits.Limiter, st *state, t *telemetry.Telemetry, logger *log.Logger) *frontServer {
 	handler := front.New(front.Options{
 		Settings:   s.GetHttp(),
 		Snapshot:   current.Load,
 		Dispatcher: d,
 		Signer:     signer,
 		Ready:      func() error { return st.ready(current, members) },
-		Limits:     front.NoLimits{},
+		Limits:     limiter,
 		Telemetry:  t,
 		Logger:     logger,
 	})
