Run scenarios against the real nodes; refuse at the relay, balance callers

A relay accepted for dead targets, so that no dial was ever refused; it now closes its listener while the target refuses. Callers were sent to nodes whose readiness had ended; they now follow /readyz as behind the platform's balancer. Deployments were used before nodes knew each other; deploy waits for the members.

A stop is judged at every entry now, not only at the stopped node, as long as no other failure is in force. Faults end by their own counterpart (restart, thaw, heal).

--- a/standin/checker/operations.go
+++ b/standin/checker/operations.go
@@ -60,43 +60,49 @@
 	}
 }
 
-// judgeStops checks that no answer in flight at a node was cut by its planned
-// stop.
+// judgeStops checks that no planned stop took away an answer in flight, at the
+// stopped node or at another that relied on it.
 func judgeStops(r *run, v *verdict) {
 	for _, e := range r.events {
 		if e.Kind != history.KindStop {
 			continue
 		}
 		end := stopEnd(r, e)
+		calm := !r.disturbedAnywhere(e.At, end)
 		for _, a := range r.attempts {
-			if a.request.Entry != e.Node || a.sent > end || a.response == nil || a.received < e.At {
+			if a.response == nil || a.neverSent() || a.sent > end || a.received < e.At || a.received > end {
 				continue
 			}
-			if a.neverSent() || r.disturbed(e.Node, a.sent, a.received) {
+			at := a.request.Entry
+			if at != e.Node && !calm || r.disturbed(at, a.sent, a.received) {
 				continue
 			}
 			v.Judged++
 			if cut(a, e.At) {
-				v.breaks(a.request.ID, "%s with outcome %q during the planned stop of %s",
-					a.response.Result, a.response.Outcome, e.Node)
+				v.breaks(a.request.ID, "%s at %s with problem %q and outcome %q during the planned stop of %s",
+					a.response.Result, at, a.response.Problem, a.response.Outcome, e.Node)
 			}
 		}
 	}
 }
 
-// problemDraining is the refusal of a node that is stopping.
-const problemDraining = "draining"
+// Problems that a stopping node or its peers give to callers.
+const (
+	problemDraining    = "draining"
+	problemUnreachable = "unreachable"
+)
 
 // cut reports whether the stop took the answer away: the connection broke,
-// the outcome is not known, or a request that the node had before the stop
-// was refused because of it.
+// the outcome is not known, or a request that was sent before the stop was
+// refused because of it.
 func cut(a *attempt, stop int64) bool {
 	switch a.response.Result {
 	case history.ResultBroken:
 		return true
 	case history.ResultRefused:
-		if a.response.Problem == problemDraining {
-			return a.openAt(stop)
+		switch a.response.Problem {
+		case problemDraining, problemUnreachable:
+			return a.openAt(stop) || a.response.Outcome == history.OutcomeUnknown
 		}
 		return a.response.Outcome == history.OutcomeUnknown
 	default:
--- a/standin/checker/run.go
+++ b/standin/checker/run.go
@@ -123,30 +123,56 @@
 // disturbed reports whether a fault was brought about at the node between two
 // times, or was in force at the first.
 func (r *run) disturbed(node string, from, to int64) bool {
-	inForce := false
+	inForce := make(map[history.Fault]bool)
 	for _, e := range r.events {
 		if e.Kind != history.KindFault || e.Node != node || e.At > to {
 			continue
 		}
-		inForce = e.Fault != history.FaultThaw && e.Fault != history.FaultHeal
 		if e.At >= from {
 			return true
 		}
+		note(inForce, e.Fault)
 	}
-	return inForce
+	return len(inForce) > 0
+}
+
+// note adds a fault to those in force, or removes the one that it ends.
+func note(inForce map[history.Fault]bool, f history.Fault) {
+	if ended, ok := f.Ends(); ok {
+		delete(inForce, ended)
+		return
+	}
+	inForce[f] = true
+}
+
+// disturbedAnywhere reports whether a fault was brought about at any process
+// between two times, or was in force at the first.
+func (r *run) disturbedAnywhere(from, to int64) bool {
+	names := make(map[string]bool)
+	for _, e := range r.events {
+		if e.Kind == history.KindFault {
+			names[e.Node] = true
+		}
+	}
+	for name := range names {
+		if r.disturbed(name, from, to) {
+			return true
+		}
+	}
+	return false
 }
 
 // connectedSince returns the end of the node's last failure before a time; it
 // reports false if a failure was in force.
 func (r *run) connectedSince(node string, at int64) (int64, bool) {
 	var since int64
-	connected := true
+	inForce := make(map[history.Fault]bool)
 	for _, e := range r.events {
 		if e.Kind != history.KindFault || e.Node != node || e.At > at {
 			continue
 		}
-		connected = e.Fault != history.FaultFreeze && e.Fault != history.FaultCut
+		note(inForce, e.Fault)
 		since = e.At
 	}
-	return since, connected
+	return since, len(inForce) == 0
 }
--- a/standin/deployment/config.go
+++ b/standin/deployment/config.go
@@ -141,12 +141,15 @@
 	return strings.Join(parts, ", ")
 }
 
+// cluster is the cluster name of every deployment.
+const cluster = "scenario"
+
 // settingsText returns a node's settings file. Timeouts keep their defaults,
 // but for the readiness delay, which no balancer waits for here.
 func (l *Layout) settingsText(n Node) string {
 	return fmt.Sprintf(`[node]
 name = %q
-cluster = "scenario"
+cluster = %q
 availability_zone = %q
 region = %q
 source_address = %q
@@ -164,5 +167,5 @@
 
 [shutdown]
 readiness_delay = "500ms"
-`, n.Name, n.Zone, n.Region, n.SourceIP, n.HTTP, n.Peer, n.PeerAdvertise, l.platformRelay())
+`, n.Name, cluster, n.Zone, n.Region, n.SourceIP, n.HTTP, n.Peer, n.PeerAdvertise, l.platformRelay())
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,16 +24,21 @@
 )
 
 const (
+	balanceInterval = 100 * time.Millisecond
+	balanceTimeout  = 100 * time.Millisecond
+
 	pollInterval = 20 * time.Millisecond
 	readyTimeout = 20 * time.Second
 	adminTimeout = 5 * time.Second
 	applyTimeout = 20 * time.Second
-	vmLag        = 2 * time.Second
 )
 
 // CrashMarker is the text that ends an engine which reads it in a prompt.
 const CrashMarker = "crash-this-target"
 
+// VMLag is the lag of the platform's list of VMs.
+const VMLag = 2 * time.Second
+
 // Options configures a Deployment.
 type Options struct {
 	// Size is small, drumlin or kowhai.
@@ -57,6 +63,10 @@
 	mu        sync.Mutex
 	processes map[string]*process
 	edit      Edit
+
+	// serving is what the balancer last found ready.
+	serving  atomic.Pointer[[]Node]
+	balancer sync.WaitGroup
 }
 
 // Start starts all processes, applies the configuration and waits until every
@@ -73,6 +83,7 @@
 		processes: make(map[string]*process),
 		edit:      Edit{Revision: 1},
 	}
+	d.serving.Store(new([]Node))
 	if err := d.startOutside(ctx); err != nil {
 		return d, err
 	}
@@ -89,11 +100,13 @@
 			return d, err
 		}
 	}
-	return d, nil
+	d.balancer.Go(func() { d.balance(ctx) })
+	return d, d.WaitMembers(ctx)
 }
 
-// Close ends all processes.
+// Close ends all processes. The context of Start must have ended.
 func (d *Deployment) Close() {
+	d.balancer.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.processes {
@@ -103,7 +116,7 @@
 }
 
 func (d *Deployment) startOutside(ctx context.Context) error {
-	if err := d.run(NamePlatform, "standin", "platform", "--listen", d.platform(), "--vm-lag", vmLag.String()); err != nil {
+	if err := d.run(NamePlatform, "standin", "platform", "--listen", d.platform(), "--vm-lag", VMLag.String()); err != nil {
 		return err
 	}
 	routes := []string{d.platformRelay() + "=" + d.platform()}
@@ -180,6 +193,10 @@
 	if p.running() {
 		return fmt.Errorf("%s is still running", name)
 	}
+	line := history.Line{Kind: history.KindFault, Node: name, Fault: history.FaultRestart}
+	if err := d.options.History.Write(line); err != nil {
+		return err
+	}
 	return p.start()
 }
 
@@ -250,6 +267,37 @@
 	return nodes
 }
 
+// ServingNodes returns the nodes to which the balancer sends callers.
+func (d *Deployment) ServingNodes() []Node {
+	return *d.serving.Load()
+}
+
+// balance asks every node whether it is ready, as the platform's balancer
+// does, until the context ends.
+func (d *Deployment) balance(ctx context.Context) {
+	client := http.Client{Timeout: balanceTimeout}
+	for {
+		var ready []Node
+		for i := range d.Nodes {
+			n := d.Node(i)
+			response, err := client.Get(n.URL() + "/readyz")
+			if err != nil {
+				continue
+			}
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				ready = append(ready, n)
+			}
+		}
+		d.serving.Store(&ready)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(balanceInterval):
+		}
+	}
+}
+
 // FindNode returns a node's place by name.
 func (d *Deployment) FindNode(name string) (Node, error) {
 	for i := range d.Nodes {
@@ -312,14 +360,16 @@
 	return nil
 }
 
-// control runs the operators' tool.
-func (d *Deployment) control(ctx context.Context, args ...string) error {
+// control runs the operators' tool and returns its standard output.
+func (d *Deployment) control(ctx context.Context, args ...string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(d.options.Binaries, "primrosectl"), args...)
-	output, err := cmd.CombinedOutput()
+	var problems bytes.Buffer
+	cmd.Stderr = &problems
+	output, err := cmd.Output()
 	if err != nil {
-		return fmt.Errorf("primrosectl %s: %w: %s", args[0], err, output)
+		return nil, fmt.Errorf("primrosectl %s: %w: %s", args[0], err, problems.Bytes())
 	}
-	return nil
+	return output, nil
 }
--- a/standin/deployment/faults.go
+++ b/standin/deployment/faults.go
@@ -120,6 +120,13 @@
 
 // SetPlatform replaces the platform's faults.
 func (d *Deployment) SetPlatform(f platform.Faults) error {
+	line := history.Line{Kind: history.KindFault, Node: NamePlatform, Fault: history.FaultCut}
+	if f == (platform.Faults{Seed: f.Seed}) {
+		line.Fault = history.FaultHeal
+	}
+	if err := d.options.History.Write(line); err != nil {
+		return err
+	}
 	return d.post("http://"+d.platform()+"/admin/faults", f)
 }
 
@@ -188,7 +195,7 @@
 		}
 		args = append(args, "--base", base)
 	}
-	if err := d.control(ctx, args...); err != nil {
+	if _, err := d.control(ctx, args...); err != nil {
 		return err
 	}
 	return d.options.History.Write(history.Line{Kind: history.KindAccepted, Revision: after.Revision})
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -54,13 +54,28 @@
 
 // Faults of nodes.
 const (
-	FaultKill   Fault = "kill"
-	FaultFreeze Fault = "freeze"
-	FaultThaw   Fault = "thaw"
-	FaultCut    Fault = "cut"
-	FaultHeal   Fault = "heal"
+	FaultKill    Fault = "kill"
+	FaultRestart Fault = "restart"
+	FaultFreeze  Fault = "freeze"
+	FaultThaw    Fault = "thaw"
+	FaultCut     Fault = "cut"
+	FaultHeal    Fault = "heal"
 )
 
+// Ends returns the fault that f ends, if it ends one.
+func (f Fault) Ends() (Fault, bool) {
+	switch f {
+	case FaultRestart:
+		return FaultKill, true
+	case FaultThaw:
+		return FaultFreeze, true
+	case FaultHeal:
+		return FaultCut, true
+	default:
+		return "", false
+	}
+}
+
 // Request is what a caller sent.
 type Request struct {
 	// ID is empty if the caller gave none; the answer then names it.
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -12,6 +12,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -51,8 +52,9 @@
 }
 
 const (
-	dialTimeout = 3 * time.Second
-	bufferBytes = 32 << 10
+	dialTimeout   = 3 * time.Second
+	probeInterval = 20 * time.Millisecond
+	bufferBytes   = 32 << 10
 )
 
 // Relay forwards connections of its routes.
@@ -141,25 +143,59 @@
 }
 
 // Serve accepts connections on a listener and forwards them until the context
-// ends.
+// ends. While the target refuses connections, the relay refuses them too.
 func (r *Relay) Serve(ctx context.Context, listener net.Listener, route Route) error {
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	for {
+		if err := r.accept(ctx, listener, route); err != nil {
+			return fmt.Errorf("accept on %s: %w", route.Listen, err)
+		}
+		if waitForTarget(ctx, route.Forward) != nil {
+			return nil
+		}
+		var err error
+		listener, err = net.Listen("tcp", route.Listen)
+		if err != nil {
+			return fmt.Errorf("listen again: %w", err)
+		}
+	}
+}
+
+// accept forwards connections until the context ends or the target refuses
+// one, and closes the listener.
+func (r *Relay) accept(ctx context.Context, listener net.Listener, route Route) error {
+	closeListener := func() { listener.Close() }
+	stop := context.AfterFunc(ctx, closeListener)
 	defer stop()
 	for {
 		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return fmt.Errorf("accept on %s: %w", route.Listen, err)
+			return err
+		}
+		go r.forward(ctx, conn, route, closeListener)
+	}
+}
+
+// waitForTarget returns once the target accepts connections.
+func waitForTarget(ctx context.Context, address string) error {
+	for {
+		select {
+		case <-time.After(probeInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		conn, err := net.DialTimeout("tcp", address, dialTimeout)
+		if err == nil {
+			return conn.Close()
 		}
-		go r.forward(ctx, conn, route)
 	}
 }
 
 // forward joins one connection with a new one to the route's target, dialed
-// from the same source address.
-func (r *Relay) forward(ctx context.Context, conn net.Conn, route Route) {
+// from the same source address. It calls refused if the target refuses.
+func (r *Relay) forward(ctx context.Context, conn net.Conn, route Route, refused func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer conn.Close()
@@ -169,6 +205,9 @@
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: source}}
 	target, err := dialer.DialContext(ctx, "tcp", route.Forward)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		refused()
+	}
 	if err != nil {
 		return
 	}
--- a/standin/scenario/commands.go
+++ b/standin/scenario/commands.go
@@ -42,6 +42,7 @@
 	"ready":         ready,
 	"cut":           cut,
 	"heal":          heal,
+	"members":       members,
 	"platform":      setPlatform,
 	"speed":         setSpeed,
 	"list-leaving":  listLeaving,
@@ -174,6 +175,15 @@
 	})(s, args)
 }
 
+// members waits until the running nodes know each other.
+func members(s *session, _ []string) error {
+	d, err := s.running()
+	if err != nil {
+		return err
+	}
+	return d.WaitMembers(s.ctx)
+}
+
 // cut reads "cut FROM TO [in|out|both]".
 func cut(s *session, args []string) error {
 	l, err := parseLink(args)
--- a/standin/scenario/group.go
+++ b/standin/scenario/group.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -63,7 +64,7 @@
 		}
 		entry := g.options.Entry
 		if entry == entryAny {
-			entry = pick(g.random, d.RunningNodes(), "")
+			entry = pick(g.random, d.ServingNodes(), "")
 		}
 		prompt := g.prompt(i)
 		select {
@@ -76,12 +77,15 @@
 			g.request(ctx, d, c, i, entry, prompt)
 		})
 		for range g.options.Duplicates {
-			other := pick(g.random, d.RunningNodes(), entry)
+			other := pick(g.random, d.ServingNodes(), entry)
 			wg.Go(func() { g.request(ctx, d, c, i, other, prompt) })
 		}
 	}
 }
 
+// anyNode is asked when the balancer finds no node ready.
+const anyNode = "n1"
+
 // pick chooses one of the nodes, but for the one given.
 func pick(random *rand.Rand, nodes []deployment.Node, not string) string {
 	var names []string
@@ -91,7 +95,7 @@
 		}
 	}
 	if len(names) == 0 {
-		return not
+		return cmp.Or(not, anyNode)
 	}
 	return names[random.IntN(len(names))]
 }
@@ -117,7 +121,7 @@
 		if settled(response) || try >= g.options.Resend || !sleep(ctx, g.options.ResendAfter) {
 			return
 		}
-		entry = pick(random, d.RunningNodes(), entry)
+		entry = pick(random, d.ServingNodes(), entry)
 	}
 }
 
--- a/standin/scenario/operations.go
+++ b/standin/scenario/operations.go
@@ -63,7 +63,8 @@
 	return strconv.ParseFloat(args[i], 64)
 }
 
-// listLeaving marks the VMs of targets in the platform's lagging list.
+// listLeaving marks the VMs of targets in the platform's lagging list. They
+// count as leaving from the time that the list shows them.
 func listLeaving(s *session, args []string) error {
 	d, err := s.running()
 	if err != nil {
@@ -73,10 +74,13 @@
 	if err != nil {
 		return err
 	}
-	if err := s.history.Write(history.Line{Kind: history.KindLeaving, Targets: args}); err != nil {
+	if err := d.ListLeaving(vms...); err != nil {
 		return err
 	}
-	return d.ListLeaving(vms...)
+	if !sleep(s.ctx, deployment.VMLag) {
+		return s.ctx.Err()
+	}
+	return s.history.Write(history.Line{Kind: history.KindLeaving, Targets: args})
 }
 
 func vmsOf(d *deployment.Deployment, targets []string) ([]string, error) {
