Count only broken targets as failed, and fuzz the path's parsers

Cause: a stream that outlasted the longest duration, or was cancelled at the engine, came back as target-failed, and its owner would suspect the request of having ended the target. After: such permits come back as cancelled; the caller's outcome stays unknown.

--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,10 @@
 bench-path: ## Measure what the node adds to a target's answers, side by side with the target called directly.
 	go test -run '^$$' -bench AddedTime -benchtime 5x ./front
 	go test -run '^$$' -bench 'Request$$' -cpu 1 -benchtime 3s ./front
+
+.PHONY: fuzz-path
+
+fuzz-path: ## Fuzz the parsers of the path for a bounded count.
+	go test -run '^$$' -fuzz FuzzEventReader -fuzztime 20000x ./engine
+	go test -run '^$$' -fuzz FuzzStreamedBody -fuzztime 20000x ./engine
+	go test -run '^$$' -fuzz FuzzProblemBody -fuzztime 20000x ./problem
--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -55,23 +55,13 @@
 		r.claim.dispatched(r.permit, stream.ID)
 	}
 	d := r.newDelivery(r.permit.GetAddress(), r.permit.GetTarget(), stream)
-	err = d.deliver()
-	r.endChat(d, err)
-	return err
-}
-
-// endChat notes how the permit ended, and cancels a stream without a reader.
-func (r *run) endChat(d *delivery, err error) {
-	switch {
-	case err == nil:
-		r.result.PermitResult = schema.PermitResult_PERMIT_RESULT_COMPLETED
-	case r.result.CallerGone:
-		r.result.PermitResult = schema.PermitResult_PERMIT_RESULT_CANCELLED
-		d.cancel()
-	default:
-		r.result.PermitResult = schema.PermitResult_PERMIT_RESULT_TARGET_FAILED
+	r.result.PermitResult = schema.PermitResult_PERMIT_RESULT_COMPLETED
+	if err := d.deliver(); err != nil {
+		r.result.PermitResult = d.permitResult
 		d.cancel()
+		return err
 	}
+	return nil
 }
 
 // startWork bounds the work at the target. It outlives the caller, so that a
--- a/dispatch/chat_test.go
+++ b/dispatch/chat_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/primrosemoor/primrosemoor/dispatch"
 	"github.com/primrosemoor/primrosemoor/engine"
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -250,6 +251,25 @@
 	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
 }
 
+func TestAnswerBeyondTheLongestDurationIsCancelled(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 5)
+	e.script = func(_, event int, _ http.ResponseWriter, r *http.Request) {
+		if event == 3 {
+			<-r.Context().Done()
+		}
+	}
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	signer, err := dispatch.NewSigner("")
+	is.NoErr(err)
+	d := dispatch.New(dispatch.Options{Permits: permits, Engine: engine.NewClient(engine.Options{}), Signer: signer,
+		MaxStreamDuration: 100 * time.Millisecond})
+	_, err = d.Serve(t.Context(), httptest.NewRecorder(), chatRequest("a", true))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+	is.Equal(<-e.cancelled, "s-a")
+	is.Equal(permits.results(), []schema.PermitResult{schema.PermitResult_PERMIT_RESULT_CANCELLED})
+}
+
 func TestSilentStreamIsReadAgain(t *testing.T) {
 	is := is.New(t)
 	e := newFakeEngine(t, 5)
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/primrosemoor/primrosemoor/engine"
+	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 const (
@@ -54,6 +55,8 @@
 	failed    int
 	assembler engine.Assembler
 	buffer    []byte
+	// permitResult is how the permit ended after a failed delivery.
+	permitResult schema.PermitResult
 }
 
 // deliver reads the stream to its end. On failure the caller has been told if
@@ -67,6 +70,7 @@
 	}
 	if errors.Is(err, errCallerHungUp) {
 		d.run.result.CallerGone = true
+		d.permitResult = schema.PermitResult_PERMIT_RESULT_CANCELLED
 		return callerGone().Unknown()
 	}
 	reported := d.failure(err)
@@ -83,13 +87,17 @@
 	d.buffer = nil
 }
 
+// failure returns the error to report. Only a target that broke off counts as
+// failed: its owner suspects the request of having ended it.
 func (d *delivery) failure(err error) error {
+	d.permitResult = schema.PermitResult_PERMIT_RESULT_CANCELLED
 	if d.run.work.Err() != nil {
 		return targetFailed(err, "the answer took longer than allowed")
 	}
 	if errors.Is(err, errCancelled) {
 		return streamEndedEarly()
 	}
+	d.permitResult = schema.PermitResult_PERMIT_RESULT_TARGET_FAILED
 	return targetFailed(err, "the target's stream broke off and could not be resumed")
 }
 
--- a/engine/chat_test.go
+++ b/engine/chat_test.go
@@ -67,6 +67,26 @@
 	is.True(r.Stream && r.IncludeUsage())
 }
 
+func FuzzStreamedBody(f *testing.F) {
+	f.Add(`{"model":"m","messages":[{"role":"user","content":"x"}],"stream":false}`)
+	f.Add(`{"model":"m","messages":[{"content":[{"text":"x"}]}],"stream_options":{"include_usage":false}}`)
+	f.Add(`{"model":"m","messages":[{}],"MODEL":"n","Stream":false}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		want, err := ParseChat([]byte(text))
+		if err != nil {
+			return
+		}
+		normalized, err := NormalizeChat([]byte(text))
+		if err != nil {
+			t.Fatalf("accepted request %q is not normalized: %v", text, err)
+		}
+		got, err := ParseChat(StreamedBody(normalized))
+		if err != nil || !got.Stream || !got.IncludeUsage() || len(got.Messages) != len(want.Messages) {
+			t.Fatalf("request %q became %q: %v", text, StreamedBody(normalized), err)
+		}
+	})
+}
+
 func TestContentMayBeParts(t *testing.T) {
 	is := is.New(t)
 	r, err := ParseChat([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]},{"role":"assistant","content":null}]}`))
