Match the fields of chat requests exactly

Cause: encoding/json ignores case for struct fields, so a body with model and MODEL was routed by one and run by the other. After: fields are looked up by their exact names, in the one pass that also normalizes the body. Conclusion: routing and target read the same request.

--- a/engine/chat_test.go
+++ b/engine/chat_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -57,16 +58,35 @@
 
 func TestNormalizedRequestIgnoresOrderSpaceAndDelivery(t *testing.T) {
 	is := is.New(t)
-	a, err := NormalizeChat([]byte(`{"model":"m", "messages":[{"role":"user","content":"x"}], "stream":true}`))
-	is.NoErr(err)
-	b, err := NormalizeChat([]byte(`{"stream_options":{},"messages":[{"role":"user","content":"x"}],"model":"m"}`))
-	is.NoErr(err)
+	a := normalize(t, `{"model":"m", "messages":[{"role":"user","content":"x"}], "stream":true}`)
+	b := normalize(t, `{"stream_options":{},"messages":[{"role":"user","content":"x"}],"model":"m"}`)
 	is.Equal(string(a), string(b))
-	var r ChatRequest
-	is.NoErr(json.Unmarshal(StreamedBody(a), &r))
+	r, err := ParseChat(StreamedBody(a))
+	is.NoErr(err)
 	is.True(r.Stream && r.IncludeUsage())
 }
 
+func normalize(t *testing.T, body string) []byte {
+	t.Helper()
+	r, err := ParseChat([]byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	normalized, err := r.Normalized()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return normalized
+}
+
+func TestFieldNamesAreMatchedExactly(t *testing.T) {
+	is := is.New(t)
+	r, err := ParseChat([]byte(`{"model":"m","MODEL":"n","messages":[{"role":"user","content":"x"}],"Stream":true}`))
+	is.NoErr(err)
+	is.Equal(r.Model, "m")
+	is.True(!r.Stream)
+}
+
 func FuzzStreamedBody(f *testing.F) {
 	f.Add(`{"model":"m","messages":[{"role":"user","content":"x"}],"stream":false}`)
 	f.Add(`{"model":"m","messages":[{"content":[{"text":"x"}]}],"stream_options":{"include_usage":false}}`)
@@ -76,12 +96,12 @@
 		if err != nil {
 			return
 		}
-		normalized, err := NormalizeChat([]byte(text))
+		normalized, err := want.Normalized()
 		if err != nil {
 			t.Fatalf("accepted request %q is not normalized: %v", text, err)
 		}
 		got, err := ParseChat(StreamedBody(normalized))
-		if err != nil || !got.Stream || !got.IncludeUsage() || len(got.Messages) != len(want.Messages) {
+		if err != nil || !got.Stream || !got.IncludeUsage() || got.Model != want.Model || !slices.Equal(got.Messages, want.Messages) {
 			t.Fatalf("request %q became %q: %v", text, StreamedBody(normalized), err)
 		}
 	})
--- a/engine/request.go
+++ b/engine/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"github.com/primrosemoor/primrosemoor/fault"
@@ -11,12 +12,14 @@
 
 // ChatRequest is the part of a chat completion request that routing reads.
 type ChatRequest struct {
-	Model               string         `json:"model"`
-	Messages            []Message      `json:"messages"`
-	Stream              bool           `json:"stream"`
-	StreamOptions       *StreamOptions `json:"stream_options"`
-	MaxTokens           uint32         `json:"max_tokens"`
-	MaxCompletionTokens uint32         `json:"max_completion_tokens"`
+	Model               string
+	Messages            []Message
+	Stream              bool
+	StreamOptions       *StreamOptions
+	MaxTokens           uint32
+	MaxCompletionTokens uint32
+
+	object fields
 }
 
 // StreamOptions are the options of a streamed answer.
@@ -72,10 +75,26 @@
 	return r.StreamOptions != nil && r.StreamOptions.IncludeUsage
 }
 
+// fields is a JSON object whose values stay as they were written. Its keys are
+// matched exactly, as targets do; encoding/json ignores case for structs.
+type fields map[string]json.RawMessage
+
+// decode reads the field name into v; an absent field leaves v as it is.
+func (f fields) decode(name string, v any) error {
+	raw, ok := f[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return fmt.Errorf("field %s: %w", name, err)
+	}
+	return nil
+}
+
 // ParseChat reads a chat completion request. Errors are of kind bad-request.
 func ParseChat(body []byte) (*ChatRequest, error) {
 	request := &ChatRequest{}
-	if err := json.Unmarshal(body, request); err != nil {
+	if err := request.parse(body); err != nil {
 		return nil, fault.Wrap(schema.ErrorKind_ERROR_KIND_BAD_REQUEST, err,
 			"the body is not a chat completion request", "send a JSON object with model and messages")
 	}
@@ -90,19 +109,30 @@
 	return request, nil
 }
 
-// fields is a JSON object whose values stay as they were written.
-type fields map[string]json.RawMessage
+func (r *ChatRequest) parse(body []byte) error {
+	if err := json.Unmarshal(body, &r.object); err != nil {
+		return err
+	}
+	return errors.Join(
+		r.object.decode("model", &r.Model),
+		r.object.decode("messages", &r.Messages),
+		r.object.decode("stream", &r.Stream),
+		r.object.decode("stream_options", &r.StreamOptions),
+		r.object.decode("max_tokens", &r.MaxTokens),
+		r.object.decode("max_completion_tokens", &r.MaxCompletionTokens),
+	)
+}
 
-// NormalizeChat returns the body in a form that does not depend on white
-// space, order of fields, or the way of delivery.
-func NormalizeChat(body []byte) ([]byte, error) {
-	object := fields{}
-	if err := json.Unmarshal(body, &object); err != nil {
+// Normalized returns the request's body in a form that does not depend on
+// white space, order of fields, or the way of delivery.
+func (r *ChatRequest) Normalized() ([]byte, error) {
+	delete(r.object, "stream")
+	delete(r.object, "stream_options")
+	normalized, err := json.Marshal(r.object)
+	if err != nil {
 		return nil, fmt.Errorf("normalize chat request: %w", err)
 	}
-	delete(object, "stream")
-	delete(object, "stream_options")
-	return json.Marshal(object)
+	return normalized, nil
 }
 
 var streamFields = []byte(`,"stream":true,"stream_options":{"include_usage":true}}`)
--- a/front/chat.go
+++ b/front/chat.go
@@ -53,13 +53,13 @@
 	if err := e.assign(service, nil); err != nil {
 		return err
 	}
-	return e.fillChat(chat, body)
+	return e.fillChat(chat)
 }
 
-func (e *exchange) fillChat(chat *engine.ChatRequest, body []byte) error {
-	normalized, err := engine.NormalizeChat(body)
+func (e *exchange) fillChat(chat *engine.ChatRequest) error {
+	normalized, err := chat.Normalized()
 	if err != nil {
-		return badRequest("the body is not a JSON object", "send a JSON object with model and messages")
+		return err
 	}
 	text := promptText(chat.Messages)
 	q := &e.request
