--- a/Makefile
+++ b/Makefile
@@ -83,3 +83,10 @@
 bench-limits: ## Measure limits shared among nodes; results in docs/results.
 	PRIMROSEMOOR_RESULTS=$(CURDIR)/docs/results/limits.json go test ./limits -run Overshoot
 	go test ./limits -run xxx -bench .
+
+.PHONY: fuzz-path
+
+fuzz-path: ## Fuzz the parsers of the path for a bounded count.
+	go test -run '^$$' -fuzz FuzzEventReader -fuzztime 20000x ./engine
+	go test -run '^$$' -fuzz FuzzStreamedBody -fuzztime 20000x ./engine
+	go test -run '^$$' -fuzz FuzzProblemBody -fuzztime 20000x ./problem
