Judge a wait that lasted to the caller's deadline as no shed

A deadline refusal before the stated time, or without a stated deadline, counts as a shed as before; both cases have a test.

Ruled out: refusing the lower tiers first. A caller could then empty the queues of a service by a deadline that cannot be met.

--- a/standin/checker/checker_test.go
+++ b/standin/checker/checker_test.go
@@ -97,6 +97,13 @@
 			s.send(150, 2500, chat("overtaker", 1), answer("overtaker:0 overtaker:1 "))
 			s.start(2300, "e1", "overtaker")
 		}},
+		{"low tier runs after a refusal before the deadline", checker.TierOrder, func(s *scene) {
+			early := chat("early", 0)
+			early.DeadlineMillis = 1500
+			s.send(600, 2000, early, refused("deadline", "not_run"))
+			s.send(150, 2500, chat("overtaker", 1), answer("overtaker:0 overtaker:1 "))
+			s.start(2300, "e1", "overtaker")
+		}},
 		{"answer is cut short", checker.WholeAnswer, func(s *scene) {
 			s.send(0, 50, chat("d", 0), answer("d:0 "))
 		}},
@@ -153,6 +160,17 @@
 	}
 }
 
+func TestWaitThatLastedToTheCallersDeadlineIsNoShed(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	patient := chat("patient", 0)
+	patient.DeadlineMillis = 1000
+	s.send(600, 1605, patient, refused("deadline", "not_run"))
+	s.send(150, 2500, chat("low", 2), answer("low:0 low:1 "))
+	s.start(2300, "e1", "low")
+	is.Equal(len(checker.Judge(s.lines, s.records).Verdict(checker.TierOrder).Violations), 0)
+}
+
 func TestFailuresExplainWhatTheyMay(t *testing.T) {
 	is := is.New(t)
 	var s scene
--- a/standin/checker/tiers.go
+++ b/standin/checker/tiers.go
@@ -16,11 +16,25 @@
 	problemDeadline   = "deadline"
 )
 
+// isShed reports whether the system ended the wait. A wait that lasted until
+// the deadline that the caller stated was ended by the caller.
 func isShed(a *attempt) bool {
 	if !a.toldNotRun() {
 		return false
 	}
-	return a.response.Problem == problemOverloaded || a.response.Problem == problemDeadline
+	switch a.response.Problem {
+	case problemOverloaded:
+		return true
+	case problemDeadline:
+		return !waitedToDeadline(a)
+	default:
+		return false
+	}
+}
+
+func waitedToDeadline(a *attempt) bool {
+	allowed := time.Duration(a.request.DeadlineMillis) * time.Millisecond
+	return allowed > 0 && time.Duration(a.received-a.sent) >= allowed
 }
 
 // judgeTierOrder looks for a lower-tier request of the same service that was
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -91,6 +91,9 @@
 	Chat       bool   `json:"chat,omitempty"`
 	Stream     bool   `json:"stream,omitempty"`
 	MaxTokens  int    `json:"max_tokens,omitempty"`
+	// DeadlineMillis is the time that the caller allows to the first token; 0
+	// if it states none.
+	DeadlineMillis int64 `json:"deadline_ms,omitempty"`
 }
 
 // Result tells how an attempt ended for its caller.
--- a/standin/scenario/group.go
+++ b/standin/scenario/group.go
@@ -146,6 +146,8 @@
 		Team:   team.Name,
 		Rank:   team.Rank,
 		Method: "POST",
+
+		DeadlineMillis: g.options.Deadline.Milliseconds(),
 	}
 	if g.options.Kind == kindStream || g.options.Kind == kindWhole {
 		call.Service, call.Path, call.Model = d.EngineService(), chatPath, d.Model()
