--- /dev/null
+++ b/node/control_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/topology"
+)
+
+type fakeMembers struct {
+	members  []*schema.Member
+	leaving  []string
+	revision uint64
+}
+
+func (f *fakeMembers) Members() []*schema.Member        { return f.members }
+func (f *fakeMembers) Subscribe(func([]*schema.Member)) {}
+func (f *fakeMembers) SetRevision(revision uint64)      { f.revision = revision }
+func (f *fakeMembers) LeavingVMs() []string             { return f.leaving }
+
+type fakeConfigs struct {
+	config  *schema.Config
+	address string
+	noted   uint64
+	watcher bool
+}
+
+func (f *fakeConfigs) Current() *schema.Config        { return f.config }
+func (f *fakeConfigs) Subscribe(func(*schema.Config)) {}
+func (f *fakeConfigs) SetWatcher(on bool)             { f.watcher = on }
+func (f *fakeConfigs) NoteRevision(address string, revision uint64) {
+	f.address, f.noted = address, revision
+}
+
+type countingApplier struct{ applied int }
+
+func (a *countingApplier) ApplyTopology(*topology.Snapshot) { a.applied++ }
+
+func member(node string, revision uint64) *schema.Member {
+	return &schema.Member{Node: node, AvailabilityZone: "z", PeerAddress: node, ConfigRevision: revision,
+		State: schema.MemberState_MEMBER_STATE_ACTIVE}
+}
+
+func testController(members *fakeMembers, configs *fakeConfigs) (*controller, *countingApplier) {
+	a := &countingApplier{}
+	return &controller{
+		self: "c", zone: "z", members: members, configs: configs, current: topology.NewCurrent(),
+		appliers: []topologyApplier{a}, logger: &log.Logger{Level: log.PanicLevel}, wake: make(chan struct{}, 1),
+	}, a
+}
+
+func TestTopologyIsDerivedOnlyWhenAnInputChanged(t *testing.T) {
+	is := is.New(t)
+	members := &fakeMembers{members: []*schema.Member{member("c", 1)}}
+	configs := &fakeConfigs{config: &schema.Config{Revision: 3}}
+	c, a := testController(members, configs)
+	c.refresh()
+	c.refresh()
+	is.Equal(a.applied, 1)
+	is.Equal(members.revision, uint64(3))
+	members.leaving = []string{"vm"}
+	c.refresh()
+	is.Equal(a.applied, 2)
+	members.members = []*schema.Member{member("c", 1), member("d", 3)}
+	c.refresh()
+	is.Equal(a.applied, 3)
+}
+
+func TestPeerWithTheHighestRevisionIsAsked(t *testing.T) {
+	is := is.New(t)
+	members := &fakeMembers{members: []*schema.Member{member("a", 4), member("b", 9), member("c", 99)}}
+	configs := &fakeConfigs{config: &schema.Config{Revision: 3}}
+	c, _ := testController(members, configs)
+	c.refresh()
+	c.refresh()
+	is.Equal(configs.address, "b")
+	is.Equal(configs.noted, uint64(9))
+}
+
+func TestTwoNodesOfAZoneWatchTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	members := &fakeMembers{members: []*schema.Member{member("a", 1), member("b", 1), member("c", 1)}}
+	configs := &fakeConfigs{config: &schema.Config{Revision: 1}}
+	c, _ := testController(members, configs)
+	c.refresh()
+	is.True(!configs.watcher)
+	members.members = members.members[1:]
+	c.refresh()
+	is.True(configs.watcher)
+}
