Move a shard's earlier claims to parts, and let any node answer

An entry cut off from a shard's owner could not claim at all. Deleting parts that nothing names at load: a paused owner may still name them; only parts that a successful write dropped are deleted. Conclusion: a crash between writing a part and naming it leaves one object behind; nothing removes it yet.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -45,13 +45,8 @@
 }
 
 // entry returns the stored form of the claim.
-func (c *claim) entry(nowUnixMs int64) *schema.LedgerEntry {
-	return &schema.LedgerEntry{
-		Key:           c.key[:],
-		ClaimedUnixMs: nowUnixMs,
-		Digest:        c.digest,
-		Attempt:       c.attempt,
-	}
+func (c *claim) entry(nowUnixMs int64) entry {
+	return entry{key: c.key, claimedUnixMs: nowUnixMs, digest: c.digest, attempt: c.attempt}
 }
 
 func (c *claim) record() *record {
@@ -67,21 +62,21 @@
 // false if the id is free, so that the claim has to be written first.
 func (s *shard) decide(c *claim) (claimResult, bool) {
 	rec := s.records.get(c.key)
-	entry := s.held(c.key)
-	if entry == nil {
+	held, ok := s.held(c.key)
+	if !ok {
 		return s.decideWithoutEntry(c, rec)
 	}
-	if entry.GetDigest() != c.digest {
+	if held.digest != c.digest {
 		return claimResult{err: errKeyReused()}, true
 	}
-	if rec != nil && rec.attempt != entry.GetAttempt() {
+	if rec != nil && rec.attempt != held.attempt {
 		s.records.remove(c.key)
 		rec = nil
 	}
-	if entry.GetAttempt() == c.attempt {
+	if held.attempt == c.attempt {
 		return s.decideOwn(c, rec), true
 	}
-	return claimResult{reply: s.decideForeign(entry, rec)}, true
+	return claimResult{reply: s.decideForeign(held, rec)}, true
 }
 
 // decideWithoutEntry answers from a record of a request that runs without a
@@ -108,12 +103,12 @@
 	return claimResult{reply: rec.reply(rec.state)}
 }
 
-func (s *shard) decideForeign(entry *schema.LedgerEntry, rec *record) *schema.ClaimReply {
+func (s *shard) decideForeign(held entry, rec *record) *schema.ClaimReply {
 	if rec != nil {
 		return rec.reply(s.foreignState(rec))
 	}
 	state := schema.ClaimState_CLAIM_STATE_UNKNOWN
-	if entry.GetDone() {
+	if held.done {
 		state = schema.ClaimState_CLAIM_STATE_DONE
 	}
 	return &schema.ClaimReply{State: state}
@@ -132,12 +127,9 @@
 }
 
 // held returns the stored entry of a key, unless it was released.
-func (s *shard) held(key requestKey) *schema.LedgerEntry {
-	entry := s.segment.index[key]
-	if entry == nil || s.isReleased(key, entry.GetAttempt()) {
-		return nil
-	}
-	return entry
+func (s *shard) held(key requestKey) (entry, bool) {
+	e, ok := s.segment.find(key)
+	return e, ok && !s.isReleased(key, e.attempt)
 }
 
 func (s *shard) isReleased(key requestKey, attempt uint64) bool {
--- a/ledger/finish.go
+++ b/ledger/finish.go
@@ -52,11 +52,11 @@
 		}
 		return rec
 	}
-	entry := s.held(f.key)
-	if entry == nil || entry.GetAttempt() != f.attempt {
+	held, ok := s.held(f.key)
+	if !ok || held.attempt != f.attempt {
 		return nil
 	}
-	rec = &record{attempt: f.attempt, digest: entry.GetDigest(), entryNode: f.request.GetEntryNode()}
+	rec = &record{attempt: f.attempt, digest: held.digest, entryNode: f.request.GetEntryNode()}
 	s.records.run(f.key, rec)
 	return rec
 }
@@ -73,12 +73,13 @@
 }
 
 func (s *shard) markDone(key requestKey) {
-	entry := s.held(key)
-	if entry == nil || entry.GetDone() {
+	held, ok := s.held(key)
+	_, inSegment := s.segment.index[key]
+	if !ok || !inSegment || held.done {
 		return
 	}
 	if len(s.done) == 0 {
 		s.doneSince = time.Now()
 	}
-	s.done[key] = entry.GetAttempt()
+	s.done[key] = held.attempt
 }
--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -59,8 +59,10 @@
 
 // plan is a whole history.
 type plan struct {
-	Seed  uint64
-	Steps []step
+	Seed uint64
+	// SealEntries is the size at which segments are moved to parts.
+	SealEntries int
+	Steps       []step
 }
 
 func genPlan() *rapid.Generator[plan] {
@@ -92,8 +94,9 @@
 	})
 	return rapid.Custom(func(t *rapid.T) plan {
 		return plan{
-			Seed:  rapid.Uint64().Draw(t, "seed"),
-			Steps: rapid.SliceOfN(genStep, 5, 40).Draw(t, "steps"),
+			Seed:        rapid.Uint64().Draw(t, "seed"),
+			SealEntries: rapid.IntRange(1, 5).Draw(t, "seal entries"),
+			Steps:       rapid.SliceOfN(genStep, 5, 40).Draw(t, "steps"),
 		}
 	})
 }
@@ -154,6 +157,7 @@
 	store  *platform.Memory
 	random *rand.Rand
 	blind  bool
+	plan   plan
 
 	mu      sync.Mutex
 	weather weather
@@ -169,7 +173,7 @@
 
 // runHistory returns how many attempts of each id ran.
 func runHistory(t *testing.T, p plan, blind bool) *history {
-	h := &history{t: t, blind: blind, runs: make(map[string]int), random: rand.New(rand.NewPCG(p.Seed, 0))}
+	h := &history{t: t, plan: p, blind: blind, runs: make(map[string]int), random: rand.New(rand.NewPCG(p.Seed, 0))}
 	synctest.Test(t, func(t *testing.T) {
 		h.t = t
 		h.store = platform.NewMemory()
@@ -215,6 +219,7 @@
 func (h *history) startOwner(i int) {
 	h.gates[i] = &gate{Store: h.store, blind: h.blind}
 	m := ledger.New(ledger.Options{Node: ownerName(i), Store: h.gates[i], Settings: testSettings()})
+	m.SetSealEntries(h.plan.SealEntries)
 	h.managers[i].Store(m)
 	ctx, cancel := context.WithCancel(h.t.Context())
 	h.stops[i] = cancel
--- a/ledger/io.go
+++ b/ledger/io.go
@@ -13,7 +13,7 @@
 type claimEvent struct{ claim *claim }
 
 func (e claimEvent) apply(m *Manager) {
-	s, err := m.ownedShard(e.claim.shard)
+	s, err := m.ownedShard(e.claim.shard, e.claim.request.GetAnyOwner())
 	if err != nil {
 		e.claim.fail(err)
 		return
@@ -25,7 +25,7 @@
 type finishEvent struct{ finish *finish }
 
 func (e finishEvent) apply(m *Manager) {
-	s, err := m.ownedShard(e.finish.shard)
+	s, err := m.ownedShard(e.finish.shard, e.finish.request.GetAnyOwner())
 	if err != nil {
 		e.finish.result <- err
 		return
@@ -59,7 +59,7 @@
 		return
 	}
 	s.retry.Reset()
-	s.segment = e.segment
+	s.setSegment(e.segment)
 	s.pruneMarks()
 	if s.owned {
 		s.advance()
@@ -80,10 +80,14 @@
 	switch {
 	case e.err == nil:
 		s.retry.Reset()
-		s.segment = e.segment
+		m.deleteParts(s.number, s.parts, e.segment.parts)
+		s.setSegment(e.segment)
 		s.pruneMarks()
 		s.pruneReleased()
 	case platform.IsConflict(e.err), platform.IsUnknownEffect(e.err):
+		if platform.IsConflict(e.err) {
+			m.deleteParts(s.number, e.segment.parts, s.parts)
+		}
 		s.segment = nil
 		s.notBefore = time.Time{}
 		s.log("ledger_reload", e.err)
@@ -96,13 +100,14 @@
 	}
 }
 
-// ownedShard returns the shard if this node owns it by the latest topology.
-func (m *Manager) ownedShard(number uint32) (*shard, error) {
+// ownedShard returns the shard if this node owns it by the latest topology, or
+// if any node may answer.
+func (m *Manager) ownedShard(number uint32, anyOwner bool) (*shard, error) {
 	if m.topology == nil {
 		return nil, errNotOwner(number, "")
 	}
 	owner := m.topology.ShardOwner(number)
-	if owner != m.node {
+	if owner != m.node && !anyOwner {
 		return nil, errNotOwner(number, owner)
 	}
 	s, ok := m.shards[number]
@@ -127,17 +132,18 @@
 
 func (s *shard) load() {
 	s.busy = true
+	known := s.parts
 	s.manager.start(func(ctx context.Context) event {
-		segment, err := s.manager.readSegment(ctx, s.number)
+		segment, err := s.manager.readSegment(ctx, s.number, known)
 		return loadedEvent{shard: s, segment: segment, err: err}
 	})
 }
 
 func (s *shard) write() {
-	next := s.next(time.Now())
-	if len(next.entries) >= maxEntries && !s.claimsIn(next) {
+	if s.segment.size() >= maxShardEntries {
 		s.failFull()
 	}
+	next := s.next(time.Now())
 	s.busy = true
 	s.lastWrite = time.Now()
 	expect := s.segment.version
@@ -147,33 +153,6 @@
 	})
 }
 
-// claimsIn reports whether any waiting claim found room in the segment.
-func (s *shard) claimsIn(next *segment) bool {
-	for _, c := range s.waiting {
-		if e, ok := next.index[c.key]; ok && e.GetAttempt() == c.attempt {
-			return true
-		}
-	}
-	return false
-}
-
-func (m *Manager) readSegment(ctx context.Context, number uint32) (*segment, error) {
-	object, err := m.store.Get(ctx, segmentKey(number))
-	if err != nil && !platform.IsNotFound(err) {
-		return nil, err
-	}
-	return decodeSegment(object)
-}
-
-func (m *Manager) writeSegment(ctx context.Context, number uint32, next *segment, expect platform.Version) error {
-	value, err := next.encode(number, m.node, newNonce())
-	if err != nil {
-		return err
-	}
-	next.version, err = m.store.Put(ctx, segmentKey(number), value, expect)
-	return err
-}
-
 // start runs one read or write beside the Run goroutine and posts its event.
 func (m *Manager) start(work func(ctx context.Context) event) {
 	ctx := m.ctx
@@ -213,13 +192,13 @@
 // unclaimed requests that the segment holds by now.
 func (s *shard) pruneMarks() {
 	for key, attempt := range s.done {
-		entry := s.segment.index[key]
-		if entry == nil || entry.GetAttempt() != attempt || entry.GetDone() {
+		i, ok := s.segment.index[key]
+		if !ok || s.segment.entries[i].attempt != attempt || s.segment.entries[i].done {
 			delete(s.done, key)
 		}
 	}
 	for key := range s.unclaimed {
-		if s.held(key) == nil {
+		if _, ok := s.held(key); !ok {
 			continue
 		}
 		delete(s.unclaimed, key)
@@ -233,8 +212,8 @@
 // successful write, when no earlier write can take effect any more.
 func (s *shard) pruneReleased() {
 	for key, attempt := range s.released {
-		entry := s.segment.index[key]
-		if entry == nil || entry.GetAttempt() != attempt {
+		e, ok := s.segment.find(key)
+		if !ok || e.attempt != attempt {
 			delete(s.released, key)
 		}
 	}
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -7,8 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
-
-	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 // keyBytes is the length of a hashed request id.
@@ -31,13 +29,6 @@
 	return uint32(binary.BigEndian.Uint64(k[:8]) % uint64(shards))
 }
 
-// entryKey returns a stored entry's key; a malformed one becomes zero.
-func entryKey(e *schema.LedgerEntry) requestKey {
-	var k requestKey
-	copy(k[:], e.GetKey())
-	return k
-}
-
 func hashAttempt(attempt string) uint64 {
 	return xxhash.Sum64String(attempt)
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -2,7 +2,8 @@
 // owner appends claims to the shard's segment, one object of the object API,
 // by conditional update. Whoever appends an id first holds its claim, however
 // many nodes take themselves for the owner. Claims that arrive while a write
-// is under way join the next write of the shard.
+// is under way join the next write of the shard. A segment that has grown is
+// moved to parts, objects that do not change, so that a write stays small.
 package ledger
 
 import (
@@ -56,6 +57,7 @@
 	interval        time.Duration
 	maxOutcomeBytes uint64
 	runWithoutClaim bool
+	sealEntries     int
 
 	events          chan event
 	stopped         chan struct{}
@@ -86,6 +88,7 @@
 		interval:        s.GetCommitInterval().AsDuration(),
 		maxOutcomeBytes: s.GetMaxStoredOutcomeBytes(),
 		runWithoutClaim: s.GetRunIdempotentWithoutClaim(),
+		sealEntries:     defaultSealEntries,
 		events:          make(chan event),
 		stopped:         make(chan struct{}),
 		topologyChanged: make(chan struct{}, 1),
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,54 +11,122 @@
 )
 
 const (
-	// maxSegmentBytes leaves room below the object API's limit.
-	maxSegmentBytes = platform.MaxValueBytes - 64<<10
 	// maxEntryBytes is the largest encoded entry.
 	maxEntryBytes = 64
-	// maxEntries bounds one segment.
-	maxEntries = maxSegmentBytes / maxEntryBytes
+	// defaultSealEntries in the segment are moved to a part by the next write.
+	defaultSealEntries = 256
+	// maxBatch bounds the claims of one write.
+	maxBatch = 4096
+	// maxPartEntries keeps a part below the object API's limit.
+	maxPartEntries = (platform.MaxValueBytes - 64<<10) / maxEntryBytes
+	// maxShardEntries bounds an owner's memory for one shard.
+	maxShardEntries = 1_000_000
 	// clockSkew is the largest difference assumed between two clocks.
 	clockSkew = 5 * time.Minute
 )
 
-// segment is one version of a shard's stored object. It is not changed after
-// it was built.
+// entry is one claim, or the release of one in an earlier part.
+type entry struct {
+	key           requestKey
+	claimedUnixMs int64
+	digest        uint64
+	attempt       uint64
+	done          bool
+	released      bool
+}
+
+// segment is one version of a shard's stored state. It is not changed after it
+// was built.
 type segment struct {
 	version platform.Version
 	epoch   uint64
 	trimmed int64
-	entries []*schema.LedgerEntry
-	index   map[requestKey]*schema.LedgerEntry
+	// entries are the latest claims; index finds them by key.
+	entries []entry
+	index   map[requestKey]int
+	// parts hold the earlier claims, oldest first.
+	parts []*part
 }
 
-// decodeSegment reads a stored object; one of version zero is empty.
-func decodeSegment(object platform.Object) (*segment, error) {
-	stored := &schema.LedgerSegment{}
-	if err := proto.Unmarshal(object.Value, stored); err != nil {
-		return nil, err
+// setEntries keeps the last entry of each key.
+func (s *segment) setEntries(entries []entry) {
+	s.entries = entries
+	s.index = make(map[requestKey]int, len(entries))
+	for i, e := range entries {
+		s.index[e.key] = i
 	}
-	s := &segment{version: object.Version, epoch: stored.GetEpoch(), trimmed: stored.GetTrimmedBeforeUnixMs()}
-	s.setEntries(stored.GetEntries())
-	return s, nil
 }
 
-func (s *segment) setEntries(entries []*schema.LedgerEntry) {
-	s.entries = entries
-	s.index = make(map[requestKey]*schema.LedgerEntry, len(entries))
-	for _, e := range entries {
-		s.index[entryKey(e)] = e
+// find returns the claim of a key.
+func (s *segment) find(key requestKey) (entry, bool) {
+	if i, ok := s.index[key]; ok {
+		return s.entries[i], !s.entries[i].released
+	}
+	return s.findInParts(key)
+}
+
+func (s *segment) findInParts(key requestKey) (entry, bool) {
+	for _, p := range slices.Backward(s.parts) {
+		if e, ok := p.find(key); ok {
+			return e, !e.released
+		}
+	}
+	return entry{}, false
+}
+
+// size returns the number of entries in the segment and its parts.
+func (s *segment) size() int {
+	n := len(s.entries)
+	for _, p := range s.parts {
+		n += len(p.entries)
 	}
+	return n
 }
 
 func (s *segment) encode(shard uint32, owner, nonce string) ([]byte, error) {
-	return proto.Marshal(&schema.LedgerSegment{
+	stored := &schema.LedgerSegment{
 		Shard:               shard,
 		Epoch:               s.epoch,
 		Owner:               owner,
-		Entries:             s.entries,
+		Entries:             encodeEntries(s.entries),
 		TrimmedBeforeUnixMs: s.trimmed,
 		Nonce:               nonce,
-	})
+	}
+	for _, p := range s.parts {
+		stored.Parts = append(stored.Parts, p.reference())
+	}
+	return proto.Marshal(stored)
+}
+
+func encodeEntries(entries []entry) []*schema.LedgerEntry {
+	stored := make([]*schema.LedgerEntry, 0, len(entries))
+	for _, e := range entries {
+		stored = append(stored, &schema.LedgerEntry{
+			Key:           e.key[:],
+			ClaimedUnixMs: e.claimedUnixMs,
+			Digest:        e.digest,
+			Attempt:       e.attempt,
+			Done:          e.done,
+			Released:      e.released,
+		})
+	}
+	return stored
+}
+
+func decodeEntries(stored []*schema.LedgerEntry) []entry {
+	entries := make([]entry, 0, len(stored))
+	for _, e := range stored {
+		decoded := entry{
+			claimedUnixMs: e.GetClaimedUnixMs(),
+			digest:        e.GetDigest(),
+			attempt:       e.GetAttempt(),
+			done:          e.GetDone(),
+			released:      e.GetReleased(),
+		}
+		copy(decoded.key[:], e.GetKey())
+		entries = append(entries, decoded)
+	}
+	return entries
 }
 
 // trimTime returns the time before which claims are forgotten.
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -8,7 +8,6 @@
 	"github.com/google/uuid"
 
 	"github.com/primrosemoor/primrosemoor/platform"
-	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 // maxReleased bounds the releases that wait for a write of one shard.
@@ -29,7 +28,9 @@
 	busy bool
 	// segment is nil until it is loaded, and again after a write whose
 	// effect is not certain.
-	segment  *segment
+	segment *segment
+	// parts are those of the last segment that was loaded or written.
+	parts    []*part
 	records  *records
 	waiting  []*claim
 	finishes []*finish
@@ -63,6 +64,11 @@
 	}
 }
 
+func (s *shard) setSegment(next *segment) {
+	s.segment = next
+	s.parts = next.parts
+}
+
 // advance does whatever the shard's state allows: it answers what can be
 // answered, and starts a read or a write if one is needed.
 func (s *shard) advance() {
@@ -108,8 +114,8 @@
 // releasesStored reports whether the segment holds a released claim.
 func (s *shard) releasesStored() bool {
 	for key, attempt := range s.released {
-		entry := s.segment.index[key]
-		if entry != nil && entry.GetAttempt() == attempt {
+		e, ok := s.segment.find(key)
+		if ok && e.attempt == attempt {
 			return true
 		}
 	}
@@ -157,60 +163,7 @@
 	s.finishes = nil
 }
 
-// next returns the segment that the next write stores: the present one without
-// what was released or is too old, and with the waiting claims.
-func (s *shard) next(now time.Time) *segment {
-	horizon := trimTime(now, s.manager.retention).UnixMilli()
-	entries := make([]*schema.LedgerEntry, 0, len(s.segment.entries)+len(s.waiting))
-	for _, e := range s.segment.entries {
-		if e.GetClaimedUnixMs() < horizon {
-			s.records.remove(entryKey(e))
-			continue
-		}
-		if s.isReleased(entryKey(e), e.GetAttempt()) {
-			continue
-		}
-		entries = append(entries, s.withDoneMark(e))
-	}
-	added := make(map[requestKey]bool)
-	for _, c := range s.unwritten() {
-		if added[c.key] || len(entries) >= maxEntries {
-			continue
-		}
-		added[c.key] = true
-		entries = append(entries, c.entry(now.UnixMilli()))
-	}
-	n := &segment{epoch: s.segment.epoch + 1, trimmed: max(s.segment.trimmed, horizon)}
-	n.setEntries(entries)
-	return n
-}
-
-// unwritten returns the claims that the next write adds.
-func (s *shard) unwritten() []*claim {
-	claims := make([]*claim, 0, len(s.unclaimed)+len(s.waiting))
-	for key, c := range s.unclaimed {
-		if s.held(key) == nil {
-			claims = append(claims, c)
-		}
-	}
-	return append(claims, s.waiting...)
-}
-
-func (s *shard) withDoneMark(e *schema.LedgerEntry) *schema.LedgerEntry {
-	attempt, ok := s.done[entryKey(e)]
-	if !ok || attempt != e.GetAttempt() {
-		return e
-	}
-	return &schema.LedgerEntry{
-		Key:           e.GetKey(),
-		ClaimedUnixMs: e.GetClaimedUnixMs(),
-		Digest:        e.GetDigest(),
-		Attempt:       e.GetAttempt(),
-		Done:          true,
-	}
-}
-
-// failFull refuses the waiting claims that found no room.
+// failFull refuses the waiting claims of a shard that holds too many.
 func (s *shard) failFull() {
 	for _, c := range s.waiting {
 		c.fail(errShardFull(s.number))
--- /dev/null
+++ b/ledger/store.go
@@ -0,0 +1,119 @@
+package ledger
+
+import (
+	"context"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// readSegment reads a shard's segment and those of its parts that are not in
+// known.
+func (m *Manager) readSegment(ctx context.Context, number uint32, known []*part) (*segment, error) {
+	object, err := m.store.Get(ctx, segmentKey(number))
+	if err != nil && !platform.IsNotFound(err) {
+		return nil, err
+	}
+	stored := &schema.LedgerSegment{}
+	if err := proto.Unmarshal(object.Value, stored); err != nil {
+		return nil, err
+	}
+	s := &segment{version: object.Version, epoch: stored.GetEpoch(), trimmed: stored.GetTrimmedBeforeUnixMs()}
+	s.setEntries(decodeEntries(stored.GetEntries()))
+	for _, reference := range stored.GetParts() {
+		p, err := m.readPart(ctx, number, reference, known)
+		if err != nil {
+			return nil, err
+		}
+		s.parts = append(s.parts, p)
+	}
+	return s, nil
+}
+
+func (m *Manager) readPart(ctx context.Context, number uint32, reference *schema.LedgerPartName, known []*part) (*part, error) {
+	name := reference.GetName()
+	i := slices.IndexFunc(known, func(p *part) bool { return p.name == name })
+	if i >= 0 {
+		return known[i], nil
+	}
+	object, err := m.store.Get(ctx, partKey(number, name))
+	if err != nil {
+		return nil, err
+	}
+	stored := &schema.LedgerPart{}
+	if err := proto.Unmarshal(object.Value, stored); err != nil {
+		return nil, err
+	}
+	p := newPart(decodeEntries(stored.GetEntries()))
+	p.name = name
+	p.version = object.Version
+	return p, nil
+}
+
+// writeSegment writes the parts that are new, and then the segment if its
+// version is still expect.
+func (m *Manager) writeSegment(ctx context.Context, number uint32, next *segment, expect platform.Version) error {
+	for _, p := range next.parts {
+		if p.version != 0 {
+			continue
+		}
+		if err := m.writePart(ctx, number, p); err != nil {
+			return err
+		}
+	}
+	value, err := next.encode(number, m.node, newNonce())
+	if err != nil {
+		return err
+	}
+	next.version, err = m.store.Put(ctx, segmentKey(number), value, expect)
+	return err
+}
+
+// writePart creates a part. A lost answer is settled by reading: its name is
+// unique and its content does not change.
+func (m *Manager) writePart(ctx context.Context, number uint32, p *part) error {
+	value, err := p.encode()
+	if err != nil {
+		return err
+	}
+	object, err := platform.Update(ctx, m.store, platform.Change{
+		Key:    partKey(number, p.name),
+		Mutate: func(platform.Object) ([]byte, error) { return value, nil },
+		Owned:  func([]byte) bool { return true },
+	})
+	if err != nil {
+		return err
+	}
+	p.version = object.Version
+	return nil
+}
+
+// deleteParts removes the objects of the parts that a stored segment does not
+// name any more. A failure leaves an object behind and nothing else.
+func (m *Manager) deleteParts(number uint32, before, after []*part) {
+	var gone []*part
+	for _, p := range before {
+		if p.version != 0 && !slices.Contains(after, p) {
+			gone = append(gone, p)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	ctx := platform.WithPriority(m.ctx, platform.PriorityHousekeeping)
+	m.io.Go(func() {
+		for _, p := range gone {
+			err := m.store.Delete(ctx, partKey(number, p.name), p.version)
+			if err != nil {
+				m.logger.Warn().Str("event", "ledger_part_left").Str("key", partKey(number, p.name)).Err(err).Msg("")
+			}
+		}
+	})
+}
+
+func partKey(number uint32, name string) string {
+	return segmentKey(number) + "/" + name
+}
