Time tokens of engines that send usage with every chunk

Cause: a chunk with usage, or whose text was the word usage, was taken for the stream's end and not timed; an engine with running usage would have had no first-token time. After: such chunks are decoded and count as tokens if they carry output.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -193,8 +193,10 @@
 	if ended && end.FinishReason == engine.FinishCancelled {
 		return errCancelled
 	}
-	if !ended {
+	if !ended || end.HasToken {
 		r.timing.token(time.Now())
+	}
+	if !ended || (end.HasToken && end.Usage == nil) {
 		r.result.OutputTokens++
 	}
 	if !r.request.Stream {
--- a/engine/chat_test.go
+++ b/engine/chat_test.go
@@ -53,7 +53,11 @@
 	is.Equal(end.Usage.CompletionTokens, uint32(9))
 	is.Equal(end.Usage.PromptDetails.CachedTokens, uint32(4))
 	end, ok = ParseChunkEnd([]byte(`{"choices":[],"usage":{"completion_tokens":9}}`))
-	is.True(ok && end.UsageOnly)
+	is.True(ok && end.UsageOnly && !end.HasToken)
+	end, ok = ParseChunkEnd([]byte(`{"choices":[{"delta":{"content":"usage"},"finish_reason":null}]}`))
+	is.True(!ok || end.HasToken)
+	end, ok = ParseChunkEnd([]byte(`{"choices":[{"delta":{"content":"a"},"finish_reason":null}],"usage":{"completion_tokens":3}}`))
+	is.True(ok && end.HasToken)
 }
 
 func TestNormalizedRequestIgnoresOrderSpaceAndDelivery(t *testing.T) {
--- a/engine/chunk.go
+++ b/engine/chunk.go
@@ -28,6 +28,8 @@
 	FinishReason string
 	// UsageOnly says that the chunk has no choices.
 	UsageOnly bool
+	// HasToken says that the chunk also carries output.
+	HasToken bool
 }
 
 var (
@@ -42,11 +44,21 @@
 }
 
 type endChoice struct {
-	FinishReason string `json:"finish_reason"`
+	FinishReason string   `json:"finish_reason"`
+	Delta        endDelta `json:"delta"`
+}
+
+type endDelta struct {
+	Content   string            `json:"content"`
+	ToolCalls []json.RawMessage `json:"tool_calls"`
+}
+
+func (d endDelta) hasToken() bool {
+	return d.Content != "" || len(d.ToolCalls) > 0
 }
 
 // ParseChunkEnd returns usage and finish reason of a chunk. Most chunks have
-// neither and are not decoded; ok is false for them.
+// neither and are not decoded; ok is false for them, and each is a token.
 func ParseChunkEnd(data []byte) (end ChunkEnd, ok bool) {
 	if !hasValue(data, usageKey) && !hasValue(data, finishKey) {
 		return ChunkEnd{}, false
@@ -61,19 +73,24 @@
 		if choice.FinishReason != "" {
 			end.FinishReason = choice.FinishReason
 		}
+		end.HasToken = end.HasToken || choice.Delta.hasToken()
 	}
 	return end, true
 }
 
-// hasValue reports whether the last occurrence of key is followed by a value
+// hasValue reports whether any occurrence of key is followed by something
 // other than null.
 func hasValue(data, key []byte) bool {
-	i := bytes.LastIndex(data, key)
-	if i < 0 {
-		return false
+	for {
+		i := bytes.Index(data, key)
+		if i < 0 {
+			return false
+		}
+		data = bytes.TrimLeft(data[i+len(key):], " :")
+		if !bytes.HasPrefix(data, nullValue) {
+			return true
+		}
 	}
-	rest := bytes.TrimLeft(data[i+len(key):], " :")
-	return !bytes.HasPrefix(rest, nullValue)
 }
 
 // Completion is a whole chat completion.
