Claim at this node when the ledger's owner does not answer

Cause: an entry whose link to a shard's owner is cut could not claim, so that all keyed requests of that shard were refused there until the members changed. The ledger lets any node answer now; the conditional update decides between them, and the same attempt finds its own claim. Ruled out: a short time for the owner; with a slow object API every claim would then be made twice, against each other.

--- a/routing/claims.go
+++ b/routing/claims.go
@@ -4,13 +4,20 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
 
-// claimTimeout bounds the search for a shard's owner.
-const claimTimeout = 3 * time.Second
+const (
+	// claimTimeout bounds the search for a shard's owner.
+	claimTimeout = 5 * time.Second
+	// ownerTimeout is how long an owner may take to answer; it leaves room for
+	// an object API that is slow.
+	ownerTimeout = 2 * time.Second
+)
 
 // Ledger is this node's own ledger owner.
 type Ledger interface {
@@ -71,10 +78,30 @@
 		return c.local.Claim(ctx, r)
 	}
 	reply := &schema.ClaimReply{}
-	err = c.caller.Call(ctx, address, schema.Method_METHOD_CLAIM, r, reply)
+	err = c.callOwner(ctx, address, schema.Method_METHOD_CLAIM, r, reply)
+	if cutOff(err) && ctx.Err() == nil {
+		r = proto.CloneOf(r)
+		r.AnyOwner = true
+		return c.local.Claim(ctx, r)
+	}
 	return reply, err
 }
 
+// callOwner asks a shard's owner, who answers within ownerTimeout unless it is
+// cut off or paused.
+func (c *Claims) callOwner(ctx context.Context, address string, method schema.Method, req, resp proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	return c.caller.Call(ctx, address, method, req, resp)
+}
+
+// cutOff reports whether the owner did not answer. The local ledger may answer
+// in its place: the conditional update of the shard's segment decides between
+// them, and the same attempt finds its own claim.
+func cutOff(err error) bool {
+	return fault.KindOf(err) == schema.ErrorKind_ERROR_KIND_UNREACHABLE
+}
+
 func (c *Claims) finish(ctx context.Context, r *schema.FinishRequest) error {
 	address, local, err := c.owner(r.GetTeam(), r.GetRequestId())
 	if err != nil {
@@ -84,7 +111,13 @@
 		_, err := c.local.Finish(ctx, r)
 		return err
 	}
-	return c.caller.Call(ctx, address, schema.Method_METHOD_FINISH, r, &schema.FinishReply{})
+	err = c.callOwner(ctx, address, schema.Method_METHOD_FINISH, r, &schema.FinishReply{})
+	if cutOff(err) && ctx.Err() == nil {
+		r = proto.CloneOf(r)
+		r.AnyOwner = true
+		_, err = c.local.Finish(ctx, r)
+	}
+	return err
 }
 
 // owner returns the address of the shard's owner, or local true if it is this
