Generate load and replay traces against stated outcomes

Ruled out: DisableKeepAlives for each request (exhausts ports at the target's 6,100/s); the transport's own retries (it would send a request with an Idempotency-Key again by itself: a body without GetBody prevents it). Conclusion: not yet run against real nodes; that is next.

--- a/Makefile
+++ b/Makefile
@@ -90,3 +90,8 @@
 	go test -run '^$$' -fuzz FuzzEventReader -fuzztime 20000x ./engine
 	go test -run '^$$' -fuzz FuzzStreamedBody -fuzztime 20000x ./engine
 	go test -run '^$$' -fuzz FuzzProblemBody -fuzztime 20000x ./problem
+.PHONY: traces
+
+traces: ## Write the example traces anew.
+	@for name in drumlin-spring-weekend drumlin-hot-cupboard kowhai-packing-day kowhai-courier-day-outage; do \
+		go run ./cmd/primrosectl trace $$name >examples/traces/$$name.jsonl; done
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -59,6 +59,9 @@
 	Explain  explainCommand  `cmd:"" help:"Show the recorded decisions for a request."`
 	Drain    drainCommand    `cmd:"" help:"Begin a node's graceful shutdown."`
 	Release  releaseCommand  `cmd:"" help:"Release a quarantined request fingerprint."`
+	Load     loadCommand     `cmd:"" help:"Send a generated load to nodes on this VM."`
+	Replay   replayCommand   `cmd:"" help:"Send a recorded trace and judge its stated outcomes."`
+	Trace    traceCommand    `cmd:"" help:"Write an example trace to standard output."`
 	HashKey  hashKeyCommand  `cmd:"" help:"Print the hash of a bearer key for the rules."`
 }
 
