Meter permits, claims and the object API; close connections while draining

Cause: the counters had no caller; and a caller might send on a kept-alive connection at the moment the listener's shutdown closes it. After: the dispatcher counts permits and claims through its Meter; the platform client's totals are read at each scrape; answers given while draining close their connection.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return d.refuse(r, claimError(err))
 	}
+	d.options.Meter.CountClaim(reply.GetState())
 	switch reply.GetState() {
 	case schema.ClaimState_CLAIM_STATE_NEW:
 		run := d.newRun(ctx, w, r, d.newClaim(r, attempt))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -111,6 +111,17 @@
 	Gaps []time.Duration
 }
 
+// Meter counts permits and claims.
+type Meter interface {
+	CountPermit(result schema.PermitResult)
+	CountClaim(state schema.ClaimState)
+}
+
+type nopMeter struct{}
+
+func (nopMeter) CountPermit(schema.PermitResult) {}
+func (nopMeter) CountClaim(schema.ClaimState)    {}
+
 // Options configures a Dispatcher.
 type Options struct {
 	Node    string
@@ -119,6 +130,8 @@
 	Claims  Claims
 	Engine  *engine.Client
 	Signer  *Signer
+	// Meter may be nil.
+	Meter Meter
 	// MaxStreamDuration bounds one answer.
 	MaxStreamDuration time.Duration
 	// StallTimeout is how long a stream may be silent before it is read again
@@ -147,6 +160,9 @@
 	if options.MaxStreamDuration <= 0 {
 		options.MaxStreamDuration = DefaultMaxStreamDuration
 	}
+	if options.Meter == nil {
+		options.Meter = nopMeter{}
+	}
 	if options.StallTimeout <= 0 {
 		options.StallTimeout = DefaultStallTimeout
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -291,6 +291,7 @@
 		}
 	}
 	r.dispatcher.options.Permits.Return(back)
+	r.dispatcher.options.Meter.CountPermit(back.GetResult())
 }
 
 // finish completes the result and settles the claim.
--- a/front/front.go
+++ b/front/front.go
@@ -147,6 +147,11 @@
 		problem.Write(w, headerTooLarge(f.bounds.maxHeader), "")
 		return
 	}
+	if f.draining.Load() {
+		// Lets kept-alive connections end before the listener closes, so that no
+		// caller sends a request on a connection that is about to be closed.
+		w.Header().Set("Connection", "close")
+	}
 	timed := newTimedWriter(w, f.bounds.idle)
 	f.router.ServeHTTP(timed, r)
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -231,6 +231,7 @@
 	is.Equal(resp.StatusCode, 503)
 	resp, _ = x.call(t, "POST", "/v1/chat/completions", chatBody)
 	is.Equal(resp.StatusCode, 200) // Requests are served while draining.
+	is.True(resp.Close)
 }
 
 func TestRequestsInFlightAreCounted(t *testing.T) {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -55,7 +55,6 @@
 	promptTokens, cachedTokens, wastedTokens metric.Int64Counter
 	sheds, permits, claims                   metric.Int64Counter
 	peerCalls, peerSent, peerReceived        metric.Int64Counter
-	platformCalls, platformBytes             metric.Int64Counter
 }
 
 // New returns a Telemetry with its own registry.
@@ -108,8 +107,6 @@
 		{&c.peerCalls, "peer.calls", "Calls between nodes, by method."},
 		{&c.peerSent, "peer.sent.bytes", "Payload bytes sent to other nodes, by method."},
 		{&c.peerReceived, "peer.received.bytes", "Payload bytes received from other nodes, by method."},
-		{&c.platformCalls, "platform.calls", "Calls to the object API, by operation and result."},
-		{&c.platformBytes, "platform.bytes", "Payload bytes to and from the object API, by operation."},
 	}
 	for _, item := range list {
 		counter, err := t.meter.Int64Counter("primrosemoor."+item.name, metric.WithDescription(item.usage))
@@ -140,7 +137,7 @@
 
 // labels are the attributes of one series; empty ones are left out.
 type labels struct {
-	tier, service, result, method, operation, state string
+	tier, service, result, method, state string
 }
 
 // with returns the options of a series. Label values come from the
@@ -175,7 +172,6 @@
 	add("service", l.service)
 	add("result", l.result)
 	add("method", l.method)
-	add("operation", l.operation)
 	add("state", l.state)
 	return metric.WithAttributeSet(attribute.NewSet(attributes...))
 }
@@ -247,34 +243,3 @@
 	t.counters.peerSent.Add(ctx, int64(sent), options...)
 	t.counters.peerReceived.Add(ctx, int64(received), options...)
 }
-
-// CountPlatformCall adds one call to the object API with its payload bytes in
-// both directions. A waiting watch counts as one call.
-func (t *Telemetry) CountPlatformCall(operation, result string, bytes int) {
-	ctx := context.Background()
-	t.counters.platformCalls.Add(ctx, 1, t.with(labels{operation: operation, result: result}).add...)
-	t.counters.platformBytes.Add(ctx, int64(bytes), t.with(labels{operation: operation}).add...)
-}
-
-// QueueDepth is the number of requests that wait in one tier of a service.
-type QueueDepth struct {
-	Service string
-	Tier    string
-	Waiting int
-}
-
-// ObserveQueues reports queue depths at each scrape; depths must not block.
-func (t *Telemetry) ObserveQueues(depths func() []QueueDepth) error {
-	_, err := t.meter.Int64ObservableGauge("primrosemoor.queue.requests",
-		metric.WithDescription("Requests that wait for a permit, by service and tier."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			for _, d := range depths() {
-				o.Observe(int64(d.Waiting), t.with(labels{tier: d.Tier, service: d.Service}).observe...)
-			}
-			return nil
-		}))
-	if err != nil {
-		return fmt.Errorf("gauge queue.requests: %w", err)
-	}
-	return nil
-}
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -29,6 +29,11 @@
 	is.NoErr(m.ObserveQueues(func() []telemetry.QueueDepth {
 		return []telemetry.QueueDepth{{Service: "llm", Tier: "guest", Waiting: 3}}
 	}))
+	is.NoErr(m.ObservePlatform(func() telemetry.PlatformUsage {
+		return telemetry.PlatformUsage{Calls: 5, BytesSent: 6, BytesReceived: 7}
+	}))
+	m.CountPermit(schema.PermitResult_PERMIT_RESULT_REFUSED)
+	m.CountClaim(schema.ClaimState_CLAIM_STATE_NEW)
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	text := w.Body.String()
@@ -40,6 +45,10 @@
 		`primrosemoor_inter_token_seconds_count{tier="guest"} 1`,
 		`primrosemoor_peer_received_bytes_total{method="METHOD_PERMIT"} 20`,
 		`primrosemoor_queue_requests{service="llm",tier="guest"} 3`,
+		`primrosemoor_platform_calls_total 5`,
+		`primrosemoor_platform_received_bytes_total 7`,
+		`primrosemoor_permits_total{result="PERMIT_RESULT_REFUSED"} 1`,
+		`primrosemoor_ledger_claims_total{state="CLAIM_STATE_NEW"} 1`,
 		`process_cpu_seconds_total`,
 		`process_resident_memory_bytes`,
 	} {
