--- a/Makefile
+++ b/Makefile
@@ -95,3 +95,8 @@
 traces: ## Write the example traces anew.
 	@for name in drumlin-spring-weekend drumlin-hot-cupboard kowhai-packing-day kowhai-courier-day-outage; do \
 		go run ./cmd/primrosectl trace $$name >examples/traces/$$name.jsonl; done
+
+.PHONY: demo
+
+demo: build ## Run a whole deployment on loopback under load, and check the outcomes.
+	./demo/run.sh
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -29,10 +29,14 @@
 	Run(ctx context.Context) error
 }
 
-func appendLifecycle(lc fx.Lifecycle, p parts) {
+func appendLifecycle(lc fx.Lifecycle, p parts) error {
 	l := &lifecycle{parts: p, controller: newController(p)}
 	registerHandlers(p.Server, &l.parts)
+	if err := l.observe(); err != nil {
+		return err
+	}
 	lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
+	return nil
 }
 
 func newController(p parts) *controller {
--- a/node/state.go
+++ b/node/state.go
@@ -45,6 +45,7 @@
 		Isolated:         p.Membership.Isolated(),
 		Groups:           p.Admission.Status(),
 		InFlight:         uint32(p.Front.handler.InFlight()),
+		StoreReachable:   p.storeReachable(),
 	}
 	for _, m := range p.Membership.Members() {
 		reply.Members = append(reply.Members, &schema.MemberStatus{
@@ -57,3 +58,13 @@
 	}
 	return reply
 }
+
+// reachability tells whether a store's latest calls were answered.
+type reachability interface {
+	Reachable() bool
+}
+
+func (p *parts) storeReachable() bool {
+	store, ok := p.Store.(reachability)
+	return !ok || store.Reachable()
+}
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -164,7 +164,7 @@
 }
 
 func newDispatcher(s *schema.Settings, permits *routing.Permits, claims *routing.Claims, recorder *explain.Recorder,
-	client *engine.Client, signer *dispatch.Signer) *dispatch.Dispatcher {
+	client *engine.Client, signer *dispatch.Signer, t *telemetry.Telemetry) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Node:              s.GetNode().GetName(),
 		Region:            s.GetNode().GetRegion(),
@@ -172,6 +172,7 @@
 		Claims:            claims,
 		Engine:            client,
 		Signer:            signer,
+		Meter:             t,
 		MaxStreamDuration: s.GetHttp().GetMaxStreamDuration().AsDuration(),
 		MaxStoredOutcome:  int(s.GetLedger().GetMaxStoredOutcomeBytes()),
 	})
