Measure the decisions in virtual time on fake engines

Cause: nothing showed yet whether the decisions beat plain balancers. The bench runs admission.Owner, one for each region, against random, round robin, least outstanding and an oracle, on both users' mixes. Ruled out: capacity from whole prompts, since prefixes are cached; arrivals that stop before the last deadlines, since lower tiers were then served in the quiet. Result: trials print; the table follows with make bench.

--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,8 @@
 bench-path: ## Measure what the node adds to a target's answers, side by side with the target called directly.
 	go test -run '^$$' -bench AddedTime -benchtime 5x ./front
 	go test -run '^$$' -bench 'Request$$' -cpu 1 -benchtime 3s ./front
+
+.PHONY: bench
+
+bench: ## Measure the decisions against baselines and an oracle, write docs/RESULTS.md and print the cells that miss their goals.
+	go test ./bench -run TestResults -count 1 -v -results $(CURDIR)/docs/RESULTS.md
