Let a floor fall although less important requests still arrive

Cause: a request condemned by a floor pressed the pool again, so that under steady arrivals the floor never fell: lower tiers starved with capacity left.

--- a/admission/pool.go
+++ b/admission/pool.go
@@ -174,6 +174,14 @@
 	p.want = min(p.want, rank)
 }
 
+// follow wants a floor for requests that a sibling's floor condemned. Once it
+// is there, more such requests do not prolong it.
+func (p *pool) follow(now time.Time, rank uint32) {
+	if p.want > rank {
+		p.press(now, rank)
+	}
+}
+
 // advance moves the floor to what is wanted and reports whether it moved.
 func (p *pool) advance(now time.Time) bool {
 	if p.floor <= p.want {
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -106,14 +106,16 @@
 }
 
 // refuseCondemned sheds condemned waiters, the least important first, as far
-// as the order of tiers allows, and presses for the rest.
+// as the order of tiers allows, and asks siblings for the rest.
 func (o *Owner) refuseCondemned(now time.Time, p *pool) {
 	for rank := p.lowest; rank > 0; rank-- {
 		if !o.hasCondemned(p, rank) {
 			continue
 		}
-		p.press(now, rank)
-		o.advance(now, p)
+		if !p.mayShed(now, rank) {
+			p.follow(now, rank)
+			o.advance(now, p)
+		}
 		if !p.mayShed(now, rank) {
 			return
 		}
