--- a/Makefile
+++ b/Makefile
@@ -100,3 +100,8 @@
 
 demo: build ## Run a whole deployment on loopback under load, and check the outcomes.
 	./demo/run.sh
+
+.PHONY: bench
+
+bench: ## Measure the decisions against baselines and an oracle, write docs/RESULTS.md and print the cells that miss their goals.
+	go test ./bench -run TestResults -count 1 -v -results $(CURDIR)/docs/RESULTS.md
