Ask early for a share, and grant no more than twice a demand

Choice: at most twice the demand is granted, so that a newcomer finds some free; a node that runs short reports at once (at most four times an interval); slots without a grant are an even share; demand in flight is the peak.

--- a/limits/allocator.go
+++ b/limits/allocator.go
@@ -9,6 +9,11 @@
 // nodes, so that a node may admit before it has asked.
 const reservedShare = 0.1
 
+// headroom multiplies a demand to the most that is granted for it. What is
+// left stays free, so that a node that asks next need not wait until the others
+// have given some back.
+const headroom = 2
+
 // amounts is a triple of what limits bound: requests a second, tokens a second
 // and requests in flight.
 type amounts struct {
@@ -123,6 +128,8 @@
 	d.granted += granted
 }
 
-func (d *dimension) fair() float64 { return divide(d.pool, d.demands)[0] }
+func (d *dimension) fair() float64 {
+	return min(divide(d.pool, d.demands)[0], headroom*d.demands[0])
+}
 
 func (d *dimension) free() float64 { return max(0, d.pool-d.granted) }
--- a/limits/bucket.go
+++ b/limits/bucket.go
@@ -9,9 +9,6 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// burst is the time whose share may be used at once.
-const burst = 2 * time.Second
-
 // decay is the part of a sparse demand that is kept from one report to the
 // next when fewer callers come by chance.
 const decay = 0.7
@@ -30,50 +27,6 @@
 // inFlightRetry is the wait stated to a caller refused for requests in flight.
 const inFlightRetry = time.Second
 
-// rateBucket is a token bucket that may go into debt.
-type rateBucket struct {
-	limited  bool
-	level    float64
-	rate     float64
-	capacity float64
-	updated  time.Time
-}
-
-// setRate changes the rate from now on. A bucket holds at least least, and as
-// much as an even share of the limit over all nodes, so that a caller who
-// was idle may begin with a burst.
-func (b *rateBucket) setRate(now time.Time, limit, rate, least float64, nodes int) {
-	fresh := b.updated.IsZero()
-	b.refill(now)
-	b.limited = limit > 0
-	b.rate = rate
-	b.capacity = max(least, max(rate, limit/float64(nodes))*burst.Seconds())
-	if fresh {
-		b.level = b.capacity
-	}
-	b.level = min(b.level, b.capacity)
-}
-
-func (b *rateBucket) refill(now time.Time) {
-	if elapsed := now.Sub(b.updated).Seconds(); elapsed > 0 && !b.updated.IsZero() {
-		b.level = min(b.capacity, b.level+b.rate*elapsed)
-	}
-	b.updated = now
-}
-
-// wait returns the time until the level reaches need; 0 means now.
-func (b *rateBucket) wait(need float64) time.Duration {
-	if !b.limited || b.level >= need {
-		return 0
-	}
-	seconds := (need - b.level) / b.rate
-	return time.Duration(math.Ceil(min(seconds, time.Hour.Seconds())*1e3)) * time.Millisecond
-}
-
-func (b *rateBucket) low() bool {
-	return b.limited && b.level < b.capacity/2
-}
-
 // bucket holds one team's share of its limits on this node.
 type bucket struct {
 	mu       sync.Mutex
@@ -84,6 +37,8 @@
 	tokens   rateBucket
 	slots    float64
 	inFlight int
+	// peak is the most that was in flight since measured.
+	peak int
 	// granted ends when the allocator's grant does; zero means none.
 	granted time.Time
 	// seen counts what callers asked for since measured.
@@ -92,7 +47,7 @@
 	measured time.Time
 	// recent is the demand told last; it falls gradually.
 	recent amounts
-	// urgent is signalled by a refusal that a grant might have avoided.
+	// urgent is signalled when a grant might avoid the next refusal.
 	urgent chan<- struct{}
 }
 
@@ -125,7 +80,7 @@
 	b.tokens.setRate(now, b.limit.tokens, share.tokens, least, b.nodes)
 	b.slots = math.Floor(share.inFlight)
 	if b.granted.IsZero() {
-		b.slots = max(1, b.slots)
+		b.slots = max(1, math.Floor(b.limit.inFlight/float64(b.nodes)))
 	}
 }
 
@@ -158,6 +113,10 @@
 	b.requests.level--
 	b.tokens.level -= tokens
 	b.inFlight++
+	b.peak = max(b.peak, b.inFlight)
+	if b.requests.wait(1) > 0 || b.tokens.wait(1) > 0 || b.limit.inFlight > 0 && float64(b.inFlight) >= b.slots {
+		b.hurry()
+	}
 	return nil
 }
 
@@ -171,17 +130,23 @@
 
 func (b *bucket) refuse(what string, wait time.Duration) error {
 	b.refused = true
-	if b.granted.IsZero() {
-		select {
-		case b.urgent <- struct{}{}:
-		default:
-		}
-	}
+	b.hurry()
 	return fault.New(schema.ErrorKind_ERROR_KIND_LIMIT_EXCEEDED,
 		"team "+b.team+" is at its limit of "+what,
 		"send again after the time stated, or ask the operators for a higher limit").NotRun().After(wait)
 }
 
+// hurry asks for an early report if a grant might help.
+func (b *bucket) hurry() {
+	if !b.granted.IsZero() {
+		return
+	}
+	select {
+	case b.urgent <- struct{}{}:
+	default:
+	}
+}
+
 func (b *bucket) done(now time.Time, tokens float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -200,24 +165,31 @@
 	b.expire(now)
 	b.requests.refill(now)
 	b.tokens.refill(now)
+	measured := b.measure(now)
 	kept := 0.0
 	if b.recent.requests*now.Sub(b.measured).Seconds() < sparse {
 		kept = decay
 	}
-	b.recent = b.recent.fallTo(b.measure(now), kept)
-	active := b.seen.requests > 0 || b.inFlight > 0
-	short := b.refused || b.requests.low() || b.tokens.low() || b.fewSlots()
-	b.seen, b.refused, b.measured = amounts{}, false, now
-	if b.recent.below(b.limit.base(b.nodes)) {
+	if kept > 0 || b.seen.requests > 0 {
+		// What it takes to fill the buckets again is part of the demand.
+		measured.requests += b.requests.lacking() / burst.Seconds()
+		measured.tokens += b.tokens.lacking() / burst.Seconds()
+	}
+	b.recent = b.recent.fallTo(measured, kept)
+	active := b.seen.requests > 0 || b.peak > 0
+	short := b.requests.low() || b.tokens.low()
+	worth := short || active && (b.refused || b.fewSlots()) || !b.granted.IsZero()
+	b.seen, b.refused, b.measured, b.peak = amounts{}, false, now, b.inFlight
+	if !short && b.recent.below(b.limit.base(b.nodes)) {
 		b.recent = amounts{}
 	}
-	return b.recent, active && short || !b.granted.IsZero()
+	return b.recent, worth
 }
 
 // measure returns the demand since the last report.
 func (b *bucket) measure(now time.Time) amounts {
 	elapsed := max(now.Sub(b.measured).Seconds(), time.Millisecond.Seconds())
-	d := amounts{b.seen.requests / elapsed, b.seen.tokens / elapsed, float64(b.inFlight)}
+	d := amounts{b.seen.requests / elapsed, b.seen.tokens / elapsed, float64(b.peak)}
 	if b.refused {
 		d.inFlight++
 	}
@@ -225,5 +197,5 @@
 }
 
 func (b *bucket) fewSlots() bool {
-	return b.limit.inFlight > 0 && float64(b.inFlight) > b.slots/2
+	return b.limit.inFlight > 0 && float64(b.peak) > b.slots/2
 }
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -8,7 +8,9 @@
 // pass: four seconds' worth after a quiet time, four requests for each node,
 // the tokens of the requests just admitted, and, for the time of a grant, what
 // a node holds that did not hear of its lower share or that follows another
-// allocator. Of requests in flight, one for each node may pass beyond.
+// allocator. Requests in
+// flight may reach twice the limit, and one for each node, until the nodes
+// have asked.
 package limits
 
 import (
@@ -28,8 +30,8 @@
 
 const (
 	minInterval = time.Second
-	// urgentShare is the part of an interval after which a refusal may bring
-	// the next report forward.
+	// urgentShare is the part of an interval after which a node that is short
+	// may bring its next report forward.
 	urgentShare     = 4
 	maxInterval     = 10 * time.Second
 	intervalPerNode = 25 * time.Millisecond
