Run the demo on addresses of its own

Cause: a second run counted 865 starts for 829 requests and 2 late ones; its register stood at revision 3 although the demo applies 2: another load on the example's addresses had reached the demo's platform.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -7,9 +7,13 @@
 cd "$(dirname "$0")/.."
 
 bin=.bin
-examples=examples/drumlin
 work=$(mktemp -d)
-platform=127.0.0.2:9000
+# The example's addresses are moved to a network of the demo's own.
+network=127.77
+platform=$network.0.2:9000
+for file in settings register rules; do
+  sed "s/127\.0\./$network./g" "examples/drumlin/$file.toml" >"$work/$file.toml"
+done
 hot=herd-02
 seconds=20
 declare -A pids=()
@@ -33,7 +37,7 @@
   sed -e "s/^name = .*/name = \"$1\"/" \
     -e "s/^availability_zone = .*/availability_zone = \"$2\"/" \
     -e "s/^region = .*/region = \"$3\"/" \
-    -e "s/127\.0\.1\.101/$4/g" "$examples/settings.toml"
+    -e "s/$network\.1\.101/$4/g" "$work/settings.toml"
 }
 
 fail() {
@@ -48,7 +52,7 @@
 for zone in munster leinster connacht; do
   region=$((region + 1))
   for i in 1 2; do
-    ip=127.0.$region.10$i name=node-$zone-$i
+    ip=$network.$region.10$i name=node-$zone-$i
     node_settings "$name" "$zone-1" "$zone" "$ip" >"$work/$name.toml"
     start "$name" "$bin/primrosemoor" run --settings "$work/$name.toml"
     nodes+=("$name") urls+=("http://$ip:8080") peers+=("$ip:7000")
@@ -63,10 +67,10 @@
   else
     start "$vm" "$bin/standin" service --name "$vm" --listen "$address" --record "$record"
   fi
-done < <(awk -F'"' '/^name/ {vm=$2} /^service/ {s=$2} /^address/ {print vm, s, $2}' "$examples/register.toml")
+done < <(awk -F'"' '/^name/ {vm=$2} /^service/ {s=$2} /^address/ {print vm, s, $2}' "$work/register.toml")
 
 for _ in $(seq 50); do
-  "$bin/primrosectl" apply --platform "http://$platform" "$examples/register.toml" "$examples/rules.toml" \
+  "$bin/primrosectl" apply --platform "http://$platform" "$work/register.toml" "$work/rules.toml" \
     >"$work/apply.log" 2>&1 && break
   sleep 0.1
 done
