--- a/ledger/finish.go
+++ b/ledger/finish.go
@@ -67,9 +67,12 @@
 		s.records.remove(f.key)
 		delete(s.unclaimed, f.key)
 	}
-	if len(s.released) < maxReleased {
-		s.released[f.key] = f.attempt
+	if len(s.released) >= maxReleased {
+		return
 	}
+	s.released[f.key] = f.attempt
+	held, ok := s.segment.find(f.key)
+	s.releaseDue = s.releaseDue || ok && held.attempt == f.attempt
 }
 
 func (s *shard) markDone(key requestKey) {
--- a/ledger/io.go
+++ b/ledger/io.go
@@ -18,8 +18,7 @@
 		e.claim.fail(err)
 		return
 	}
-	s.waiting = append(s.waiting, e.claim)
-	s.advance()
+	s.addClaim(e.claim)
 }
 
 type finishEvent struct{ finish *finish }
@@ -30,17 +29,16 @@
 		e.finish.result <- err
 		return
 	}
-	s.finishes = append(s.finishes, e.finish)
-	s.advance()
+	s.addFinish(e.finish)
 }
 
-// wakeEvent advances a shard after a delay.
+// wakeEvent looks after a shard when something is due.
 type wakeEvent struct{ shard *shard }
 
 func (e wakeEvent) apply(*Manager) {
 	e.shard.wake = time.Time{}
 	if e.shard.owned {
-		e.shard.advance()
+		e.shard.schedule()
 	}
 }
 
@@ -60,9 +58,8 @@
 	}
 	s.retry.Reset()
 	s.setSegment(e.segment)
-	s.pruneMarks()
 	if s.owned {
-		s.advance()
+		s.schedule()
 	}
 }
 
@@ -82,7 +79,6 @@
 		s.retry.Reset()
 		m.deleteParts(s.number, s.parts, e.segment.parts)
 		s.setSegment(e.segment)
-		s.pruneMarks()
 		s.pruneReleased()
 	case platform.IsConflict(e.err), platform.IsUnknownEffect(e.err):
 		if platform.IsConflict(e.err) {
@@ -96,7 +92,7 @@
 		return
 	}
 	if s.owned {
-		s.advance()
+		s.schedule()
 	}
 }
 
@@ -140,6 +136,10 @@
 }
 
 func (s *shard) write() {
+	s.dropExpired()
+	if !s.needsIO() {
+		return
+	}
 	if s.segment.size() >= maxShardEntries {
 		s.failFull()
 	}
@@ -171,13 +171,14 @@
 	if !s.owned {
 		return
 	}
+	s.dropExpired()
 	if fault.KindOf(err) == schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE {
 		s.runUnclaimed()
 	}
-	s.advance()
+	s.schedule()
 }
 
-// wakeAfter advances the shard again after a delay.
+// wakeAfter looks after the shard again after a delay.
 func (s *shard) wakeAfter(delay time.Duration) {
 	at := time.Now().Add(delay)
 	if !s.wake.IsZero() && !s.wake.After(at) {
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -34,6 +34,8 @@
 	records  *records
 	waiting  []*claim
 	finishes []*finish
+	// releaseDue is set while the segment may hold a released claim.
+	releaseDue bool
 	// released and done hold attempts by key; they wait for the next write.
 	released map[requestKey]uint64
 	done     map[requestKey]uint64
@@ -64,18 +66,41 @@
 	}
 }
 
+// setSegment adopts a segment that was loaded or written, and answers what it
+// allows to answer.
 func (s *shard) setSegment(next *segment) {
 	s.segment = next
 	s.parts = next.parts
+	s.pruneMarks()
+	s.releaseDue = s.releasesStored()
+	s.recordFinishes()
+	s.answerWaiting()
 }
 
-// advance does whatever the shard's state allows: it answers what can be
-// answered, and starts a read or a write if one is needed.
-func (s *shard) advance() {
+// addClaim answers a claim at once if the segment allows it; otherwise the
+// claim waits for the next write.
+func (s *shard) addClaim(c *claim) {
+	if s.segment != nil {
+		if result, decided := s.decide(c); decided {
+			c.result <- result
+			return
+		}
+	}
+	s.waiting = append(s.waiting, c)
+	s.schedule()
+}
+
+// addFinish records a finish, at once if the segment is loaded.
+func (s *shard) addFinish(f *finish) {
+	s.finishes = append(s.finishes, f)
 	if s.segment != nil {
 		s.recordFinishes()
-		s.answerWaiting()
 	}
+	s.schedule()
+}
+
+// schedule starts a read or a write if one is needed and due.
+func (s *shard) schedule() {
 	if s.busy {
 		return
 	}
@@ -98,10 +123,7 @@
 	if len(s.waiting) > 0 || len(s.finishes) > 0 || len(s.unclaimed) > 0 || s.doneDue() {
 		return true
 	}
-	if s.segment == nil {
-		return len(s.released) > 0
-	}
-	return s.releasesStored()
+	return s.releaseDue
 }
 
 // awaitDoneMarks makes sure that done marks are written without a claim.
@@ -150,6 +172,11 @@
 	})
 }
 
+// dropExpired forgets the claims whose callers are gone.
+func (s *shard) dropExpired() {
+	s.waiting = slices.DeleteFunc(s.waiting, func(c *claim) bool { return c.ctx.Err() != nil })
+}
+
 // drop fails what waits, after another node became the owner.
 func (s *shard) drop(owner string) {
 	s.owned = false
