Report running requests to the next owner of their shard

The stopped node owned the keys' shards; its records of where requests run were in memory, and the next owner found the claims only. Ruled out: repeating every report on a timer, which sends them for requests whose shards stayed, too. After: Dispatcher.ReportRunning tells the ledger again of the running requests whose shards moved, and a second send attaches to the stream. Also: stored problems and 5xx answers of plain targets no longer count as goodput. Result: TestRunningRequestIsReportedToTheShardsNextOwner shows the refusal before the report and the whole answer after it; go test -race -count=3 ./dispatch ./front passes.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -5,32 +5,13 @@
 	"net/http"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-const (
-	finishTries    = 6
-	finishTimeout  = 2 * time.Second
-	releaseTimeout = time.Second
-	inProgressWait = time.Second
-)
-
-// claim is a ledger entry that this run holds. Its reports are sent in order
-// by one goroutine, so that they delay no token.
-type claim struct {
-	dispatcher *Dispatcher
-	requestID  string
-	team       string
-	attempt    string
-	target     string
-	address    string
-	streamID   string
-	reports    chan claimReport
-}
+const inProgressWait = time.Second
 
 // serveClaimed asks the ledger first, and runs, attaches to, or replays the
 // request.
@@ -108,96 +89,9 @@
 	result := Result{
 		Source:     SourceStored,
 		Status:     answer.status,
-		Delivered:  !answer.gone,
+		Delivered:  !answer.gone && isUseful(answer.status),
 		CallerGone: answer.gone,
 		Total:      time.Since(r.Arrived),
 	}
 	return result, nil
 }
-
-func (d *Dispatcher) newClaim(r *Request, attempt string) *claim {
-	c := &claim{
-		dispatcher: d,
-		requestID:  r.ID,
-		team:       r.Team,
-		attempt:    attempt,
-		reports:    make(chan claimReport, maxPermits+1),
-	}
-	d.background.Go(c.sendReports)
-	return c
-}
-
-// claimReport is a report and the channel closed once it was sent or given up.
-type claimReport struct {
-	request *schema.FinishRequest
-	sent    chan struct{}
-}
-
-func (c *claim) sendReports() {
-	for report := range c.reports {
-		c.sendReport(report.request)
-		close(report.sent)
-	}
-}
-
-// enqueue hands a report to the sender. Reports are few, so it never waits.
-func (c *claim) enqueue(request *schema.FinishRequest) <-chan struct{} {
-	sent := make(chan struct{})
-	c.reports <- claimReport{request, sent}
-	return sent
-}
-
-// sendReport tries for a bounded time. A lost report leaves the claim running
-// until the ledger finds its entry gone, after which the outcome is unknown.
-func (c *claim) sendReport(report *schema.FinishRequest) {
-	pause := backoff.NewExponentialBackOff()
-	for range finishTries {
-		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-		err := c.dispatcher.options.Claims.Finish(ctx, report)
-		cancel()
-		if err == nil {
-			return
-		}
-		time.Sleep(pause.NextBackOff())
-	}
-}
-
-func (c *claim) report(state schema.ClaimState) *schema.FinishRequest {
-	return &schema.FinishRequest{
-		RequestId: c.requestID,
-		EntryNode: c.dispatcher.options.Node,
-		Team:      c.team,
-		Attempt:   c.attempt,
-		State:     state,
-		Target:    c.target,
-		Address:   c.address,
-		StreamId:  c.streamID,
-	}
-}
-
-// dispatched reports that the request runs at a target.
-func (c *claim) dispatched(permit *schema.Permit, streamID string) {
-	c.target = permit.GetTarget()
-	c.address = permit.GetAddress()
-	c.streamID = streamID
-	c.enqueue(c.report(schema.ClaimState_CLAIM_STATE_RUNNING))
-}
-
-// settle reports the end. A request of which nothing was sent releases its
-// claim before its caller is told, so that the caller may send it again.
-func (c *claim) settle(dispatched bool, outcome *schema.StoredOutcome) {
-	defer close(c.reports)
-	report := c.report(schema.ClaimState_CLAIM_STATE_DONE)
-	if dispatched {
-		report.Outcome = outcome
-		c.enqueue(report)
-		return
-	}
-	report.NotRun = true
-	timer := time.NewTimer(releaseTimeout)
-	defer timer.Stop()
-	select {
-	case <-c.enqueue(report):
-	case <-timer.C:
-	}
-}
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -49,6 +49,39 @@
 	is.Equal(len(permits.results()), 1)
 }
 
+func TestRunningRequestIsReportedToTheShardsNextOwner(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 6)
+	release := make(chan struct{})
+	e.script = func(connection, event int, _ http.ResponseWriter, _ *http.Request) {
+		if connection == 1 && event == 3 {
+			<-release
+		}
+	}
+	claims := newFakeClaims()
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	first, second := newDispatcher(permits, claims), newDispatcher(permits, claims)
+	done := make(chan error)
+	go func() {
+		_, err := first.Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+		done <- err
+	}()
+	<-claims.changed
+	claims.forget("k")
+	_, err := second.Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_UNKNOWN_EFFECT)
+	first.ReportRunning(func(team, id string) bool { return team == "drumlin" && id == "k" })
+	<-claims.changed
+	w := httptest.NewRecorder()
+	_, err = second.Serve(t.Context(), w, keyedRequest("k"))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("k"))
+	close(release)
+	is.NoErr(<-done)
+	first.ReportRunning(func(string, string) bool { t.Error("an ended request is reported"); return true })
+	is.Equal(e.started(), []string{"k"})
+}
+
 func TestFinishedRequestIsReplayedNotRun(t *testing.T) {
 	is := is.New(t)
 	e := newFakeEngine(t, 4)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -151,6 +151,7 @@
 // goroutine.
 type Dispatcher struct {
 	options Options
+	claims  claims
 	// background counts runs and reports that outlive their caller.
 	background sync.WaitGroup
 }
@@ -166,7 +167,7 @@
 	if options.StallTimeout <= 0 {
 		options.StallTimeout = DefaultStallTimeout
 	}
-	return &Dispatcher{options: options}
+	return &Dispatcher{options: options, claims: claims{held: make(map[*claim]struct{})}}
 }
 
 // Wait waits until reports to the ledger and cancellations have ended, or ctx
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -183,6 +183,13 @@
 	return &schema.ClaimReply{State: schema.ClaimState_CLAIM_STATE_NEW}, nil
 }
 
+// forget drops what an owner keeps in memory, as a new owner would.
+func (c *fakeClaims) forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[id] = &schema.ClaimReply{State: schema.ClaimState_CLAIM_STATE_UNKNOWN}
+}
+
 func (c *fakeClaims) Finish(_ context.Context, r *schema.FinishRequest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -303,7 +303,7 @@
 	if r.timing.started() {
 		r.result.FirstToken = r.timing.first.Sub(r.request.Arrived)
 	}
-	r.result.Delivered = err == nil && !r.result.CallerGone
+	r.result.Delivered = err == nil && !r.result.CallerGone && isUseful(r.answer.status)
 	r.result.Truncated = err != nil && r.answer.status != 0
 	if r.claim != nil {
 		r.claim.settle(r.result.Dispatched, r.outcome(err))
@@ -311,6 +311,11 @@
 	return r.result, err
 }
 
+// isUseful reports whether an answer of this status counts as goodput.
+func isUseful(status int) bool {
+	return status < http.StatusInternalServerError
+}
+
 // outcome is what a repeated request is told. After an error it is the
 // problem, so that the outcome stays unknown for every later send.
 func (r *run) outcome(err error) *schema.StoredOutcome {
