Notice targets that are gone while an answer is awaited

Cause: a request sent to a VM that lost its power waited for the system's own retransmission limit, many minutes, and held its permit. Ruled out: a limit on the time to the answer's header, because engines may hold it back until the first token and plain calls may be long. After: silent connections are probed after 5 s, three times at 5 s, and sent bytes must be confirmed within 15 s (Linux); then the request ends as unknown. Not shown: a loss of power itself, which loopback cannot bring about.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -13,7 +13,13 @@
 
 const (
 	defaultDialTimeout = time.Second
-	keepAlivePeriod    = 15 * time.Second
+	// A connection whose peer is silent is probed, so that a target that is gone
+	// without a word is noticed while an answer is awaited.
+	probeIdle     = 5 * time.Second
+	probeInterval = 5 * time.Second
+	probeCount    = 3
+	// sendTimeout bounds how long sent bytes may stay unconfirmed.
+	sendTimeout = 15 * time.Second
 	// idleConnTimeout is below the usual idle timeout of servers, so that this
 	// side closes an idle connection first.
 	idleConnTimeout     = 3 * time.Second
@@ -174,7 +180,16 @@
 	if timeout <= 0 {
 		timeout = defaultDialTimeout
 	}
-	dialer := &net.Dialer{Timeout: timeout, KeepAlive: keepAlivePeriod}
+	dialer := &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+		Control: limitSendTime,
+	}
 	if ip := net.ParseIP(options.SourceAddress); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
