Report a target whose process ended apart from one that failed

The owner's quarantine acts on TARGET_DIED, which no entry sent. An entry reports it now when the connection was closed or reset; a link that is cut shows as a timeout and is no sign against the request.

--- a/Makefile
+++ b/Makefile
@@ -105,3 +105,11 @@
 
 bench: ## Measure the decisions against baselines and an oracle, write docs/RESULTS.md and print the cells that miss their goals.
 	go test ./bench -run TestResults -count 1 -v -results $(CURDIR)/docs/RESULTS.md
+
+.PHONY: capacity capacity-render
+
+capacity: ## Measure the slopes of docs/CAPACITY.md and write its tables; takes about 7 minutes.
+	go run ./standin/cmd/capacity
+
+capacity-render: ## Write the tables of docs/CAPACITY.md from the last measurement.
+	go run ./standin/cmd/capacity --render
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -97,7 +97,7 @@
 	if errors.Is(err, errCancelled) {
 		return streamEndedEarly()
 	}
-	d.permitResult = schema.PermitResult_PERMIT_RESULT_TARGET_FAILED
+	d.permitResult = failureResult(err)
 	return targetFailed(err, "the target's stream broke off and could not be resumed")
 }
 
@@ -256,7 +256,7 @@
 		}
 		var status *engine.StatusError
 		if errors.As(err, &status) && status.Status < http.StatusInternalServerError {
-			return errors.Join(errNoResume, err)
+			return errors.Join(errNoResume, cause, err)
 		}
 		cause = err
 		if err := d.waitToResume(pause.NextBackOff()); err != nil {
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -51,7 +51,7 @@
 	r.timing.token(time.Now())
 	r.result.PermitResult = plainResult(resp.StatusCode)
 	if err := r.deliverPlain(resp); err != nil {
-		r.result.PermitResult = schema.PermitResult_PERMIT_RESULT_TARGET_FAILED
+		r.result.PermitResult = failureResult(err)
 		if r.cancelled() {
 			r.result.PermitResult = schema.PermitResult_PERMIT_RESULT_CANCELLED
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -205,6 +205,7 @@
 			r.result.PermitResult = schema.PermitResult_PERMIT_RESULT_CANCELLED
 			return callerGone().Unknown()
 		}
+		r.result.PermitResult = failureResult(err)
 		return targetFailed(err, "the target broke off before it answered")
 	}
 	if r.cancelled() {
