Ask targets whether they leave

A refusal of new work was the only signal acted on, and an engine that leaves may still accept. Ruled out: reading the signal from answers; an idle target gives none.

--- a/admission/owner_test.go
+++ b/admission/owner_test.go
@@ -231,3 +231,16 @@
 		is.True(next.GetTarget() != first.GetTarget())
 	}
 }
+
+func TestTargetThatSaysItLeavesGetsNoNewPermits(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(&schema.SchedulingSettings{}, 2)
+	o.SetLeaving(start, "vm0/app", true)
+	for range 2 {
+		is.Equal(ask(o, start, plainAsk()).reply.GetPermit().GetTarget(), "vm1/app")
+	}
+	waiting := ask(o, start, plainAsk())
+	is.True(waiting.reply == nil)
+	o.SetLeaving(start, "vm0/app", false)
+	is.Equal(waiting.reply.GetPermit().GetTarget(), "vm0/app")
+}
--- a/admission/target.go
+++ b/admission/target.go
@@ -12,13 +12,15 @@
 
 // target is what the owner knows of one target.
 type target struct {
-	info     topology.Target
-	models   []string
-	rates    scheduling.Rates
-	limit    scheduling.Limit
-	prefix   *scheduling.PrefixIndex
-	inFlight int
-	tokens   float64
+	info   topology.Target
+	models []string
+	// saysLeaving is the target's own announcement.
+	saysLeaving bool
+	rates       scheduling.Rates
+	limit       scheduling.Limit
+	prefix      *scheduling.PrefixIndex
+	inFlight    int
+	tokens      float64
 	// prefillDone is when the prefill assigned so far is expected to be done.
 	prefillDone time.Time
 	// failures counts failed requests in a row; retryAt ends the pause they
@@ -70,7 +72,7 @@
 		Name:              t.info.Name,
 		Region:            t.info.Region,
 		Plain:             t.plain(),
-		Leaving:           t.info.Leaving,
+		Leaving:           t.leaving(),
 		Models:            t.models,
 		Reserved:          t.alone != nil || (t.reserved() && t.reservedFor != w),
 		Failing:           t.retryAt.After(now),
@@ -172,7 +174,7 @@
 func (t *target) status() *schema.TargetStatus {
 	return &schema.TargetStatus{
 		Name:                   t.info.Name,
-		Leaving:                t.info.Leaving,
+		Leaving:                t.leaving(),
 		InFlight:               uint32(t.inFlight),
 		OutstandingTokens:      t.tokens,
 		LimitTokens:            t.limit.Tokens(),
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/primrosemoor/primrosemoor/membership"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/probe"
 	"github.com/primrosemoor/primrosemoor/quarantine"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/routing"
@@ -52,6 +53,7 @@
 	Admission  *admission.Manager
 	Quarantine *quarantine.Manager
 	Limits     *limits.Limiter
+	Prober     *probe.Prober
 	Permits    *routing.Permits
 	Explain    *explain.Recorder
 	Dispatcher *dispatch.Dispatcher
@@ -86,6 +88,7 @@
 			newQuarantine,
 			newLimits,
 			newAdmission,
+			newProber,
 			newPermits,
 			newClaims,
 			newEngine,
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -19,6 +19,7 @@
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/peertls"
 	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/probe"
 	"github.com/primrosemoor/primrosemoor/quarantine"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/routing"
@@ -143,6 +144,15 @@
 	})
 }
 
+func newProber(s *schema.Settings, owner *admission.Manager, current *topology.Current, logger *log.Logger) *probe.Prober {
+	return probe.New(probe.Options{
+		Node:          s.GetNode().GetName(),
+		Admission:     owner,
+		SourceAddress: s.GetNode().GetSourceAddress(),
+		Logger:        logger,
+	}, current)
+}
+
 func newPermits(place routing.Place, pool *peer.Pool, owner *admission.Manager, current *topology.Current, logger *log.Logger) *routing.Permits {
 	return routing.NewPermits(place, pool, owner, current, logger)
 }
