Report running requests to a shard's new owner; match prefix blocks to 64 tokens

Dispatcher.ReportRunning had no caller. The logger was never flushed. Entries cut prefix blocks of 16 tokens while the index counted 64 for each, so that cached tokens were overestimated fourfold; blocks are 256 bytes now, at most 64 of them, and a permit request carries 512 bytes of hashes at most instead of 2,048.

--- a/front/prefix.go
+++ b/front/prefix.go
@@ -12,9 +12,9 @@
 	// bytesPerToken is the mean length of a token of prompt text.
 	bytesPerToken = 4
 	// blockBytes is the length of a prefix cache block in prompt text.
-	blockBytes = 64
+	blockBytes = 256
 	// maxPrefixBlocks bounds the blocks sent with a permit request.
-	maxPrefixBlocks = 256
+	maxPrefixBlocks = 64
 	hashBytes       = 8
 )
 
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -91,3 +91,32 @@
 	c.refresh()
 	is.True(configs.watcher)
 }
+
+type reports struct {
+	moved func(team, requestID string) bool
+}
+
+func (r *reports) ReportRunning(moved func(team, requestID string) bool) { r.moved = moved }
+
+type oneShard struct{}
+
+func (oneShard) ShardOf(string, string) uint32 { return 5 }
+
+func TestRunningRequestsAreReportedToAShardsNewOwner(t *testing.T) {
+	is := is.New(t)
+	r := &reports{}
+	m := &shardMoves{reporter: r, sharder: oneShard{}}
+	build := func(nodes ...string) *topology.Snapshot {
+		var members []*schema.Member
+		for _, n := range nodes {
+			members = append(members, member(n, 1))
+		}
+		return topology.Build(&schema.Config{}, members, topology.Options{})
+	}
+	m.ApplyTopology(build("a"))
+	is.True(r.moved == nil)
+	m.ApplyTopology(build("b"))
+	is.True(r.moved("team", "id"))
+	m.ApplyTopology(build("b"))
+	is.True(!r.moved("team", "id"))
+}
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -42,15 +43,20 @@
 func newController(p parts) *controller {
 	node := p.Settings.GetNode()
 	return &controller{
-		self:     node.GetName(),
-		zone:     node.GetAvailabilityZone(),
-		options:  topology.Options{GroupTargets: int(p.Settings.GetScheduling().GetMaxGroupTargets())},
-		members:  p.Membership,
-		configs:  p.Register,
-		current:  p.Current,
-		appliers: []topologyApplier{p.Admission, p.Ledger, p.Limits},
-		logger:   p.Logger,
-		wake:     make(chan struct{}, 1),
+		self:    node.GetName(),
+		zone:    node.GetAvailabilityZone(),
+		options: topology.Options{GroupTargets: int(p.Settings.GetScheduling().GetMaxGroupTargets())},
+		members: p.Membership,
+		configs: p.Register,
+		current: p.Current,
+		appliers: []topologyApplier{
+			p.Admission,
+			p.Ledger,
+			p.Limits,
+			&shardMoves{reporter: p.Dispatcher, sharder: p.Ledger},
+		},
+		logger: p.Logger,
+		wake:   make(chan struct{}, 1),
 	}
 }
 
@@ -109,9 +115,9 @@
 	l.running.Wait()
 	l.Logger.Info().Str("event", "node_stopped").Dur("drain", time.Since(began)).Msg("")
 	if err != nil {
-		return fmt.Errorf("requests were still in flight at the drain timeout: %w", err)
+		err = fmt.Errorf("requests were still in flight at the drain timeout: %w", err)
 	}
-	return nil
+	return errors.Join(err, logging.Close(l.Logger))
 }
 
 func wait(ctx context.Context, d time.Duration) {
