Wire placement into the node; send requests where models are loaded

Owners learn from the targets' states which models they hold, so that an order to unload a model moves its requests. Placement runs at the service's owner, with the membership's check against acting after a pause.

--- a/admission/owner_test.go
+++ b/admission/owner_test.go
@@ -235,12 +235,22 @@
 func TestTargetThatSaysItLeavesGetsNoNewPermits(t *testing.T) {
 	is := is.New(t)
 	o := newOwner(&schema.SchedulingSettings{}, 2)
-	o.SetLeaving(start, "vm0/app", true)
+	o.SetTargetState(start, "vm0/app", true, nil)
 	for range 2 {
 		is.Equal(ask(o, start, plainAsk()).reply.GetPermit().GetTarget(), "vm1/app")
 	}
 	waiting := ask(o, start, plainAsk())
 	is.True(waiting.reply == nil)
-	o.SetLeaving(start, "vm0/app", false)
+	o.SetTargetState(start, "vm0/app", false, nil)
 	is.Equal(waiting.reply.GetPermit().GetTarget(), "vm0/app")
 }
+
+func TestModelThatATargetUnloadedIsSoughtElsewhere(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(&schema.SchedulingSettings{}, 2)
+	o.SetTargetState(start, "vm0/llm", false, []string{"other"})
+	for range 3 {
+		r := ask(o, start, &schema.PermitRequest{Service: "llm", PromptTokens: 10, MaxOutputTokens: 10})
+		is.Equal(r.reply.GetPermit().GetTarget(), "vm1/llm")
+	}
+}
--- a/admission/target.go
+++ b/admission/target.go
@@ -14,8 +14,9 @@
 type target struct {
 	info   topology.Target
 	models []string
-	// saysLeaving is the target's own announcement.
+	// saysLeaving and loaded are the target's own announcement.
 	saysLeaving bool
+	loaded      []string
 	rates       scheduling.Rates
 	limit       scheduling.Limit
 	prefix      *scheduling.PrefixIndex
@@ -73,7 +74,7 @@
 		Region:            t.info.Region,
 		Plain:             t.plain(),
 		Leaving:           t.leaving(),
-		Models:            t.models,
+		Models:            t.holds(),
 		Reserved:          t.alone != nil || (t.reserved() && t.reservedFor != w),
 		Failing:           t.retryAt.After(now),
 		InFlight:          t.inFlight,
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -63,7 +63,8 @@
 while read -r vm service address; do
   record="$work/record-$vm.jsonl"
   if [ "$service" = herd-llm ]; then
-    start "$vm" "$bin/standin" engine --name "$vm" --listen "$address" --record "$record"
+    start "$vm" "$bin/standin" engine --name "$vm" --listen "$address" --record "$record" \
+      --models trail-chat,trail-guide
   else
     start "$vm" "$bin/standin" service --name "$vm" --listen "$address" --record "$record"
   fi
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -53,6 +53,7 @@
 			p.Admission,
 			p.Ledger,
 			p.Limits,
+			p.Placement,
 			&shardMoves{reporter: p.Dispatcher, sharder: p.Ledger},
 		},
 		logger: p.Logger,
@@ -77,7 +78,7 @@
 	l.running.Go(func() { l.report("peer_server_ended", l.Server.Serve(peers)) })
 	l.running.Go(func() { l.Register.Run(ctx) })
 	l.running.Go(func() { l.Limits.Run(ctx) })
-	for _, r := range []runner{l.Membership, l.Ledger, l.Admission, l.Permits, l.Quarantine, l.Prober} {
+	for _, r := range []runner{l.Membership, l.Ledger, l.Admission, l.Permits, l.Quarantine, l.Placement, l.Prober} {
 		l.running.Go(func() { l.report("manager_ended", r.Run(ctx)) })
 	}
 	l.running.Go(func() { l.controller.run(ctx) })
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/primrosemoor/primrosemoor/limits"
 	"github.com/primrosemoor/primrosemoor/membership"
 	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/placement"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/probe"
 	"github.com/primrosemoor/primrosemoor/quarantine"
@@ -53,6 +54,7 @@
 	Admission  *admission.Manager
 	Quarantine *quarantine.Manager
 	Limits     *limits.Limiter
+	Placement  *placement.Manager
 	Prober     *probe.Prober
 	Permits    *routing.Permits
 	Explain    *explain.Recorder
@@ -88,6 +90,7 @@
 			newQuarantine,
 			newLimits,
 			newAdmission,
+			newPlacement,
 			newProber,
 			newPermits,
 			newClaims,
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/primrosemoor/primrosemoor/membership"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/peertls"
+	"github.com/primrosemoor/primrosemoor/placement"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/probe"
 	"github.com/primrosemoor/primrosemoor/quarantine"
@@ -144,6 +146,24 @@
 	})
 }
 
+// targetTimeout bounds one order or state request to a target.
+const targetTimeout = 2 * time.Second
+
+func newPlacement(s *schema.Settings, store platform.Store, members *membership.Manager, logger *log.Logger) *placement.Manager {
+	dialer := &net.Dialer{Timeout: targetTimeout}
+	if ip := net.ParseIP(s.GetNode().GetSourceAddress()); ip != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}, Timeout: targetTimeout}
+	return placement.New(placement.Options{
+		Node:    s.GetNode().GetName(),
+		Store:   store,
+		Targets: placement.HTTPTargets{Client: client},
+		Current: members.Current,
+		Logger:  logger,
+	})
+}
+
 func newProber(s *schema.Settings, owner *admission.Manager, current *topology.Current, logger *log.Logger) *probe.Prober {
 	return probe.New(probe.Options{
 		Node:          s.GetNode().GetName(),
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -1,6 +1,6 @@
 // Package probe asks the targets of owned groups for their state, so that a
 // target which announces that it leaves gets no new work before the register
-// or the platform's list says so.
+// or the platform's list says so, and requests go where their model is loaded.
 package probe
 
 import (
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,10 +28,21 @@
 	idleTimeout   = 3 * interval
 )
 
+// State is what a target announces.
+type State struct {
+	Leaving bool `json:"leaving"`
+	// Models are those loaded; empty if the target does not say.
+	Models []string `json:"models"`
+}
+
+func (s State) equal(o State) bool {
+	return s.Leaving == o.Leaving && slices.Equal(s.Models, o.Models)
+}
+
 // Admission takes what targets announce.
 type Admission interface {
-	// SetLeaving notes whether a target says that it leaves.
-	SetLeaving(target string, leaving bool)
+	// SetTargetState notes whether a target leaves and which models it holds.
+	SetTargetState(target string, leaving bool, models []string)
 }
 
 // Options configures a Prober.
@@ -49,8 +61,8 @@
 	client  *http.Client
 	current *topology.Current
 
-	mu      sync.Mutex
-	leaving map[string]bool
+	mu     sync.Mutex
+	states map[string]State
 }
 
 // New returns a Prober that follows the topology in current.
@@ -69,7 +81,7 @@
 		options: options,
 		client:  &http.Client{Transport: transport, Timeout: answerTimeout},
 		current: current,
-		leaving: make(map[string]bool),
+		states:  make(map[string]State),
 	}
 }
 
@@ -102,45 +114,41 @@
 // ask passes on a change of what the target announces. A target that does not
 // answer announces nothing new; its requests show whether it works.
 func (p *Prober) ask(ctx context.Context, t topology.Target) {
-	leaving, err := p.state(ctx, t.Address)
-	if err != nil || !p.changed(t.Name, leaving) {
+	state, err := p.state(ctx, t.Address)
+	if err != nil || !p.changed(t.Name, state) {
 		return
 	}
-	p.options.Logger.Info().Str("event", "target_state").Str("target", t.Name).Bool("leaving", leaving).Msg("")
-	p.options.Admission.SetLeaving(t.Name, leaving)
+	p.options.Logger.Info().Str("event", "target_state").Str("target", t.Name).
+		Bool("leaving", state.Leaving).Strs("models", state.Models).Msg("")
+	p.options.Admission.SetTargetState(t.Name, state.Leaving, state.Models)
 }
 
-func (p *Prober) changed(target string, leaving bool) bool {
+func (p *Prober) changed(target string, state State) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.leaving[target] == leaving {
+	if p.states[target].equal(state) {
 		return false
 	}
-	p.leaving[target] = leaving
+	p.states[target] = state
 	return true
 }
 
-// targetState is the part of a target's state that is read.
-type targetState struct {
-	Leaving bool `json:"leaving"`
-}
-
-func (p *Prober) state(ctx context.Context, address string) (bool, error) {
+func (p *Prober) state(ctx context.Context, address string) (State, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/state", nil)
 	if err != nil {
-		return false, fmt.Errorf("make a state request: %w", err)
+		return State{}, fmt.Errorf("make a state request: %w", err)
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return false, fmt.Errorf("ask %s for its state: %w", address, err)
+		return State{}, fmt.Errorf("ask %s for its state: %w", address, err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("%s answered %d to a state request", address, response.StatusCode)
+		return State{}, fmt.Errorf("%s answered %d to a state request", address, response.StatusCode)
 	}
-	var s targetState
+	var s State
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&s); err != nil {
-		return false, fmt.Errorf("decode the state of %s: %w", address, err)
+		return State{}, fmt.Errorf("decode the state of %s: %w", address, err)
 	}
-	return s.Leaving, nil
+	return s, nil
 }
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -16,8 +16,8 @@
 
 type noted struct{ lines []string }
 
-func (n *noted) SetLeaving(target string, leaving bool) {
-	n.lines = append(n.lines, fmt.Sprintf("%s %v", target, leaving))
+func (n *noted) SetTargetState(target string, leaving bool, models []string) {
+	n.lines = append(n.lines, fmt.Sprintf("%s %v %v", target, leaving, models))
 }
 
 func TestChangeOfWhatATargetAnnouncesIsPassedOnOnce(t *testing.T) {
@@ -36,9 +36,10 @@
 	}, []*schema.Member{{Node: "n", State: schema.MemberState_MEMBER_STATE_ACTIVE}}, topology.Options{}))
 	n := &noted{}
 	p := New(Options{Node: "n", Admission: n, Logger: &log.Logger{Level: log.PanicLevel}}, current)
-	for _, next := range []string{answer, `{"leaving":true}`, `{"leaving":true}`, `not json`, `{"leaving":false}`} {
+	for _, next := range []string{answer, `{"leaving":true}`, `{"leaving":true}`, `not json`,
+		`{"leaving":false}`, `{"models":["m"]}`} {
 		answer = next
 		p.round(t.Context())
 	}
-	is.Equal(n.lines, []string{"vm/llm true", "vm/llm false"})
+	is.Equal(n.lines, []string{"vm/llm true []", "vm/llm false []", "vm/llm false [m]"})
 }
