--- a/admission/group.go
+++ b/admission/group.go
@@ -12,13 +12,15 @@
 
 // group is one owned group of targets with its queue.
 type group struct {
-	id         string
-	service    string
-	region     string
-	pool       *pool
-	targets    []*target
-	queue      queue
-	condemned  []*Waiter
+	id        string
+	service   string
+	region    string
+	pool      *pool
+	targets   []*target
+	queue     queue
+	condemned []*Waiter
+	// late waiters cannot meet their deadlines and only wait for them to end.
+	late       []*Waiter
 	permits    map[uint64]*permit
 	drain      drain
 	candidates []scheduling.Candidate
@@ -78,6 +80,7 @@
 // decide chooses a target for a waiter. The decision is valid until the next
 // call.
 func (g *group) decide(now time.Time, policy *scheduling.Policy, w *Waiter) scheduling.Decision {
+	w.request.Remaining = max(w.deadline.Sub(now), 1)
 	g.candidates = g.candidates[:0]
 	for _, t := range g.targets {
 		g.candidates = append(g.candidates, t.candidate(now, w))
@@ -123,7 +126,7 @@
 		entryNode: w.asked.GetEntryNode(),
 		target:    t,
 		rank:      w.rank,
-		cost:      w.request.Cost(c),
+		cost:      w.request.Decode(c),
 		granted:   now,
 		print:     w.asked.GetFingerprint(),
 	}
@@ -184,6 +187,10 @@
 			g.queue.remove(w)
 			o.noTarget(g, w)
 			return true
+		case scheduling.VerdictTooLate:
+			g.queue.remove(w)
+			o.giveUp(now, g, w)
+			return true
 		}
 		if w.request.Alone {
 			g.reserve(w)
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -36,7 +36,7 @@
 	floorTimeout = time.Second
 	// floorHold is how long a floor stays after the last pressure, and
 	// floorStep separates the steps in which it is lowered.
-	floorHold = 2 * time.Second
+	floorHold = time.Second
 	floorStep = time.Second
 
 	// drainMemory is the share of the measured queue drain kept each second.
@@ -44,6 +44,16 @@
 	drainInterval  = time.Second
 	minDrainGrants = 8
 
+	// waitMargin allows for the error of expected waits in the queue.
+	waitMargin = 1.25
+	// pressMargin is the same where less important requests would have to be
+	// shed first: a wait that may just do is tried.
+	pressMargin = 0.7
+
+	// driftInterval separates the steps in which the rates of an idle target
+	// approach those of its group.
+	driftInterval = time.Second
+
 	retryAfterShed = time.Second
 
 	// tickInterval separates the owner's periodic checks.
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -172,10 +172,10 @@
 			w.answer(nil, reason())
 		})
 	}
-	for _, w := range g.condemned {
+	for _, w := range append(g.condemned, g.late...) {
 		w.answer(nil, reason())
 	}
-	g.condemned = nil
+	g.condemned, g.late = nil, nil
 }
 
 // releaseGoneEntries releases the permits of entries that are no longer
@@ -241,6 +241,7 @@
 		Team:         a.GetTeam(),
 		Service:      g.service,
 		Model:        a.GetModel(),
+		Rank:         int(w.rank),
 		PromptTokens: int(a.GetPromptTokens()),
 		Blocks:       a.GetPrefixBlocks(),
 		Region:       a.GetEntryRegion(),
@@ -272,7 +273,9 @@
 		return
 	}
 	w.group.queue.remove(w)
-	w.group.condemned = slices.DeleteFunc(w.group.condemned, func(c *Waiter) bool { return c == w })
+	gone := func(c *Waiter) bool { return c == w }
+	w.group.condemned = slices.DeleteFunc(w.group.condemned, gone)
+	w.group.late = slices.DeleteFunc(w.group.late, gone)
 }
 
 // Return takes a permit back. An unknown number is ignored, so late and
@@ -291,7 +294,7 @@
 	p.target.give(p)
 	switch r.GetResult() {
 	case schema.PermitResult_PERMIT_RESULT_COMPLETED:
-		p.target.learn(&o.policy, p, r, batch)
+		p.target.learn(now, &o.policy, p, r, batch)
 		o.estimator.Observe(r.GetTeam(), g.service, int(r.GetOutputTokens()))
 	case schema.PermitResult_PERMIT_RESULT_TARGET_FAILED, schema.PermitResult_PERMIT_RESULT_TARGET_DIED:
 		p.target.failed(now)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -49,7 +49,7 @@
 
 func (q *queue) push(w *Waiter) {
 	r := &q.ranks[w.rank]
-	f := r.lane(laneKey{w.request.Model, w.request.Alone}).flow(w.request.Team)
+	f := r.lane(w.lane()).flow(w.request.Team)
 	if f.length == 0 {
 		f.weight = w.weight
 		f.tag = max(f.tag, f.lane.virtual)
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/primrosemoor/primrosemoor/scheduling"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -23,8 +24,12 @@
 // tooLate sheds a request that would wait beyond its deadline, if the order of
 // tiers allows that now.
 func (o *Owner) tooLate(now time.Time, g *group, w *Waiter) bool {
-	wait := g.wait(w.rank, laneKey{w.request.Model, w.request.Alone}, w.request.Team, w.weight)
-	if wait <= w.deadline.Sub(now) {
+	wait := g.wait(w.rank, w.lane(), w.request.Team, w.weight)
+	margin := waitMargin
+	if w.rank < g.pool.lowest {
+		margin = pressMargin
+	}
+	if time.Duration(margin*float64(wait)) <= w.deadline.Sub(now) {
 		return false
 	}
 	if o.redirect(now, g, w) {
@@ -39,6 +44,35 @@
 	return true
 }
 
+// giveUp refuses a request that cannot meet its deadline any more. It does so
+// at once if no idle target could serve it in time, which is no shed, or if
+// the order of tiers allows it, and else at the deadline.
+func (o *Owner) giveUp(now time.Time, g *group, w *Waiter) {
+	switch {
+	case o.redirect(now, g, w):
+	case w.fresh && g.tooLong(w):
+		o.counts.Expired[w.rank]++
+		w.answer(nil, errDeadline())
+	case g.pool.mayShed(now, w.rank):
+		o.shedAs(w, errDeadline())
+	default:
+		g.late = append(g.late, w)
+	}
+}
+
+// tooLong reports whether a request would miss its deadline on idle targets,
+// as the last decision saw them.
+func (g *group) tooLong(w *Waiter) bool {
+	for i := range g.candidates {
+		c := g.candidates[i]
+		c.PrefillWait = 0
+		if scheduling.ExpectedFirstToken(&w.request, &c) <= w.request.Remaining {
+			return false
+		}
+	}
+	return true
+}
+
 // trim sheds waiters above the queue's bound, the least important first.
 func (o *Owner) trim(now time.Time, g *group) {
 	for g.queue.length > o.maxQueue {
@@ -51,7 +85,7 @@
 		}
 		w := g.queue.last(rank)
 		if !g.pool.mayShed(now, rank) {
-			if g.queue.length+len(g.condemned) <= o.hardQueue {
+			if g.queue.length+len(g.condemned)+len(g.late) <= o.hardQueue {
 				return
 			}
 			o.counts.OutOfOrder++
@@ -121,7 +155,7 @@
 		}
 		for _, g := range o.ordered {
 			if g.pool == p {
-				g.keepCondemned(func(w *Waiter) bool { return w.rank != rank }, o.shed)
+				g.condemned = keepWaiters(g.condemned, func(w *Waiter) bool { return w.rank != rank }, o.shed)
 			}
 		}
 	}
@@ -139,18 +173,18 @@
 	return false
 }
 
-// keepCondemned passes the condemned waiters for which keep is false to drop.
-func (g *group) keepCondemned(keep func(*Waiter) bool, drop func(*Waiter)) {
-	kept := g.condemned[:0]
-	for _, w := range g.condemned {
+// keepWaiters returns the waiters for which keep is true and passes the others to drop.
+func keepWaiters(waiters []*Waiter, keep func(*Waiter) bool, drop func(*Waiter)) []*Waiter {
+	kept := waiters[:0]
+	for _, w := range waiters {
 		if keep(w) {
 			kept = append(kept, w)
 			continue
 		}
 		drop(w)
 	}
-	clear(g.condemned[len(kept):])
-	g.condemned = kept
+	clear(waiters[len(kept):])
+	return kept
 }
 
 // Floor takes a sibling owner's floor update and returns the answer.
@@ -158,7 +192,7 @@
 	p := o.pool(now, u.GetService())
 	ack := p.receive(now, from, u)
 	ack.Owner = o.options.Node
-	ack.Loads = o.loads(p)
+	ack.Loads = o.loads(now, p)
 	o.evict(now, p)
 	if p.imposed() < p.lowest {
 		o.renew(now, p)
@@ -182,8 +216,9 @@
 	o.advance(now, p)
 	for _, g := range o.ordered {
 		if g.pool == p {
-			o.trim(now, g)
 			o.dispatch(now, g)
+			o.redirectWaiting(now, g)
+			o.trim(now, g)
 		}
 	}
 }
@@ -206,7 +241,7 @@
 		Owner:    o.options.Node,
 		Floor:    p.granting(),
 		Sequence: p.sequence,
-		Loads:    o.loads(p),
+		Loads:    o.loads(now, p),
 	})
 }
 
@@ -236,17 +271,17 @@
 }
 
 // loads describes the room in this owner's groups of a pool.
-func (o *Owner) loads(p *pool) []*schema.GroupLoad {
+func (o *Owner) loads(now time.Time, p *pool) []*schema.GroupLoad {
 	var loads []*schema.GroupLoad
 	for _, g := range o.ordered {
 		if g.pool == p {
-			loads = append(loads, g.load(p.lowest))
+			loads = append(loads, g.load(now, &o.policy))
 		}
 	}
 	return loads
 }
 
-func (g *group) load(lowest uint32) *schema.GroupLoad {
+func (g *group) load(now time.Time, p *scheduling.Policy) *schema.GroupLoad {
 	l := &schema.GroupLoad{Group: g.id}
 	models := make(map[string]bool)
 	for _, t := range g.targets {
@@ -257,13 +292,13 @@
 			l.FreeTokens += float64(max(t.maxInFlight()-t.inFlight, 0))
 			continue
 		}
-		l.FreeTokens += max(t.limit.Tokens()-t.tokens, 0)
+		l.FreeTokens += t.room(now, p)
 		for _, m := range t.models {
 			models[m] = true
 		}
 	}
 	l.Models = slices.Sorted(maps.Keys(models))
-	for rank := uint32(0); rank <= lowest; rank++ {
+	for rank := uint32(0); rank <= g.pool.lowest; rank++ {
 		l.Waits = append(l.Waits, durationpb.New(g.backlog(rank)))
 	}
 	return l
--- a/admission/target.go
+++ b/admission/target.go
@@ -18,13 +18,17 @@
 	limit    scheduling.Limit
 	prefix   *scheduling.PrefixIndex
 	inFlight int
-	tokens   float64
+	// tokens is the expected output of the requests in flight, or their number
+	// on a plain target.
+	tokens float64
 	// prefillDone is when the prefill assigned so far is expected to be done.
 	prefillDone time.Time
 	// failures counts failed requests in a row; retryAt ends the pause they
 	// cause.
 	failures int
 	retryAt  time.Time
+	// observed is when a completion was last learned from.
+	observed time.Time
 	// reservedFor is a suspect request that waits for the target to be idle,
 	// and alone the permit of one that runs.
 	reservedFor *Waiter
@@ -66,6 +70,8 @@
 // candidate describes the target to a decision on w.
 func (t *target) candidate(now time.Time, w *Waiter) scheduling.Candidate {
 	r := &w.request
+	wait := max(t.prefillDone.Sub(now), 0)
+	rate := t.rates.Prefill()
 	return scheduling.Candidate{
 		Name:              t.info.Name,
 		Region:            t.info.Region,
@@ -76,10 +82,10 @@
 		Failing:           t.retryAt.After(now),
 		InFlight:          t.inFlight,
 		MaxInFlight:       t.maxInFlight(),
-		OutstandingTokens: t.tokens,
+		OutstandingTokens: t.tokens + wait.Seconds()*rate,
 		LimitTokens:       t.limit.Tokens(),
-		PrefillWait:       max(t.prefillDone.Sub(now), 0),
-		PrefillRate:       t.rates.Prefill(),
+		PrefillWait:       wait,
+		PrefillRate:       rate,
 		TokenTime:         t.rates.TokenTime(t.inFlight + 1),
 		CachedTokens:      t.prefix.CachedTokens(r.Blocks, r.PromptTokens),
 	}
@@ -116,7 +122,7 @@
 	t.inFlight++
 	p.batch = t.inFlight
 	t.tokens += p.cost
-	t.limit.Used(t.tokens)
+	t.limit.Used(c.OutstandingTokens + r.Cost(c))
 	if !t.plain() {
 		took := time.Duration(uncached / c.PrefillRate * float64(time.Second))
 		t.prefillDone = now.Add(c.PrefillWait + took)
@@ -124,6 +130,24 @@
 	}
 }
 
+// idleRoom is the prompt in tokens that an idle target can be given.
+const idleRoom = 16384
+
+// room returns the prompt tokens that the target can begin soon.
+func (t *target) room(now time.Time, p *scheduling.Policy) float64 {
+	if t.reserved() || t.retryAt.After(now) {
+		return 0
+	}
+	if t.inFlight == 0 {
+		return idleRoom
+	}
+	wait := max(t.prefillDone.Sub(now), 0)
+	if t.rates.TokenTime(t.inFlight+1) > p.TokenTimeGoal || wait > p.PrefillBound() {
+		return 0
+	}
+	return (p.PrefillBound() - wait).Seconds() * t.rates.Prefill()
+}
+
 // give removes a permit's work from the target.
 func (t *target) give(p *permit) {
 	if t.alone == p {
@@ -138,8 +162,9 @@
 }
 
 // learn takes the measurements of a completed request.
-func (t *target) learn(policy *scheduling.Policy, p *permit, r *schema.PermitReturn, batch int) {
+func (t *target) learn(now time.Time, policy *scheduling.Policy, p *permit, r *schema.PermitReturn, batch int) {
 	t.failures = 0
+	t.observed = now
 	if t.plain() || p.adopted {
 		return
 	}
@@ -147,7 +172,7 @@
 	cached := int(r.GetCachedTokens())
 	t.prefix.Observe(p.cached, cached)
 	ahead := p.ahead + float64(p.cached-cached)
-	t.rates.ObservePrefill(ahead, first)
+	t.rates.ObservePrefill(ahead, first, p.batch)
 	gap := meanGap(r)
 	t.rates.ObserveDecode(float64(p.batch+batch)/2, gap)
 	own := time.Duration(float64(int(r.GetPromptTokens())-cached) / t.rates.Prefill() * float64(time.Second))
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -14,6 +15,7 @@
 		o.expireWaiters(now, g)
 		o.expirePermits(now, g)
 		g.queue.sweep()
+		g.drift(now)
 	}
 	for _, p := range o.pools {
 		if p.relax(now) {
@@ -42,7 +44,9 @@
 			}
 		})
 	}
-	g.keepCondemned(func(w *Waiter) bool { return w.deadline.After(now) }, late)
+	inTime := func(w *Waiter) bool { return w.deadline.After(now) }
+	g.condemned = keepWaiters(g.condemned, inTime, late)
+	g.late = keepWaiters(g.late, inTime, late)
 }
 
 // expirePermits releases permits that were not returned in any plausible time.
@@ -57,6 +61,22 @@
 	}
 }
 
+// drift moves the rates of targets that were not observed lately towards the
+// group's median, so that a target with a bad memory is tried again.
+func (g *group) drift(now time.Time) {
+	rates := make([]float64, 0, len(g.targets))
+	for _, t := range g.targets {
+		rates = append(rates, t.rates.Prefill())
+	}
+	slices.Sort(rates)
+	for _, t := range g.targets {
+		if !t.plain() && t.inFlight == 0 && now.Sub(t.observed) >= driftInterval {
+			t.rates.Drift(rates[len(rates)/2])
+			t.observed = now
+		}
+	}
+}
+
 // Status describes the owned groups.
 func (o *Owner) Status() []*schema.GroupStatus {
 	groups := make([]*schema.GroupStatus, 0, len(o.ordered))
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -64,3 +64,7 @@
 func (w *Waiter) Answered() bool {
 	return w.reply == nil
 }
+
+func (w *Waiter) lane() laneKey {
+	return laneKey{w.request.Model, w.request.Alone}
+}
--- a/scheduling/decision.go
+++ b/scheduling/decision.go
@@ -7,15 +7,19 @@
 
 // Verdicts of a decision.
 const (
-	// Chosen means that a target was picked.
+	// VerdictChosen means that a target was picked.
 	VerdictChosen Verdict = iota
-	// Wait means that a target exists but cannot take the request now.
+	// VerdictWait means that a target exists but cannot take the request now.
 	VerdictWait
-	// Impossible means that no target of the group can ever take the request.
+	// VerdictTooLate means that no target can give the first token before the
+	// deadline. Waiting does not help, since the deadline comes as fast as
+	// targets finish their work.
+	VerdictTooLate
+	// VerdictImpossible means that no target of the group can ever take the request.
 	VerdictImpossible
 )
 
-var verdictNames = [...]string{VerdictChosen: "chosen", VerdictWait: "wait", VerdictImpossible: "impossible"}
+var verdictNames = [...]string{VerdictChosen: "chosen", VerdictWait: "wait", VerdictTooLate: "too-late", VerdictImpossible: "impossible"}
 
 // String returns the verdict's name in lower case.
 func (v Verdict) String() string {
@@ -36,12 +40,16 @@
 	if d.Chosen >= 0 {
 		return VerdictChosen
 	}
+	why := VerdictImpossible
 	for i := range d.Scores {
-		if d.Scores[i].Reason.Temporary() {
+		reason := d.Scores[i].Reason
+		if reason == ReasonTooLate {
+			why = VerdictTooLate
+		} else if reason.Temporary() {
 			return VerdictWait
 		}
 	}
-	return VerdictImpossible
+	return why
 }
 
 // AppendLine appends the decision as one line of key=value pairs without a
--- a/scheduling/filter.go
+++ b/scheduling/filter.go
@@ -1,6 +1,9 @@
 package scheduling
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Reason says why a candidate was kept or dropped.
 type Reason uint8
@@ -17,6 +20,10 @@
 	ReasonConcurrency
 	ReasonYielded
 	ReasonFailing
+	ReasonPrefill
+	ReasonTokenTime
+	ReasonTooLate
+	ReasonHeadroom
 )
 
 var reasonNames = [...]string{
@@ -29,6 +36,10 @@
 	ReasonConcurrency: "concurrency",
 	ReasonYielded:     "yielded",
 	ReasonFailing:     "failing",
+	ReasonPrefill:     "prefill",
+	ReasonTokenTime:   "token-time",
+	ReasonTooLate:     "too-late",
+	ReasonHeadroom:    "headroom",
 }
 
 // String returns the reason's name in lower case.
@@ -44,7 +55,7 @@
 // Filter returns whether c may run r now, and why not. yielded are models for
 // which more important requests wait: a target that holds one of them is left
 // to those.
-func Filter(r *Request, c *Candidate, yielded []string) Reason {
+func Filter(p *Policy, r *Request, c *Candidate, yielded []string) Reason {
 	if c.Leaving {
 		return ReasonLeaving
 	}
@@ -63,7 +74,10 @@
 	if r.Alone && c.InFlight > 0 {
 		return ReasonNotIdle
 	}
-	return withinLimits(r, c)
+	if tooLate(r, c) {
+		return ReasonTooLate
+	}
+	return withinLimits(p, r, c)
 }
 
 func holdsAny(c *Candidate, models []string) bool {
@@ -75,17 +89,63 @@
 	return false
 }
 
+// tooLateMargin allows for the error of expected first-token times.
+const tooLateMargin = 1.5
+
+// tooLate keeps prefill from being spent on an answer that nobody waits for.
+func tooLate(r *Request, c *Candidate) bool {
+	return r.Remaining > 0 && !c.Plain && firstToken(r, c)*tooLateMargin > r.Remaining.Seconds()
+}
+
+// prefillShare of the first-token goal may be spent waiting at a target; the
+// rest of a wait is spent in the owner's queue, where the order of tiers holds.
+const prefillShare = 0.1
+
+// PrefillBound returns the time that prefill may wait at a target.
+func (p *Policy) PrefillBound() time.Duration {
+	return time.Duration(prefillShare * float64(p.FirstTokenGoal))
+}
+
+// blocksPrefill reports whether r's own prefill on c takes longer than more
+// important requests should wait behind it.
+func blocksPrefill(p *Policy, r *Request, c *Candidate) bool {
+	if r.Rank == 0 || c.Plain {
+		return false
+	}
+	return float64(r.Uncached(c))/c.PrefillRate > p.PrefillBound().Seconds()
+}
+
+// spare counts the candidates that can begin a prefill soon.
+func spare(p *Policy, candidates []Candidate) int {
+	n := 0
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Leaving && !c.Failing && !c.Reserved && c.PrefillWait <= p.PrefillBound() {
+			n++
+		}
+	}
+	return n
+}
+
 // withinLimits lets an idle target take any request, so that a request larger
 // than the limit still runs.
-func withinLimits(r *Request, c *Candidate) Reason {
+func withinLimits(p *Policy, r *Request, c *Candidate) Reason {
 	if c.InFlight == 0 {
 		return Eligible
 	}
 	if c.MaxInFlight > 0 && c.InFlight >= c.MaxInFlight {
 		return ReasonConcurrency
 	}
-	if !c.Plain && c.OutstandingTokens+r.Cost(c) > c.LimitTokens {
+	switch {
+	case c.Plain:
+		return Eligible
+	case c.PrefillWait > p.PrefillBound():
+		return ReasonPrefill
+	case c.TokenTime > p.TokenTimeGoal:
+		return ReasonTokenTime
+	case c.OutstandingTokens+r.Cost(c) > c.LimitTokens:
 		return ReasonTokenLimit
+	default:
+		return Eligible
 	}
-	return Eligible
 }
--- a/scheduling/rates.go
+++ b/scheduling/rates.go
@@ -6,10 +6,16 @@
 	defaultPrefillRate = 4000.0
 	minPrefillRate     = 10.0
 	defaultTokenTime   = 12 * time.Millisecond
-	// minRateTokens is the least prefill whose time says something of the rate.
-	minRateTokens = 32
-	// rateMemory is the share of older observations kept at each new one.
-	rateMemory = 0.9
+	// sampleTokens is the size of the prefill that stands for a rate without
+	// observations.
+	sampleTokens = 500.0
+	// minPrefillTokens is the least prefill whose time says something of the
+	// rate.
+	minPrefillTokens = 128
+	// prefillMemory and decodeMemory are the shares of older observations kept
+	// at each new one.
+	prefillMemory = 0.9
+	decodeMemory  = 0.9
 )
 
 // Rates holds what was learned of a target's speed from completed requests.
@@ -22,31 +28,43 @@
 
 // NewRates returns rates that start from cautious defaults.
 func NewRates() Rates {
-	r := Rates{prefillTokens: defaultPrefillRate * 0.1, prefillSeconds: 0.1}
-	r.decode.add(1, defaultTokenTime.Seconds())
-	return r
+	return RestoreRates(defaultPrefillRate, defaultTokenTime)
 }
 
-// RestoreRates returns rates that start from those of an earlier owner.
+// RestoreRates returns rates that start from those of an earlier owner;
+// prefill is in tokens per second. Zero means the default.
 func RestoreRates(prefill float64, tokenTime time.Duration) Rates {
-	r := NewRates()
-	if prefill > 0 {
-		r.prefillTokens = prefill * r.prefillSeconds
+	if prefill <= 0 {
+		prefill = defaultPrefillRate
 	}
-	if tokenTime > 0 {
-		r.decode = line{}
-		r.decode.add(1, tokenTime.Seconds())
+	if tokenTime <= 0 {
+		tokenTime = defaultTokenTime
 	}
+	r := Rates{prefillTokens: sampleTokens, prefillSeconds: sampleTokens / prefill, decode: line{memory: decodeMemory}}
+	r.decode.add(1, tokenTime.Seconds())
 	return r
 }
 
-// ObservePrefill learns that tokens were prefilled in the given time.
-func (r *Rates) ObservePrefill(tokens float64, took time.Duration) {
-	if tokens < minRateTokens || took <= 0 {
+// Drift moves the prefill rate a little towards that of similar targets. It is
+// meant for a target that was not observed lately, so that a bad memory does
+// not keep it idle for good.
+func (r *Rates) Drift(prefill float64) {
+	r.addPrefill(sampleTokens, sampleTokens/prefill)
+}
+
+// ObservePrefill learns that a first token came after the given time, with
+// tokens to prefill before it. The step that emits the token is not prefill.
+func (r *Rates) ObservePrefill(tokens float64, took time.Duration, batch int) {
+	if tokens < minPrefillTokens || took <= 0 {
 		return
 	}
-	r.prefillTokens = r.prefillTokens*rateMemory + tokens
-	r.prefillSeconds = r.prefillSeconds*rateMemory + took.Seconds()
+	step := r.TokenTime(batch)
+	r.addPrefill(tokens, max(took-step, took/2).Seconds())
+}
+
+func (r *Rates) addPrefill(tokens, seconds float64) {
+	r.prefillTokens = r.prefillTokens*prefillMemory + tokens
+	r.prefillSeconds = r.prefillSeconds*prefillMemory + seconds
 }
 
 // ObserveDecode learns the mean time per output token at a mean batch size.
@@ -68,28 +86,34 @@
 
 // line is a least-squares line with exponentially fading weights.
 type line struct {
+	memory          float64
 	n, x, y, xx, xy float64
 }
 
 func (l *line) add(x, y float64) {
-	l.n = l.n*rateMemory + 1
-	l.x = l.x*rateMemory + x
-	l.y = l.y*rateMemory + y
-	l.xx = l.xx*rateMemory + x*x
-	l.xy = l.xy*rateMemory + x*y
+	l.n = l.n*l.memory + 1
+	l.x = l.x*l.memory + x
+	l.y = l.y*l.memory + y
+	l.xx = l.xx*l.memory + x*x
+	l.xy = l.xy*l.memory + x*y
 }
 
-// minVariance is the spread of x below which no slope is derived.
-const minVariance = 0.25
+// minSpread is the relative variance of x below which no slope is derived.
+const minSpread = 0.01
+
+// slope returns the line's slope, or 0 if the points do not give one.
+func (l *line) slope() float64 {
+	meanX, meanY := l.x/l.n, l.y/l.n
+	variance := l.xx/l.n - meanX*meanX
+	if variance <= minSpread*meanX*meanX {
+		return 0
+	}
+	return max((l.xy/l.n-meanX*meanY)/variance, 0)
+}
 
 // at returns the line's value; the slope is never negative, because a larger
 // batch never makes a target faster.
 func (l *line) at(x float64) float64 {
 	meanX, meanY := l.x/l.n, l.y/l.n
-	variance := l.xx/l.n - meanX*meanX
-	if variance < minVariance {
-		return meanY
-	}
-	slope := max((l.xy/l.n-meanX*meanY)/variance, 0)
-	return max(meanY+slope*(x-meanX), meanY/4)
+	return max(meanY+l.slope()*(x-meanX), meanY/4)
 }
--- a/scheduling/request.go
+++ b/scheduling/request.go
@@ -21,8 +21,12 @@
 	// Region is where the entry stands.
 	Region    string
 	BodyBytes int
+	// Rank of the tier; 0 is the most important.
+	Rank int
 	// Alone requires a target without other requests.
 	Alone bool
+	// Remaining is the time until the first token's deadline; 0 means none.
+	Remaining time.Duration
 }
 
 // Candidate is the state of one target at the time of a decision.
@@ -53,7 +57,7 @@
 	CachedTokens int
 }
 
-// Policy holds the weights of a decision.
+// Policy holds the goals and weights of a decision.
 type Policy struct {
 	// FirstTokenGoal and TokenTimeGoal are to be met by 95 in 100 requests.
 	FirstTokenGoal time.Duration
@@ -61,8 +65,6 @@
 	// CrossRegionPrice is the penalty per megabyte sent between regions, in
 	// seconds.
 	CrossRegionPrice float64
-	// LoadTime is the penalty for a model that is not loaded.
-	LoadTime time.Duration
 }
 
 // bytesPerToken is the mean size of an output token on the wire.
@@ -80,3 +82,11 @@
 	}
 	return float64(r.Uncached(c) + r.OutputTokens)
 }
+
+// Decode returns the part of the cost that stays once the prompt is prefilled.
+func (r *Request) Decode(c *Candidate) float64 {
+	if c.Plain {
+		return 1
+	}
+	return float64(r.OutputTokens)
+}
--- a/scheduling/score.go
+++ b/scheduling/score.go
@@ -46,7 +46,7 @@
 }
 
 func firstToken(r *Request, c *Candidate) float64 {
-	return c.PrefillWait.Seconds() + float64(r.Uncached(c))/c.PrefillRate
+	return (c.PrefillWait + c.TokenTime).Seconds() + float64(r.Uncached(c))/c.PrefillRate
 }
 
 // decodePressure counts the answer's decode time, and all time above the goal.
