Bound queues in scenarios so that overload makes owners shed

Cause: with the default bound every refusal came at the caller's own deadline, and tier-order judged nothing.

--- a/standin/deployment/config.go
+++ b/standin/deployment/config.go
@@ -144,8 +144,9 @@
 // cluster is the cluster name of every deployment.
 const cluster = "scenario"
 
-// settingsText returns a node's settings file. Timeouts keep their defaults,
-// but for the readiness delay, which no balancer waits for here.
+// settingsText returns a node's settings file. Settings keep their defaults but
+// for the readiness delay, as the balancer here looks often, and the queue's
+// bound, so that a small overload makes owners shed.
 func (l *Layout) settingsText(n Node) string {
 	return fmt.Sprintf(`[node]
 name = %q
@@ -165,6 +166,9 @@
 [platform]
 url = "http://%s"
 
+[scheduling]
+max_queue_requests = 24
+
 [shutdown]
 readiness_delay = "500ms"
 `, n.Name, cluster, n.Zone, n.Region, n.SourceIP, n.HTTP, n.Peer, n.PeerAdvertise, l.platformRelay())
--- a/standin/scenario/traffic.go
+++ b/standin/scenario/traffic.go
@@ -87,7 +87,8 @@
 		group := []string{
 			args[0] + "-" + w.name, "-background", "-no-key",
 			fmt.Sprintf("-count=%d", overloadCount), fmt.Sprintf("-parallel=%d", overloadCount),
-			fmt.Sprintf("-tokens=%d", overloadTokens), "-deadline=" + overloadDeadline.String(),
+			fmt.Sprintf("-tokens=%d", overloadTokens), fmt.Sprintf("-prompt=%d", overloadPrompt),
+			"-deadline=" + overloadDeadline.String(),
 		}
 		if err := s.send(append(group, w.flags...)); err != nil {
 			return err
@@ -101,9 +102,10 @@
 
 // Sizes of an overload.
 const (
-	overloadCount    = 120
+	overloadCount    = 150
 	overloadTokens   = 40
-	overloadDeadline = 1500 * time.Millisecond
+	overloadPrompt   = 3000
+	overloadDeadline = 4 * time.Second
 	// overloadGap separates the tiers by more than the checker's allowance.
 	overloadGap = 300 * time.Millisecond
 )
