--- a/Makefile
+++ b/Makefile
@@ -113,3 +113,8 @@
 
 capacity-render: ## Write the tables of docs/CAPACITY.md from the last measurement.
 	go run ./standin/cmd/capacity --render
+
+.PHONY: help
+
+help: ## List the targets.
+	@grep -hE '^[a-z-]+:.*## ' Makefile | sed -E 's/:[^#]*## /\t/' | sort | expand -t 20
