Decide without allocating for each prefix block

Cause: a permit decision cost 20 allocations for a prompt of 16 blocks, 16 of them entries of the prefix index, and 134 µs with 27 models waiting, because each lane was decided although all targets were already yielded. The index keeps two generations of blocks instead of an LRU list; dispatch ends once every target is yielded. Ruled out: checking limits before the prefix is matched, since a request would then be judged too late by a prompt that is cached.

--- a/admission/group.go
+++ b/admission/group.go
@@ -160,6 +160,9 @@
 		leased := g.pool.mayDispatch(now, rank)
 		for o.dispatchNext(now, g, r, leased) {
 		}
+		if g.allYielded() {
+			break
+		}
 	}
 	if g.queue.length == 0 {
 		g.drain.idle()
@@ -171,7 +174,7 @@
 func (o *Owner) dispatchNext(now time.Time, g *group, r *rankQueue, leased bool) bool {
 	for {
 		w := r.next(g.yielded, g.blocked)
-		if w == nil {
+		if w == nil || g.allYielded() {
 			return false
 		}
 		if !leased && !w.fresh {
@@ -199,6 +202,19 @@
 	}
 }
 
+// allYielded reports whether every target is left to a waiting request.
+func (g *group) allYielded() bool {
+	if len(g.yielded) == 0 {
+		return false
+	}
+	for _, t := range g.targets {
+		if !t.info.Leaving && !t.holdsAny(g.yielded) {
+			return false
+		}
+	}
+	return true
+}
+
 // block passes over a waiter's lane until the next dispatch.
 func (g *group) block(w *Waiter) {
 	if w.request.Alone {
--- a/admission/target.go
+++ b/admission/target.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -96,6 +97,11 @@
 	return t.alone != nil || (t.reservedFor != nil && t.reservedFor.flow != nil)
 }
 
+// holdsAny reports whether the target can serve one of the models.
+func (t *target) holdsAny(models []string) bool {
+	return t.plain() || slices.ContainsFunc(t.models, func(m string) bool { return slices.Contains(models, m) })
+}
+
 func (t *target) plain() bool {
 	return t.info.Kind == schema.ServiceKind_SERVICE_KIND_PLAIN
 }
--- a/scheduling/prefix.go
+++ b/scheduling/prefix.go
@@ -1,7 +1,5 @@
 package scheduling
 
-import lru "github.com/hashicorp/golang-lru/v2/simplelru"
-
 // BlockTokens is the number of prompt tokens in one prefix block.
 const BlockTokens = 64
 
@@ -16,41 +14,53 @@
 
 // PrefixIndex remembers which prompt blocks a target's cache is expected to
 // hold. Blocks are named by chained hashes, so a block implies all before it.
-// Trust falls when cache events are missed or predictions fail.
+// Trust falls when cache events are missed or predictions fail. The blocks are
+// kept in two generations, so that those not used lately are forgotten
+// together and nothing is allocated for each block.
 type PrefixIndex struct {
-	blocks *lru.LRU[uint64, struct{}]
-	trust  float64
+	young, old map[uint64]struct{}
+	trust      float64
 }
 
 // NewPrefixIndex returns an empty index.
 func NewPrefixIndex() *PrefixIndex {
-	blocks, err := lru.NewLRU[uint64, struct{}](maxPrefixBlocks, nil)
-	if err != nil {
-		panic(err) // The size is a positive constant.
-	}
-	return &PrefixIndex{blocks: blocks, trust: fullTrust}
+	return &PrefixIndex{young: make(map[uint64]struct{}), old: make(map[uint64]struct{}), trust: fullTrust}
 }
 
 // Insert notes that the target was given a prompt with these blocks.
 func (x *PrefixIndex) Insert(blocks []uint64) {
 	for _, b := range blocks {
-		x.blocks.Add(b, struct{}{})
+		if len(x.young) >= maxPrefixBlocks/2 {
+			x.young, x.old = x.old, x.young
+			clear(x.young)
+		}
+		x.young[b] = struct{}{}
 	}
 }
 
 // Remove notes that the target evicted blocks.
 func (x *PrefixIndex) Remove(blocks []uint64) {
 	for _, b := range blocks {
-		x.blocks.Remove(b)
+		delete(x.young, b)
+		delete(x.old, b)
 	}
 }
 
 // Clear forgets everything, as after a restart of the target.
 func (x *PrefixIndex) Clear() {
-	x.blocks.Purge()
+	clear(x.young)
+	clear(x.old)
 	x.trust = fullTrust
 }
 
+func (x *PrefixIndex) contains(block uint64) bool {
+	if _, ok := x.young[block]; ok {
+		return true
+	}
+	_, ok := x.old[block]
+	return ok
+}
+
 // Gap notes that cache events were missed.
 func (x *PrefixIndex) Gap() {
 	x.trust = max(x.trust*trustLossGap, minTrust)
@@ -71,7 +81,7 @@
 	low, high := 0, len(blocks)
 	for low < high {
 		mid := (low + high) / 2
-		if x.blocks.Contains(blocks[mid]) {
+		if x.contains(blocks[mid]) {
 			low = mid + 1
 		} else {
 			high = mid
@@ -87,7 +97,7 @@
 	return min(int(tokens), promptTokens)
 }
 
-// Len returns the number of blocks remembered.
+// Len returns the number of blocks remembered, at most 8192.
 func (x *PrefixIndex) Len() int {
-	return x.blocks.Len()
+	return len(x.young) + len(x.old)
 }
