Test that a region cut off keeps its view and rejoins without a storm

Result: go test -race ./membership: after 10 minutes (virtual) without store and peers the region's own view is unchanged, the others changed twice in all (lost, back), and the 10 s after the rejoin carry less than three times the heartbeat bytes of 10 s at rest. Conclusion: no rule beyond damping was needed for this.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -274,3 +274,29 @@
 		waitFor(t, nodes, 3*time.Second, func(n *node) bool { return slices.Equal(n.LeavingVMs(), []string{"vm2"}) })
 	})
 }
+
+func TestRegionCutOffKeepsItsViewAndRejoinsWithoutAStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t)
+		nodes := n.joinAll(4, "a", "b", "c")
+		atRest := n.bytesIn(10 * time.Second)
+		for _, node := range nodes {
+			node.changes = 0
+		}
+		n.setCut(func(from, to *node) bool {
+			return from.zone == "c" && to == nil || to != nil && (from.zone == "c") != (to.zone == "c")
+		})
+		time.Sleep(10 * time.Minute)
+		waitFor(t, nodes, 0, func(n *node) bool { return len(n.Members()) == 12 || n.zone != "c" && len(n.Members()) == 8 })
+		for _, node := range nodes {
+			is.True(node.zone != "c" || !node.Isolated())
+		}
+		n.setCut(nil)
+		is.True(n.bytesIn(10*time.Second) < 3*atRest)
+		waitFor(t, nodes, settle, sees(12))
+		for _, node := range nodes {
+			is.Equal(node.changes, map[string]int{"a": 2, "b": 2, "c": 0}[node.zone])
+		}
+	})
+}
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -198,3 +198,14 @@
 	t.Fatalf("views differ after %s", limit)
 	return 0
 }
+
+// bytesIn returns the heartbeat bytes of a time to come.
+func (n *network) bytesIn(d time.Duration) int {
+	n.mu.Lock()
+	before := n.bytes
+	n.mu.Unlock()
+	time.Sleep(d)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes - before
+}
