Try the related paper's two rules for nodes that were cut off

Ruled out: judging them by double grants, which are 0 either way, since the conditional update decides.

--- a/Makefile
+++ b/Makefile
@@ -118,3 +118,15 @@
 
 help: ## List the targets.
 	@grep -hE '^[a-z-]+:.*## ' Makefile | sed -E 's/:[^#]*## /\t/' | sort | expand -t 20
+.PHONY: bench-control bench-isolation
+
+bench-control: ## Measure the ledger and membership; results in docs/results.
+	go build -o $(BIN)/control ./standin/cmd/control
+	$(BIN)/control ledger --out docs/results/ledger.json
+	$(BIN)/control membership --zones 1 --per-zone 4,8,16,32,64 --out docs/results/membership.json
+	$(BIN)/control membership --zones 13 --per-zone 4,31 --duration 10s --out docs/results/membership-zones.json
+	$(BIN)/control membership --zones 13 --per-zone 31 --heartbeat 500ms --suspect 1500ms --report 1s \
+		--revision 4800ms --duration 20s --out docs/results/membership-target.json
+
+bench-isolation: ## Try the two rules for nodes that were cut off; results in docs/results.
+	PRIMROSEMOOR_RESULTS=$(CURDIR)/docs/results/isolation.json go test ./standin/control -run RulesOfIsolation -count 1
--- /dev/null
+++ b/standin/control/isolation_test.go
@@ -0,0 +1,281 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/ledger"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/topology"
+)
+
+// rules are the two that the related paper proposes for a node that was cut
+// off.
+type rules struct {
+	// StopWhenIsolated takes an isolated node out of the balancer.
+	StopWhenIsolated bool `json:"stop_when_isolated"`
+	// WaitAfterRejoin keeps it out for some time after it rejoined.
+	WaitAfterRejoin bool `json:"wait_after_rejoin"`
+}
+
+// rulesResult counts what happened to the requests of one trial.
+type rulesResult struct {
+	rules
+	Seed          uint64  `json:"seed"`
+	Granted       int     `json:"granted"`
+	NotRun        int     `json:"not_run"`
+	NotRunRejoin  int     `json:"not_run_after_rejoin"`
+	Doubled       int     `json:"ids_granted_twice"`
+	WaitP99Ms     float64 `json:"wait_p99_ms"`
+	WaitAfterP99  float64 `json:"wait_p99_after_rejoin_ms"`
+	WritesAfter   uint64  `json:"platform_writes_10s_after_rejoin"`
+	WritesAtFirst uint64  `json:"platform_writes_10s_before"`
+}
+
+const (
+	trialNodes  = 6
+	trialRate   = 100
+	rejoinWait  = 3 * time.Second
+	cutBegins   = 30 * time.Second
+	cutEnds     = 90 * time.Second
+	trialEnds   = 120 * time.Second
+	resendShare = 5
+)
+
+// trial is one run under the rules.
+type trial struct {
+	rules   rules
+	seed    uint64
+	cluster *cluster
+	store   *platform.Memory
+	ledgers map[string]*ledger.Manager
+	cutOff  string
+	random  *rand.Rand
+
+	mu       sync.Mutex
+	cut      bool
+	rejoined time.Time
+	granted  map[string]int
+	waits    []time.Duration
+	after    []time.Duration
+	result   rulesResult
+}
+
+// cutStore is the object API as one node reaches it.
+type cutStore struct {
+	platform.Store
+	trial *trial
+	node  string
+}
+
+func (s cutStore) blocked() error {
+	if s.trial.isCut(s.node) {
+		return errStopped
+	}
+	return nil
+}
+
+func (s cutStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.blocked(); err != nil {
+		return platform.Object{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s cutStore) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	if err := s.blocked(); err != nil {
+		return 0, err
+	}
+	return s.Store.Put(ctx, key, value, expect)
+}
+
+func (s cutStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	if err := s.blocked(); err != nil {
+		return nil, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (t *trial) isCut(node string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cut && node == t.cutOff
+}
+
+func (t *trial) run(ctx context.Context) rulesResult {
+	t.store = newStore()
+	t.ledgers = make(map[string]*ledger.Manager)
+	t.granted = make(map[string]int)
+	t.random = rand.New(rand.NewPCG(t.seed, 0))
+	t.cluster = &cluster{nodes: make(map[string]*clusterNode), cut: func(from, to string) bool { return t.isCut(from) || t.isCut(to) }}
+	t.cluster.storeOf = func(node string) platform.Store { return cutStore{t.store, t, node} }
+	m := MembershipCase{Settings: Intervals(300*time.Millisecond, time.Second, 500*time.Millisecond)}
+	m.Settings.IsolatedAfter = nil
+	for i := range trialNodes {
+		t.cluster.start(ctx, m, i%2, i/2)
+		t.startLedger(ctx, t.cluster.order[i])
+	}
+	t.cutOff = t.cluster.order[0].name
+	var group sync.WaitGroup
+	begin := time.Now()
+	for i := 0; time.Since(begin) < trialEnds; i++ {
+		t.schedule(time.Since(begin))
+		if time.Since(begin) > cutBegins/2 {
+			id := i - t.random.IntN(2)*t.random.IntN(resendShare)
+			entry := t.cluster.order[t.random.IntN(trialNodes)]
+			group.Go(func() { t.request(ctx, entry, fmt.Sprintf("id-%d", id), fmt.Sprintf("attempt-%d", i)) })
+		}
+		time.Sleep(time.Second / trialRate)
+	}
+	group.Wait()
+	return t.finish()
+}
+
+func (t *trial) startLedger(ctx context.Context, n *clusterNode) {
+	l := ledger.New(ledger.Options{Node: n.name, Store: t.cluster.storeOf(n.name), Settings: &schema.LedgerSettings{Shards: 16}})
+	t.ledgers[n.name] = l
+	go func() { _ = l.Run(ctx) }()
+	n.Subscribe(func(members []*schema.Member) {
+		l.ApplyTopology(topology.Build(&schema.Config{}, members, topology.Options{}))
+	})
+}
+
+// schedule cuts the node off and lets it rejoin.
+func (t *trial) schedule(at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wasCut := t.cut
+	t.cut = at >= cutBegins && at < cutEnds
+	if wasCut && !t.cut {
+		t.rejoined = time.Now()
+	}
+	writes := t.store.Calls(platform.OperationPut)
+	second := int(at / time.Second)
+	switch {
+	case second == int((cutBegins-10*time.Second)/time.Second) && t.result.WritesAtFirst == 0:
+		t.result.WritesAtFirst = writes
+	case !wasCut && t.cut:
+		t.result.WritesAtFirst = writes - t.result.WritesAtFirst
+	case wasCut && !t.cut:
+		t.result.WritesAfter = writes
+	case second == int((cutEnds+10*time.Second)/time.Second) && t.result.WritesAfter > writes/2:
+		t.result.WritesAfter = writes - t.result.WritesAfter
+	}
+}
+
+// request is one caller's request at an entry, which asks the shard's owner as
+// the entry sees it.
+func (t *trial) request(ctx context.Context, entry *clusterNode, id, attempt string) {
+	if !t.ready(entry) {
+		entry = t.cluster.order[1]
+	}
+	begin := time.Now()
+	state, err := t.claim(ctx, entry, id, attempt)
+	wait := time.Since(begin)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	afterRejoin := !t.rejoined.IsZero()
+	t.waits = append(t.waits, wait)
+	if afterRejoin {
+		t.after = append(t.after, wait)
+	}
+	switch {
+	case err != nil && afterRejoin:
+		t.result.NotRunRejoin++
+		t.result.NotRun++
+	case err != nil:
+		t.result.NotRun++
+	case state == schema.ClaimState_CLAIM_STATE_NEW:
+		t.granted[id]++
+	}
+}
+
+func (t *trial) claim(ctx context.Context, entry *clusterNode, id, attempt string) (schema.ClaimState, error) {
+	local := t.ledgers[entry.name]
+	snapshot := topology.Build(&schema.Config{}, entry.Members(), topology.Options{})
+	owner := snapshot.ShardOwner(local.ShardOf("team", id))
+	l := t.ledgers[owner]
+	if l == nil || owner != entry.name && (t.isCut(entry.name) || t.isCut(owner)) {
+		l = local
+	}
+	reply, err := l.Claim(ctx, &schema.ClaimRequest{
+		RequestId: id, Team: "team", Digest: []byte(id), EntryNode: entry.name, Attempt: attempt, AnyOwner: l == local,
+	})
+	return reply.GetState(), err
+}
+
+// ready reports whether the balancer sends to a node under the rules.
+func (t *trial) ready(n *clusterNode) bool {
+	if t.rules.StopWhenIsolated && n.Isolated() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	waiting := !t.rejoined.IsZero() && time.Since(t.rejoined) < rejoinWait
+	return !t.rules.WaitAfterRejoin || n.name != t.cutOff || !waiting
+}
+
+func (t *trial) finish() rulesResult {
+	t.result.rules = t.rules
+	t.result.Seed = t.seed
+	for _, count := range t.granted {
+		t.result.Granted += count
+		if count > 1 {
+			t.result.Doubled++
+		}
+	}
+	t.result.WaitP99Ms = quantile(sorted(t.waits), 0.99)
+	t.result.WaitAfterP99 = quantile(sorted(t.after), 0.99)
+	return t.result
+}
+
+func tryRules(t *testing.T, r rules, seed uint64) rulesResult {
+	var result rulesResult
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		trial := &trial{rules: r, seed: seed}
+		result = trial.run(ctx)
+		cancel()
+		time.Sleep(time.Minute) // Lets the calls under way end.
+	})
+	return result
+}
+
+// TestRulesOfIsolation tries the related paper's two rules with and without.
+// Whatever the rules, no id may be granted twice. Results of five seeds go to
+// the file named by PRIMROSEMOOR_RESULTS; without it one seed is tried.
+func TestRulesOfIsolation(t *testing.T) {
+	is := is.New(t)
+	file := os.Getenv("PRIMROSEMOOR_RESULTS")
+	seeds := uint64(1)
+	if file != "" {
+		seeds = 5
+	}
+	var results []rulesResult
+	for _, r := range []rules{{false, false}, {true, false}, {false, true}, {true, true}} {
+		for seed := range seeds {
+			results = append(results, tryRules(t, r, seed))
+		}
+	}
+	for _, r := range results {
+		t.Logf("%+v", r)
+		is.Equal(r.Doubled, 0)
+		is.True(r.Granted > 0)
+	}
+	if file == "" {
+		return
+	}
+	raw, err := json.MarshalIndent(results, "", "  ")
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(file, append(raw, '\n'), 0o644))
+}
--- a/standin/control/membership.go
+++ b/standin/control/membership.go
@@ -54,6 +54,10 @@
 	mu    sync.Mutex
 	nodes map[string]*clusterNode
 	order []*clusterNode
+	// storeOf returns the object API as a node reaches it; nil means store.
+	storeOf func(node string) platform.Store
+	// cut reports whether the link between two nodes is down; nil means never.
+	cut func(from, to string) bool
 }
 
 type clusterNode struct {
@@ -72,7 +76,7 @@
 	n.cluster.mu.Lock()
 	to := n.cluster.nodes[address]
 	n.cluster.mu.Unlock()
-	if to == nil {
+	if to == nil || n.cluster.cut != nil && n.cluster.cut(n.name, address) {
 		return nil, errStopped
 	}
 	reply, err := to.HandleHeartbeat(ctx, peer.Identity{Node: n.name, AvailabilityZone: n.zone}, h)
@@ -88,12 +92,16 @@
 func (c *cluster) start(ctx context.Context, m MembershipCase, zone, index int) {
 	n := &clusterNode{cluster: c, zone: fmt.Sprintf("zone-%02d", zone)}
 	n.name = fmt.Sprintf("%s-node-%03d", n.zone, index)
+	var store platform.Store = c.store
+	if c.storeOf != nil {
+		store = c.storeOf(n.name)
+	}
 	n.Manager = membership.New(membership.Options{
 		Self: &schema.Member{
 			Node: n.name, AvailabilityZone: n.zone, Region: fmt.Sprintf("region-%d", zone/2),
 			PeerAddress: n.name, State: schema.MemberState_MEMBER_STATE_ACTIVE, ConfigRevision: 1,
 		},
-		Store:    c.store,
+		Store:    store,
 		Peers:    n,
 		Settings: m.Settings,
 	})
