Tell the allocator what fills the buckets again, not a rate of few requests

A report 250 ms after one request of 2,900 tokens told 11,600 tokens/s, and the whole pool went to that node; a demand that fell by steps held it for longer. Choice: below five requests between reports the demand is what the buckets lack; above, the rate over at least one interval is added.

--- a/limits/allocator.go
+++ b/limits/allocator.go
@@ -1,7 +1,6 @@
 package limits
 
 import (
-	"math"
 	"time"
 )
 
@@ -30,11 +29,6 @@
 	return amounts{a.requests + b.requests, a.tokens + b.tokens, a.inFlight + b.inFlight}
 }
 
-// fallTo returns b, but no less than a part of a.
-func (a amounts) fallTo(b amounts, part float64) amounts {
-	return amounts{max(b.requests, a.requests*part), max(b.tokens, a.tokens*part), max(b.inFlight, math.Floor(a.inFlight*part))}
-}
-
 // below reports whether no amount exceeds that of b.
 func (a amounts) below(b amounts) bool {
 	return a.requests <= b.requests && a.tokens <= b.tokens && a.inFlight <= b.inFlight
--- a/limits/bucket.go
+++ b/limits/bucket.go
@@ -9,10 +9,6 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// decay is the part of a sparse demand that is kept from one report to the
-// next when fewer callers come by chance.
-const decay = 0.7
-
 // sparse is the number of requests between reports below which a demand is
 // mostly chance.
 const sparse = 5
@@ -45,7 +41,7 @@
 	seen     amounts
 	refused  bool
 	measured time.Time
-	// recent is the demand told last; it falls gradually.
+	// recent is the demand told last.
 	recent amounts
 	// urgent is signalled when a grant might avoid the next refusal.
 	urgent chan<- struct{}
@@ -158,24 +154,16 @@
 
 // demand returns what callers asked for lately, and whether it is worth
 // telling the allocator: while the base share suffices it is not. The end of a
-// demand is told, so that others get the share.
-func (b *bucket) demand(now time.Time) (amounts, bool) {
+// demand is told, so that others get the share. interval is the time between
+// reports.
+func (b *bucket) demand(now time.Time, interval time.Duration) (amounts, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
 	b.requests.refill(now)
 	b.tokens.refill(now)
-	measured := b.measure(now)
-	kept := 0.0
-	if b.recent.requests*now.Sub(b.measured).Seconds() < sparse {
-		kept = decay
-	}
-	if kept > 0 || b.seen.requests > 0 {
-		// What it takes to fill the buckets again is part of the demand.
-		measured.requests += b.requests.lacking() / burst.Seconds()
-		measured.tokens += b.tokens.lacking() / burst.Seconds()
-	}
-	b.recent = b.recent.fallTo(measured, kept)
+	quiet := b.recent.requests*interval.Seconds() < sparse
+	b.recent = b.measure(now, interval, quiet)
 	active := b.seen.requests > 0 || b.peak > 0
 	short := b.requests.low() || b.tokens.low()
 	worth := short || active && (b.refused || b.fewSlots()) || !b.granted.IsZero()
@@ -186,13 +174,23 @@
 	return b.recent, worth
 }
 
-// measure returns the demand since the last report.
-func (b *bucket) measure(now time.Time) amounts {
-	elapsed := max(now.Sub(b.measured).Seconds(), time.Millisecond.Seconds())
-	d := amounts{b.seen.requests / elapsed, b.seen.tokens / elapsed, float64(b.peak)}
+// measure returns the demand since the last report. Of a few requests the rate
+// says little: then it is what fills the buckets again.
+func (b *bucket) measure(now time.Time, interval time.Duration, quiet bool) amounts {
+	d := amounts{inFlight: float64(b.peak)}
 	if b.refused {
 		d.inFlight++
 	}
+	if b.seen.requests > 0 || quiet {
+		seconds := max(burst, interval).Seconds()
+		d.requests = b.requests.lacking() / seconds
+		d.tokens = b.tokens.lacking() / seconds
+	}
+	if b.seen.requests >= sparse {
+		elapsed := max(now.Sub(b.measured), interval).Seconds()
+		d.requests += b.seen.requests / elapsed
+		d.tokens += b.seen.tokens / elapsed
+	}
 	return d
 }
 
--- a/limits/loop.go
+++ b/limits/loop.go
@@ -95,7 +95,7 @@
 	v := r.l.view.Load()
 	requests := make(map[string]*schema.LimitShareRequest)
 	for team, b := range v.buckets {
-		demand, worth := b.demand(now)
+		demand, worth := b.demand(now, v.interval())
 		if !worth {
 			continue
 		}
