--- a/ctl/configuration.go
+++ b/ctl/configuration.go
@@ -78,6 +78,9 @@
 
 // Run implements the command.
 func (c *applyCommand) Run(a *app) error {
+	if c.Wait && len(c.Peer) == 0 {
+		return badInput("--wait needs a node to ask", "give the peer address of a node with --peer")
+	}
 	want, err := register.Load(c.Files...)
 	if err != nil {
 		return err
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -108,6 +108,8 @@
 	is.Equal(r.code, ctl.ExitBadInput)
 	is.True(strings.Contains(r.stderr, "settings.toml:5: node: unknown key"))
 	is.Equal(x.run("", "status").code, ctl.ExitBadInput)
+	is.Equal(x.onStore("apply", registerFile, rulesFile, "--wait").code, ctl.ExitBadInput)
+	is.True(strings.HasPrefix(x.onStore("register", "list").stdout, "VM  ZONE")) // Nothing was applied.
 	is.Equal(x.run("", "status", "--peer", "127.0.0.1:1").code, ctl.ExitUnavailable)
 	x.store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
 	is.Equal(x.onStore("apply", registerFile, rulesFile).code, ctl.ExitUnavailable)
