Tell all members at once that a node drains

Cause: a draining node gave up its groups and shards in its own view at once, but the others learned of it by heartbeat, zone report and the next reads of their reporters.

A member's own word that it drains is believed at once, for its incarnation; a lost notice is made up for by the zone report, as before.

Ruled out: keeping the groups for some seconds after the drain began, which adds to every stop, and watching the reports, which costs calls all the time.

Before: TestEveryMemberLearnsAtOnceThatANodeDrains failed after 50 ms; after: passes, and the views agree with the reports later.

--- a/membership/state.go
+++ b/membership/state.go
@@ -32,6 +32,7 @@
 	// yieldUntil keeps this node from acting while another reporter, which it
 	// cannot reach, is alive in the object API.
 	yieldUntil time.Time
+	drains     drains
 	burst      burst
 	lostBurst  burst
 	want       []string
@@ -94,6 +95,7 @@
 		heard:    make(map[string]*heard),
 		known:    make(map[string]*schema.Member),
 		avoided:  make(map[string]time.Time),
+		drains:   make(drains),
 	}
 }
 
@@ -129,6 +131,7 @@
 		}
 	}
 	slices.SortFunc(members, byName)
+	s.drains.apply(members)
 	return members
 }
 
