Hand a ledger shard's records to its next owner

Cause: where a claimed request runs, and its stored outcome, are known to the shard's owner only. When the shard moved, the next owner knew the bare claim and answered unknown-effect to every repeated send: a graceful stop turned finished requests into unknown ones.

Ruled out: storing outcomes in the segment (the writes grow by the answers' size), and entries that repeat their recent outcomes (an entry that stopped takes them along).

Before: TestNextOwnerAnswersFromHandedRecords failed with UNKNOWN for RUNNING, without and with a handover that is 300 ms late. After: passes.

--- /dev/null
+++ b/ledger/handover_test.go
@@ -0,0 +1,90 @@
+package ledger_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/ledger"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// network carries records between managers after a delay.
+type network struct {
+	delay    time.Duration
+	managers map[string]*ledger.Manager
+}
+
+func (n *network) HandOverShard(ctx context.Context, node string, h *schema.LedgerHandover) error {
+	select {
+	case <-time.After(n.delay):
+		return n.managers[node].Adopt(ctx, h)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// startPair runs managers of n1, which owns the shard, and n2.
+func startPair(t *testing.T, delay time.Duration) (n1, n2 *ledger.Manager) {
+	store := platform.NewMemory()
+	peers := &network{delay: delay, managers: make(map[string]*ledger.Manager)}
+	for _, node := range []string{"n1", "n2"} {
+		m := ledger.New(ledger.Options{Node: node, Store: store, Settings: testSettings(), Peers: peers})
+		peers.managers[node] = m
+		go func() { _ = m.Run(t.Context()) }()
+		m.ApplyTopology(ownedBy("n1", "n2", "entry"))
+	}
+	synctest.Wait()
+	return peers.managers["n1"], peers.managers["n2"]
+}
+
+func TestNextOwnerAnswersFromHandedRecords(t *testing.T) {
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n1, n2 := startPair(t, delay)
+				is.Equal(claimState(t, n1, request("running", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
+				_, err := n1.Finish(t.Context(), &schema.FinishRequest{
+					RequestId: "running", Team: "t", Attempt: "a1", EntryNode: "entry", Target: "vm/s", StreamId: "s1",
+				})
+				is.NoErr(err)
+				is.Equal(claimState(t, n1, request("done", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
+				_, err = n1.Finish(t.Context(), finished("done", "a1", "answer"))
+				is.NoErr(err)
+
+				moved := ownedBy("n2", "n1", "entry")
+				n1.ApplyTopology(moved)
+				n2.ApplyTopology(moved)
+				reply, err := n2.Claim(t.Context(), request("running", "a2"))
+				is.NoErr(err)
+				is.Equal(reply.GetState(), schema.ClaimState_CLAIM_STATE_RUNNING)
+				is.Equal(reply.GetStreamId(), "s1")
+				reply, err = n2.Claim(t.Context(), request("done", "a2"))
+				is.NoErr(err)
+				is.Equal(string(reply.GetOutcome().GetBody()), "answer")
+			})
+		})
+	}
+}
+
+func TestLateHandoverDoesNotReplaceALaterRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n1, n2 := startPair(t, 300*time.Millisecond)
+		is.Equal(claimState(t, n1, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
+		moved := ownedBy("n2", "n1", "entry")
+		n1.ApplyTopology(moved)
+		n2.ApplyTopology(moved)
+		_, err := n2.Finish(t.Context(), finished("id", "a1", "answer"))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		reply, err := n2.Claim(t.Context(), request("id", "a2"))
+		is.NoErr(err)
+		is.Equal(string(reply.GetOutcome().GetBody()), "answer")
+	})
+}
--- a/ledger/io.go
+++ b/ledger/io.go
@@ -38,6 +38,7 @@
 func (e wakeEvent) apply(*Manager) {
 	e.shard.wake = time.Time{}
 	if e.shard.owned {
+		e.shard.retryUnsettled()
 		e.shard.schedule()
 	}
 }
@@ -106,15 +107,36 @@
 	if owner != m.node && !anyOwner {
 		return nil, errNotOwner(number, owner)
 	}
+	return m.shard(number), nil
+}
+
+// shard returns a shard, loaded or not, that this node answers for.
+func (m *Manager) shard(number uint32) *shard {
 	s, ok := m.shards[number]
 	if !ok {
 		s = newShard(m, number)
+		s.acquired = m.acquired[number]
 		m.shards[number] = s
 	}
-	return s, nil
+	return s
+}
+
+// noteAcquired notes when this node became the owner of shards.
+func (m *Manager) noteAcquired(before, after *topology.Snapshot) {
+	for number := range m.shardCount {
+		owned := before != nil && before.ShardOwner(number) == m.node
+		if owned || after.ShardOwner(number) != m.node {
+			continue
+		}
+		m.acquired[number] = time.Now()
+		if s, ok := m.shards[number]; ok {
+			s.acquired = m.acquired[number]
+		}
+	}
 }
 
 func (m *Manager) adoptTopology(snapshot *topology.Snapshot) {
+	m.noteAcquired(m.topology, snapshot)
 	m.topology = snapshot
 	for number, s := range m.shards {
 		owner := snapshot.ShardOwner(number)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -42,6 +42,8 @@
 	Node     string
 	Store    platform.Store
 	Settings *schema.LedgerSettings
+	// Peers may be nil; then records are not handed over.
+	Peers Peers
 	// Logger may be nil.
 	Logger *log.Logger
 }
@@ -51,6 +53,7 @@
 type Manager struct {
 	node            string
 	store           platform.Store
+	peers           Peers
 	logger          *log.Logger
 	shardCount      uint32
 	retention       time.Duration
@@ -65,9 +68,11 @@
 	nextTopology    atomic.Pointer[topology.Snapshot]
 
 	// The Run goroutine owns what follows.
-	ctx      context.Context
-	io       sync.WaitGroup
-	shards   map[uint32]*shard
+	ctx    context.Context
+	io     sync.WaitGroup
+	shards map[uint32]*shard
+	// acquired is when this node became the owner of a shard.
+	acquired map[uint32]time.Time
 	topology *topology.Snapshot
 }
 
@@ -82,6 +87,7 @@
 	m := &Manager{
 		node:            options.Node,
 		store:           options.Store,
+		peers:           options.Peers,
 		logger:          options.Logger,
 		shardCount:      s.GetShards(),
 		retention:       s.GetRetention().AsDuration(),
@@ -93,6 +99,7 @@
 		stopped:         make(chan struct{}),
 		topologyChanged: make(chan struct{}, 1),
 		shards:          make(map[uint32]*shard),
+		acquired:        make(map[uint32]time.Time),
 	}
 	m.setDefaults()
 	return m
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -30,9 +30,14 @@
 	// effect is not certain.
 	segment *segment
 	// parts are those of the last segment that was loaded or written.
-	parts    []*part
-	records  *records
-	waiting  []*claim
+	parts   []*part
+	records *records
+	waiting []*claim
+	// unsettled claims wait for a record that the previous owner or the entry
+	// of the running request may send.
+	unsettled []*claim
+	// acquired is when this node became the shard's owner.
+	acquired time.Time
 	finishes []*finish
 	// releaseDue is set while the segment may hold a released claim.
 	releaseDue bool
@@ -81,6 +86,10 @@
 // claim waits for the next write.
 func (s *shard) addClaim(c *claim) {
 	if s.segment != nil {
+		if s.awaitsRecord(c) {
+			s.settleLater(c)
+			return
+		}
 		if result, decided := s.decide(c); decided {
 			c.result <- result
 			return
@@ -155,6 +164,7 @@
 		f.result <- nil
 	}
 	s.finishes = nil
+	s.retryUnsettled()
 }
 
 // answerWaiting answers the claims that need no write and forgets those whose
@@ -164,6 +174,10 @@
 		if c.ctx.Err() != nil {
 			return true
 		}
+		if s.awaitsRecord(c) {
+			s.settleLater(c)
+			return true
+		}
 		result, decided := s.decide(c)
 		if decided {
 			c.result <- result
@@ -177,16 +191,19 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(c *claim) bool { return c.ctx.Err() != nil })
 }
 
-// drop fails what waits, after another node became the owner.
+// drop fails what waits, after another node became the owner, and hands the
+// records to it.
 func (s *shard) drop(owner string) {
 	s.owned = false
-	for _, c := range s.waiting {
+	s.handOver(owner)
+	for _, c := range slices.Concat(s.waiting, s.unsettled) {
 		c.fail(errNotOwner(s.number, owner))
 	}
 	for _, f := range s.finishes {
 		f.result <- errNotOwner(s.number, owner)
 	}
 	s.waiting = nil
+	s.unsettled = nil
 	s.finishes = nil
 }
 
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -55,6 +55,10 @@
 		func(ctx context.Context, _ peer.Identity, r *schema.FinishRequest) (*schema.FinishReply, error) {
 			return p.Ledger.Finish(ctx, r)
 		})
+	peer.Handle(s, schema.Method_METHOD_LEDGER_HANDOVER, newMessage[schema.LedgerHandover],
+		func(ctx context.Context, _ peer.Identity, h *schema.LedgerHandover) (*schema.LedgerHandoverReply, error) {
+			return &schema.LedgerHandoverReply{}, p.Ledger.Adopt(ctx, h)
+		})
 }
 
 func registerMembership(s *peer.Server, p *parts) {
--- a/node/links.go
+++ b/node/links.go
@@ -58,6 +58,15 @@
 	return reply, err
 }
 
+// HandOverShard implements ledger.Peers.
+func (l *links) HandOverShard(ctx context.Context, node string, h *schema.LedgerHandover) error {
+	member, ok := l.current.Load().Member(node)
+	if !ok {
+		return unknownMember(node)
+	}
+	return l.pool.Call(ctx, member.GetPeerAddress(), schema.Method_METHOD_LEDGER_HANDOVER, h, &schema.LedgerHandoverReply{})
+}
+
 // Spread implements quarantine.Spreader. A notice that is lost is made up for
 // by the stored list.
 func (l *links) Spread(n *schema.QuarantineNotice) {
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -118,11 +118,12 @@
 	return register.NewManager(register.Options{Store: store, Peers: l, Logger: logger})
 }
 
-func newLedger(s *schema.Settings, store platform.Store, logger *log.Logger) *ledger.Manager {
+func newLedger(s *schema.Settings, store platform.Store, l *links, logger *log.Logger) *ledger.Manager {
 	return ledger.New(ledger.Options{
 		Node:     s.GetNode().GetName(),
 		Store:    store,
 		Settings: s.GetLedger(),
+		Peers:    l,
 		Logger:   logger,
 	})
 }
