Release a claim whose answer was lost

Cause: an entry that gave up waiting for a claim told its caller and forgot the attempt. The owner wrote the claim a little later, when the platform was up again, and the key stayed taken: in-progress until the entry's end, and then unknown-effect for good, although the request never ran.

The ledger's contract says that an attempt reports a claim's error with not-run; the entry now does, in the background.

Before: TestClaimWhoseAnswerWasLostDoesNotKeepTheKey failed with in-progress. After: passes.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -26,6 +26,7 @@
 		Attempt:    attempt,
 	})
 	if err != nil {
+		d.abandonClaim(r, attempt, err)
 		return d.refuse(r, claimError(err))
 	}
 	d.options.Meter.CountClaim(reply.GetState())
@@ -43,6 +44,17 @@
 	}
 }
 
+// abandonClaim releases a claim that may have been made although its answer
+// was an error. The key would stay taken by a request that never ran.
+func (d *Dispatcher) abandonClaim(r *Request, attempt string, err error) {
+	switch fault.KindOf(err) {
+	case schema.ErrorKind_ERROR_KIND_BAD_REQUEST, schema.ErrorKind_ERROR_KIND_KEY_REUSED,
+		schema.ErrorKind_ERROR_KIND_KEY_EXPIRED:
+		return
+	}
+	d.newClaim(r, attempt).end(false, nil)
+}
+
 // recover reads the stream of a request whose entry is gone, if the ledger
 // knows it: the engine may still run it or keep its answer.
 func (d *Dispatcher) recover(ctx context.Context, w http.ResponseWriter, r *Request, reply *schema.ClaimReply) (Result, error) {
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -179,6 +180,29 @@
 	}
 }
 
+// lostAnswers makes claims whose answers do not arrive.
+type lostAnswers struct{ *fakeClaims }
+
+func (c lostAnswers) Claim(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
+	_, _ = c.fakeClaims.Claim(ctx, r)
+	return nil, fault.New(schema.ErrorKind_ERROR_KIND_UNREACHABLE, "the answer is lost", "retry")
+}
+
+func TestClaimWhoseAnswerWasLostDoesNotKeepTheKey(t *testing.T) {
+	is := is.New(t)
+	e := newFakeEngine(t, 4)
+	claims := newFakeClaims()
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	first := newDispatcher(permits, lostAnswers{claims})
+	_, err := first.Serve(t.Context(), httptest.NewRecorder(), keyedRequest("k"))
+	is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_UNKNOWN)
+	is.NoErr(first.Wait(t.Context()))
+	w := httptest.NewRecorder()
+	_, err = newDispatcher(permits, claims).Serve(t.Context(), w, keyedRequest("k"))
+	is.NoErr(err)
+	is.Equal(streamed(t, w.Body.String()), e.text("k"))
+}
+
 func TestAnotherEntryResumesByTicket(t *testing.T) {
 	is := is.New(t)
 	e := newFakeEngine(t, 6)
