Tell all members at once that a node drains

Cause: a draining node gave up its groups and shards in its own view at once, but the others learned of it by heartbeat, zone report and the next reads of their reporters.

The draining node now sends its heartbeat to every member. A member's own word that it drains is believed at once, for its incarnation; a lost notice is made up for by the zone report, as before. A planned stop is rare, so that one message to each member is cheap.

Ruled out: keeping the groups for some seconds after the drain began, which adds to every stop, and watching the reports, which costs calls all the time.

Before: TestEveryMemberLearnsAtOnceThatANodeDrains failed after 50 ms; after: passes, and the views agree with the reports later.

--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -191,6 +191,10 @@
 	s := m.state
 	now := time.Now()
 	s.contact = now
+	member := e.heartbeat.GetMember()
+	if member.GetNode() == e.from.Node && s.drains.note(member) {
+		m.publish()
+	}
 	sameZone := e.from.AvailabilityZone == s.ownZone()
 	needMember := sameZone && s.hear(e.from.Node, e.heartbeat, now, m.timing.suspect)
 	if s.acting {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -298,3 +298,21 @@
 		})
 	})
 }
+
+func TestEveryMemberLearnsAtOnceThatANodeDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		nodes := n.joinAll(3, "a", "b")
+		for _, leaving := range nodes[:2] {
+			leaving.SetState(schema.MemberState_MEMBER_STATE_DRAINING)
+			drains := func(n *node) bool {
+				return slices.ContainsFunc(n.Members(), func(m *schema.Member) bool {
+					return m.GetNode() == leaving.name && m.GetState() == schema.MemberState_MEMBER_STATE_DRAINING
+				})
+			}
+			waitFor(t, nodes, 50*time.Millisecond, drains)
+		}
+		time.Sleep(settle)
+		waitFor(t, nodes, 0, sees(6))
+	})
+}
--- a/membership/publish.go
+++ b/membership/publish.go
@@ -16,6 +16,10 @@
 	s.self = proto.CloneOf(s.self)
 	s.self.State = e.state
 	now := time.Now()
+	s.drains.note(s.self)
+	if e.state == schema.MemberState_MEMBER_STATE_DRAINING {
+		m.announceDrain(now)
+	}
 	m.elect(now)
 	if s.acting {
 		m.refreshReport(now)
--- a/membership/state.go
+++ b/membership/state.go
@@ -34,6 +34,7 @@
 	// yieldUntil keeps this node from acting while another reporter, which it
 	// cannot reach, is alive in the object API.
 	yieldUntil time.Time
+	drains     drains
 	burst      burst
 	lostBurst  burst
 	want       []string
@@ -96,6 +97,7 @@
 		heard:    make(map[string]*heard),
 		known:    make(map[string]*schema.Member),
 		avoided:  make(map[string]time.Time),
+		drains:   make(drains),
 	}
 }
 
@@ -131,6 +133,7 @@
 		}
 	}
 	slices.SortFunc(members, byName)
+	s.drains.apply(members)
 	return members
 }
 
