--- a/load/player.go
+++ b/load/player.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/trace"
@@ -113,7 +114,7 @@
 	var running sync.WaitGroup
 	played := 0
 	for i, q := range requests {
-		if !sleepUntil(ctx, began.Add(time.Duration(q.At)*time.Millisecond)) {
+		if !delay.Sleep(ctx, time.Until(began.Add(time.Duration(q.At)*time.Millisecond))) {
 			break
 		}
 		played++
@@ -133,21 +134,6 @@
 	return results[:played]
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // url returns the next node's base URL.
 func (p *Player) url() string {
 	n := p.next.Add(1)
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
@@ -105,7 +106,7 @@
 	l.Front.handler.BeginDrain()
 	l.Membership.SetState(schema.MemberState_MEMBER_STATE_DRAINING)
 	l.Logger.Info().Str("event", "drain_started").Int("in_flight", l.Front.handler.InFlight()).Msg("")
-	wait(ctx, l.Settings.GetShutdown().GetReadinessDelay().AsDuration())
+	delay.Sleep(ctx, l.Settings.GetShutdown().GetReadinessDelay().AsDuration())
 	drainCtx, cancel := context.WithTimeout(ctx, l.Settings.GetShutdown().GetDrainTimeout().AsDuration())
 	defer cancel()
 	err := l.Front.server.Shutdown(drainCtx)
@@ -121,15 +122,6 @@
 	return errors.Join(err, logging.Close(l.Logger))
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // requestShutdown begins the graceful shutdown, as SIGTERM does.
 func (p *parts) requestShutdown() {
 	if err := p.Shutdown.Shutdown(); err != nil {
--- a/register/apply.go
+++ b/register/apply.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -45,7 +46,7 @@
 		if err == nil || !retryable(err) {
 			return revision, err
 		}
-		if !sleep(ctx, w.wait.NextBackOff()) {
+		if !delay.Sleep(ctx, w.wait.NextBackOff()) {
 			return 0, w.giveUp(err)
 		}
 	}
@@ -65,17 +66,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // writer carries one edit through its attempts.
 type writer struct {
 	store   platform.Store
--- a/register/watch.go
+++ b/register/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/platform"
 )
 
@@ -32,7 +33,7 @@
 	for ctx.Err() == nil {
 		changes, err := l.m.options.Store.Watch(ctx, HeadKey, cursor, l.m.options.WatchTimeout)
 		if err != nil {
-			pause(ctx, wait.NextBackOff())
+			delay.Sleep(ctx, wait.NextBackOff())
 			continue
 		}
 		wait.Reset()
@@ -57,12 +58,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/routing/claims.go
+++ b/routing/claims.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
@@ -144,7 +145,7 @@
 		if err == nil || !retryable(err) {
 			return err
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !delay.Sleep(ctx, wait.NextBackOff()) {
 			return fault.Wrap(schema.ErrorKind_ERROR_KIND_UNREACHABLE, err,
 				"the ledger's owner cannot be reached", "retry with the same idempotency key").After(retryAfterDefault)
 		}
--- a/routing/permits.go
+++ b/routing/permits.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
@@ -140,7 +141,7 @@
 // budget lasts, and after that until the owners change.
 func (s *search) pause(ctx context.Context) bool {
 	if s.permits.budget.spend(s.request.GetService()) {
-		return sleep(ctx, s.wait.NextBackOff())
+		return delay.Sleep(ctx, s.wait.NextBackOff())
 	}
 	_, changed := s.permits.current.Wait()
 	timer := time.NewTimer(s.slow.NextBackOff())
@@ -149,7 +150,7 @@
 	case <-ctx.Done():
 		return false
 	case <-changed:
-		return sleep(ctx, s.wait.NextBackOff())
+		return delay.Sleep(ctx, s.wait.NextBackOff())
 	case <-timer.C:
 		return true
 	}
@@ -278,14 +279,3 @@
 	return fault.New(schema.ErrorKind_ERROR_KIND_UNREACHABLE,
 		"owner "+owner+" is not a member", "retry; the owners' views are settling")
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/standin/scenario/commands.go
+++ b/standin/scenario/commands.go
@@ -10,6 +10,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/standin/checker"
 	"github.com/primrosemoor/primrosemoor/standin/deployment"
 	"github.com/primrosemoor/primrosemoor/standin/relay"
@@ -128,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	if !sleep(s.ctx, d) {
+	if !delay.Sleep(s.ctx, d) {
 		return s.ctx.Err()
 	}
 	return nil
--- a/standin/scenario/group.go
+++ b/standin/scenario/group.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/standin/caller"
 	"github.com/primrosemoor/primrosemoor/standin/deployment"
 	"github.com/primrosemoor/primrosemoor/standin/history"
@@ -58,7 +59,7 @@
 	for i := range g.options.Count {
 		if g.options.Rate > 0 {
 			due := started.Add(time.Duration(float64(i) / g.options.Rate * float64(time.Second)))
-			if !sleep(ctx, time.Until(due)) {
+			if !delay.Sleep(ctx, time.Until(due)) {
 				return
 			}
 		}
@@ -118,7 +119,7 @@
 			return
 		}
 		g.note(i, response)
-		if settled(response) || try >= g.options.Resend || !sleep(ctx, g.options.ResendAfter) {
+		if settled(response) || try >= g.options.Resend || !delay.Sleep(ctx, g.options.ResendAfter) {
 			return
 		}
 		entry = pick(random, d.ServingNodes(), entry)
@@ -210,13 +211,3 @@
 	}
 	return n
 }
-
-// sleep waits and reports whether the context is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(max(0, d)):
-		return true
-	}
-}
--- a/standin/scenario/operations.go
+++ b/standin/scenario/operations.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/standin/deployment"
 	"github.com/primrosemoor/primrosemoor/standin/history"
 	"github.com/primrosemoor/primrosemoor/standin/platform"
@@ -77,7 +78,7 @@
 	if err := d.ListLeaving(vms...); err != nil {
 		return err
 	}
-	if !sleep(s.ctx, deployment.VMLag) {
+	if !delay.Sleep(s.ctx, deployment.VMLag) {
 		return s.ctx.Err()
 	}
 	return s.history.Write(history.Line{Kind: history.KindLeaving, Targets: args})
--- a/standin/scenario/session.go
+++ b/standin/scenario/session.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/standin/caller"
 	"github.com/primrosemoor/primrosemoor/standin/checker"
 	"github.com/primrosemoor/primrosemoor/standin/deployment"
@@ -146,7 +147,7 @@
 	for i := range d.Nodes {
 		n := d.Node(i)
 		s.observers.Go(func() {
-			for sleep(s.ctx, observeInterval) {
+			for delay.Sleep(s.ctx, observeInterval) {
 				d.Observe(s.ctx, n)
 			}
 		})
@@ -174,7 +175,7 @@
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s shows revision %d, not %d, after %v", n.Name, seen, want, limit)
 			}
-			if !sleep(s.ctx, observeInterval) {
+			if !delay.Sleep(s.ctx, observeInterval) {
 				return s.ctx.Err()
 			}
 		}
--- a/standin/scenario/traffic.go
+++ b/standin/scenario/traffic.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/primrosemoor/primrosemoor/delay"
 )
 
 // trafficOptions are the flags of the traffic command.
@@ -93,7 +95,7 @@
 		if err := s.send(append(group, w.flags...)); err != nil {
 			return err
 		}
-		if !sleep(s.ctx, overloadGap) {
+		if !delay.Sleep(s.ctx, overloadGap) {
 			return s.ctx.Err()
 		}
 	}
