--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -86,7 +86,7 @@
 	dir := t.TempDir()
 	base, edited := filepath.Join(dir, "base.toml"), filepath.Join(dir, "edited.toml")
 	is.NoErr(os.WriteFile(base, []byte(read), 0o600))
-	is.NoErr(os.WriteFile(edited, []byte(strings.Replace(read, "tokens_per_second = 40000.0", "tokens_per_second = 50000.0", 1)), 0o600))
+	is.NoErr(os.WriteFile(edited, []byte(strings.Replace(read, "tokens_per_second = 160000.0", "tokens_per_second = 150000.0", 1)), 0o600))
 	is.Equal(x.onStore("register", "set-leaving", "herd-01").code, ctl.ExitOK)
 	r := x.onStore("apply", edited)
 	is.Equal(r.code, ctl.ExitConflict)
--- a/limits/allocator.go
+++ b/limits/allocator.go
@@ -8,9 +8,9 @@
 // nodes, so that a node may admit before it has asked.
 const reservedShare = 0.1
 
-// headroom multiplies a demand to the most that is granted for it. What is
-// left stays free, so that a node that asks next need not wait until the others
-// have given some back.
+// headroom multiplies a demand to the most that is granted for it, unless an
+// even share is more. What is left stays free, so that a node that asks next
+// need not wait until the others have given some back.
 const headroom = 2
 
 // amounts is a triple of what limits bound: requests a second, tokens a second
@@ -64,7 +64,7 @@
 // ask records a node's demand on a team's limit and returns what the node may
 // use beyond the base until expires. It returns false when nothing can be
 // granted yet.
-func (a *allocator) ask(now, expires time.Time, team, node string, limit, demand amounts) (amounts, bool) {
+func (a *allocator) ask(now, expires time.Time, team, node string, nodes int, limit, demand amounts) (amounts, bool) {
 	if now.Before(a.quietUntil) {
 		return amounts{}, false
 	}
@@ -83,18 +83,17 @@
 		return amounts{}, true
 	}
 	g := grant{demand: demand, expires: expires}
-	g.extra = allot(held, node, limit, demand)
+	g.extra = allot(held, node, nodes, limit, demand)
 	held[node] = g
 	return g.extra, true
 }
 
 // allot returns the node's fair part of the pool, as far as the grants of the
 // other nodes leave it free.
-func allot(held map[string]grant, node string, limit, demand amounts) amounts {
-	pool := func(limit float64) float64 { return limit * (1 - reservedShare) }
-	requests := dimension{pool: pool(limit.requests), demands: []float64{demand.requests}}
-	tokens := dimension{pool: pool(limit.tokens), demands: []float64{demand.tokens}}
-	inFlight := dimension{pool: pool(limit.inFlight), demands: []float64{demand.inFlight}}
+func allot(held map[string]grant, node string, nodes int, limit, demand amounts) amounts {
+	requests := newDimension(limit.requests, demand.requests, nodes)
+	tokens := newDimension(limit.tokens, demand.tokens, nodes)
+	inFlight := newDimension(limit.inFlight, demand.inFlight, nodes)
 	for other, g := range held {
 		if other == node {
 			continue
@@ -113,17 +112,23 @@
 // dimension is one limited quantity: the asking node's demand first.
 type dimension struct {
 	pool    float64
+	even    float64
 	demands []float64
 	granted float64
 }
 
+func newDimension(limit, demand float64, nodes int) dimension {
+	pool := limit * (1 - reservedShare)
+	return dimension{pool: pool, even: pool / float64(max(1, nodes)), demands: []float64{demand}}
+}
+
 func (d *dimension) add(demand, granted float64) {
 	d.demands = append(d.demands, demand)
 	d.granted += granted
 }
 
 func (d *dimension) fair() float64 {
-	return min(divide(d.pool, d.demands)[0], headroom*d.demands[0])
+	return min(divide(d.pool, d.demands)[0], max(d.even, headroom*d.demands[0]))
 }
 
 func (d *dimension) free() float64 { return max(0, d.pool-d.granted) }
--- a/limits/allocator_internal_test.go
+++ b/limits/allocator_internal_test.go
@@ -61,7 +61,7 @@
 				inFlight: float64(rapid.IntRange(0, 60).Draw(t, "demandInFlight")),
 			}
 			expires := now.Add(3 * time.Second)
-			extra, ok := a.ask(now, expires, "team", node, limit, demand)
+			extra, ok := a.ask(now, expires, "team", node, nodes, limit, demand)
 			if !ok {
 				t.Fatal("nothing was granted in quiet times")
 			}
@@ -89,14 +89,24 @@
 	now := time.Unix(0, 0)
 	a.moved(now.Add(3 * time.Second))
 	limit := amounts{requests: 10}
-	if _, ok := a.ask(now.Add(2*time.Second), now.Add(5*time.Second), "t", "n", limit, limit); ok {
+	if _, ok := a.ask(now.Add(2*time.Second), now.Add(5*time.Second), "t", "n", 1, limit, limit); ok {
 		t.Fatal("granted while another allocator's grants may be in force")
 	}
-	if _, ok := a.ask(now.Add(3*time.Second), now.Add(6*time.Second), "t", "n", limit, limit); !ok {
+	if _, ok := a.ask(now.Add(3*time.Second), now.Add(6*time.Second), "t", "n", 1, limit, limit); !ok {
 		t.Fatal("not granted after the older grants ended")
 	}
 }
 
+func TestGrantForTokensLeavesTheOtherLimitsAtAnEvenShare(t *testing.T) {
+	a := newAllocator()
+	now := time.Unix(0, 0)
+	limit := amounts{requests: 60, tokens: 1e5, inFlight: 60}
+	extra, _ := a.ask(now, now.Add(3*time.Second), "t", "n", 6, limit, amounts{tokens: 5000})
+	if extra.inFlight < 9 || extra.requests < 9 {
+		t.Fatalf("a node that needs tokens is left with %+v", extra)
+	}
+}
+
 func BenchmarkAllow(b *testing.B) {
 	held := newBucket(time.Now(), "t", amounts{1e12, 1e12, 1e12}, 1, nil)
 	l := New(Options{Node: "n"})
--- a/limits/loop.go
+++ b/limits/loop.go
@@ -71,7 +71,7 @@
 		demand := amounts{d.GetRequestsPerSecond(), d.GetTokensPerSecond(), float64(d.GetInFlight())}
 		// The asker counts from its question, so that its grant ends first.
 		expires := now.Add(v.grantTime())
-		extra, ok := r.allocator.ask(now, expires, d.GetTeam(), request.GetNode(), b.limit, demand)
+		extra, ok := r.allocator.ask(now, expires, d.GetTeam(), request.GetNode(), v.nodes, b.limit, demand)
 		if ok {
 			reply.Shares = append(reply.Shares, toProto(d.GetTeam(), extra))
 		}
