--- a/standin/checker/checker_test.go
+++ b/standin/checker/checker_test.go
@@ -140,6 +140,11 @@
 		{"stop refuses what was accepted", checker.GracefulStop, func(s *scene) {
 			s.send(3100, 3300, chat("d", 0), refused("draining", "not_run"))
 		}},
+		{"stop of a node leaves an outcome unknown at another", checker.GracefulStop, func(s *scene) {
+			q := booking("d")
+			q.Entry = "n2"
+			s.send(3100, 3300, q, refused("unreachable", "unknown"))
+		}},
 		{"revision is late", checker.Configuration, func(s *scene) {
 			s.event(13100, history.Line{Kind: history.KindObserved, Node: "n3", Revision: 1})
 		}},
@@ -171,6 +176,16 @@
 	is.Equal(len(checker.Judge(s.lines, s.records).Verdict(checker.TierOrder).Violations), 0)
 }
 
+func TestOutcomeLostBeforeAStopIsNoEffectOfIt(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	s.send(0, 50, booking("d"), refused("unreachable", "unknown"))
+	s.event(1000, history.Line{Kind: history.KindStop, Node: "n1"})
+	s.send(1100, 1150, booking("d"), refused("unknown-effect", "unknown"))
+	s.event(1200, history.Line{Kind: history.KindStopped, Node: "n1"})
+	is.True(!checker.Judge(s.lines, s.records).Failed())
+}
+
 func TestFailuresExplainWhatTheyMay(t *testing.T) {
 	is := is.New(t)
 	var s scene
--- a/standin/checker/operations.go
+++ b/standin/checker/operations.go
@@ -74,7 +74,7 @@
 				continue
 			}
 			at := a.request.Entry
-			if at != e.Node && !calm || r.disturbed(at, a.sent, a.received) {
+			if at != e.Node && !calm || r.disturbed(at, a.sent, a.received) || a.unsettledBefore(e.At) {
 				continue
 			}
 			v.Judged++
@@ -110,6 +110,15 @@
 	}
 }
 
+// unsettledBefore reports whether an earlier attempt of the same request ended
+// before a time without an answer and without word that it did not run. What a
+// later attempt is told about it then is no effect of a later event.
+func (a *attempt) unsettledBefore(at int64) bool {
+	return slices.ContainsFunc(a.of.attempts, func(b *attempt) bool {
+		return b != a && b.response != nil && b.received < at && !b.toldNotRun() && !b.neverSent()
+	})
+}
+
 func stopEnd(r *run, stop history.Line) int64 {
 	for _, e := range r.events {
 		if e.Kind == history.KindStopped && e.Node == stop.Node && e.At > stop.At {
--- a/standin/checker/run.go
+++ b/standin/checker/run.go
@@ -12,6 +12,7 @@
 // attempt is one send of a request by its caller.
 type attempt struct {
 	request  history.Request
+	of       *request
 	sent     int64
 	received int64
 	// response is nil when the run ended before the attempt did.
@@ -79,6 +80,7 @@
 			r.requests = append(r.requests, q)
 		}
 		q.attempts = append(q.attempts, a)
+		a.of = q
 	}
 	for _, line := range records {
 		if q, ok := byID[line.RequestID]; ok && line.Kind == record.KindStart {
