Let a request wait only once it can have arrived

Only a request whose entry was frozen when it was sent, or within the time of a handover, is passed over. One that arrived before the freeze still counts; both have a test.

--- a/standin/checker/checker_test.go
+++ b/standin/checker/checker_test.go
@@ -97,6 +97,14 @@
 			s.send(150, 2500, chat("overtaker", 1), answer("overtaker:0 overtaker:1 "))
 			s.start(2300, "e1", "overtaker")
 		}},
+		{"low tier that arrived before its entry froze runs after a shed", checker.TierOrder, func(s *scene) {
+			q := chat("arrived", 2)
+			q.Entry = "n3"
+			s.send(150, 2900, q, answer("arrived:0 arrived:1 "))
+			s.event(500, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultFreeze})
+			s.event(2500, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultThaw})
+			s.start(2600, "e1", "arrived")
+		}},
 		{"low tier runs after a refusal before the deadline", checker.TierOrder, func(s *scene) {
 			early := chat("early", 0)
 			early.DeadlineMillis = 1500
@@ -186,6 +194,19 @@
 	is.True(!checker.Judge(s.lines, s.records).Failed())
 }
 
+func TestRequestSentToAFrozenEntryDoesNotWaitYet(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	sound(&s)
+	s.event(120, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultFreeze})
+	s.event(2500, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultThaw})
+	q := chat("buffered", 2)
+	q.Entry = "n3"
+	s.send(150, 2900, q, answer("buffered:0 buffered:1 "))
+	s.start(2600, "e1", "buffered")
+	is.Equal(len(checker.Judge(s.lines, s.records).Verdict(checker.TierOrder).Violations), 0)
+}
+
 func TestFailuresExplainWhatTheyMay(t *testing.T) {
 	is := is.New(t)
 	var s scene
--- a/standin/checker/run.go
+++ b/standin/checker/run.go
@@ -138,6 +138,23 @@
 	return len(inForce) > 0
 }
 
+// frozen reports whether the node was frozen at any moment between two times.
+func (r *run) frozen(node string, from, to int64) bool {
+	frozen := false
+	for _, e := range r.events {
+		if e.Kind != history.KindFault || e.Node != node || e.At > to {
+			continue
+		}
+		if e.Fault == history.FaultThaw && e.At < from {
+			frozen = false
+		}
+		if e.Fault == history.FaultFreeze {
+			frozen = true
+		}
+	}
+	return frozen
+}
+
 // note adds a fault to those in force, or removes the one that it ends.
 func note(inForce map[history.Fault]bool, f history.Fault) {
 	if ended, ok := f.Ends(); ok {
--- a/standin/checker/tiers.go
+++ b/standin/checker/tiers.go
@@ -47,7 +47,7 @@
 		v.Judged++
 		earliest := shedTime(r, a)
 		for _, q := range r.requests {
-			if low := overtakes(q, a, earliest); low != nil {
+			if low := r.overtakes(q, a, earliest); low != nil {
 				v.breaks(a.request.ID, "shed with rank %d while %s of rank %d waited and ran later",
 					a.request.Rank, q.id, low.Rank)
 				break
@@ -65,8 +65,9 @@
 }
 
 // overtakes returns the request if it waited at the time that the attempt was
-// shed, ranks lower, and started later.
-func overtakes(q *request, shed *attempt, earliest int64) *history.Request {
+// shed, ranks lower, and started later. A request sent to a frozen entry has not
+// arrived, so it does not wait yet.
+func (r *run) overtakes(q *request, shed *attempt, earliest int64) *history.Request {
 	low := q.first()
 	if low.Service != shed.request.Service || low.Rank <= shed.request.Rank || len(q.starts) == 0 {
 		return nil
@@ -76,5 +77,9 @@
 	if !waited || !later || len(q.attempts) > 1 {
 		return nil
 	}
+	sent := q.attempts[0].sent
+	if r.frozen(low.Entry, sent, sent+int64(handoverTime)) {
+		return nil
+	}
 	return &low
 }
