--- a/standin/deployment/faults.go
+++ b/standin/deployment/faults.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/primrosemoor/primrosemoor/standin/engine"
@@ -102,8 +103,14 @@
 	return d.Cut(Link{From: name, To: NamePlatform})
 }
 
-// CutRegion cuts the links between a region's nodes and everything elsewhere.
-func (d *Deployment) CutRegion(region string) error {
+// CutRegion cuts the links between the nodes of a region, given by its number
+// from 1, and the nodes elsewhere.
+func (d *Deployment) CutRegion(number string) error {
+	i, err := strconv.Atoi(number)
+	if err != nil || i < 1 || i > len(d.regions) {
+		return fmt.Errorf("region %q: want a number from 1 to %d", number, len(d.regions))
+	}
+	region := d.regions[i-1]
 	for i := range d.Nodes {
 		for j := range d.Nodes {
 			a, b := d.Node(i), d.Node(j)
