--- a/standin/checker/checker_test.go
+++ b/standin/checker/checker_test.go
@@ -97,6 +97,14 @@
 			s.send(150, 2500, chat("overtaker", 1), answer("overtaker:0 overtaker:1 "))
 			s.start(2300, "e1", "overtaker")
 		}},
+		{"low tier that arrived before its entry froze runs after a shed", checker.TierOrder, func(s *scene) {
+			q := chat("arrived", 2)
+			q.Entry = "n3"
+			s.send(150, 2900, q, answer("arrived:0 arrived:1 "))
+			s.event(500, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultFreeze})
+			s.event(2500, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultThaw})
+			s.start(2600, "e1", "arrived")
+		}},
 		{"low tier runs after a refusal before the deadline", checker.TierOrder, func(s *scene) {
 			early := chat("early", 0)
 			early.DeadlineMillis = 1500
@@ -140,6 +148,11 @@
 		{"stop refuses what was accepted", checker.GracefulStop, func(s *scene) {
 			s.send(3100, 3300, chat("d", 0), refused("draining", "not_run"))
 		}},
+		{"stop of a node leaves an outcome unknown at another", checker.GracefulStop, func(s *scene) {
+			q := booking("d")
+			q.Entry = "n2"
+			s.send(3100, 3300, q, refused("unreachable", "unknown"))
+		}},
 		{"revision is late", checker.Configuration, func(s *scene) {
 			s.event(13100, history.Line{Kind: history.KindObserved, Node: "n3", Revision: 1})
 		}},
@@ -171,6 +184,29 @@
 	is.Equal(len(checker.Judge(s.lines, s.records).Verdict(checker.TierOrder).Violations), 0)
 }
 
+func TestOutcomeLostBeforeAStopIsNoEffectOfIt(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	s.send(0, 50, booking("d"), refused("unreachable", "unknown"))
+	s.event(1000, history.Line{Kind: history.KindStop, Node: "n1"})
+	s.send(1100, 1150, booking("d"), refused("unknown-effect", "unknown"))
+	s.event(1200, history.Line{Kind: history.KindStopped, Node: "n1"})
+	is.True(!checker.Judge(s.lines, s.records).Failed())
+}
+
+func TestRequestSentToAFrozenEntryDoesNotWaitYet(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	sound(&s)
+	s.event(120, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultFreeze})
+	s.event(2500, history.Line{Kind: history.KindFault, Node: "n3", Fault: history.FaultThaw})
+	q := chat("buffered", 2)
+	q.Entry = "n3"
+	s.send(150, 2900, q, answer("buffered:0 buffered:1 "))
+	s.start(2600, "e1", "buffered")
+	is.Equal(len(checker.Judge(s.lines, s.records).Verdict(checker.TierOrder).Violations), 0)
+}
+
 func TestFailuresExplainWhatTheyMay(t *testing.T) {
 	is := is.New(t)
 	var s scene
