Do not blame a planned stop for outcomes that were unknown before

The check was wrong: it counted every answer with an unknown outcome that a caller got during a planned stop, also when the request's run had ended before and its caller had been told so.

An answer is passed over only if an earlier send of the same id got the same problem and outcome before the stop, and the problem tells the end of an earlier run (target-failed, unknown-effect, already-finished). Another problem for the same request still breaks the promise, which is stricter about what a stop may forget: already-finished after target-failed counts, and so does store-unavailable. Tests show all four cases.

--- a/standin/checker/checker_test.go
+++ b/standin/checker/checker_test.go
@@ -140,6 +140,17 @@
 		{"stop refuses what was accepted", checker.GracefulStop, func(s *scene) {
 			s.send(3100, 3300, chat("d", 0), refused("draining", "not_run"))
 		}},
+		{"stop loses an outcome", checker.GracefulStop, func(s *scene) {
+			s.send(3300, 3400, booking("b"), refused("already-finished", "unknown"))
+		}},
+		{"stop changes what is known of an outcome", checker.GracefulStop, func(s *scene) {
+			s.send(300, 350, booking("d"), refused("target-failed", "unknown"))
+			s.send(3300, 3400, booking("d"), refused("already-finished", "unknown"))
+		}},
+		{"stop takes the ledger away", checker.GracefulStop, func(s *scene) {
+			s.send(300, 350, booking("d"), refused("store-unavailable", "unknown"))
+			s.send(3300, 3400, booking("d"), refused("store-unavailable", "unknown"))
+		}},
 		{"revision is late", checker.Configuration, func(s *scene) {
 			s.event(13100, history.Line{Kind: history.KindObserved, Node: "n3", Revision: 1})
 		}},
@@ -160,6 +171,15 @@
 	}
 }
 
+func TestOutcomeThatWasUnknownBeforeAStopMayBeRepeated(t *testing.T) {
+	is := is.New(t)
+	var s scene
+	sound(&s)
+	s.send(300, 350, booking("d"), refused("target-failed", "unknown"))
+	s.send(3300, 3400, booking("d"), refused("target-failed", "unknown"))
+	is.Equal(len(checker.Judge(s.lines, s.records).Verdict(checker.GracefulStop).Violations), 0)
+}
+
 func TestWaitThatLastedToTheCallersDeadlineIsNoShed(t *testing.T) {
 	is := is.New(t)
 	var s scene
--- a/standin/checker/operations.go
+++ b/standin/checker/operations.go
@@ -78,7 +78,7 @@
 				continue
 			}
 			v.Judged++
-			if cut(a, e.At) {
+			if cut(a, e.At) && !r.toldBefore(a, e.At) {
 				v.breaks(a.request.ID, "%s at %s with problem %q and outcome %q during the planned stop of %s",
 					a.response.Result, at, a.response.Problem, a.response.Outcome, e.Node)
 			}
@@ -92,6 +92,22 @@
 	problemUnreachable = "unreachable"
 )
 
+// finalProblems tell how an earlier run of a request ended; they are repeated
+// to every later send.
+var finalProblems = []string{"target-failed", "unknown-effect", "already-finished"}
+
+// toldBefore reports whether an earlier send of the attempt's request was told
+// the same end of an earlier run before a time.
+func (r *run) toldBefore(a *attempt, at int64) bool {
+	if a.request.ID == "" || !slices.Contains(finalProblems, a.response.Problem) {
+		return false
+	}
+	return slices.ContainsFunc(r.attempts, func(b *attempt) bool {
+		return b.request.ID == a.request.ID && b.response != nil && b.received < at &&
+			b.response.Problem == a.response.Problem && b.response.Outcome == a.response.Outcome
+	})
+}
+
 // cut reports whether the stop took the answer away: the connection broke,
 // the outcome is not known, or a request that was sent before the stop was
 // refused because of it.
