--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -316,11 +316,16 @@
 		// reporter's next reply; links and the reporter's adoption take less than
 		// a third interval.
 		adopted := make(map[*node]bool)
-		waitFor(t, sameZone, 3*heartbeatInterval, func(o *node) bool {
-			if o.NewestRevision().Revision == 7 {
-				o.SetRevision(7)
-				adopted[o] = true
+		adopt := func() {
+			for _, o := range sameZone {
+				if o.NewestRevision().Revision == 7 {
+					o.SetRevision(7)
+					adopted[o] = true
+				}
 			}
+		}
+		waitFor(t, sameZone, 3*heartbeatInterval, func(o *node) bool {
+			adopt()
 			return adopted[o]
 		})
 	})
