Report a dead target after three refused resumes

Cause: an entry whose stream broke off tried eight resumes over more than two seconds before it gave the permit back as target-died, although the target refused every connection. The request that had ended it was sent again meanwhile, and ended further targets before it was a suspect.

A process that refuses connections has ended, and its streams with it, so three refused resumes are enough. Other failures of a resume, as on a cut link, are tried as before.

--- a/dispatch/chat_test.go
+++ b/dispatch/chat_test.go
@@ -319,3 +319,21 @@
 		t.Errorf("%d dispatches of 60 requests", len(e.started()))
 	}
 }
+
+func TestDeathOfATargetIsReportedBeforeItsRequestIsSentAgain(t *testing.T) {
+	const resendAfter = time.Second
+	is := is.New(t)
+	e := newFakeEngine(t, 5)
+	e.script = func(_, event int, _ http.ResponseWriter, _ *http.Request) {
+		if event == 3 {
+			e.server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	permits := &fakePermits{address: e.address(), validFor: validity}
+	began := time.Now()
+	_, err := newDispatcher(permits, nil).Serve(t.Context(), httptest.NewRecorder(), chatRequest("a", true))
+	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_TARGET_FAILED)
+	is.Equal(permits.results(), []schema.PermitResult{schema.PermitResult_PERMIT_RESULT_TARGET_DIED})
+	is.True(time.Since(began) < resendAfter)
+}
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -17,8 +18,11 @@
 const (
 	// maxFailedResumes bounds the resumes that bring no new event.
 	maxFailedResumes = 8
-	resumeInterval   = 20 * time.Millisecond
-	maxResumePause   = time.Second
+	// maxRefusedResumes bounds the resumes whose connection is refused: a
+	// process that has ended took its streams along.
+	maxRefusedResumes = 3
+	resumeInterval    = 20 * time.Millisecond
+	maxResumePause    = time.Second
 	// Sizes of event buffers, in bytes.
 	initialBuffer   = 1 << 10
 	maxPooledBuffer = 16 << 10
@@ -246,7 +250,8 @@
 		Multiplier:          2,
 		MaxInterval:         maxResumePause,
 	}
-	for d.failed < maxFailedResumes {
+	refused := 0
+	for d.failed < maxFailedResumes && refused < maxRefusedResumes {
 		d.failed++
 		stream, err := d.run.dispatcher.options.Engine.ResumeChat(d.run.work, d.address, d.id, d.last)
 		if err == nil {
@@ -258,6 +263,9 @@
 		if errors.As(err, &status) && status.Status < http.StatusInternalServerError {
 			return errors.Join(errNoResume, cause, err)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			refused++
+		}
 		cause = err
 		if err := d.waitToResume(pause.NextBackOff()); err != nil {
 			return err
