Hand releases that are not stored to a shard's next owner

Cause: a request refused with not_run releases its claim at the shard's owner, which stores the release with its next write. If the shard moved before that, the next owner knew the stored claim and no release, and told unknown-effect to every later send.

Releases go with the records, and a new owner that holds one loads the shard to store it.

Before: TestNextOwnerLearnsOfReleasesThatAreNotStored failed with UNKNOWN; after: passes with NEW.

--- a/ledger/finish.go
+++ b/ledger/finish.go
@@ -67,12 +67,20 @@
 		s.records.remove(f.key)
 		delete(s.unclaimed, f.key)
 	}
+	s.noteRelease(f.key, f.attempt)
+}
+
+// noteRelease remembers a release until it is stored.
+func (s *shard) noteRelease(key requestKey, attempt uint64) {
 	if len(s.released) >= maxReleased {
 		return
 	}
-	s.released[f.key] = f.attempt
-	held, ok := s.segment.find(f.key)
-	s.releaseDue = s.releaseDue || ok && held.attempt == f.attempt
+	s.released[key] = attempt
+	if s.segment == nil {
+		return
+	}
+	held, ok := s.segment.find(key)
+	s.releaseDue = s.releaseDue || ok && held.attempt == attempt
 }
 
 func (s *shard) markDone(key requestKey) {
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -42,6 +42,7 @@
 		s.adopt(r)
 	}
 	s.retryUnsettled()
+	s.schedule()
 }
 
 // adopt keeps a handed record unless this owner knows more. One of an attempt
@@ -49,6 +50,10 @@
 func (s *shard) adopt(handed *schema.LedgerRecord) {
 	var key requestKey
 	copy(key[:], handed.GetKey())
+	if handed.GetReleased() {
+		s.noteRelease(key, handed.GetAttempt())
+		return
+	}
 	known := s.records.get(key)
 	if known != nil && (known.attempt != handed.GetAttempt() || known.state >= handed.GetState()) {
 		return
@@ -64,7 +69,7 @@
 // handOver sends the shard's records to its next owner.
 func (s *shard) handOver(owner string) {
 	m := s.manager
-	messages := s.records.handovers(s.number)
+	messages := s.handovers()
 	if m.peers == nil || owner == "" || len(messages) == 0 {
 		return
 	}
@@ -124,16 +129,19 @@
 	}
 }
 
-// handovers returns the records as messages of bounded size: those that run
-// first, and then the finished ones, the latest first.
-func (r *records) handovers(shard uint32) []*schema.LedgerHandover {
-	b := &handoverBuilder{shard: shard}
-	for key, rec := range r.running {
+// handovers returns the records as messages of bounded size: releases that may
+// not be stored, requests that run, and finished ones, the latest first.
+func (s *shard) handovers() []*schema.LedgerHandover {
+	b := &handoverBuilder{shard: s.number}
+	for key, attempt := range s.released {
+		b.add(&schema.LedgerRecord{Key: key[:], Attempt: attempt, Released: true})
+	}
+	for key, rec := range s.records.running {
 		b.add(rec.encode(key))
 	}
-	keys := r.finished.Keys()
+	keys := s.records.finished.Keys()
 	for i := len(keys) - 1; i >= 0 && len(b.messages) <= maxHandoverMessages; i-- {
-		rec, _ := r.finished.Peek(keys[i])
+		rec, _ := s.records.finished.Peek(keys[i])
 		b.add(rec.encode(keys[i]))
 	}
 	return b.messages
--- a/ledger/handover_test.go
+++ b/ledger/handover_test.go
@@ -72,6 +72,20 @@
 	}
 }
 
+func TestNextOwnerLearnsOfReleasesThatAreNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n1, n2 := startPair(t, 300*time.Millisecond)
+		is.Equal(claimState(t, n1, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
+		_, err := n1.Finish(t.Context(), &schema.FinishRequest{RequestId: "id", Team: "t", Attempt: "a1", NotRun: true})
+		is.NoErr(err)
+		moved := ownedBy("n2", "n1", "entry")
+		n1.ApplyTopology(moved)
+		n2.ApplyTopology(moved)
+		is.Equal(claimState(t, n2, request("id", "a2")), schema.ClaimState_CLAIM_STATE_NEW)
+	})
+}
+
 func TestLateHandoverDoesNotReplaceALaterRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -132,7 +132,7 @@
 	if len(s.waiting) > 0 || len(s.finishes) > 0 || len(s.unclaimed) > 0 || s.doneDue() {
 		return true
 	}
-	return s.releaseDue
+	return s.releaseDue || s.segment == nil && len(s.released) > 0
 }
 
 // awaitDoneMarks makes sure that done marks are written without a claim.
