Hand a group's permits and rates to its next owner

Cause: a new owner knew nothing of the permits in use and of the targets' speeds, and granted too much after a planned stop. A handover may come before the topology and more than once. Tried and reverted: asking for a floor 300 ms before a deadline; see docs/design/shedding.md for what it cost.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -37,7 +37,7 @@
 	// floorHold is how long a floor stays after the last pressure, and
 	// floorStep separates the steps in which it is lowered.
 	floorHold = time.Second
-	floorStep = time.Second
+	floorStep = 500 * time.Millisecond
 
 	// drainMemory is the share of the measured queue drain kept each second.
 	drainMemory    = 0.7
--- a/admission/manager.go
+++ b/admission/manager.go
@@ -63,6 +63,7 @@
 		Settings:    options.Settings,
 		FirstNumber: rand.Uint64(),
 		SendFloor:   m.sendFloor,
+		FloorMoved:  m.logFloor,
 		Screen:      options.Screen,
 		Explain:     true,
 	})
@@ -203,6 +204,12 @@
 	}()
 }
 
+func (m *Manager) logFloor(service string, floor uint32) {
+	if m.options.Logger != nil {
+		m.options.Logger.Warn().Str("event", "shed_floor").Str("service", service).Uint32("floor", floor).Msg("")
+	}
+}
+
 // record logs and counts one answer.
 func (m *Manager) record(r *schema.PermitRequest, a answer, waited time.Duration) {
 	name := answerName(a)
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -24,6 +24,8 @@
 	FirstNumber uint64
 	// SendFloor may be nil if there are no siblings.
 	SendFloor SendFloor
+	// FloorMoved is told of each move of this owner's floor; it may be nil.
+	FloorMoved func(service string, floor uint32)
 	// Screen may be nil.
 	Screen Screen
 	// Explain adds the decision's log line to permits.
@@ -43,6 +45,7 @@
 	pools         map[string]*pool
 	targets       map[string]*target
 	estimator     *scheduling.Estimator
+	handovers     map[string]handover
 	next          uint64
 	draining      bool
 	counts        Counts
@@ -82,6 +85,7 @@
 		pools:         make(map[string]*pool),
 		targets:       make(map[string]*target),
 		estimator:     scheduling.NewEstimator(),
+		handovers:     make(map[string]handover),
 		next:          options.FirstNumber,
 	}
 }
@@ -120,6 +124,7 @@
 	o.listSiblings(now)
 	o.forgetTargets()
 	o.ordered = slices.SortedFunc(maps.Values(o.groups), func(a, b *group) int { return cmp.Compare(a.id, b.id) })
+	o.takeHandovers(now)
 	o.releaseGoneEntries(now)
 	o.dispatchAll(now)
 }
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -44,7 +44,7 @@
 	return true
 }
 
-// giveUp refuses a request that cannot meet its deadline any more. It does so
+// giveUp refuses a request that cannot meet its deadline here. It does so
 // at once if no idle target could serve it in time, which is no shed, or if
 // the order of tiers allows it, and else at the deadline.
 func (o *Owner) giveUp(now time.Time, g *group, w *Waiter) {
@@ -111,11 +111,18 @@
 // falls below it, and tells the siblings.
 func (o *Owner) advance(now time.Time, p *pool) {
 	if p.advance(now) {
+		o.floorMoved(p)
 		o.broadcast(now, p)
 		o.evict(now, p)
 	}
 }
 
+func (o *Owner) floorMoved(p *pool) {
+	if o.options.FloorMoved != nil {
+		o.options.FloorMoved(p.service, p.floor)
+	}
+}
+
 // evict condemns the waiters below this owner's floor or a sibling's.
 func (o *Owner) evict(now time.Time, p *pool) {
 	floor := min(p.floor, p.imposed())
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -19,6 +19,7 @@
 	}
 	for _, p := range o.pools {
 		if p.relax(now) {
+			o.floorMoved(p)
 			o.broadcast(now, p)
 		}
 		o.advance(now, p)
@@ -32,19 +33,19 @@
 }
 
 func (o *Owner) expireWaiters(now time.Time, g *group) {
+	inTime := func(w *Waiter) bool { return w.deadline.After(now) }
 	late := func(w *Waiter) {
 		o.counts.Expired[w.rank]++
 		w.answer(nil, errDeadline())
 	}
 	for rank := range uint32(MaxRanks) {
 		g.queue.all(rank, func(w *Waiter) {
-			if !w.deadline.After(now) {
+			if !inTime(w) {
 				g.queue.remove(w)
 				late(w)
 			}
 		})
 	}
-	inTime := func(w *Waiter) bool { return w.deadline.After(now) }
 	g.condemned = keepWaiters(g.condemned, inTime, late)
 	g.late = keepWaiters(g.late, inTime, late)
 }
