--- a/bench/owners.go
+++ b/bench/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -156,7 +157,7 @@
 
 func (o *owners) permitRequest(r *request, region, hops int) *schema.PermitRequest {
 	return &schema.PermitRequest{
-		Group: group(region), Team: teamName(r.team*tiers + r.tier), Service: service, Model: model,
+		Group: group(region), RequestId: strconv.Itoa(r.id), Team: teamName(r.team*tiers + r.tier), Service: service, Model: model,
 		Tier: uint32(r.tier), PromptTokens: uint32(r.prompt), MaxOutputTokens: uint32(r.maxOutput),
 		PrefixBlocks: r.blocks, Waited: durationpb.New(o.s.now - r.arrived), Deadline: durationpb.New(r.deadline - o.s.now),
 		EntryRegion: zone(r.region), BodyBytes: uint64(r.prompt * 4), Hops: uint32(hops), EntryNode: node(r.region),
--- a/bench/simulation.go
+++ b/bench/simulation.go
@@ -68,6 +68,11 @@
 
 // run plays a scenario to its end and returns the outcome.
 func run(sc scenario, p policy) *outcome {
+	return summarize(play(sc, p))
+}
+
+// play plays a scenario to its end.
+func play(sc scenario, p policy) *simulation {
 	s := &simulation{scenario: sc, policy: p, rng: rand.New(rand.NewPCG(sc.seed, 2))}
 	for region, fleet := range sc.mix.fleet {
 		for _, index := range fleet {
@@ -85,7 +90,7 @@
 		s.now = e.at
 		e.run()
 	}
-	return summarize(s)
+	return s
 }
 
 // schedule draws Poisson arrivals.
