Do not take a request for running after its entry was started again

Cause: an owner told in-progress as long as a member of the entry's name existed. An entry that died and was started again within the time after which it is suspected kept its requests running for good, for callers that asked for their outcome.

An owner notes the incarnation of the entry's process with the record, and compares it with the member's.

Before: TestRequestOfAnEntryThatWasStartedAgainIsNotRunning failed with RUNNING; after: passes with UNKNOWN.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// entryLives reports whether the process that runs a request is a member; one
+// that was started again under the same name does not run it.
+func (m *Manager) entryLives(rec *record) bool {
+	member, ok := m.topology.Member(rec.entryNode)
+	return ok && (rec.incarnation == 0 || rec.incarnation == member.GetIncarnation())
+}
+
+// run keeps the record of a request that runs.
+func (s *shard) run(key requestKey, rec *record) {
+	rec.incarnation = s.manager.incarnation(rec.entryNode)
+	s.records.run(key, rec)
+}
+
+// incarnation returns that of a member, or zero.
+func (m *Manager) incarnation(node string) uint64 {
+	if m.topology == nil {
+		return 0
+	}
+	member, _ := m.topology.Member(node)
+	return member.GetIncarnation()
+}
+
 // decide answers a claim from the loaded segment and the records. It reports
 // false if the id is free, so that the claim has to be written first.
 func (s *shard) decide(c *claim) (claimResult, bool) {
@@ -98,7 +120,7 @@
 func (s *shard) decideOwn(c *claim, rec *record) claimResult {
 	if rec == nil {
 		rec = c.record()
-		s.records.run(c.key, rec)
+		s.run(c.key, rec)
 	}
 	return claimResult{reply: rec.reply(rec.state)}
 }
@@ -120,7 +142,7 @@
 	if rec.state == schema.ClaimState_CLAIM_STATE_DONE {
 		return rec.state
 	}
-	if _, ok := s.manager.topology.Member(rec.entryNode); !ok {
+	if !s.manager.entryLives(rec) {
 		return schema.ClaimState_CLAIM_STATE_UNKNOWN
 	}
 	return schema.ClaimState_CLAIM_STATE_RUNNING
--- a/ledger/finish.go
+++ b/ledger/finish.go
@@ -57,7 +57,7 @@
 		return nil
 	}
 	rec = &record{attempt: f.attempt, digest: held.digest, entryNode: f.request.GetEntryNode()}
-	s.records.run(f.key, rec)
+	s.run(f.key, rec)
 	return rec
 }
 
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -63,7 +63,7 @@
 		s.records.finish(key, rec)
 		return
 	}
-	s.records.run(key, rec)
+	s.run(key, rec)
 }
 
 // handOver sends the shard's records to its next owner.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -93,6 +93,25 @@
 	})
 }
 
+func TestRequestOfAnEntryThatWasStartedAgainIsNotRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t, "n1", platform.NewMemory(), testSettings())
+		setIncarnation := func(incarnation uint64) {
+			snapshot := ownedBy("n1", "entry")
+			entry, _ := snapshot.Member("entry")
+			entry.Incarnation = incarnation
+			m.ApplyTopology(snapshot)
+			synctest.Wait()
+		}
+		setIncarnation(1)
+		is.Equal(claimState(t, m, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
+		is.Equal(claimState(t, m, request("id", "a2")), schema.ClaimState_CLAIM_STATE_RUNNING)
+		setIncarnation(2)
+		is.Equal(claimState(t, m, request("id", "a2")), schema.ClaimState_CLAIM_STATE_UNKNOWN)
+	})
+}
+
 func TestSameIDWithAnotherRequestIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -18,6 +18,8 @@
 	digest    uint64
 	state     schema.ClaimState
 	entryNode string
+	// incarnation of the entry's process; zero if it is not known.
+	incarnation uint64
 	target    string
 	address   string
 	streamID  string
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -228,7 +228,7 @@
 		if s.records.get(c.key) == nil {
 			rec := c.record()
 			rec.unclaimed = true
-			s.records.run(c.key, rec)
+			s.run(c.key, rec)
 			s.unclaimed[c.key] = c
 		}
 		result, decided := s.decideWithoutEntry(c, s.records.get(c.key))
