--- a/ledger/record.go
+++ b/ledger/record.go
@@ -20,10 +20,10 @@
 	entryNode string
 	// incarnation of the entry's process; zero if it is not known.
 	incarnation uint64
-	target    string
-	address   string
-	streamID  string
-	outcome   *schema.StoredOutcome
+	target      string
+	address     string
+	streamID    string
+	outcome     *schema.StoredOutcome
 	// unclaimed is set while the request runs without a stored claim.
 	unclaimed bool
 }
