--- a/ledger/record.go
+++ b/ledger/record.go
@@ -18,10 +18,12 @@
 	digest    uint64
 	state     schema.ClaimState
 	entryNode string
-	target    string
-	address   string
-	streamID  string
-	outcome   *schema.StoredOutcome
+	// incarnation of the entry's process; zero if it is not known.
+	incarnation uint64
+	target      string
+	address     string
+	streamID    string
+	outcome     *schema.StoredOutcome
 	// unclaimed is set while the request runs without a stored claim.
 	unclaimed bool
 }
