Hand groups over at a planned stop; keep one way to take permits over

The owner's Handover had no caller. A node that drains sends each group's permits, rates and limits to the node that owns it next, before it leaves the members. Entries announce the permits they use by the same message; the two functions that adopted permits are one now, and a state without rates changes no rates.

--- a/admission/adopt_test.go
+++ b/admission/adopt_test.go
@@ -23,8 +23,8 @@
 		Name:    "vm0/app",
 		Permits: []*schema.OutstandingPermit{{Number: 7, Tokens: 1}},
 	}}}
-	o.Adopt(start, announced)
-	o.Adopt(start, announced) // A repeated announcement counts once.
+	o.AcceptHandover(start, announced)
+	o.AcceptHandover(start, announced) // A repeated announcement counts once.
 	is.True(ask(o, start, plainAsk()).reply.GetPermit() != nil)
 	second := ask(o, start, plainAsk())
 	is.True(second.reply == nil)
--- a/admission/handover.go
+++ b/admission/handover.go
@@ -52,8 +52,9 @@
 	return s
 }
 
-// AcceptHandover takes over what the earlier owner of a group knew. It may come
-// before the topology that makes this node the owner, and more than once.
+// AcceptHandover takes over what the earlier owner of a group knew, or the
+// permits that an entry still uses. It may come before the topology that makes
+// this node the owner, and more than once.
 func (o *Owner) AcceptHandover(now time.Time, r *schema.HandoverRequest) {
 	g, ok := o.groups[r.GetGroup()]
 	if !ok {
@@ -74,24 +75,34 @@
 // restore sets a target that was not learned from yet to an earlier owner's
 // state, and adds the permits that are in use.
 func (g *group) restore(now time.Time, t *target, s *schema.TargetState) {
-	if t.observed.IsZero() {
+	if t.observed.IsZero() && s.GetPrefillTokensPerSecond() > 0 {
 		t.rates = scheduling.RestoreRates(s.GetPrefillTokensPerSecond(), s.GetOutputTokenTime().AsDuration())
 		t.limit = scheduling.NewLimit(s.GetLimitTokens())
 	}
 	for _, used := range s.GetPermits() {
-		if _, known := g.permits[used.GetNumber()]; known {
-			continue
+		if _, known := g.permits[used.GetNumber()]; !known {
+			g.adopt(now, t, used)
 		}
-		granted := now.Add(-used.GetAge().AsDuration())
-		g.permits[used.GetNumber()] = &permit{
-			number: used.GetNumber(), requestID: used.GetRequestId(), target: t, rank: used.GetTier(),
-			cost: used.GetTokens(), granted: granted, expires: granted.Add(minExpiry), batch: t.inFlight,
-		}
-		t.inFlight++
-		t.tokens += used.GetTokens()
 	}
 }
 
+// adopt counts a permit that an earlier owner granted. It expires as if it had
+// been granted now, because its entry has just been heard of.
+func (g *group) adopt(now time.Time, t *target, used *schema.OutstandingPermit) {
+	g.permits[used.GetNumber()] = &permit{
+		number:    used.GetNumber(),
+		requestID: used.GetRequestId(),
+		target:    t,
+		rank:      used.GetTier(),
+		cost:      used.GetTokens(),
+		granted:   now.Add(-used.GetAge().AsDuration()),
+		expires:   now.Add(minExpiry),
+		adopted:   true,
+	}
+	t.inFlight++
+	t.tokens += used.GetTokens()
+}
+
 // takeHandovers applies what was received for groups that are owned now.
 func (o *Owner) takeHandovers(now time.Time) {
 	for id, h := range o.handovers {
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -32,9 +32,8 @@
 			return p.Admission.HandleFloor(ctx, from.Node, u)
 		})
 	peer.Handle(s, schema.Method_METHOD_HANDOVER, newMessage[schema.HandoverRequest],
-		func(_ context.Context, _ peer.Identity, h *schema.HandoverRequest) (*schema.HandoverReply, error) {
-			p.Admission.Adopt(h)
-			return &schema.HandoverReply{}, nil
+		func(ctx context.Context, _ peer.Identity, h *schema.HandoverRequest) (*schema.HandoverReply, error) {
+			return p.Admission.AcceptHandover(ctx, h)
 		})
 	peer.Handle(s, schema.Method_METHOD_QUARANTINE, newMessage[schema.QuarantineNotice],
 		func(_ context.Context, _ peer.Identity, n *schema.QuarantineNotice) (*schema.QuarantineAck, error) {
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -104,6 +104,7 @@
 	began := time.Now()
 	l.State.draining.Store(true)
 	l.Front.handler.BeginDrain()
+	l.handOverGroups(ctx)
 	l.Membership.SetState(schema.MemberState_MEMBER_STATE_DRAINING)
 	l.Logger.Info().Str("event", "drain_started").Int("in_flight", l.Front.handler.InFlight()).Msg("")
 	delay.Sleep(ctx, l.Settings.GetShutdown().GetReadinessDelay().AsDuration())
--- a/routing/permits.go
+++ b/routing/permits.go
@@ -39,8 +39,8 @@
 type Owner interface {
 	Acquire(ctx context.Context, r *schema.PermitRequest) (*schema.PermitReply, error)
 	Return(r *schema.PermitReturn)
-	// Adopt takes over permits that were granted by a group's previous owner.
-	Adopt(h *schema.HandoverRequest)
+	// AcceptHandover takes over permits that a group's previous owner granted.
+	AcceptHandover(ctx context.Context, h *schema.HandoverRequest) (*schema.HandoverReply, error)
 }
 
 // Permits acquires permits from group owners for this entry.
--- a/routing/returns.go
+++ b/routing/returns.go
@@ -90,7 +90,8 @@
 	for _, h := range p.moved(snapshot) {
 		g, _ := snapshot.Group(h.GetGroup())
 		if g.Owner == p.place.Node {
-			p.local.Adopt(h)
+			// It fails only after the end of the node's own owner.
+			_, _ = p.local.AcceptHandover(ctx, h)
 			continue
 		}
 		member, ok := snapshot.Member(g.Owner)
