Tell a shard's next owner how the latest requests ended

Cause: an owner keeps outcomes and releases in memory until its next write, or for good. When its process died, the next owner knew the bare claims: requests that were refused not_run could not be sent again, and outcomes were lost.

A report changes nothing unless its attempt holds the claim, so that repeating is safe. Ruled out: confirming a release only once it is stored, which makes every refusal wait for a write.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -152,6 +152,7 @@
 type Dispatcher struct {
 	options Options
 	claims  claims
+	ended   endedReports
 	// background counts runs and reports that outlive their caller.
 	background sync.WaitGroup
 }
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -67,16 +67,17 @@
 	return list
 }
 
-// ReportRunning tells the ledger again of the running requests for which moved
-// returns true. It is called when ledger shards have changed owners: the new
-// owner knows the stored claims, but not where their requests run. It does not
-// wait for the reports.
-func (d *Dispatcher) ReportRunning(moved func(team, requestID string) bool) {
+// RepeatReports tells the ledger again of the requests that run, or have ended
+// lately, for which moved returns true. It is called when ledger shards have
+// changed owners: the new owner knows the stored claims, but neither where
+// their requests run nor how they ended. It does not wait for the reports.
+func (d *Dispatcher) RepeatReports(moved func(team, requestID string) bool) {
 	for _, c := range d.claims.list() {
 		if moved(c.team, c.requestID) {
 			c.repeat()
 		}
 	}
+	d.repeatEnded(d.ended.matching(time.Now(), moved))
 }
 
 func (d *Dispatcher) newClaim(r *Request, attempt string) *claim {
@@ -94,18 +95,18 @@
 
 func (c *claim) sendReports() {
 	for report := range c.reports {
-		c.sendReport(report.request)
+		c.dispatcher.sendReport(report.request)
 		close(report.sent)
 	}
 }
 
 // sendReport tries for a bounded time. A lost report leaves the claim running
 // until the ledger finds its entry gone, after which the outcome is unknown.
-func (c *claim) sendReport(report *schema.FinishRequest) {
+func (d *Dispatcher) sendReport(report *schema.FinishRequest) {
 	pause := backoff.NewExponentialBackOff()
 	for range finishTries {
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-		err := c.dispatcher.options.Claims.Finish(ctx, report)
+		err := d.options.Claims.Finish(ctx, report)
 		cancel()
 		if err == nil {
 			return
@@ -187,5 +188,6 @@
 	} else {
 		report.NotRun = true
 	}
+	c.dispatcher.ended.add(time.Now(), report)
 	return c.enqueueLocked(report)
 }
--- a/node/moves.go
+++ b/node/moves.go
@@ -4,9 +4,9 @@
 	"github.com/primrosemoor/primrosemoor/topology"
 )
 
-// runningReporter repeats the reports of running requests to the ledger.
-type runningReporter interface {
-	ReportRunning(moved func(team, requestID string) bool)
+// reporter repeats the reports of claimed requests to the ledger.
+type reporter interface {
+	RepeatReports(moved func(team, requestID string) bool)
 }
 
 // sharder assigns request ids to ledger shards.
@@ -15,9 +15,9 @@
 }
 
 // shardMoves tells the new owners of ledger shards where the requests of this
-// entry run, because only the claims themselves are stored.
+// entry run or how they ended, because only the claims themselves are stored.
 type shardMoves struct {
-	reporter runningReporter
+	reporter reporter
 	sharder  sharder
 	last     *topology.Snapshot
 }
@@ -30,7 +30,7 @@
 	if before == nil {
 		return
 	}
-	m.reporter.ReportRunning(func(team, requestID string) bool {
+	m.reporter.RepeatReports(func(team, requestID string) bool {
 		shard := m.sharder.ShardOf(team, requestID)
 		return before.ShardOwner(shard) != s.ShardOwner(shard)
 	})
