Hold lower tiers back before they are condemned

Cause: a floor evicted all that waited below it in all regions, also where the request that asked for it was served after all; and a wait that ended at a deadline of the system's own choosing was not ordered. A floor now only holds back; a shed condemns. Deadlines that the caller did not state count as sheds; entries have to set PermitRequest.stated_deadline. A request too long for an idle target waits for its deadline unless the order of tiers allows the refusal, since its caller cannot tell it from a shed.

--- a/admission/group.go
+++ b/admission/group.go
@@ -177,7 +177,7 @@
 		if w == nil || g.allYielded() {
 			return false
 		}
-		if !leased && !w.fresh {
+		if !leased && !(w.fresh && g.pool.admits(w.rank)) {
 			g.block(w)
 			continue
 		}
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -50,6 +50,10 @@
 	// shed first: a wait that may just do is tried.
 	pressMargin = 0.7
 
+	// pressAhead is how long before a deadline a floor is asked for; it covers
+	// an exchange between regions.
+	pressAhead = 300 * time.Millisecond
+
 	// driftInterval separates the steps in which the rates of an idle target
 	// approach those of its group.
 	driftInterval = time.Second
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -221,7 +221,7 @@
 		w.answer(nil, err)
 		return
 	}
-	if o.keptOut(now, g, w) || o.tooLate(now, g, w) {
+	if o.tooLate(now, g, w) {
 		return
 	}
 	g.queue.push(w)
--- a/admission/owner_test.go
+++ b/admission/owner_test.go
@@ -254,3 +254,17 @@
 		is.Equal(r.reply.GetPermit().GetTarget(), "vm1/llm")
 	}
 }
+
+func TestDeadlineNotStatedByTheCallerIsAShed(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(nil, 1)
+	fill(o, start)
+	wait := durationpb.New(5 * time.Second)
+	high := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Deadline: wait})
+	low := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 2})
+	o.Tick(start.Add(4900 * time.Millisecond))
+	o.Tick(start.Add(5 * time.Second))
+	o.Tick(start.Add(5050 * time.Millisecond))
+	is.Equal(high.kind(), schema.ErrorKind_ERROR_KIND_DEADLINE)
+	is.Equal(low.kind(), schema.ErrorKind_ERROR_KIND_OVERLOADED)
+}
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -14,8 +14,12 @@
 	service string
 	lowest  uint32
 	// floor is the lowest rank that this owner admits.
-	floor    uint32
-	sequence uint64
+	floor uint32
+	// sequence rises with each move of the floor and each shed; loweredAs is
+	// the one with which the floor moved to a more important rank.
+	sequence, loweredAs uint64
+	// keep is the lowest rank whose waiting requests may still be dispatched.
+	keep uint32
 	// want is the most important rank that has to be shed.
 	want uint32
 	// lowered is when the floor last moved to a more important rank.
@@ -38,8 +42,10 @@
 	// seen is the highest sequence received, with the floor it carried.
 	seen  uint64
 	floor uint32
-	// acked is the floor that the sibling confirmed to have applied.
-	acked uint32
+	// acked is the floor that the sibling confirmed to have applied, and
+	// confirmed the latest sequence.
+	acked     uint32
+	confirmed uint64
 	// lease is until when this owner may dispatch queued requests of a rank.
 	lease [MaxRanks]time.Time
 	// granted is until when the sibling may hold a lease from this owner.
@@ -63,6 +69,7 @@
 		lowest:   MaxRanks - 1,
 		floor:    MaxRanks - 1,
 		want:     MaxRanks - 1,
+		keep:     MaxRanks - 1,
 		sequence: uint64(now.UnixMilli()) << 16,
 	}
 }
@@ -115,13 +122,21 @@
 	return floor
 }
 
-// mayDispatch reports whether a queued request of a rank may be dispatched:
-// every sibling has leased the rank, or has not answered for SplitAfter. Rank
+// admits reports whether no floor holds the rank back.
+func (p *pool) admits(rank uint32) bool {
+	return rank <= min(p.floor, p.imposed())
+}
+
+// mayDispatch reports whether a queued request of a rank may be dispatched: no
+// floor holds it back, and every sibling has leased the rank or is split. Rank
 // 0 needs no lease, because nothing is shed after it.
 func (p *pool) mayDispatch(now time.Time, rank uint32) bool {
 	if rank == 0 {
 		return true
 	}
+	if !p.admits(rank) {
+		return false
+	}
 	for _, s := range p.siblings {
 		if s.listed && !s.split && !s.lease[rank].After(now) {
 			return false
@@ -174,12 +189,15 @@
 	p.want = min(p.want, rank)
 }
 
-// follow wants a floor for requests that a sibling's floor condemned. Once it
-// is there, more such requests do not prolong it.
-func (p *pool) follow(now time.Time, rank uint32) {
-	if p.want > rank {
-		p.press(now, rank)
+// shed notes that a request of a rank was shed: nothing less important that
+// waits now may be dispatched. It reports whether there is such a rank.
+func (p *pool) shed(rank uint32) bool {
+	if rank >= p.lowest {
+		return false
 	}
+	p.keep = min(p.keep, rank)
+	p.sequence++
+	return true
 }
 
 // advance moves the floor to what is wanted and reports whether it moved.
@@ -190,6 +208,7 @@
 	p.floor = p.want
 	p.lowered = now
 	p.sequence++
+	p.loweredAs = p.sequence
 	return true
 }
 
@@ -204,6 +223,7 @@
 		return false
 	}
 	p.floor++
+	p.keep = MaxRanks - 1
 	p.stepped = now
 	p.sequence++
 	for _, s := range p.siblings {
@@ -212,42 +232,61 @@
 	return true
 }
 
-// known reports whether every sibling has confirmed the floor or is split.
+// known reports whether every sibling has confirmed the floor and what was shed
+// under it, or is split.
 func (p *pool) known() bool {
 	for _, s := range p.siblings {
-		if s.listed && !s.split && s.acked > p.floor {
+		if s.listed && !s.split && s.confirmed < p.sequence {
 			return false
 		}
 	}
 	return true
 }
 
-// hear takes a sibling's floor. Older messages are ignored.
-func (s *sibling) hear(now time.Time, floor uint32, sequence uint64) (current bool) {
+// state is one owner's floor as its messages carry it.
+type state struct {
+	floor, keep uint32
+	sequence    uint64
+}
+
+func (p *pool) state() state {
+	return state{p.granting(), p.keep, p.sequence}
+}
+
+// hear takes a sibling's floor. Older messages are ignored. keep is the lowest
+// rank of which waiting requests may still be dispatched.
+func (s *sibling) hear(now time.Time, heard state) (current bool, keep uint32) {
 	s.fails, s.split = 0, false
 	s.heard = now
-	if sequence < s.seen {
-		return false
+	if heard.sequence < s.seen {
+		return false, MaxRanks - 1
 	}
-	s.seen = sequence
-	s.floor = min(floor, MaxRanks-1)
+	keep = MaxRanks - 1
+	if heard.sequence > s.seen {
+		keep = min(heard.keep, MaxRanks-1)
+	}
+	s.seen = heard.sequence
+	s.floor = min(heard.floor, MaxRanks-1)
 	for rank := s.floor + 1; rank < MaxRanks; rank++ {
 		s.lease[rank] = time.Time{}
 	}
-	return true
+	return true, keep
 }
 
 // receive applies a sibling's update and returns the acknowledgement, which
-// leases the ranks down to this owner's floor.
-func (p *pool) receive(now time.Time, node string, u *schema.FloorUpdate) *schema.FloorAck {
+// leases the ranks down to this owner's floor, and the lowest rank of which
+// waiting requests may still be dispatched.
+func (p *pool) receive(now time.Time, node string, u *schema.FloorUpdate) (ack *schema.FloorAck, keep uint32) {
 	s := p.sibling(node)
-	if s.hear(now, u.GetFloor(), u.GetSequence()) {
+	current, keep := s.hear(now, state{u.GetFloor(), u.GetKeep(), u.GetSequence()})
+	if current {
 		s.loads, s.loadsAt = u.GetLoads(), now
 	}
 	for rank := uint32(0); rank <= p.granting(); rank++ {
 		s.granted[rank] = now.Add(LeaseDuration)
 	}
-	return &schema.FloorAck{Floor: p.granting(), Sequence: p.sequence, Confirmed: s.seen}
+	own := p.state()
+	return &schema.FloorAck{Floor: own.floor, Keep: own.keep, Sequence: own.sequence, Confirmed: s.seen}, keep
 }
 
 // granting returns the lowest rank that this owner leases to its siblings.
@@ -258,25 +297,29 @@
 	return p.floor
 }
 
-// acknowledged takes the answer to an update sent at sent.
-func (p *pool) acknowledged(now, sent time.Time, node string, a *schema.FloorAck) {
+// acknowledged takes the answer to an update sent at sent, and returns the
+// lowest rank of which waiting requests may still be dispatched.
+func (p *pool) acknowledged(now, sent time.Time, node string, a *schema.FloorAck) (keep uint32) {
 	s := p.sibling(node)
-	current := s.hear(now, a.GetFloor(), a.GetSequence())
+	current, keep := s.hear(now, state{a.GetFloor(), a.GetKeep(), a.GetSequence()})
 	if a.GetConfirmed() > p.sequence {
 		// The sibling remembers an earlier run of this node.
 		p.sequence = a.GetConfirmed() + 1
-		return
+		p.loweredAs = p.sequence
+		return keep
 	}
-	if a.GetConfirmed() == p.sequence {
-		s.acked = p.granting()
+	s.confirmed = max(s.confirmed, a.GetConfirmed())
+	if s.confirmed >= p.loweredAs {
+		s.acked = min(s.acked, p.granting())
 	}
 	if !current {
-		return
+		return keep
 	}
 	s.loads, s.loadsAt = a.GetLoads(), now
 	for rank := uint32(0); rank <= s.floor; rank++ {
 		s.lease[rank] = later(s.lease[rank], sent.Add(LeaseDuration))
 	}
+	return keep
 }
 
 func later(a, b time.Time) time.Time {
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -11,16 +11,6 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// keptOut condemns a new request whose rank is below a floor.
-func (o *Owner) keptOut(now time.Time, g *group, w *Waiter) bool {
-	if w.rank <= min(g.pool.floor, g.pool.imposed()) {
-		return false
-	}
-	g.condemn(w)
-	o.refuseCondemned(now, g.pool)
-	return true
-}
-
 // tooLate sheds a request that would wait beyond its deadline, if the order of
 // tiers allows that now.
 func (o *Owner) tooLate(now time.Time, g *group, w *Waiter) bool {
@@ -44,15 +34,11 @@
 	return true
 }
 
-// giveUp refuses a request that cannot meet its deadline here. It does so
-// at once if no idle target could serve it in time, which is no shed, or if
-// the order of tiers allows it, and else at the deadline.
+// giveUp refuses a request that cannot meet its deadline here: at once if the
+// order of tiers allows it, and else at the deadline.
 func (o *Owner) giveUp(now time.Time, g *group, w *Waiter) {
 	switch {
 	case o.redirect(now, g, w):
-	case w.fresh && g.tooLong(w):
-		o.counts.Expired[w.rank]++
-		w.answer(nil, errDeadline())
 	case g.pool.mayShed(now, w.rank):
 		o.shedAs(w, errDeadline())
 	default:
@@ -60,19 +46,6 @@
 	}
 }
 
-// tooLong reports whether a request would miss its deadline on idle targets,
-// as the last decision saw them.
-func (g *group) tooLong(w *Waiter) bool {
-	for i := range g.candidates {
-		c := g.candidates[i]
-		c.PrefillWait = 0
-		if scheduling.ExpectedFirstToken(&w.request, &c) <= w.request.Remaining {
-			return false
-		}
-	}
-	return true
-}
-
 // trim sheds waiters above the queue's bound, the least important first.
 func (o *Owner) trim(now time.Time, g *group) {
 	for g.queue.length > o.maxQueue {
@@ -105,15 +78,17 @@
 		o.onShed(w)
 	}
 	w.answer(nil, reason)
+	if p := w.group.pool; p.shed(w.rank) {
+		o.condemn(p, w.rank)
+	}
 }
 
-// advance moves a pool's floor to the rank that has to be shed, condemns what
-// falls below it, and tells the siblings.
+// advance moves a pool's floor to the rank that has to be shed and tells the
+// siblings.
 func (o *Owner) advance(now time.Time, p *pool) {
 	if p.advance(now) {
 		o.floorMoved(p)
 		o.broadcast(now, p)
-		o.evict(now, p)
 	}
 }
 
@@ -123,27 +98,21 @@
 	}
 }
 
-// evict condemns the waiters below this owner's floor or a sibling's.
-func (o *Owner) evict(now time.Time, p *pool) {
-	floor := min(p.floor, p.imposed())
+// condemn takes the waiters less important than keep out of the queues: a more
+// important request was shed while they waited, so they must never be
+// dispatched. They are refused as soon as the order of tiers allows it.
+func (o *Owner) condemn(p *pool, keep uint32) {
 	for _, g := range o.ordered {
 		if g.pool != p {
 			continue
 		}
-		for rank := floor + 1; rank < MaxRanks; rank++ {
+		for rank := keep + 1; rank < MaxRanks; rank++ {
 			g.queue.all(rank, func(w *Waiter) {
 				g.queue.remove(w)
-				g.condemn(w)
+				g.condemned = append(g.condemned, w)
 			})
 		}
 	}
-	o.refuseCondemned(now, p)
-}
-
-// condemn keeps a waiter that must never be dispatched until it may be
-// refused: a sibling may shed a more important request meanwhile.
-func (g *group) condemn(w *Waiter) {
-	g.condemned = append(g.condemned, w)
 }
 
 // refuseCondemned sheds condemned waiters, the least important first, as far
@@ -154,15 +123,20 @@
 			continue
 		}
 		if !p.mayShed(now, rank) {
-			p.follow(now, rank)
+			p.press(now, rank)
 			o.advance(now, p)
 		}
 		if !p.mayShed(now, rank) {
 			return
 		}
 		for _, g := range o.ordered {
-			if g.pool == p {
-				g.condemned = keepWaiters(g.condemned, func(w *Waiter) bool { return w.rank != rank }, o.shed)
+			if g.pool != p {
+				continue
+			}
+			var refused []*Waiter
+			g.condemned, refused = partition(g.condemned, func(w *Waiter) bool { return w.rank != rank })
+			for _, w := range refused {
+				o.shed(w)
 			}
 		}
 	}
@@ -180,27 +154,26 @@
 	return false
 }
 
-// keepWaiters returns the waiters for which keep is true and passes the others to drop.
-func keepWaiters(waiters []*Waiter, keep func(*Waiter) bool, drop func(*Waiter)) []*Waiter {
-	kept := waiters[:0]
+// partition splits waiters into those for which keep is true and the others.
+func partition(waiters []*Waiter, keep func(*Waiter) bool) (kept, others []*Waiter) {
 	for _, w := range waiters {
 		if keep(w) {
 			kept = append(kept, w)
-			continue
+		} else {
+			others = append(others, w)
 		}
-		drop(w)
 	}
-	clear(waiters[len(kept):])
-	return kept
+	return kept, others
 }
 
 // Floor takes a sibling owner's floor update and returns the answer.
 func (o *Owner) Floor(now time.Time, from string, u *schema.FloorUpdate) *schema.FloorAck {
 	p := o.pool(now, u.GetService())
-	ack := p.receive(now, from, u)
+	ack, keep := p.receive(now, from, u)
 	ack.Owner = o.options.Node
 	ack.Loads = o.loads(now, p)
-	o.evict(now, p)
+	o.condemn(p, keep)
+	o.refuseCondemned(now, p)
 	if p.imposed() < p.lowest {
 		o.renew(now, p)
 	}
@@ -217,9 +190,9 @@
 	if ack == nil {
 		p.unanswered(now, sent, node)
 	} else {
-		p.acknowledged(now, sent, node, ack)
+		o.condemn(p, p.acknowledged(now, sent, node, ack))
 	}
-	o.evict(now, p)
+	o.refuseCondemned(now, p)
 	o.advance(now, p)
 	for _, g := range o.ordered {
 		if g.pool == p {
@@ -247,6 +220,7 @@
 		Service:  p.service,
 		Owner:    o.options.Node,
 		Floor:    p.granting(),
+		Keep:     p.keep,
 		Sequence: p.sequence,
 		Loads:    o.loads(now, p),
 	})
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -32,22 +32,41 @@
 	}
 }
 
+// expireWaiters refuses waiters at their deadlines. If the caller did not
+// choose the deadline, that is a shed, so the floor is asked for before.
 func (o *Owner) expireWaiters(now time.Time, g *group) {
-	inTime := func(w *Waiter) bool { return w.deadline.After(now) }
-	late := func(w *Waiter) {
-		o.counts.Expired[w.rank]++
-		w.answer(nil, errDeadline())
+	inTime := func(w *Waiter) bool {
+		left := w.deadline.Sub(now)
+		if left <= pressAhead && w.rank < g.pool.lowest && !w.asked.GetStatedDeadline() {
+			g.pool.press(now, w.rank)
+		}
+		return left > 0
 	}
+	var expired []*Waiter
 	for rank := range uint32(MaxRanks) {
 		g.queue.all(rank, func(w *Waiter) {
 			if !inTime(w) {
 				g.queue.remove(w)
-				late(w)
+				expired = append(expired, w)
 			}
 		})
 	}
-	g.condemned = keepWaiters(g.condemned, inTime, late)
-	g.late = keepWaiters(g.late, inTime, late)
+	condemned, late := []*Waiter(nil), []*Waiter(nil)
+	g.condemned, condemned = partition(g.condemned, inTime)
+	g.late, late = partition(g.late, inTime)
+	for _, w := range slices.Concat(expired, condemned, late) {
+		o.expire(now, w)
+	}
+}
+
+func (o *Owner) expire(now time.Time, w *Waiter) {
+	p := w.group.pool
+	if !w.asked.GetStatedDeadline() && p.mayShed(now, w.rank) {
+		o.shedAs(w, errDeadline())
+		return
+	}
+	o.counts.Expired[w.rank]++
+	w.answer(nil, errDeadline())
 }
 
 // expirePermits releases permits that were not returned in any plausible time.
--- a/bench/owners.go
+++ b/bench/owners.go
@@ -160,7 +160,7 @@
 		Group: group(region), RequestId: strconv.Itoa(r.id), Team: teamName(r.team*tiers + r.tier), Service: service, Model: model,
 		Tier: uint32(r.tier), PromptTokens: uint32(r.prompt), MaxOutputTokens: uint32(r.maxOutput),
 		PrefixBlocks: r.blocks, Waited: durationpb.New(o.s.now - r.arrived), Deadline: durationpb.New(r.deadline - o.s.now),
-		EntryRegion: zone(r.region), BodyBytes: uint64(r.prompt * 4), Hops: uint32(hops), EntryNode: node(r.region),
+		EntryRegion: zone(r.region), BodyBytes: uint64(r.prompt * 4), Hops: uint32(hops), EntryNode: node(r.region), StatedDeadline: true,
 	}
 }
 
