Try a higher tier until its stated deadline

Cause: refusing it early is a shed, which condemns all that waits in the lower tiers of all regions; in a burst that cost more than it saved.

--- a/admission/shed.go
+++ b/admission/shed.go
@@ -12,13 +12,19 @@
 )
 
 // tooLate sheds a request that would wait beyond its deadline, if the order of
-// tiers allows that now.
+// tiers allows that now. A request whose caller stated the deadline is tried
+// until then, unless its tier is the lowest: to refuse it earlier would cost
+// all that waits in the tiers below.
 func (o *Owner) tooLate(now time.Time, g *group, w *Waiter) bool {
-	wait := g.wait(w.rank, w.lane(), w.request.Team, w.weight)
-	margin := waitMargin
-	if w.rank < g.pool.lowest {
-		margin = pressMargin
+	lowest := w.rank >= g.pool.lowest
+	if !lowest && w.asked.GetStatedDeadline() {
+		return false
 	}
+	margin := pressMargin
+	if lowest {
+		margin = waitMargin
+	}
+	wait := g.wait(w.rank, w.lane(), w.request.Team, w.weight)
 	if time.Duration(margin*float64(wait)) <= w.deadline.Sub(now) {
 		return false
 	}
