Keep less prefill waiting at targets, and leave more room before deadlines

Cause: expected first-token times err most under load, when requests are dispatched close to their deadlines: prefill was spent on answers that came too late. The bound of prefill that waits at a target falls from 0.1 to 0.05 of the first-token goal, the margin before a deadline rises from 1.5 to 2 times.

--- a/scheduling/filter.go
+++ b/scheduling/filter.go
@@ -90,7 +90,7 @@
 }
 
 // tooLateMargin allows for the error of expected first-token times.
-const tooLateMargin = 1.5
+const tooLateMargin = 2.0
 
 // tooLate keeps prefill from being spent on an answer that nobody waits for.
 func tooLate(r *Request, c *Candidate) bool {
@@ -99,7 +99,7 @@
 
 // prefillShare of the first-token goal may be spent waiting at a target; the
 // rest of a wait is spent in the owner's queue, where the order of tiers holds.
-const prefillShare = 0.1
+const prefillShare = 0.05
 
 // PrefillBound returns the time that prefill may wait at a target.
 func (p *Policy) PrefillBound() time.Duration {
