Give a grant back without losing the base share

Choice: a node without a demand gives its grant back at once and is as before it asked; four requests may pass after a quiet time with or without a grant. Result: TestGrantGivenBackLeavesTheNodeAbleToAdmit; go test -race -count=3 ./limits ok.

--- a/limits/allocator.go
+++ b/limits/allocator.go
@@ -63,7 +63,7 @@
 
 // ask records a node's demand on a team's limit and returns what the node may
 // use beyond the base until expires. It returns false when nothing can be
-// granted yet.
+// granted yet, and when a node without a demand gives its grant back.
 func (a *allocator) ask(now, expires time.Time, team, node string, nodes int, limit, demand amounts) (amounts, bool) {
 	if now.Before(a.quietUntil) {
 		return amounts{}, false
@@ -80,7 +80,7 @@
 	}
 	if demand == (amounts{}) {
 		delete(held, node)
-		return amounts{}, true
+		return amounts{}, false
 	}
 	g := grant{demand: demand, expires: expires}
 	g.extra = allot(held, node, nodes, limit, demand)
--- a/limits/allocator_internal_test.go
+++ b/limits/allocator_internal_test.go
@@ -61,6 +61,9 @@
 				inFlight: float64(rapid.IntRange(0, 60).Draw(t, "demandInFlight")),
 			}
 			expires := now.Add(3 * time.Second)
+			if demand == (amounts{}) {
+				continue
+			}
 			extra, ok := a.ask(now, expires, "team", node, nodes, limit, demand)
 			if !ok {
 				t.Fatal("nothing was granted in quiet times")
@@ -107,6 +110,27 @@
 	}
 }
 
+func TestGrantGivenBackLeavesTheNodeAbleToAdmit(t *testing.T) {
+	now := time.Unix(0, 0)
+	limit := amounts{inFlight: 40}
+	b := newBucket(now, "t", limit, 6, nil)
+	b.grant(now, now.Add(3*time.Second), amounts{inFlight: 6})
+	now = now.Add(time.Second)
+	demand, worth := b.demand(now, time.Second)
+	if demand != (amounts{}) || !worth {
+		t.Fatalf("an idle node told %+v, %t", demand, worth)
+	}
+	a := newAllocator()
+	if _, ok := a.ask(now, now.Add(3*time.Second), "t", "n", 6, limit, demand); ok {
+		t.Fatal("a grant was made for no demand")
+	}
+	for range 6 {
+		if err := b.allow(now, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkAllow(b *testing.B) {
 	held := newBucket(time.Now(), "t", amounts{1e12, 1e12, 1e12}, 1, nil)
 	l := New(Options{Node: "n"})
--- a/limits/bucket.go
+++ b/limits/bucket.go
@@ -13,12 +13,9 @@
 // mostly chance.
 const sparse = 5
 
-// A node may admit this many requests after a quiet time, however small its
-// share: without a grant and with one.
-const (
-	minBurst     = 2
-	grantedBurst = 4
-)
+// minBurst is the number of requests that a node may admit after a quiet time,
+// however small its share.
+const minBurst = 4
 
 // inFlightRetry is the wait stated to a caller refused for requests in flight.
 const inFlightRetry = time.Second
@@ -68,12 +65,8 @@
 // setShare puts the base and an extra share in force.
 func (b *bucket) setShare(now time.Time, extra amounts) {
 	share := b.limit.base(b.nodes).plus(extra)
-	least := float64(grantedBurst)
-	if b.granted.IsZero() {
-		least = minBurst
-	}
-	b.requests.setRate(now, b.limit.requests, share.requests, least, b.nodes)
-	b.tokens.setRate(now, b.limit.tokens, share.tokens, least, b.nodes)
+	b.requests.setRate(now, b.limit.requests, share.requests, b.nodes)
+	b.tokens.setRate(now, b.limit.tokens, share.tokens, b.nodes)
 	b.slots = math.Floor(share.inFlight)
 	if b.granted.IsZero() {
 		b.slots = max(1, math.Floor(b.limit.inFlight/float64(b.nodes)))
@@ -118,9 +111,8 @@
 
 // expire falls back to the base share when the grant has ended.
 func (b *bucket) expire(now time.Time) {
-	if !b.granted.IsZero() && !now.Before(b.granted) {
-		b.granted = time.Time{}
-		b.setShare(now, amounts{})
+	if !now.Before(b.granted) {
+		b.release(now)
 	}
 }
 
@@ -170,10 +162,19 @@
 	b.seen, b.refused, b.measured, b.peak = amounts{}, false, now, b.inFlight
 	if !short && b.recent.below(b.limit.base(b.nodes)) {
 		b.recent = amounts{}
+		b.release(now)
 	}
 	return b.recent, worth
 }
 
+// release gives a grant back.
+func (b *bucket) release(now time.Time) {
+	if !b.granted.IsZero() {
+		b.granted = time.Time{}
+		b.setShare(now, amounts{})
+	}
+}
+
 // measure returns the demand since the last report. Of a few requests the rate
 // says little: then it is what fills the buckets again.
 func (b *bucket) measure(now time.Time, interval time.Duration, quiet bool) amounts {
--- a/limits/rate.go
+++ b/limits/rate.go
@@ -17,15 +17,15 @@
 	updated  time.Time
 }
 
-// setRate changes the rate from now on. A bucket holds at least least, and as
+// setRate changes the rate from now on. A bucket holds at least minBurst, and as
 // much as an even share of the limit over all nodes, so that a caller who
 // was idle may begin with a burst.
-func (b *rateBucket) setRate(now time.Time, limit, rate, least float64, nodes int) {
+func (b *rateBucket) setRate(now time.Time, limit, rate float64, nodes int) {
 	fresh := b.updated.IsZero()
 	b.refill(now)
 	b.limited = limit > 0
 	b.rate = rate
-	b.capacity = max(least, max(rate, limit/float64(nodes))*burst.Seconds())
+	b.capacity = max(minBurst, max(rate, limit/float64(nodes))*burst.Seconds())
 	if fresh {
 		b.level = b.capacity
 	}
