--- a/Makefile
+++ b/Makefile
@@ -139,3 +139,8 @@
 		$(BIN)/membership.test -test.v -test.run '^TestViewsAgreeOnceTroublesHaveEnded$$' -test.timeout 30m \
 			-rapid.nofailfile -rapid.seed=$$seed -rapid.checks=1000 || exit 1; \
 	done
+
+.PHONY: fuzz-settings
+
+fuzz-settings: ## Fuzz the settings reader for a bounded count.
+	go test ./settings -run xxx -fuzz FuzzParse -fuzztime 50000x -parallel 2
