--- a/standin/deployment/layout.go
+++ b/standin/deployment/layout.go
@@ -183,3 +183,18 @@
 
 // Model is the name of the model that the engines serve.
 func (l *Layout) Model() string { return l.model }
+
+// Expand returns the names that a word stands for: all engines or all servers
+// of the plain service, whatever their number, or the word itself.
+func (l *Layout) Expand(word string) []string {
+	if word != "engines" && word != "services" {
+		return []string{word}
+	}
+	var names []string
+	for _, t := range l.Targets() {
+		if t.Engine == (word == "engines") {
+			names = append(names, t.Name)
+		}
+	}
+	return names
+}
--- a/standin/scenario/commands.go
+++ b/standin/scenario/commands.go
@@ -85,9 +85,11 @@
 		if len(args) == 0 {
 			return errUsage
 		}
-		for _, name := range args {
-			if err := action(d, name); err != nil {
-				return err
+		for _, arg := range args {
+			for _, name := range d.Expand(arg) {
+				if err := action(d, name); err != nil {
+					return err
+				}
 			}
 		}
 		return nil
@@ -195,7 +197,13 @@
 	if err != nil {
 		return err
 	}
-	return d.Cut(l)
+	for _, to := range d.Expand(l.To) {
+		l.To = to
+		if err := d.Cut(l); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // heal reads "heal [FROM TO]".
