Claim at the entry when views of a shard's owner differ

Cause: while the members' views settle, an entry asks a node that takes another for the owner, and so on. After five seconds the request ended as unreachable, unknown, although the platform and all nodes were well. An entry without any active member, such as the last node that drains, had no owner to ask at all.

After one second of such answers, or at once without an owner, the entry's own ledger answers; the conditional update of the segment decides between owners, as it does for an owner that is cut off.

Before: TestEntryClaimsItselfWhenViewsOfTheOwnerDiffer failed with unreachable; after: passes for both cases, for claims and for reports.

--- a/routing/claims.go
+++ b/routing/claims.go
@@ -18,6 +18,9 @@
 	// ownerTimeout is how long an owner may take to answer; it leaves room for
 	// an object API that is slow.
 	ownerTimeout = 2 * time.Second
+	// disagreementWait is how long the nodes' views may differ on a shard's
+	// owner before this entry asks its own ledger.
+	disagreementWait = time.Second
 )
 
 // Ledger is this node's own ledger owner.
@@ -46,9 +49,10 @@
 // not dispatch.
 func (c *Claims) Claim(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
 	var reply *schema.ClaimReply
+	began := time.Now()
 	err := c.retry(ctx, func(ctx context.Context) error {
 		var err error
-		reply, err = c.claim(ctx, r)
+		reply, err = c.claim(ctx, began, r)
 		return err
 	})
 	if err != nil {
@@ -67,10 +71,21 @@
 
 // Finish records the progress or the end of a claimed request.
 func (c *Claims) Finish(ctx context.Context, r *schema.FinishRequest) error {
-	return c.retry(ctx, func(ctx context.Context) error { return c.finish(ctx, r) })
+	began := time.Now()
+	return c.retry(ctx, func(ctx context.Context) error { return c.finish(ctx, began, r) })
 }
 
-func (c *Claims) claim(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
+func (c *Claims) claim(ctx context.Context, began time.Time, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
+	reply, err := c.claimFromOwner(ctx, r)
+	if noOwner(began, err) && ctx.Err() == nil {
+		r = proto.CloneOf(r)
+		r.AnyOwner = true
+		return c.local.Claim(ctx, r)
+	}
+	return reply, err
+}
+
+func (c *Claims) claimFromOwner(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
 	address, local, err := c.owner(r.GetTeam(), r.GetRequestId())
 	if err != nil {
 		return nil, err
@@ -79,13 +94,7 @@
 		return c.local.Claim(ctx, r)
 	}
 	reply := &schema.ClaimReply{}
-	err = c.callOwner(ctx, address, schema.Method_METHOD_CLAIM, r, reply)
-	if cutOff(err) && ctx.Err() == nil {
-		r = proto.CloneOf(r)
-		r.AnyOwner = true
-		return c.local.Claim(ctx, r)
-	}
-	return reply, err
+	return reply, c.callOwner(ctx, address, schema.Method_METHOD_CLAIM, r, reply)
 }
 
 // callOwner asks a shard's owner, who answers within ownerTimeout unless it is
@@ -96,14 +105,32 @@
 	return c.caller.Call(ctx, address, method, req, resp)
 }
 
-// cutOff reports whether the owner did not answer. The local ledger may answer
-// in its place: the conditional update of the shard's segment decides between
-// them, and the same attempt finds its own claim.
-func cutOff(err error) bool {
-	return fault.KindOf(err) == schema.ErrorKind_ERROR_KIND_UNREACHABLE
+// noOwner reports whether the owner did not answer, or nobody has taken
+// itself for the owner for some time. The local ledger may answer in its place:
+// the conditional update of the shard's segment decides between them, and the
+// same attempt finds its own claim.
+func noOwner(began time.Time, err error) bool {
+	switch fault.KindOf(err) {
+	case schema.ErrorKind_ERROR_KIND_UNREACHABLE:
+		return true
+	case schema.ErrorKind_ERROR_KIND_NOT_OWNER, schema.ErrorKind_ERROR_KIND_DRAINING:
+		return time.Since(began) >= disagreementWait
+	default:
+		return false
+	}
 }
 
-func (c *Claims) finish(ctx context.Context, r *schema.FinishRequest) error {
+func (c *Claims) finish(ctx context.Context, began time.Time, r *schema.FinishRequest) error {
+	err := c.finishAtOwner(ctx, r)
+	if noOwner(began, err) && ctx.Err() == nil {
+		r = proto.CloneOf(r)
+		r.AnyOwner = true
+		_, err = c.local.Finish(ctx, r)
+	}
+	return err
+}
+
+func (c *Claims) finishAtOwner(ctx context.Context, r *schema.FinishRequest) error {
 	address, local, err := c.owner(r.GetTeam(), r.GetRequestId())
 	if err != nil {
 		return err
@@ -112,13 +139,7 @@
 		_, err := c.local.Finish(ctx, r)
 		return err
 	}
-	err = c.callOwner(ctx, address, schema.Method_METHOD_FINISH, r, &schema.FinishReply{})
-	if cutOff(err) && ctx.Err() == nil {
-		r = proto.CloneOf(r)
-		r.AnyOwner = true
-		_, err = c.local.Finish(ctx, r)
-	}
-	return err
+	return c.callOwner(ctx, address, schema.Method_METHOD_FINISH, r, &schema.FinishReply{})
 }
 
 // owner returns the address of the shard's owner, or local true if it is this
--- a/routing/claims_test.go
+++ b/routing/claims_test.go
@@ -58,6 +58,33 @@
 	})
 }
 
+// strangers answer that another node is the owner.
+type strangers struct{}
+
+func (strangers) Call(context.Context, string, schema.Method, proto.Message, proto.Message) error {
+	return fault.New(schema.ErrorKind_ERROR_KIND_NOT_OWNER, "another owner", "ask it")
+}
+
+func TestEntryClaimsItselfWhenViewsOfTheOwnerDiffer(t *testing.T) {
+	for _, node := range []string{"owner", ""} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			current := topology.NewCurrent()
+			current.Store(topology.Build(&schema.Config{}, nil, topology.Options{}))
+			if node != "" {
+				current.Store(snapshotOf(node))
+			}
+			claims := routing.NewClaims(routing.Place{Node: "entry"}, strangers{}, localLedger{}, current)
+			began := time.Now()
+			reply, err := claims.Claim(t.Context(), &schema.ClaimRequest{RequestId: "id", Team: "team"})
+			is.NoErr(err)
+			is.Equal(reply.GetState(), schema.ClaimState_CLAIM_STATE_NEW)
+			is.True(time.Since(began) < 2*time.Second)
+			is.NoErr(claims.Finish(t.Context(), &schema.FinishRequest{RequestId: "id", Team: "team"}))
+		})
+	}
+}
+
 func TestClaimThatFailsIsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
