Do not admit a request that waited while a more important one was shed

Cause: the order of tiers was kept among requests in the owners' queues. One that waited elsewhere, for its claim or between two owners, came after the floor had gone up again and ran, although a request of a better tier had been shed while it waited.

An owner notes when it last shed each rank, and when a sibling's floor last kept it out. A newcomer that arrived at its entry before a better rank was shed is refused as overloaded, through the same steps as one below the floor.

Before: TestRequestThatWaitedElsewhereDoesNotOvertakeAShedOne failed in both cases; after: passes.

--- a/admission/owner_test.go
+++ b/admission/owner_test.go
@@ -254,3 +254,39 @@
 		is.Equal(r.reply.GetPermit().GetTarget(), "vm1/llm")
 	}
 }
+
+func TestRequestThatWaitedElsewhereDoesNotOvertakeAShedOne(t *testing.T) {
+	const shedFor = 20 * time.Second
+	cases := map[string]func(o *admission.Owner){
+		"shed here": func(o *admission.Owner) {
+			running := fill(o, start)
+			middle := ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 1})
+			ask(o, start, &schema.PermitRequest{PromptTokens: 8000, Tier: 0})
+			if middle.err == nil {
+				t.Error("the request of tier 1 was not shed")
+			}
+			for _, r := range running {
+				giveBack(o, start, r)
+			}
+		},
+		"kept out by a sibling": func(o *admission.Owner) {
+			o.Floor(start, "n1", &schema.FloorUpdate{Service: "llm", Owner: "n1", Sequence: 1, Floor: 0})
+			o.Floor(start.Add(time.Second), "n1", &schema.FloorUpdate{Service: "llm", Owner: "n1", Sequence: 2, Floor: admission.MaxRanks - 1})
+		},
+	}
+	for name, shed := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwner(&schema.SchedulingSettings{MaxQueueRequests: 1}, 2)
+			shed(o)
+			now := start
+			for now.Before(start.Add(shedFor)) {
+				now = now.Add(100 * time.Millisecond)
+				o.Tick(now)
+			}
+			early := &schema.PermitRequest{PromptTokens: 10, Tier: 2, Waited: durationpb.New(shedFor + time.Second)}
+			is.Equal(ask(o, now, early).kind(), schema.ErrorKind_ERROR_KIND_OVERLOADED)
+			is.NoErr(ask(o, now, &schema.PermitRequest{PromptTokens: 10, Tier: 2}).err)
+		})
+	}
+}
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -23,6 +23,8 @@
 	// pressure is when a rank was last shed or wanted to be.
 	pressure time.Time
 	stepped  time.Time
+	// shedAt is when a request of a rank was last shed here.
+	shedAt [MaxRanks]time.Time
 	// siblings are in order of their nodes' names.
 	siblings []*sibling
 	// skipAck is set by tests to show that they notice a missing
@@ -45,6 +47,8 @@
 	// granted is until when the sibling may hold a lease from this owner.
 	granted [MaxRanks]time.Time
 	sent    time.Time
+	// keptOut is when the sibling last kept a rank out.
+	keptOut [MaxRanks]time.Time
 	// heard is when the last message was received.
 	heard time.Time
 	// failing is the start of the failures counted in fails.
@@ -233,10 +237,24 @@
 	s.floor = min(floor, MaxRanks-1)
 	for rank := s.floor + 1; rank < MaxRanks; rank++ {
 		s.lease[rank] = time.Time{}
+		s.keptOut[rank] = now
 	}
 	return true
 }
 
+// lastShedAbove returns the latest time at which a request more important than
+// rank was shed here, or kept out by a sibling.
+func (p *pool) lastShedAbove(rank uint32) time.Time {
+	var last time.Time
+	for r := range rank {
+		last = later(last, p.shedAt[r])
+		for _, s := range p.siblings {
+			last = later(last, s.keptOut[r])
+		}
+	}
+	return last
+}
+
 // receive applies a sibling's update and returns the acknowledgement, which
 // leases the ranks down to this owner's floor.
 func (p *pool) receive(now time.Time, node string, u *schema.FloorUpdate) *schema.FloorAck {
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -11,9 +11,11 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// keptOut condemns a new request whose rank is below a floor.
+// keptOut condemns a new request whose rank is below a floor, or that waited
+// elsewhere, as for its claim, when a more important one was shed.
 func (o *Owner) keptOut(now time.Time, g *group, w *Waiter) bool {
-	if w.rank <= min(g.pool.floor, g.pool.imposed()) {
+	passed := w.arrived.Before(g.pool.lastShedAbove(w.rank))
+	if w.rank <= min(g.pool.floor, g.pool.imposed()) && !passed {
 		return false
 	}
 	g.condemn(w)
@@ -40,7 +42,7 @@
 	if !g.pool.mayShed(now, w.rank) {
 		return false
 	}
-	o.shedAs(w, errDeadline())
+	o.shedAs(now, w, errDeadline())
 	return true
 }
 
@@ -54,7 +56,7 @@
 		o.counts.Expired[w.rank]++
 		w.answer(nil, errDeadline())
 	case g.pool.mayShed(now, w.rank):
-		o.shedAs(w, errDeadline())
+		o.shedAs(now, w, errDeadline())
 	default:
 		g.late = append(g.late, w)
 	}
@@ -91,16 +93,17 @@
 			o.counts.OutOfOrder++
 		}
 		g.queue.remove(w)
-		o.shed(w)
+		o.shed(now, w)
 	}
 }
 
-func (o *Owner) shed(w *Waiter) {
-	o.shedAs(w, errOverloaded(w.request.Service))
+func (o *Owner) shed(now time.Time, w *Waiter) {
+	o.shedAs(now, w, errOverloaded(w.request.Service))
 }
 
-func (o *Owner) shedAs(w *Waiter, reason error) {
+func (o *Owner) shedAs(now time.Time, w *Waiter, reason error) {
 	o.counts.Shed[w.rank]++
+	w.group.pool.shedAt[w.rank] = now
 	if o.onShed != nil {
 		o.onShed(w)
 	}
@@ -162,7 +165,8 @@
 		}
 		for _, g := range o.ordered {
 			if g.pool == p {
-				g.condemned = keepWaiters(g.condemned, func(w *Waiter) bool { return w.rank != rank }, o.shed)
+				keep := func(w *Waiter) bool { return w.rank != rank }
+				g.condemned = keepWaiters(g.condemned, keep, func(w *Waiter) { o.shed(now, w) })
 			}
 		}
 	}
