Keep releases of several attempts of one key apart

Cause: an owner kept one released attempt for each key. A release that came late, handed over by the previous owner or repeated by an entry, took the place of a later attempt's release, and the key stayed taken.

Before: TestReleasesOfOneKeyMayComeInAnyOrder failed with UNKNOWN or RUNNING for the third attempt; after: passes.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -155,6 +155,6 @@
 }
 
 func (s *shard) isReleased(key requestKey, attempt uint64) bool {
-	released, ok := s.released[key]
-	return ok && released == attempt
+	_, ok := s.released[release{key, attempt}]
+	return ok
 }
--- a/ledger/finish.go
+++ b/ledger/finish.go
@@ -70,12 +70,19 @@
 	s.noteRelease(f.key, f.attempt)
 }
 
+// release names an attempt that gave its claim back. Releases of one key may
+// come in any order.
+type release struct {
+	key     requestKey
+	attempt uint64
+}
+
 // noteRelease remembers a release until it is stored.
 func (s *shard) noteRelease(key requestKey, attempt uint64) {
 	if len(s.released) >= maxReleased {
 		return
 	}
-	s.released[key] = attempt
+	s.released[release{key, attempt}] = struct{}{}
 	if s.segment == nil {
 		return
 	}
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -133,8 +133,8 @@
 // not be stored, requests that run, and finished ones, the latest first.
 func (s *shard) handovers() []*schema.LedgerHandover {
 	b := &handoverBuilder{shard: s.number}
-	for key, attempt := range s.released {
-		b.add(&schema.LedgerRecord{Key: key[:], Attempt: attempt, Released: true})
+	for r := range s.released {
+		b.add(&schema.LedgerRecord{Key: r.key[:], Attempt: r.attempt, Released: true})
 	}
 	for key, rec := range s.records.running {
 		b.add(rec.encode(key))
--- a/ledger/handover_test.go
+++ b/ledger/handover_test.go
@@ -86,6 +86,23 @@
 	})
 }
 
+func TestReleasesOfOneKeyMayComeInAnyOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t, "n1", platform.NewMemory(), testSettings())
+		release := func(attempt string) {
+			_, err := m.Finish(t.Context(), &schema.FinishRequest{RequestId: "id", Team: "t", Attempt: attempt, NotRun: true})
+			is.NoErr(err)
+		}
+		is.Equal(claimState(t, m, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
+		release("a1")
+		is.Equal(claimState(t, m, request("id", "a2")), schema.ClaimState_CLAIM_STATE_NEW)
+		release("a2")
+		release("a1")
+		is.Equal(claimState(t, m, request("id", "a3")), schema.ClaimState_CLAIM_STATE_NEW)
+	})
+}
+
 func TestLateHandoverDoesNotReplaceALaterRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/ledger/io.go
+++ b/ledger/io.go
@@ -234,10 +234,10 @@
 // pruneReleased forgets releases whose claims are gone. It is called after a
 // successful write, when no earlier write can take effect any more.
 func (s *shard) pruneReleased() {
-	for key, attempt := range s.released {
-		e, ok := s.segment.find(key)
-		if !ok || e.attempt != attempt {
-			delete(s.released, key)
+	for r := range s.released {
+		e, ok := s.segment.find(r.key)
+		if !ok || e.attempt != r.attempt {
+			delete(s.released, r)
 		}
 	}
 }
--- a/ledger/next.go
+++ b/ledger/next.go
@@ -41,15 +41,15 @@
 // attempts were released.
 func (s *shard) releases(now time.Time) []entry {
 	var entries []entry
-	for key, attempt := range s.released {
-		current, held := s.segment.find(key)
-		if !held || current.attempt != attempt {
+	for r := range s.released {
+		current, held := s.segment.find(r.key)
+		if !held || current.attempt != r.attempt {
 			continue
 		}
-		if _, inParts := s.segment.findInParts(key); !inParts {
+		if _, inParts := s.segment.findInParts(r.key); !inParts {
 			continue
 		}
-		entries = append(entries, entry{key: key, claimedUnixMs: now.UnixMilli(), attempt: attempt, released: true})
+		entries = append(entries, entry{key: r.key, claimedUnixMs: now.UnixMilli(), attempt: r.attempt, released: true})
 	}
 	return entries
 }
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -41,8 +41,8 @@
 	finishes []*finish
 	// releaseDue is set while the segment may hold a released claim.
 	releaseDue bool
-	// released and done hold attempts by key; they wait for the next write.
-	released map[requestKey]uint64
+	// released and done wait for the next write; done holds attempts by key.
+	released map[release]struct{}
 	done     map[requestKey]uint64
 	// unclaimed requests run without a stored claim until the next write.
 	unclaimed map[requestKey]*claim
@@ -64,7 +64,7 @@
 		number:    number,
 		owned:     true,
 		records:   newRecords(),
-		released:  make(map[requestKey]uint64),
+		released:  make(map[release]struct{}),
 		done:      make(map[requestKey]uint64),
 		unclaimed: make(map[requestKey]*claim),
 		retry:     retry,
@@ -144,9 +144,9 @@
 
 // releasesStored reports whether the segment holds a released claim.
 func (s *shard) releasesStored() bool {
-	for key, attempt := range s.released {
-		e, ok := s.segment.find(key)
-		if ok && e.attempt == attempt {
+	for r := range s.released {
+		e, ok := s.segment.find(r.key)
+		if ok && e.attempt == r.attempt {
 			return true
 		}
 	}
