--- a/admission/owner.go
+++ b/admission/owner.go
@@ -221,7 +221,7 @@
 		w.answer(nil, err)
 		return
 	}
-	if o.tooLate(now, g, w) {
+	if o.passedOver(now, g, w) || o.tooLate(now, g, w) {
 		return
 	}
 	g.queue.push(w)
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -27,6 +27,8 @@
 	// pressure is when a rank was last shed or wanted to be.
 	pressure time.Time
 	stepped  time.Time
+	// shedAt is when a request of a rank was last shed here.
+	shedAt [MaxRanks]time.Time
 	// siblings are in order of their nodes' names.
 	siblings []*sibling
 	// skipAck is set by tests to show that they notice a missing
@@ -51,6 +53,9 @@
 	// granted is until when the sibling may hold a lease from this owner.
 	granted [MaxRanks]time.Time
 	sent    time.Time
+	// passed is when the sibling last shed a request more important than the
+	// rank.
+	passed [MaxRanks]time.Time
 	// heard is when the last message was received.
 	heard time.Time
 	// failing is the start of the failures counted in fails.
@@ -270,9 +275,25 @@
 	for rank := s.floor + 1; rank < MaxRanks; rank++ {
 		s.lease[rank] = time.Time{}
 	}
+	for rank := keep + 1; rank < MaxRanks; rank++ {
+		s.passed[rank] = now
+	}
 	return true, keep
 }
 
+// lastShedAbove returns the latest time at which a request more important than
+// rank was shed here or by a sibling.
+func (p *pool) lastShedAbove(rank uint32) time.Time {
+	var last time.Time
+	for _, at := range p.shedAt[:rank] {
+		last = later(last, at)
+	}
+	for _, s := range p.siblings {
+		last = later(last, s.passed[rank])
+	}
+	return last
+}
+
 // receive applies a sibling's update and returns the acknowledgement, which
 // leases the ranks down to this owner's floor, and the lowest rank of which
 // waiting requests may still be dispatched.
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -11,6 +11,17 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
+// passedOver condemns a new request that waited elsewhere, as for its claim,
+// when a more important one was shed.
+func (o *Owner) passedOver(now time.Time, g *group, w *Waiter) bool {
+	if !w.arrived.Before(g.pool.lastShedAbove(w.rank)) {
+		return false
+	}
+	g.condemned = append(g.condemned, w)
+	o.refuseCondemned(now, g.pool)
+	return true
+}
+
 // tooLate sheds a request that would wait beyond its deadline, if the order of
 // tiers allows that now. A request whose caller stated the deadline is tried
 // until then, unless its tier is the lowest: to refuse it earlier would cost
@@ -36,7 +47,7 @@
 	if !g.pool.mayShed(now, w.rank) {
 		return false
 	}
-	o.shedAs(w, errDeadline())
+	o.shedAs(now, w, errDeadline())
 	return true
 }
 
@@ -46,7 +57,7 @@
 	switch {
 	case o.redirect(now, g, w):
 	case g.pool.mayShed(now, w.rank):
-		o.shedAs(w, errDeadline())
+		o.shedAs(now, w, errDeadline())
 	default:
 		g.late = append(g.late, w)
 	}
@@ -70,15 +81,16 @@
 			o.counts.OutOfOrder++
 		}
 		g.queue.remove(w)
-		o.shed(w)
+		o.shed(now, w)
 	}
 }
 
-func (o *Owner) shed(w *Waiter) {
-	o.shedAs(w, errOverloaded(w.request.Service))
+func (o *Owner) shed(now time.Time, w *Waiter) {
+	o.shedAs(now, w, errOverloaded(w.request.Service))
 }
 
-func (o *Owner) shedAs(w *Waiter, reason error) {
+func (o *Owner) shedAs(now time.Time, w *Waiter, reason error) {
+	w.group.pool.shedAt[w.rank] = now
 	o.counts.Shed[w.rank]++
 	if o.onShed != nil {
 		o.onShed(w)
@@ -142,7 +154,7 @@
 			var refused []*Waiter
 			g.condemned, refused = partition(g.condemned, func(w *Waiter) bool { return w.rank != rank })
 			for _, w := range refused {
-				o.shed(w)
+				o.shed(now, w)
 			}
 		}
 	}
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -62,7 +62,7 @@
 func (o *Owner) expire(now time.Time, w *Waiter) {
 	p := w.group.pool
 	if !w.asked.GetStatedDeadline() && p.mayShed(now, w.rank) {
-		o.shedAs(w, errDeadline())
+		o.shedAs(now, w, errDeadline())
 		return
 	}
 	o.counts.Expired[w.rank]++
