Detect a dead node within the takeover's 2 s; say who chose a deadline

Entries pass on whether the caller stated the deadline; without it every wait that ended there counted as a shed. A team's limit is charged the prompt and then the tokens generated, not both twice. peer.seeds names nodes to join by while the object API is unreachable.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,8 @@
 	Arrived time.Time
 	// Deadline is the time from arrival to the first token.
 	Deadline time.Duration
+	// StatedDeadline says that the caller chose the deadline.
+	StatedDeadline bool
 }
 
 // Source tells where an answer came from.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -128,6 +128,7 @@
 		PrefixBlocks:    r.request.PrefixBlocks,
 		Waited:          durationpb.New(waited),
 		Deadline:        durationpb.New(r.request.Deadline - waited),
+		StatedDeadline:  r.request.StatedDeadline,
 		Fingerprint:     r.request.Fingerprint,
 		EntryRegion:     r.dispatcher.options.Region,
 		BodyBytes:       uint64(len(r.request.Body)),
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -56,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	e.request.StatedDeadline = e.http.Header.Get(HeaderDeadline) != ""
 	return e.front.identify(e.http, e.team.GetName(), &e.request)
 }
 
@@ -66,25 +67,24 @@
 		return
 	}
 	e.request.Admit = e.admit
-	defer e.release()
-	result, err := e.front.options.Dispatcher.Serve(e.http.Context(), e.writer, &e.request)
+	var result dispatch.Result
+	var err error
+	defer func() { e.release(result.OutputTokens) }()
+	result, err = e.front.options.Dispatcher.Serve(e.http.Context(), e.writer, &e.request)
 	e.end(result, err)
 }
 
-func (e *exchange) tokens() uint32 {
-	return e.request.PromptTokens + e.request.MaxOutputTokens
-}
-
 // admit asks the team's limits.
 func (e *exchange) admit() error {
-	err := e.front.options.Limits.Allow(e.request.Team, e.tokens())
+	err := e.front.options.Limits.Allow(e.request.Team, e.request.PromptTokens)
 	e.admitted = err == nil
 	return err
 }
 
-func (e *exchange) release() {
+// release charges the tokens that were generated for an admitted request.
+func (e *exchange) release(generated uint32) {
 	if e.admitted {
-		e.front.options.Limits.Done(e.request.Team, e.tokens())
+		e.front.options.Limits.Done(e.request.Team, generated)
 	}
 }
 
--- a/front/front.go
+++ b/front/front.go
@@ -31,7 +31,9 @@
 type Limits interface {
 	// Allow admits one request with its expected tokens, or returns an error of
 	// kind limit-exceeded. Done is called once for each admitted request.
+	// Allow admits a request with its prompt tokens.
 	Allow(team string, tokens uint32) error
+	// Done ends an admitted request and adds the tokens it generated.
 	Done(team string, tokens uint32)
 }
 
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -109,6 +109,7 @@
 		Store:    store,
 		Peers:    l,
 		Settings: s.GetMembership(),
+		Seeds:    s.GetPeer().GetSeeds(),
 		Logger:   logger,
 	})
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -73,6 +73,9 @@
 	if httpOK && peerOK && clash(http, peer) {
 		c.fail("peer.listen_address", fmt.Sprintf("%s clashes with http.listen_address", peer), "use another port")
 	}
+	for _, seed := range c.settings.GetPeer().GetSeeds() {
+		c.address("peer.seeds", seed)
+	}
 	advertised := c.settings.GetPeer().GetAdvertiseAddress()
 	if advertised == "" {
 		if peerOK && peer.Addr().IsUnspecified() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,9 +43,9 @@
 			BytesPerSecond: mebibyte,
 		},
 		Membership: &schema.MembershipSettings{
-			HeartbeatInterval: durationpb.New(time.Second),
-			SuspectAfter:      durationpb.New(3 * time.Second),
-			ReportInterval:    durationpb.New(time.Second),
+			HeartbeatInterval: durationpb.New(300 * time.Millisecond),
+			SuspectAfter:      durationpb.New(time.Second),
+			ReportInterval:    durationpb.New(500 * time.Millisecond),
 			IsolatedAfter:     durationpb.New(15 * time.Second),
 		},
 		Ledger: &schema.LedgerSettings{
