--- a/register/loop.go
+++ b/register/loop.go
@@ -12,6 +12,10 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
+// retryInterval is the time until a head whose parts could not be read is read
+// again.
+const retryInterval = 500 * time.Millisecond
+
 // Sources of a configuration, as logs name them.
 const sourceStore = "store"
 
@@ -24,7 +28,9 @@
 	// is under way.
 	pulling, reading bool
 	// seen is the newest head that the watch delivered during a read.
-	seen      *schema.ConfigHead
+	seen *schema.ConfigHead
+	// missed is a head whose parts could not be read.
+	missed    *schema.ConfigHead
 	stopWatch context.CancelFunc
 	changed   chan *schema.ConfigHead
 	compared  int
@@ -51,8 +57,11 @@
 			l.read(head)
 		case e := <-m.events:
 			l.finish(e)
+			if l.missed != nil {
+				timer.Reset(retryInterval)
+			}
 		case <-timer.C:
-			l.compare()
+			l.compareOrRetry()
 			timer.Reset(l.interval())
 		}
 	}
@@ -76,6 +85,17 @@
 	}
 }
 
+// compareOrRetry reads a missed head again, or compares.
+func (l *loop) compareOrRetry() {
+	head := l.missed
+	l.missed = nil
+	if head == nil {
+		l.compare()
+		return
+	}
+	l.read(head)
+}
+
 // compare asks a peer, and the store when no peer is known, on a node without
 // a configuration, and now and then on every other.
 func (l *loop) compare() {
@@ -146,7 +166,7 @@
 	l.reading = true
 	l.spawn(storeReadTimeout, func(ctx context.Context) event {
 		h, err := readNewer(ctx, l.m.options.Store, head, have)
-		return event{source: sourceStore, held: h, err: err}
+		return event{source: sourceStore, head: head, held: h, err: err}
 	})
 }
 
@@ -200,6 +220,7 @@
 	if e.err != nil {
 		l.m.logger.Warn().Str("event", "config_read_failed").Str("source", e.source).Err(e.err).Msg("")
 		l.whole = l.whole || errors.Is(e.err, errUnfitting)
+		l.missed = e.head
 	}
 	if e.held != nil {
 		l.m.adopt(e.held, e.source)
--- a/register/manager.go
+++ b/register/manager.go
@@ -81,8 +81,10 @@
 // event is a finished read, from the store or from a peer.
 type event struct {
 	source string
-	held   *held
-	err    error
+	// head is the watched head that a read from the store was to complete.
+	head *schema.ConfigHead
+	held *held
+	err  error
 }
 
 // NewManager returns a manager without a configuration.
--- a/register/manager_test.go
+++ b/register/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -222,6 +223,28 @@
 	})
 }
 
+func TestHeadWhosePartsCouldNotBeReadIsReadAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		config := install(t, c.store, drumlin(t))
+		m := c.start(t, "watcher", true)
+		time.Sleep(time.Second)
+		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
+		is.NoErr(err)
+		failing := true
+		c.store.Inject(func(operation platform.Operation, key string) platform.Fault {
+			read := operation == platform.OperationGet && strings.HasPrefix(key, "config/part/")
+			return platform.Fault{Unavailable: read && failing}
+		})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(m.Revision(), uint64(1))
+		failing = false
+		time.Sleep(2 * time.Second)
+		is.Equal(m.Revision(), uint64(2))
+	})
+}
+
 func TestStoreThatLostRevisionsDoesNotRevertANode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
