Hand over which process of an entry a claim belongs to; tighten the check of stops

Records handed over did not say which process of the entry they meant. Test failed first.

The check passed over any answer during a stop if an earlier send of the request had ended without an outcome. It passes over now only the same answer as before the stop, or unknown-effect after an outcome that was lost.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -65,9 +65,12 @@
 	return ok && (rec.incarnation == 0 || rec.incarnation == member.GetIncarnation())
 }
 
-// run keeps the record of a request that runs.
+// run keeps the record of a request that runs. One that an earlier owner
+// handed over names the process that it was claimed by.
 func (s *shard) run(key requestKey, rec *record) {
-	rec.incarnation = s.manager.incarnation(rec.entryNode)
+	if rec.incarnation == 0 {
+		rec.incarnation = s.manager.incarnation(rec.entryNode)
+	}
 	s.records.run(key, rec)
 }
 
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -177,11 +177,15 @@
 		StreamId:  r.streamID,
 		Outcome:   r.outcome,
 		Unclaimed: r.unclaimed,
+
+		EntryIncarnation: r.incarnation,
 	}
 }
 
 func decodeRecord(r *schema.LedgerRecord) *record {
 	return &record{
+		incarnation: r.GetEntryIncarnation(),
+
 		attempt:   r.GetAttempt(),
 		digest:    r.GetDigest(),
 		state:     r.GetState(),
--- a/ledger/handover_test.go
+++ b/ledger/handover_test.go
@@ -11,6 +11,7 @@
 	"github.com/primrosemoor/primrosemoor/ledger"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/topology"
 )
 
 // network carries records between managers after a delay.
@@ -119,3 +120,27 @@
 		is.Equal(string(reply.GetOutcome().GetBody()), "answer")
 	})
 }
+
+func TestNextOwnerKnowsThatAnEntryWasStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n1, n2 := startPair(t, 0)
+		topologyOf := func(owner, other string, incarnation uint64) *topology.Snapshot {
+			snapshot := ownedBy(owner, other, "entry")
+			entry, _ := snapshot.Member("entry")
+			entry.Incarnation = incarnation
+			return snapshot
+		}
+		n1.ApplyTopology(topologyOf("n1", "n2", 1))
+		synctest.Wait()
+		is.Equal(claimState(t, n1, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
+		// The entry is started again, and then the shard moves.
+		n1.ApplyTopology(topologyOf("n1", "n2", 2))
+		synctest.Wait()
+		moved := topologyOf("n2", "n1", 2)
+		n1.ApplyTopology(moved)
+		n2.ApplyTopology(moved)
+		synctest.Wait()
+		is.Equal(claimState(t, n2, request("id", "a2")), schema.ClaimState_CLAIM_STATE_UNKNOWN)
+	})
+}
--- a/standin/checker/checker_test.go
+++ b/standin/checker/checker_test.go
@@ -153,6 +153,14 @@
 			q.Entry = "n2"
 			s.send(3100, 3300, q, refused("unreachable", "unknown"))
 		}},
+		{"stop loses a stored outcome", checker.GracefulStop, func(s *scene) {
+			s.send(300, 350, booking("d"), refused("target-failed", "unknown"))
+			s.send(3300, 3400, booking("d"), refused("already-finished", "unknown"))
+		}},
+		{"stop takes the ledger away", checker.GracefulStop, func(s *scene) {
+			s.send(300, 350, booking("d"), refused("store-unavailable", "unknown"))
+			s.send(3300, 3400, booking("d"), refused("store-unavailable", "unknown"))
+		}},
 		{"revision is late", checker.Configuration, func(s *scene) {
 			s.event(13100, history.Line{Kind: history.KindObserved, Node: "n3", Revision: 1})
 		}},
--- a/standin/checker/operations.go
+++ b/standin/checker/operations.go
@@ -74,7 +74,7 @@
 				continue
 			}
 			at := a.request.Entry
-			if at != e.Node && !calm || r.disturbed(at, a.sent, a.received) || a.unsettledBefore(e.At) {
+			if at != e.Node && !calm || r.disturbed(at, a.sent, a.received) || a.lostBefore(e.At) {
 				continue
 			}
 			v.Judged++
@@ -88,8 +88,9 @@
 
 // Problems that a stopping node or its peers give to callers.
 const (
-	problemDraining    = "draining"
-	problemUnreachable = "unreachable"
+	problemDraining      = "draining"
+	problemUnreachable   = "unreachable"
+	problemUnknownEffect = "unknown-effect"
 )
 
 // cut reports whether the stop took the answer away: the connection broke,
@@ -110,12 +111,25 @@
 	}
 }
 
-// unsettledBefore reports whether an earlier attempt of the same request ended
-// before a time without an answer and without word that it did not run. What a
-// later attempt is told about it then is no effect of a later event.
-func (a *attempt) unsettledBefore(at int64) bool {
+// finalProblems tell how an earlier run of a request ended; they are repeated
+// to every later send.
+var finalProblems = []string{"target-failed", problemUnknownEffect, "already-finished"}
+
+// lostBefore reports whether the outcome of the attempt's request was lost
+// before a time, so that what the attempt is told is no effect of a later
+// event: an earlier send was told the same end of its run, or it ended without
+// an outcome and the ledger knows no more.
+func (a *attempt) lostBefore(at int64) bool {
+	if !slices.Contains(finalProblems, a.response.Problem) {
+		return false
+	}
 	return slices.ContainsFunc(a.of.attempts, func(b *attempt) bool {
-		return b != a && b.response != nil && b.received < at && !b.toldNotRun() && !b.neverSent()
+		if b == a || b.response == nil || b.received >= at {
+			return false
+		}
+		same := b.response.Problem == a.response.Problem && b.response.Outcome == a.response.Outcome
+		unsettled := !b.toldNotRun() && !b.neverSent()
+		return same || unsettled && a.response.Problem == problemUnknownEffect
 	})
 }
 
