--- a/standin/capacity/fit_test.go
+++ b/standin/capacity/fit_test.go
@@ -20,3 +20,9 @@
 	s := NewSeries("n", "nodes", "B/s", []Point{{1, 1}, {2, 2}, {3, 3}, {4, 8}})
 	is.True(s.Fit.MaxResidual > 0.1)
 }
+
+func TestFallingLineIsNotFollowedBelowItsLargestPoint(t *testing.T) {
+	is := is.New(t)
+	s := NewSeries("n", "nodes", "%", []Point{{1, 0.4}, {2, 0.3}, {3, 0.3}, {4, 0.2}})
+	is.Equal(s.project(400), 0.4)
+}
--- a/standin/capacity/project.go
+++ b/standin/capacity/project.go
@@ -74,16 +74,28 @@
 	Mechanism string
 }
 
-// at returns a series' line at a size; negative projections count as zero.
+// at returns a series' line at a size. A line that falls is not followed below
+// the largest point, since no cost here shrinks with the size.
 func (r *Result) at(name string, size float64) float64 {
 	for _, s := range r.Series {
 		if s.Name == name {
-			return math.Max(s.Fit.At(size), 0)
+			return s.project(size)
 		}
 	}
 	return math.NaN()
 }
 
+func (s Series) project(size float64) float64 {
+	if s.Fit.Slope >= 0 {
+		return s.Fit.At(size)
+	}
+	largest := 0.0
+	for _, p := range s.Points {
+		largest = math.Max(largest, p.Value)
+	}
+	return largest
+}
+
 // slope returns a series' cost for each unit of size.
 func (r *Result) slope(name string) float64 {
 	for _, s := range r.Series {
