Subtract what nodes spend at rest from a change's processor time

In the measurement against the register's size four nodes own 1,300 targets each, a hundred times the target's 13, and ask them all for their state every 2 s; that is no cost of a change.

--- a/standin/capacity/measure.go
+++ b/standin/capacity/measure.go
@@ -102,7 +102,7 @@
 	}
 	defer c.stop()
 	time.Sleep(settleTime)
-	rest := c.restTraffic()
+	rest := c.restUse()
 	began, sent, cpu := time.Now(), c.traffic(), cpuTime()
 	var times []time.Duration
 	for i := range changeCount {
@@ -114,13 +114,14 @@
 		time.Sleep(changeGap)
 	}
 	slices.Sort(times)
-	idle := rest * time.Since(began).Seconds()
+	used := use{sent: float64(c.traffic() - sent), cpu: (cpuTime() - cpu).Seconds()}
+	used = used.without(rest, time.Since(began))
 	per := float64(n * changeCount)
 	return change{
 		p50:  times[len(times)/2],
 		max:  times[len(times)-1],
-		sent: max(float64(c.traffic()-sent)-idle, 0) / per,
-		cpu:  (cpuTime() - cpu).Seconds() / per,
+		sent: used.sent / per,
+		cpu:  used.cpu / per,
 		head: c.largest("config/head"),
 		part: c.largest("config/part/"),
 		rss:  residentMemory() / float64(n),
@@ -161,11 +162,30 @@
 	return (cpuTime() - cpu).Seconds() / changeCount, nil
 }
 
-// restTraffic returns the bytes a second that all nodes send without changes.
-func (c *cluster) restTraffic() float64 {
-	before := c.traffic()
+// use is what all nodes of a cluster spend: bytes sent to peers and seconds of
+// processor time.
+type use struct {
+	sent float64
+	cpu  float64
+}
+
+// without subtracts what a cluster at rest spends in the time, given its use
+// in a second.
+func (u use) without(rest use, d time.Duration) use {
+	return use{
+		sent: max(u.sent-rest.sent*d.Seconds(), 0),
+		cpu:  max(u.cpu-rest.cpu*d.Seconds(), 0),
+	}
+}
+
+// restUse returns what all nodes spend in a second without changes.
+func (c *cluster) restUse() use {
+	sent, cpu := c.traffic(), cpuTime()
 	time.Sleep(settleTime)
-	return float64(c.traffic()-before) / settleTime.Seconds()
+	return use{
+		sent: float64(c.traffic()-sent) / settleTime.Seconds(),
+		cpu:  (cpuTime() - cpu).Seconds() / settleTime.Seconds(),
+	}
 }
 
 // applyOne edits one VM and waits until the change is in force.
--- a/standin/capacity/requests.go
+++ b/standin/capacity/requests.go
@@ -42,16 +42,14 @@
 	if len(services) == 0 {
 		return permitCost{}, fmt.Errorf("no group near %s is owned by another node", entry.place.Node)
 	}
-	rest := c.restTraffic()
+	rest := c.restUse()
 	began, sent, cpu := time.Now(), c.traffic(), cpuTime()
 	if err := entry.takePermits(count, services); err != nil {
 		return permitCost{}, err
 	}
-	idle := rest * time.Since(began).Seconds()
-	return permitCost{
-		bytes: max(float64(c.traffic()-sent)-idle, 0),
-		cpu:   (cpuTime() - cpu).Seconds(),
-	}, nil
+	used := use{sent: float64(c.traffic() - sent), cpu: (cpuTime() - cpu).Seconds()}
+	used = used.without(rest, time.Since(began))
+	return permitCost{bytes: used.sent, cpu: used.cpu}, nil
 }
 
 // remoteServices lists the services whose group in the entry's zone another
