--- a/admission/group.go
+++ b/admission/group.go
@@ -12,13 +12,13 @@
 
 // group is one owned group of targets with its queue.
 type group struct {
-	id        string
-	service   string
-	region    string
-	pool      *pool
-	targets   []*target
-	queue     queue
-	condemned []*Waiter
+	id      string
+	service string
+	region  string
+	pool    *pool
+	targets []*target
+	queue   queue
+	evicted []*Waiter
 	// late waiters cannot meet their deadlines and only wait for them to end.
 	late       []*Waiter
 	permits    map[uint64]*permit
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -177,10 +177,10 @@
 			w.answer(nil, reason())
 		})
 	}
-	for _, w := range append(g.condemned, g.late...) {
+	for _, w := range append(g.evicted, g.late...) {
 		w.answer(nil, reason())
 	}
-	g.condemned, g.late = nil, nil
+	g.evicted, g.late = nil, nil
 }
 
 // releaseGoneEntries releases the permits of entries that are no longer
@@ -279,7 +279,7 @@
 	}
 	w.group.queue.remove(w)
 	gone := func(c *Waiter) bool { return c == w }
-	w.group.condemned = slices.DeleteFunc(w.group.condemned, gone)
+	w.group.evicted = slices.DeleteFunc(w.group.evicted, gone)
 	w.group.late = slices.DeleteFunc(w.group.late, gone)
 }
 
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -11,14 +11,14 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// passedOver condemns a new request that waited elsewhere, as for its claim,
+// passedOver evicts a new request that waited elsewhere, as for its claim,
 // when a more important one was shed.
 func (o *Owner) passedOver(now time.Time, g *group, w *Waiter) bool {
 	if !w.arrived.Before(g.pool.lastShedAbove(w.rank)) {
 		return false
 	}
-	g.condemned = append(g.condemned, w)
-	o.refuseCondemned(now, g.pool)
+	g.evicted = append(g.evicted, w)
+	o.refuseEvicted(now, g.pool)
 	return true
 }
 
@@ -75,7 +75,7 @@
 		}
 		w := g.queue.last(rank)
 		if !g.pool.mayShed(now, rank) {
-			if g.queue.length+len(g.condemned)+len(g.late) <= o.hardQueue {
+			if g.queue.length+len(g.evicted)+len(g.late) <= o.hardQueue {
 				return
 			}
 			o.counts.OutOfOrder++
@@ -97,7 +97,7 @@
 	}
 	w.answer(nil, reason)
 	if p := w.group.pool; p.shed(w.rank) {
-		o.condemn(p, w.rank)
+		o.evict(p, w.rank)
 	}
 }
 
@@ -116,10 +116,10 @@
 	}
 }
 
-// condemn takes the waiters less important than keep out of the queues: a more
+// evict takes the waiters less important than keep out of the queues: a more
 // important request was shed while they waited, so they must never be
 // dispatched. They are refused as soon as the order of tiers allows it.
-func (o *Owner) condemn(p *pool, keep uint32) {
+func (o *Owner) evict(p *pool, keep uint32) {
 	for _, g := range o.ordered {
 		if g.pool != p {
 			continue
@@ -127,17 +127,17 @@
 		for rank := keep + 1; rank < MaxRanks; rank++ {
 			g.queue.all(rank, func(w *Waiter) {
 				g.queue.remove(w)
-				g.condemned = append(g.condemned, w)
+				g.evicted = append(g.evicted, w)
 			})
 		}
 	}
 }
 
-// refuseCondemned sheds condemned waiters, the least important first, as far
+// refuseEvicted sheds evicted waiters, the least important first, as far
 // as the order of tiers allows, and asks siblings for the rest.
-func (o *Owner) refuseCondemned(now time.Time, p *pool) {
+func (o *Owner) refuseEvicted(now time.Time, p *pool) {
 	for rank := p.lowest; rank > 0; rank-- {
-		if !o.hasCondemned(p, rank) {
+		if !o.hasEvicted(p, rank) {
 			continue
 		}
 		if !p.mayShed(now, rank) {
@@ -152,7 +152,7 @@
 				continue
 			}
 			var refused []*Waiter
-			g.condemned, refused = partition(g.condemned, func(w *Waiter) bool { return w.rank != rank })
+			g.evicted, refused = partition(g.evicted, func(w *Waiter) bool { return w.rank != rank })
 			for _, w := range refused {
 				o.shed(now, w)
 			}
@@ -160,12 +160,12 @@
 	}
 }
 
-func (o *Owner) hasCondemned(p *pool, rank uint32) bool {
+func (o *Owner) hasEvicted(p *pool, rank uint32) bool {
 	for _, g := range o.ordered {
 		if g.pool != p {
 			continue
 		}
-		if slices.ContainsFunc(g.condemned, func(w *Waiter) bool { return w.rank == rank }) {
+		if slices.ContainsFunc(g.evicted, func(w *Waiter) bool { return w.rank == rank }) {
 			return true
 		}
 	}
@@ -190,8 +190,8 @@
 	ack, keep := p.receive(now, from, u)
 	ack.Owner = o.options.Node
 	ack.Loads = o.loads(now, p)
-	o.condemn(p, keep)
-	o.refuseCondemned(now, p)
+	o.evict(p, keep)
+	o.refuseEvicted(now, p)
 	if p.imposed() < p.lowest {
 		o.renew(now, p)
 	}
@@ -208,9 +208,9 @@
 	if ack == nil {
 		p.unanswered(now, sent, node)
 	} else {
-		o.condemn(p, p.acknowledged(now, sent, node, ack))
+		o.evict(p, p.acknowledged(now, sent, node, ack))
 	}
-	o.refuseCondemned(now, p)
+	o.refuseEvicted(now, p)
 	o.advance(now, p)
 	for _, g := range o.ordered {
 		if g.pool == p {
@@ -262,7 +262,7 @@
 		return true
 	}
 	for _, g := range o.ordered {
-		if g.pool == p && g.queue.length+len(g.condemned) > 0 {
+		if g.pool == p && g.queue.length+len(g.evicted) > 0 {
 			return true
 		}
 	}
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -23,7 +23,7 @@
 			o.broadcast(now, p)
 		}
 		o.advance(now, p)
-		o.refuseCondemned(now, p)
+		o.refuseEvicted(now, p)
 		o.renew(now, p)
 	}
 	for _, g := range o.ordered {
@@ -51,10 +51,10 @@
 			}
 		})
 	}
-	condemned, late := []*Waiter(nil), []*Waiter(nil)
-	g.condemned, condemned = partition(g.condemned, inTime)
+	evicted, late := []*Waiter(nil), []*Waiter(nil)
+	g.evicted, evicted = partition(g.evicted, inTime)
 	g.late, late = partition(g.late, inTime)
-	for _, w := range slices.Concat(expired, condemned, late) {
+	for _, w := range slices.Concat(expired, evicted, late) {
 		o.expire(now, w)
 	}
 }
