--- a/register/manager_test.go
+++ b/register/manager_test.go
@@ -232,14 +232,13 @@
 		time.Sleep(time.Second)
 		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
 		is.NoErr(err)
-		failing := true
 		c.store.Inject(func(operation platform.Operation, key string) platform.Fault {
 			read := operation == platform.OperationGet && strings.HasPrefix(key, "config/part/")
-			return platform.Fault{Unavailable: read && failing}
+			return platform.Fault{Unavailable: read}
 		})
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(m.Revision(), uint64(1))
-		failing = false
+		c.store.Inject(nil)
 		time.Sleep(2 * time.Second)
 		is.Equal(m.Revision(), uint64(2))
 	})
