--- a/routing/claims.go
+++ b/routing/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -36,11 +37,21 @@
 	caller  Caller
 	local   Ledger
 	current *topology.Current
+
+	mu sync.Mutex
+	// twice holds the attempts that were asked of the owner and of this node.
+	twice map[string]struct{}
 }
 
 // NewClaims returns a Claims for the entry at place.
 func NewClaims(place Place, caller Caller, local Ledger, current *topology.Current) *Claims {
-	return &Claims{place: place, caller: caller, local: local, current: current}
+	return &Claims{
+		place:   place,
+		caller:  caller,
+		local:   local,
+		current: current,
+		twice:   make(map[string]struct{}),
+	}
 }
 
 // Claim asks for the right to run a request id. A lost owner is replaced and
@@ -69,15 +80,35 @@
 	return e
 }
 
-// Finish records the progress or the end of a claimed request.
+// Finish records the progress or the end of a claimed request. An attempt that
+// was asked of this node as well is released at both, because the write of
+// either may come last.
 func (c *Claims) Finish(ctx context.Context, r *schema.FinishRequest) error {
 	began := time.Now()
-	return c.retry(ctx, func(ctx context.Context) error { return c.finish(ctx, began, r) })
+	err := c.retry(ctx, func(ctx context.Context) error { return c.finish(ctx, began, r) })
+	if err != nil || r.GetState() != schema.ClaimState_CLAIM_STATE_DONE {
+		return err
+	}
+	if r.GetNotRun() && c.askedTwice(r.GetAttempt()) {
+		err = c.finishHere(ctx, r)
+	}
+	if err == nil {
+		c.forgetTwice(r.GetAttempt())
+	}
+	return err
+}
+
+func (c *Claims) finishHere(ctx context.Context, r *schema.FinishRequest) error {
+	r = proto.CloneOf(r)
+	r.AnyOwner = true
+	_, err := c.local.Finish(ctx, r)
+	return err
 }
 
 func (c *Claims) claim(ctx context.Context, began time.Time, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
 	reply, err := c.claimFromOwner(ctx, r)
 	if noOwner(began, err) && ctx.Err() == nil {
+		c.noteTwice(r.GetAttempt())
 		r = proto.CloneOf(r)
 		r.AnyOwner = true
 		return c.local.Claim(ctx, r)
@@ -85,6 +116,25 @@
 	return reply, err
 }
 
+func (c *Claims) noteTwice(attempt string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.twice[attempt] = struct{}{}
+}
+
+func (c *Claims) askedTwice(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.twice[attempt]
+	return ok
+}
+
+func (c *Claims) forgetTwice(attempt string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.twice, attempt)
+}
+
 func (c *Claims) claimFromOwner(ctx context.Context, r *schema.ClaimRequest) (*schema.ClaimReply, error) {
 	address, local, err := c.owner(r.GetTeam(), r.GetRequestId())
 	if err != nil {
@@ -123,9 +173,7 @@
 func (c *Claims) finish(ctx context.Context, began time.Time, r *schema.FinishRequest) error {
 	err := c.finishAtOwner(ctx, r)
 	if noOwner(began, err) && ctx.Err() == nil {
-		r = proto.CloneOf(r)
-		r.AnyOwner = true
-		_, err = c.local.Finish(ctx, r)
+		return c.finishHere(ctx, r)
 	}
 	return err
 }
--- a/routing/claims_test.go
+++ b/routing/claims_test.go
@@ -93,3 +93,45 @@
 		is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
 	})
 }
+
+// slowOwner does not answer claims in time; it answers everything else.
+type slowOwner struct{}
+
+func (slowOwner) Call(ctx context.Context, address string, method schema.Method, req, resp proto.Message) error {
+	if method == schema.Method_METHOD_CLAIM {
+		return silentPeers{}.Call(ctx, address, method, req, resp)
+	}
+	return nil
+}
+
+// refusingLedger never grants, and notes what is released.
+type refusingLedger struct {
+	localLedger
+	released []string
+}
+
+func (l *refusingLedger) Finish(_ context.Context, r *schema.FinishRequest) (*schema.FinishReply, error) {
+	if r.GetNotRun() && r.GetAnyOwner() {
+		l.released = append(l.released, r.GetAttempt())
+	}
+	return &schema.FinishReply{}, nil
+}
+
+func TestAttemptAskedOfTwoNodesIsReleasedAtBoth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		current := topology.NewCurrent()
+		current.Store(snapshotOf("owner"))
+		down := fault.New(schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE, "down", "retry")
+		local := &refusingLedger{localLedger: localLedger{err: down}}
+		claims := routing.NewClaims(routing.Place{Node: "entry"}, slowOwner{}, local, current)
+		_, err := claims.Claim(t.Context(), &schema.ClaimRequest{RequestId: "id", Team: "team", Attempt: "a1"})
+		is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE)
+		release := &schema.FinishRequest{
+			RequestId: "id", Team: "team", Attempt: "a1", NotRun: true, State: schema.ClaimState_CLAIM_STATE_DONE,
+		}
+		is.NoErr(claims.Finish(t.Context(), release))
+		is.NoErr(claims.Finish(t.Context(), release))
+		is.Equal(local.released, []string{"a1"})
+	})
+}
