--- a/standin/capacity/report.go
+++ b/standin/capacity/report.go
@@ -29,7 +29,7 @@
 {{end}}
 ## Slopes
 
-Measured on {{.Result.CPUs}} processors with {{.Result.Go}}.
+Measured on {{.Result.CPUs}} processors with {{.Result.Go}}. Plots: {{range $i, $name := .Plots}}{{if $i}}, {{end}}[{{$name}}](results/capacity-{{$name}}.svg){{end}}.
 
 | series | points (size: value) | unit | intercept | slope | R² | largest residual |
 |---|---|---|---|---|---|---|
@@ -41,6 +41,7 @@
 	Limits []Row
 	Roles  []RoleCost
 	Result *Result
+	Plots  []string
 }
 
 // Render returns the page's generated part.
@@ -54,7 +55,7 @@
 		return "", fmt.Errorf("parse the template: %w", err)
 	}
 	var out bytes.Buffer
-	if err := t.Execute(&out, page{Limits: r.Limits(), Roles: r.Roles(), Result: r}); err != nil {
+	if err := t.Execute(&out, page{Limits: r.Limits(), Roles: r.Roles(), Result: r, Plots: plotted}); err != nil {
 		return "", fmt.Errorf("render the tables: %w", err)
 	}
 	return out.String(), nil
--- a/standin/cmd/capacity/main.go
+++ b/standin/cmd/capacity/main.go
@@ -14,6 +14,7 @@
 type cli struct {
 	Page   string `default:"docs/CAPACITY.md" help:"Page whose tables are replaced."`
 	JSON   string `default:"docs/results/capacity.json" help:"File for the measurement."`
+	Plots  string `default:"docs/results" help:"Folder for the plots."`
 	Render bool   `help:"Write the tables from the last measurement, without measuring."`
 }
 
@@ -31,6 +32,9 @@
 	if err != nil {
 		return err
 	}
+	if err := result.WritePlots(c.Plots); err != nil {
+		return err
+	}
 	return result.WritePage(c.Page)
 }
 
