--- a/cmd/primrosectl/main.go
+++ b/cmd/primrosectl/main.go
@@ -8,7 +8,7 @@
 	"syscall"
 
 	"github.com/primrosemoor/primrosemoor/ctl"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -23,6 +23,6 @@
 	}))
 }
 
-func openStore(s *schema.PlatformSettings) (platform.Store, error) {
-	return platform.NewHTTP(s, "")
+func openStore(s *schema.PlatformSettings) (objects.Store, error) {
+	return objects.NewHTTP(s, "")
 }
--- a/ctl/configuration.go
+++ b/ctl/configuration.go
@@ -6,7 +6,7 @@
 	"os/user"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/tomlproto"
@@ -106,7 +106,7 @@
 
 // base returns what the edit began from: the files given, or the accepted
 // configuration, if it is still the one that the files were read from.
-func (c *applyCommand) base(ctx context.Context, store platform.Store, want *schema.Config) (*schema.Config, error) {
+func (c *applyCommand) base(ctx context.Context, store objects.Store, want *schema.Config) (*schema.Config, error) {
 	if len(c.Base) > 0 {
 		return register.LoadPartial(c.Base...)
 	}
@@ -129,7 +129,7 @@
 }
 
 // change applies changes and prints what became of them.
-func (f platformFlags) change(ctx context.Context, a *app, store platform.Store, changes []register.Change, author string) (uint64, error) {
+func (f platformFlags) change(ctx context.Context, a *app, store objects.Store, changes []register.Change, author string) (uint64, error) {
 	revision, err := register.Apply(ctx, store, changes, author)
 	if err != nil {
 		return 0, err
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -13,7 +13,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/tomlproto"
 )
@@ -44,7 +44,7 @@
 	Stdin          io.Reader
 	Stdout, Stderr io.Writer
 	// OpenStore connects to the object API.
-	OpenStore func(*schema.PlatformSettings) (platform.Store, error)
+	OpenStore func(*schema.PlatformSettings) (objects.Store, error)
 }
 
 // commands is the command line.
@@ -141,7 +141,7 @@
 }
 
 // open connects and returns a context that ends after the timeout.
-func (f platformFlags) open(a *app) (context.Context, context.CancelFunc, platform.Store, error) {
+func (f platformFlags) open(a *app) (context.Context, context.CancelFunc, objects.Store, error) {
 	store, err := a.OpenStore(&schema.PlatformSettings{Url: f.Platform, TokenFile: f.TokenFile})
 	if err != nil {
 		return nil, nil, nil, err
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/primrosemoor/primrosemoor/ctl"
 	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -28,7 +28,7 @@
 // tool runs command lines against one store.
 type tool struct {
 	t     *testing.T
-	store *platform.Memory
+	store *objects.Memory
 }
 
 // result is what a command line printed and returned.
@@ -44,7 +44,7 @@
 		Stdin:     strings.NewReader(stdin),
 		Stdout:    &stdout,
 		Stderr:    &stderr,
-		OpenStore: func(*schema.PlatformSettings) (platform.Store, error) { return x.store, nil },
+		OpenStore: func(*schema.PlatformSettings) (objects.Store, error) { return x.store, nil },
 	})
 	return result{code, stdout.String(), stderr.String()}
 }
@@ -55,7 +55,7 @@
 }
 
 func newTool(t *testing.T) tool {
-	return tool{t, platform.NewMemory()}
+	return tool{t, objects.NewMemory()}
 }
 
 func TestRegisterIsAppliedEditedAndRead(t *testing.T) {
@@ -111,15 +111,15 @@
 	is.Equal(x.onStore("apply", registerFile, rulesFile, "--wait").code, ctl.ExitBadInput)
 	is.True(strings.HasPrefix(x.onStore("register", "list").stdout, "VM  ZONE")) // Nothing was applied.
 	is.Equal(x.run("", "status", "--peer", "127.0.0.1:1").code, ctl.ExitUnavailable)
-	x.store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
+	x.store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Unavailable: true} })
 	is.Equal(x.onStore("apply", registerFile, rulesFile).code, ctl.ExitUnavailable)
 	lost := false
-	x.store.Inject(func(operation platform.Operation, key string) platform.Fault {
-		if operation == platform.OperationPut && key == "config/head" {
+	x.store.Inject(func(operation objects.Operation, key string) objects.Fault {
+		if operation == objects.OperationPut && key == "config/head" {
 			lost = true
-			return platform.Fault{LoseAnswer: true}
+			return objects.Fault{LoseAnswer: true}
 		}
-		return platform.Fault{Unavailable: lost}
+		return objects.Fault{Unavailable: lost}
 	})
 	is.Equal(x.onStore("apply", registerFile, rulesFile).code, ctl.ExitUnknown)
 }
--- a/ctl/release.go
+++ b/ctl/release.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -40,7 +40,7 @@
 		return err
 	}
 	defer cancel()
-	_, err = platform.Update(ctx, store, releaseOf(fingerprint, rand.Text()))
+	_, err = objects.Update(ctx, store, releaseOf(fingerprint, rand.Text()))
 	if err != nil {
 		return err
 	}
@@ -49,10 +49,10 @@
 }
 
 // releaseOf is the update that removes a fingerprint from the stored list.
-func releaseOf(fingerprint uint64, nonce string) platform.Change {
-	return platform.Change{
+func releaseOf(fingerprint uint64, nonce string) objects.Change {
+	return objects.Change{
 		Key: quarantineKey,
-		Mutate: func(current platform.Object) ([]byte, error) {
+		Mutate: func(current objects.Object) ([]byte, error) {
 			list := &schema.QuarantineList{}
 			if err := proto.Unmarshal(current.Value, list); err != nil {
 				return nil, fmt.Errorf("decode %s: %w", quarantineKey, err)
--- a/ctl/replay.go
+++ b/ctl/replay.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemoor/primrosemoor/load"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/trace"
@@ -102,7 +102,7 @@
 
 // actor carries out a trace's actions.
 type actor struct {
-	store  platform.Store
+	store  objects.Store
 	faults string
 	// failed is read after run has returned.
 	failed []string
--- a/devmode/devmode.go
+++ b/devmode/devmode.go
@@ -9,7 +9,7 @@
 	"net"
 	"net/http"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/settings"
@@ -41,7 +41,7 @@
 
 // Start serves the echo engine on a free loopback port and returns a store
 // that holds a configuration naming it. The engine ends with ctx.
-func Start(ctx context.Context) (*platform.Memory, error) {
+func Start(ctx context.Context) (*objects.Memory, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for the echo engine: %w", err)
@@ -49,7 +49,7 @@
 	server := &http.Server{Handler: newEcho()}
 	context.AfterFunc(ctx, func() { server.Close() })
 	go func() { _ = server.Serve(listener) }()
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	changes := register.Diff(&schema.Config{}, config(listener.Addr().String()))
 	if _, err := register.Apply(ctx, store, changes, "dev"); err != nil {
 		return nil, fmt.Errorf("apply the development configuration: %w", err)
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -81,7 +81,7 @@
 }
 
 func (m *Manager) sendHandover(owner string, h *schema.LedgerHandover) {
-	pause := platform.NewBackOff()
+	pause := objects.NewBackOff()
 	var err error
 	for range handoverTries {
 		ctx, cancel := context.WithTimeout(m.ctx, handoverTimeout)
--- a/ledger/handover_test.go
+++ b/ledger/handover_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/ledger"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -31,7 +31,7 @@
 
 // startPair runs managers of n1, which owns the shard, and n2.
 func startPair(t *testing.T, delay time.Duration) (n1, n2 *ledger.Manager) {
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	peers := &network{delay: delay, managers: make(map[string]*ledger.Manager)}
 	for _, node := range []string{"n1", "n2"} {
 		m := ledger.New(ledger.Options{Node: node, Store: store, Settings: testSettings(), Peers: peers})
@@ -90,7 +90,7 @@
 func TestReleasesOfOneKeyMayComeInAnyOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m, _ := start(t, "n1", platform.NewMemory(), testSettings())
+		m, _ := start(t, "n1", objects.NewMemory(), testSettings())
 		release := func(attempt string) {
 			_, err := m.Finish(t.Context(), &schema.FinishRequest{RequestId: "id", Team: "t", Attempt: attempt, NotRun: true})
 			is.NoErr(err)
--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemoor/primrosemoor/ledger"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -103,7 +103,7 @@
 
 // gate holds back a frozen process's calls until it is thawed.
 type gate struct {
-	platform.Store
+	objects.Store
 	mu     sync.Mutex
 	frozen chan struct{}
 	// blind makes writes skip the version check.
@@ -136,14 +136,14 @@
 	}
 }
 
-// Put implements platform.Store. A frozen process's timers do not run either,
+// Put implements objects.Store. A frozen process's timers do not run either,
 // so that the call outlives its context.
-func (g *gate) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (g *gate) Put(ctx context.Context, key string, value []byte, expect objects.Version) (objects.Version, error) {
 	g.wait()
 	ctx = context.WithoutCancel(ctx)
 	if g.blind {
 		current, err := g.Get(ctx, key)
-		if err != nil && !platform.IsNotFound(err) {
+		if err != nil && !objects.IsNotFound(err) {
 			return 0, err
 		}
 		expect = current.Version
@@ -154,7 +154,7 @@
 // history runs a plan and counts which attempts ran.
 type history struct {
 	t      *testing.T
-	store  *platform.Memory
+	store  *objects.Memory
 	random *rand.Rand
 	blind  bool
 	plan   plan
@@ -176,7 +176,7 @@
 	h := &history{t: t, plan: p, blind: blind, runs: make(map[string]int), random: rand.New(rand.NewPCG(p.Seed, 0))}
 	synctest.Test(t, func(t *testing.T) {
 		h.t = t
-		h.store = platform.NewMemory()
+		h.store = objects.NewMemory()
 		h.store.Inject(h.fault)
 		for i := range h.managers {
 			h.startOwner(i)
@@ -197,15 +197,15 @@
 	return h
 }
 
-func (h *history) fault(operation platform.Operation, _ string) platform.Fault {
+func (h *history) fault(operation objects.Operation, _ string) objects.Fault {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	hit := func(percent int) bool { return h.random.IntN(100) < percent }
-	f := platform.Fault{Unavailable: hit(h.weather.Down)}
+	f := objects.Fault{Unavailable: hit(h.weather.Down)}
 	if hit(h.weather.Slow) {
 		f.Delay = time.Duration(h.random.IntN(4000)) * time.Millisecond
 	}
-	if operation == platform.OperationPut {
+	if operation == objects.OperationPut {
 		f.LoseAnswer = hit(h.weather.Lost)
 		if hit(h.weather.Late) {
 			f.LateEffect = time.Duration(1+h.random.IntN(6000)) * time.Millisecond
--- a/ledger/io.go
+++ b/ledger/io.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -81,8 +81,8 @@
 		m.deleteParts(s.number, s.parts, e.segment.parts)
 		s.setSegment(e.segment)
 		s.pruneReleased()
-	case platform.IsConflict(e.err), platform.IsUnknownEffect(e.err):
-		if platform.IsConflict(e.err) {
+	case objects.IsConflict(e.err), objects.IsUnknownEffect(e.err):
+		if objects.IsConflict(e.err) {
 			m.deleteParts(s.number, e.segment.parts, s.parts)
 		}
 		s.segment = nil
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -16,7 +16,7 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -40,7 +40,7 @@
 type Options struct {
 	// Node is this node's name.
 	Node     string
-	Store    platform.Store
+	Store    objects.Store
 	Settings *schema.LedgerSettings
 	// Peers may be nil; then records are not handed over.
 	Peers Peers
@@ -52,7 +52,7 @@
 // state; the other methods may be called from any goroutine.
 type Manager struct {
 	node            string
-	store           platform.Store
+	store           objects.Store
 	peers           Peers
 	logger          *log.Logger
 	shardCount      uint32
@@ -122,7 +122,7 @@
 
 // Run serves until ctx ends, and returns its error. It must be called once.
 func (m *Manager) Run(ctx context.Context) error {
-	m.ctx = platform.WithPriority(ctx, platform.PriorityClaim)
+	m.ctx = objects.WithPriority(ctx, objects.PriorityClaim)
 	defer m.io.Wait()
 	defer close(m.stopped)
 	for {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/ledger"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -41,7 +41,7 @@
 
 // start runs a manager of node until the test ends or the returned function is
 // called.
-func start(t *testing.T, node string, store platform.Store, settings *schema.LedgerSettings) (*ledger.Manager, func()) {
+func start(t *testing.T, node string, store objects.Store, settings *schema.LedgerSettings) (*ledger.Manager, func()) {
 	m := ledger.New(ledger.Options{Node: node, Store: store, Settings: settings})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = m.Run(ctx) }()
@@ -74,7 +74,7 @@
 func TestSecondAttemptAttachesAndThenReplays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m, _ := start(t, "n1", platform.NewMemory(), testSettings())
+		m, _ := start(t, "n1", objects.NewMemory(), testSettings())
 		is.Equal(claimState(t, m, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
 		is.Equal(claimState(t, m, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
 		running := &schema.FinishRequest{RequestId: "id", Team: "t", Attempt: "a1", EntryNode: "entry", Target: "vm/s", StreamId: "s1"}
@@ -96,7 +96,7 @@
 func TestRequestOfAnEntryThatWasStartedAgainIsNotRunning(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m, _ := start(t, "n1", platform.NewMemory(), testSettings())
+		m, _ := start(t, "n1", objects.NewMemory(), testSettings())
 		setIncarnation := func(incarnation uint64) {
 			snapshot := ownedBy("n1", "entry")
 			entry, _ := snapshot.Member("entry")
@@ -115,7 +115,7 @@
 func TestSameIDWithAnotherRequestIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m, _ := start(t, "n1", platform.NewMemory(), testSettings())
+		m, _ := start(t, "n1", objects.NewMemory(), testSettings())
 		is.Equal(claimState(t, m, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
 		other := request("id", "a2")
 		other.Digest = []byte("digest-2")
@@ -130,7 +130,7 @@
 func TestNewOwnerNeverAnswersNewForAClaimedID(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m1, kill := start(t, "n1", store, testSettings())
 		is.Equal(claimState(t, m1, request("id", "a1")), schema.ClaimState_CLAIM_STATE_NEW)
 		kill()
@@ -147,7 +147,7 @@
 func TestTwoOwnersGrantOneClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m1, _ := start(t, "n1", store, testSettings())
 		m2, _ := start(t, "n2", store, testSettings())
 		claimState(t, m1, request("warm", "w1"))
@@ -160,7 +160,7 @@
 func TestClaimsThatWaitShareOneWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m, _ := start(t, "n1", store, testSettings())
 		claimState(t, m, request("first", "a"))
 		var group sync.WaitGroup
@@ -169,7 +169,7 @@
 			group.Go(func() { claimState(t, m, request(uuid.NewString(), string(rune(i)))) })
 		}
 		group.Wait()
-		is.Equal(store.Calls(platform.OperationPut), uint64(2))
+		is.Equal(store.Calls(objects.OperationPut), uint64(2))
 		is.Equal(time.Since(begin), 250*time.Millisecond)
 	})
 }
@@ -177,7 +177,7 @@
 func TestReleasedClaimMayBeTakenByAnotherAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m, kill := start(t, "n1", store, testSettings())
 		claimState(t, m, request("id", "a1"))
 		_, err := m.Finish(t.Context(), &schema.FinishRequest{RequestId: "id", Team: "t", Attempt: "a1", NotRun: true})
@@ -193,7 +193,7 @@
 func TestDoneMarkOutlivesTheOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m, kill := start(t, "n1", store, testSettings())
 		claimState(t, m, request("id", "a1"))
 		_, err := m.Finish(t.Context(), finished("id", "a1", ""))
@@ -208,10 +208,10 @@
 func TestOutageRefusesClaimsAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m, _ := start(t, "n1", store, testSettings())
 		claimState(t, m, request("before", "a"))
-		store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
+		store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Unavailable: true} })
 		_, err := m.Claim(t.Context(), request("id", "a1"))
 		is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE)
 		is.Equal(fault.From(err).Outcome, schema.Outcome_OUTCOME_NOT_RUN)
@@ -222,12 +222,12 @@
 func TestIdempotentRequestRunsWithoutClaimOnlyIfAllowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		settings := testSettings()
 		settings.RunIdempotentWithoutClaim = true
 		m, kill := start(t, "n1", store, settings)
 		claimState(t, m, request("before", "a"))
-		store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
+		store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Unavailable: true} })
 		_, err := m.Claim(t.Context(), request("booking", "a1"))
 		is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE)
 		chat := request("chat", "a1")
@@ -245,7 +245,7 @@
 func TestRetentionForgetsOpaqueIDsAndRefusesDatedOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m, _ := start(t, "n1", platform.NewMemory(), testSettings())
+		m, _ := start(t, "n1", objects.NewMemory(), testSettings())
 		dated := uuid.Must(uuid.NewV7()).String()
 		claimState(t, m, request("opaque", "a1"))
 		claimState(t, m, request(dated, "a1"))
--- a/ledger/part.go
+++ b/ledger/part.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -18,7 +18,7 @@
 	// entries are in order of their keys, one for each key.
 	entries []entry
 	// version is the object's, or zero if it was not written or read here.
-	version platform.Version
+	version objects.Version
 }
 
 // newPart returns a part of entries, of which the last of each key counts.
--- a/ledger/part_test.go
+++ b/ledger/part_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/ledger"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -40,7 +40,7 @@
 func TestGrownSegmentMovesToFewPartsAndIsStillKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m, kill := start(t, "n1", store, testSettings())
 		is.Equal(claimAll(t, m, 5000, "a1"), 5000)
 		segment, err := store.Get(t.Context(), "ledger/0")
@@ -65,7 +65,7 @@
 func TestReleasedClaimInAPartMayBeTakenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		m, kill := start(t, "n1", store, testSettings())
 		m.SetSealEntries(1)
 		claimState(t, m, request("id", "a1"))
@@ -83,7 +83,7 @@
 func TestAnyNodeAnswersForAnEntryThatCannotReachTheOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		owner, _ := start(t, "n1", store, testSettings())
 		other, _ := start(t, "n2", store, testSettings())
 		other.ApplyTopology(ownedBy("n1", "n2", "entry"))
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -18,7 +18,7 @@
 	// maxBatch bounds the claims of one write.
 	maxBatch = 4096
 	// maxPartEntries keeps a part below the object API's limit.
-	maxPartEntries = (platform.MaxValueBytes - 64<<10) / maxEntryBytes
+	maxPartEntries = (objects.MaxValueBytes - 64<<10) / maxEntryBytes
 	// maxShardEntries bounds an owner's memory for one shard.
 	maxShardEntries = 1_000_000
 	// clockSkew is the largest difference assumed between two clocks.
@@ -38,7 +38,7 @@
 // segment is one version of a shard's stored state. It is not changed after it
 // was built.
 type segment struct {
-	version platform.Version
+	version objects.Version
 	epoch   uint64
 	trimmed int64
 	// entries are the latest claims; index finds them by key.
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -7,7 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 )
 
 // maxReleased bounds the releases that wait for a write of one shard.
@@ -56,7 +56,7 @@
 }
 
 func newShard(m *Manager, number uint32) *shard {
-	retry := platform.NewBackOff()
+	retry := objects.NewBackOff()
 	retry.InitialInterval = initialRetryInterval
 	retry.MaxInterval = maxRetryInterval
 	return &shard{
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -14,7 +14,7 @@
 // known.
 func (m *Manager) readSegment(ctx context.Context, number uint32, known []*part) (*segment, error) {
 	object, err := m.store.Get(ctx, segmentKey(number))
-	if err != nil && !platform.IsNotFound(err) {
+	if err != nil && !objects.IsNotFound(err) {
 		return nil, err
 	}
 	stored := &schema.LedgerSegment{}
@@ -55,7 +55,7 @@
 
 // writeSegment writes the parts that are new, and then the segment if its
 // version is still expect.
-func (m *Manager) writeSegment(ctx context.Context, number uint32, next *segment, expect platform.Version) error {
+func (m *Manager) writeSegment(ctx context.Context, number uint32, next *segment, expect objects.Version) error {
 	for _, p := range next.parts {
 		if p.version != 0 {
 			continue
@@ -79,9 +79,9 @@
 	if err != nil {
 		return err
 	}
-	object, err := platform.Update(ctx, m.store, platform.Change{
+	object, err := objects.Update(ctx, m.store, objects.Change{
 		Key:    partKey(number, p.name),
-		Mutate: func(platform.Object) ([]byte, error) { return value, nil },
+		Mutate: func(objects.Object) ([]byte, error) { return value, nil },
 		Owned:  func([]byte) bool { return true },
 	})
 	if err != nil {
@@ -103,7 +103,7 @@
 	if len(gone) == 0 {
 		return
 	}
-	ctx := platform.WithPriority(m.ctx, platform.PriorityHousekeeping)
+	ctx := objects.WithPriority(m.ctx, objects.PriorityHousekeeping)
 	m.io.Go(func() {
 		for _, p := range gone {
 			err := m.store.Delete(ctx, partKey(number, p.name), p.version)
--- a/membership/cycle.go
+++ b/membership/cycle.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -25,7 +25,7 @@
 	began     time.Time
 	summaries []storedSummary
 	reports   []*schema.ZoneReport
-	vms       []platform.VMStatus
+	vms       []objects.VMStatus
 	polled    bool
 	err       error
 }
@@ -33,7 +33,7 @@
 // storedSummary is a summary with its object's version.
 type storedSummary struct {
 	summary *schema.ZoneSummary
-	version platform.Version
+	version objects.Version
 }
 
 // startCycle begins a round of reads once each report interval, at the
@@ -107,7 +107,7 @@
 func (m *Manager) readReport(ctx context.Context, zone string) (*schema.ZoneReport, error) {
 	report := &schema.ZoneReport{AvailabilityZone: zone}
 	object, err := m.store.Get(ctx, reportKey(zone))
-	if platform.IsNotFound(err) {
+	if objects.IsNotFound(err) {
 		return report, nil
 	}
 	if err != nil {
@@ -151,7 +151,7 @@
 	}
 }
 
-func leaving(vms []platform.VMStatus) []string {
+func leaving(vms []objects.VMStatus) []string {
 	var names []string
 	for _, vm := range vms {
 		if vm.Leaving {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -19,8 +19,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -40,7 +40,7 @@
 type Options struct {
 	// Self is this node as the others shall see it.
 	Self     *schema.Member
-	Store    platform.Store
+	Store    objects.Store
 	Peers    Peers
 	Settings *schema.MembershipSettings
 	// Seeds are peer addresses that a new node asks while the object API is
@@ -53,7 +53,7 @@
 // Manager keeps this node's view of the members. One goroutine, Run, owns its
 // state; the other methods may be called from any goroutine.
 type Manager struct {
-	store  platform.Store
+	store  objects.Store
 	peers  Peers
 	logger *log.Logger
 	seeds  []string
@@ -134,7 +134,7 @@
 
 // Run serves until ctx ends, and returns its error. It must be called once.
 func (m *Manager) Run(ctx context.Context) error {
-	m.ctx = platform.WithPriority(ctx, platform.PriorityReport)
+	m.ctx = objects.WithPriority(ctx, objects.PriorityReport)
 	defer m.io.Wait()
 	defer close(m.stopped)
 	m.state.started = time.Now()
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -54,9 +54,9 @@
 		is := is.New(t)
 		n := newNetwork(t)
 		n.joinAll(10, "a", "b")
-		before := n.store.Calls(platform.OperationList)
+		before := n.store.Calls(objects.OperationList)
 		time.Sleep(time.Minute)
-		lists := n.store.Calls(platform.OperationList) - before
+		lists := n.store.Calls(objects.OperationList) - before
 		is.True(lists <= 2*uint64(time.Minute/reportInterval))
 	})
 }
@@ -147,7 +147,7 @@
 		is := is.New(t)
 		n := newNetwork(t)
 		nodes := n.joinAll(3, "a", "b")
-		n.store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
+		n.store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Unavailable: true} })
 		time.Sleep(5 * time.Minute)
 		waitFor(t, nodes, 0, sees(6))
 		for _, node := range nodes {
@@ -168,7 +168,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t)
 		nodes := n.joinAll(2, "a", "b")
-		n.store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
+		n.store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Unavailable: true} })
 		n.seeds = []string{"b01"}
 		nodes = append(nodes, n.join("a99", "a"))
 		waitFor(t, nodes, settle, sees(5))
@@ -270,7 +270,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t)
 		nodes := n.joinAll(3, "a", "b", "c")
-		n.store.SetVMs([]platform.VMStatus{{Name: "vm1"}, {Name: "vm2", Leaving: true}})
+		n.store.SetVMs([]objects.VMStatus{{Name: "vm1"}, {Name: "vm2", Leaving: true}})
 		waitFor(t, nodes, 3*time.Second, func(n *node) bool { return slices.Equal(n.LeavingVMs(), []string{"vm2"}) })
 	})
 }
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/primrosemoor/primrosemoor/membership"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -32,7 +32,7 @@
 // network carries heartbeats between the nodes of a test.
 type network struct {
 	t     *testing.T
-	store *platform.Memory
+	store *objects.Memory
 	seeds []string
 
 	mu    sync.Mutex
@@ -53,7 +53,7 @@
 }
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, store: platform.NewMemory(), nodes: make(map[string]*node)}
+	return &network{t: t, store: objects.NewMemory(), nodes: make(map[string]*node)}
 }
 
 // join starts a node and returns it.
@@ -146,26 +146,26 @@
 
 // nodeStore is the object API as one node reaches it.
 type nodeStore struct {
-	platform.Store
+	objects.Store
 	network *network
 	from    *node
 }
 
-func (s nodeStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (s nodeStore) List(ctx context.Context, prefix string) ([]objects.Object, error) {
 	if s.network.isCut(s.from, nil) {
 		return nil, errCut
 	}
 	return s.Store.List(ctx, prefix)
 }
 
-func (s nodeStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s nodeStore) Get(ctx context.Context, key string) (objects.Object, error) {
 	if s.network.isCut(s.from, nil) {
-		return platform.Object{}, errCut
+		return objects.Object{}, errCut
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s nodeStore) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s nodeStore) Put(ctx context.Context, key string, value []byte, expect objects.Version) (objects.Version, error) {
 	if s.network.isCut(s.from, nil) {
 		return 0, errCut
 	}
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 )
 
 // Share of the histories that every test run checks.
@@ -83,14 +83,14 @@
 			return to == nil && from.zone == first.zone || to != nil && (from.zone == first.zone) != (to.zone == first.zone)
 		})
 	case "outage":
-		n.store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
+		n.store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Unavailable: true} })
 	case "faults":
 		calls := 0
-		n.store.Inject(func(platform.Operation, string) platform.Fault {
+		n.store.Inject(func(objects.Operation, string) objects.Fault {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			calls++
-			return platform.Fault{LoseAnswer: calls%2 == 0, Unavailable: calls%3 == 0}
+			return objects.Fault{LoseAnswer: calls%2 == 0, Unavailable: calls%3 == 0}
 		})
 	}
 	return nodes
--- a/membership/state.go
+++ b/membership/state.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -70,8 +70,8 @@
 	summary *schema.ZoneSummary
 	// version is the summary object's, reportVersion the report object's; zero
 	// means unknown.
-	version       platform.Version
-	reportVersion platform.Version
+	version       objects.Version
+	reportVersion objects.Version
 	// holder and beat are those of the stored summary.
 	holder string
 	beat   uint64
--- a/membership/write.go
+++ b/membership/write.go
@@ -7,17 +7,17 @@
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 // zoneWrite is one round of writes: the summary, and the report if it changed.
 type zoneWrite struct {
 	summary *schema.ZoneSummary
-	version platform.Version
+	version objects.Version
 	// report is nil if the stored one is up to date.
 	report        *schema.ZoneReport
-	reportVersion platform.Version
+	reportVersion objects.Version
 }
 
 // writeEvent is the end of a round of writes.
@@ -93,7 +93,7 @@
 	}
 	if w.reportVersion == 0 {
 		object, err := m.store.Get(ctx, key)
-		if err != nil && !platform.IsNotFound(err) {
+		if err != nil && !objects.IsNotFound(err) {
 			return err
 		}
 		w.reportVersion = object.Version
--- a/node/node.go
+++ b/node/node.go
@@ -16,9 +16,9 @@
 	"github.com/primrosemoor/primrosemoor/ledger"
 	"github.com/primrosemoor/primrosemoor/limits"
 	"github.com/primrosemoor/primrosemoor/membership"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/placement"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/probe"
 	"github.com/primrosemoor/primrosemoor/quarantine"
 	"github.com/primrosemoor/primrosemoor/register"
@@ -34,7 +34,7 @@
 // Options changes how a node is put together.
 type Options struct {
 	// Store replaces the object API; nil means the one that the settings name.
-	Store platform.Store
+	Store objects.Store
 }
 
 // parts are the managers of one node.
@@ -45,7 +45,7 @@
 	Logger     *log.Logger
 	Telemetry  *telemetry.Telemetry
 	Current    *topology.Current
-	Store      platform.Store
+	Store      objects.Store
 	Pool       *peer.Pool
 	Server     *peer.Server
 	Membership *membership.Manager
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/node"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/settings"
@@ -98,7 +98,7 @@
 func TestGracefulShutdownFinishesTheStreamInFlight(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	_, err := register.Apply(t.Context(), store, register.Diff(&schema.Config{}, config(startEngine(t, release))), "test")
 	is.NoErr(err)
 	s := testSettings(t)
--- a/node/observe.go
+++ b/node/observe.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 )
 
@@ -12,7 +12,7 @@
 	if err := p.Telemetry.ObserveQueues(p.queueDepths); err != nil {
 		return fmt.Errorf("observe queues: %w", err)
 	}
-	store, ok := p.Store.(*platform.HTTP)
+	store, ok := p.Store.(*objects.HTTP)
 	if !ok {
 		return nil
 	}
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -17,10 +17,10 @@
 	"github.com/primrosemoor/primrosemoor/limits"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/membership"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/peertls"
 	"github.com/primrosemoor/primrosemoor/placement"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/probe"
 	"github.com/primrosemoor/primrosemoor/quarantine"
 	"github.com/primrosemoor/primrosemoor/register"
@@ -57,11 +57,11 @@
 	}
 }
 
-func newStore(s *schema.Settings, o Options) (platform.Store, error) {
+func newStore(s *schema.Settings, o Options) (objects.Store, error) {
 	if o.Store != nil {
 		return o.Store, nil
 	}
-	return platform.NewHTTP(s.GetPlatform(), s.GetNode().GetSourceAddress())
+	return objects.NewHTTP(s.GetPlatform(), s.GetNode().GetSourceAddress())
 }
 
 func newTLS(s *schema.Settings) (peertls.Configs, error) {
@@ -92,7 +92,7 @@
 	}
 }
 
-func newMembership(s *schema.Settings, id peer.Identity, store platform.Store, l *links, logger *log.Logger) *membership.Manager {
+func newMembership(s *schema.Settings, id peer.Identity, store objects.Store, l *links, logger *log.Logger) *membership.Manager {
 	address := s.GetPeer().GetAdvertiseAddress()
 	if address == "" {
 		address = s.GetPeer().GetListenAddress()
@@ -114,12 +114,12 @@
 	})
 }
 
-func newRegister(store platform.Store, l *links, members *membership.Manager, logger *log.Logger) *register.Manager {
+func newRegister(store objects.Store, l *links, members *membership.Manager, logger *log.Logger) *register.Manager {
 	l.members = members
 	return register.NewManager(register.Options{Store: store, Peers: l, Logger: logger})
 }
 
-func newLedger(s *schema.Settings, store platform.Store, l *links, logger *log.Logger) *ledger.Manager {
+func newLedger(s *schema.Settings, store objects.Store, l *links, logger *log.Logger) *ledger.Manager {
 	return ledger.New(ledger.Options{
 		Node:     s.GetNode().GetName(),
 		Store:    store,
@@ -129,7 +129,7 @@
 	})
 }
 
-func newQuarantine(store platform.Store, l *links, logger *log.Logger) *quarantine.Manager {
+func newQuarantine(store objects.Store, l *links, logger *log.Logger) *quarantine.Manager {
 	return quarantine.New(quarantine.Options{Store: store, Spreader: l, Logger: logger})
 }
 
@@ -151,7 +151,7 @@
 // targetTimeout bounds one order or state request to a target.
 const targetTimeout = 2 * time.Second
 
-func newPlacement(s *schema.Settings, store platform.Store, members *membership.Manager, logger *log.Logger) *placement.Manager {
+func newPlacement(s *schema.Settings, store objects.Store, members *membership.Manager, logger *log.Logger) *placement.Manager {
 	dialer := &net.Dialer{Timeout: targetTimeout}
 	if ip := net.ParseIP(s.GetNode().GetSourceAddress()); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
--- a/platform/budget_test.go
+++ b/objects/budget_test.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"context"
--- a/platform/http_test.go
+++ b/objects/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"encoding/json"
@@ -12,12 +12,12 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 // serveMemory answers the object API's wire protocol from a Memory.
-func serveMemory(m *platform.Memory) http.Handler {
+func serveMemory(m *objects.Memory) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{key...}", func(w http.ResponseWriter, r *http.Request) {
 		o, err := m.Get(r.Context(), r.PathValue("key"))
@@ -33,8 +33,8 @@
 		respond(w, 0, nil, m.Delete(r.Context(), r.PathValue("key"), precondition(r)))
 	})
 	mux.HandleFunc("GET /v1/objects", func(w http.ResponseWriter, r *http.Request) {
-		objects, err := m.List(r.Context(), r.FormValue("prefix"))
-		raw, _ := json.Marshal(platform.Changes{Objects: objects})
+		list, err := m.List(r.Context(), r.FormValue("prefix"))
+		raw, _ := json.Marshal(objects.Changes{Objects: list})
 		respond(w, 0, raw, err)
 	})
 	mux.HandleFunc("GET /v1/watch", func(w http.ResponseWriter, r *http.Request) {
@@ -50,12 +50,12 @@
 	return mux
 }
 
-func precondition(r *http.Request) platform.Version {
+func precondition(r *http.Request) objects.Version {
 	v, _ := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
-	return platform.Version(v)
+	return objects.Version(v)
 }
 
-func respond(w http.ResponseWriter, v platform.Version, body []byte, err error) {
+func respond(w http.ResponseWriter, v objects.Version, body []byte, err error) {
 	status := map[schema.ErrorKind]int{
 		schema.ErrorKind_ERROR_KIND_UNSPECIFIED:       http.StatusOK,
 		schema.ErrorKind_ERROR_KIND_NOT_FOUND:         http.StatusNotFound,
@@ -71,10 +71,10 @@
 	_, _ = w.Write(body)
 }
 
-func newHTTP(t *testing.T, handler http.Handler) *platform.HTTP {
+func newHTTP(t *testing.T, handler http.Handler) *objects.HTTP {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	h, err := platform.NewHTTP(&schema.PlatformSettings{Url: server.URL}, "")
+	h, err := objects.NewHTTP(&schema.PlatformSettings{Url: server.URL}, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,41 +87,41 @@
 
 func TestHTTPSpeaksTheObjectAPI(t *testing.T) {
 	is := is.New(t)
-	h := newHTTP(t, serveMemory(platform.NewMemory()))
+	h := newHTTP(t, serveMemory(objects.NewMemory()))
 	v, err := h.Put(t.Context(), "a/b c", []byte("1"), 0)
 	is.NoErr(err)
 	_, err = h.Put(t.Context(), "a/b c", []byte("2"), 0)
-	is.True(platform.IsConflict(err))
+	is.True(objects.IsConflict(err))
 	o, err := h.Get(t.Context(), "a/b c")
 	is.NoErr(err)
-	is.Equal(o, platform.Object{Key: "a/b c", Version: v, Value: []byte("1")})
-	objects, err := h.List(t.Context(), "a/")
+	is.Equal(o, objects.Object{Key: "a/b c", Version: v, Value: []byte("1")})
+	listed, err := h.List(t.Context(), "a/")
 	is.NoErr(err)
-	is.Equal(objects, []platform.Object{o})
+	is.Equal(listed, []objects.Object{o})
 	changes, err := h.Watch(t.Context(), "a/", 0, time.Second)
 	is.NoErr(err)
-	is.Equal(changes.Objects, []platform.Object{o})
+	is.Equal(changes.Objects, []objects.Object{o})
 	vms, err := h.VMs(t.Context())
 	is.NoErr(err)
-	is.Equal(vms, []platform.VMStatus{{Name: "vm1", Leaving: true}})
+	is.Equal(vms, []objects.VMStatus{{Name: "vm1", Leaving: true}})
 	is.NoErr(h.Delete(t.Context(), "a/b c", v))
 	_, err = h.Get(t.Context(), "a/b c")
-	is.True(platform.IsNotFound(err))
+	is.True(objects.IsNotFound(err))
 	is.Equal(h.Usage().Calls, uint64(8))
 }
 
 func TestBrokenConnectionAfterAWriteIsUnknownEffect(t *testing.T) {
 	is := is.New(t)
-	m := platform.NewMemory()
+	m := objects.NewMemory()
 	lose := true
-	m.Inject(func(operation platform.Operation, _ string) platform.Fault {
-		f := platform.Fault{LoseAnswer: lose && operation == platform.OperationPut}
+	m.Inject(func(operation objects.Operation, _ string) objects.Fault {
+		f := objects.Fault{LoseAnswer: lose && operation == objects.OperationPut}
 		lose = false
 		return f
 	})
 	h := newHTTP(t, serveMemory(m))
 	_, err := h.Put(t.Context(), "k", []byte("x"), 0)
-	is.True(platform.IsUnknownEffect(err))
+	is.True(objects.IsUnknownEffect(err))
 	o, err := h.Get(t.Context(), "k")
 	is.NoErr(err)
 	is.Equal(string(o.Value), "x")
@@ -129,13 +129,13 @@
 
 func TestUnavailableAndThrottledWritesHadNoEffect(t *testing.T) {
 	is := is.New(t)
-	m := platform.NewMemory()
-	f := platform.Fault{Unavailable: true}
-	m.Inject(func(platform.Operation, string) platform.Fault { return f })
+	m := objects.NewMemory()
+	f := objects.Fault{Unavailable: true}
+	m.Inject(func(objects.Operation, string) objects.Fault { return f })
 	h := newHTTP(t, serveMemory(m))
 	_, err := h.Put(t.Context(), "k", nil, 0)
 	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE)
-	f = platform.Fault{Throttled: true}
+	f = objects.Fault{Throttled: true}
 	_, err = h.Put(t.Context(), "k", nil, 0)
 	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_THROTTLED)
 }
@@ -143,7 +143,7 @@
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	is := is.New(t)
 	server := httptest.NewServer(http.NotFoundHandler())
-	h, err := platform.NewHTTP(&schema.PlatformSettings{Url: server.URL}, "")
+	h, err := objects.NewHTTP(&schema.PlatformSettings{Url: server.URL}, "")
 	is.NoErr(err)
 	server.Close()
 	_, err = h.Put(t.Context(), "k", nil, 0)
--- a/platform/memory_test.go
+++ b/objects/memory_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -8,31 +8,31 @@
 
 	"github.com/matryer/is"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 )
 
 func TestMemoryWritesOnlyOnTheExpectedVersion(t *testing.T) {
 	is := is.New(t)
-	m := platform.NewMemory()
+	m := objects.NewMemory()
 	v1, err := m.Put(t.Context(), "a", []byte("1"), 0)
 	is.NoErr(err)
 	_, err = m.Put(t.Context(), "a", []byte("2"), 0)
-	is.True(platform.IsConflict(err))
+	is.True(objects.IsConflict(err))
 	_, err = m.Put(t.Context(), "a", []byte("2"), v1)
 	is.NoErr(err)
-	is.True(platform.IsConflict(m.Delete(t.Context(), "a", v1)))
+	is.True(objects.IsConflict(m.Delete(t.Context(), "a", v1)))
 	o, err := m.Get(t.Context(), "a")
 	is.NoErr(err)
 	is.Equal(string(o.Value), "2")
 	is.NoErr(m.Delete(t.Context(), "a", o.Version))
 	_, err = m.Get(t.Context(), "a")
-	is.True(platform.IsNotFound(err))
+	is.True(objects.IsNotFound(err))
 }
 
 func TestMemoryWatchReturnsChangesAfterTheCursor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m := platform.NewMemory()
+		m := objects.NewMemory()
 		v, err := m.Put(t.Context(), "p/a", []byte("1"), 0)
 		is.NoErr(err)
 		first, err := m.Watch(t.Context(), "p/", 0, time.Second)
@@ -43,7 +43,7 @@
 		second, err := m.Watch(t.Context(), "p/", first.Cursor, time.Minute)
 		is.NoErr(err)
 		is.Equal(time.Since(start), time.Second)
-		is.Equal(second.Objects[0].Version, platform.Version(0))
+		is.Equal(second.Objects[0].Version, objects.Version(0))
 		third, err := m.Watch(t.Context(), "p/", second.Cursor, time.Minute)
 		is.NoErr(err)
 		is.Equal(len(third.Objects), 0)
@@ -51,10 +51,10 @@
 }
 
 // appendNonce is a change that appends one letter to the object.
-func appendNonce(nonce string) platform.Change {
-	return platform.Change{
+func appendNonce(nonce string) objects.Change {
+	return objects.Change{
 		Key:    "k",
-		Mutate: func(o platform.Object) ([]byte, error) { return append(o.Value, nonce...), nil },
+		Mutate: func(o objects.Object) ([]byte, error) { return append(o.Value, nonce...), nil },
 		Owned:  func(stored []byte) bool { return len(stored) > 0 && string(stored[len(stored)-1:]) == nonce },
 	}
 }
@@ -62,33 +62,33 @@
 func TestUpdateSettlesALostAnswerByReadingBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m := platform.NewMemory()
+		m := objects.NewMemory()
 		lose := true
-		m.Inject(func(operation platform.Operation, _ string) platform.Fault {
-			f := platform.Fault{LoseAnswer: operation == platform.OperationPut && lose}
-			lose = lose && operation != platform.OperationPut
+		m.Inject(func(operation objects.Operation, _ string) objects.Fault {
+			f := objects.Fault{LoseAnswer: operation == objects.OperationPut && lose}
+			lose = lose && operation != objects.OperationPut
 			return f
 		})
-		o, err := platform.Update(t.Context(), m, appendNonce("x"))
+		o, err := objects.Update(t.Context(), m, appendNonce("x"))
 		is.NoErr(err)
 		is.Equal(string(o.Value), "x")
-		is.Equal(m.Calls(platform.OperationPut), uint64(1))
+		is.Equal(m.Calls(objects.OperationPut), uint64(1))
 	})
 }
 
 func TestUpdateAppliesAWriteWithALateEffectOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m := platform.NewMemory()
+		m := objects.NewMemory()
 		late := true
-		m.Inject(func(operation platform.Operation, _ string) platform.Fault {
-			if operation != platform.OperationPut || !late {
-				return platform.Fault{}
+		m.Inject(func(operation objects.Operation, _ string) objects.Fault {
+			if operation != objects.OperationPut || !late {
+				return objects.Fault{}
 			}
 			late = false
-			return platform.Fault{LateEffect: time.Second}
+			return objects.Fault{LateEffect: time.Second}
 		})
-		_, err := platform.Update(t.Context(), m, appendNonce("x"))
+		_, err := objects.Update(t.Context(), m, appendNonce("x"))
 		is.NoErr(err)
 		time.Sleep(time.Minute)
 		o, err := m.Get(t.Context(), "k")
@@ -100,12 +100,12 @@
 func TestUpdateOutlastsAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		m := platform.NewMemory()
+		m := objects.NewMemory()
 		back := time.Now().Add(time.Minute)
-		m.Inject(func(platform.Operation, string) platform.Fault {
-			return platform.Fault{Unavailable: time.Now().Before(back)}
+		m.Inject(func(objects.Operation, string) objects.Fault {
+			return objects.Fault{Unavailable: time.Now().Before(back)}
 		})
-		_, err := platform.Update(t.Context(), m, appendNonce("x"))
+		_, err := objects.Update(t.Context(), m, appendNonce("x"))
 		is.NoErr(err)
 		is.True(time.Now().After(back))
 	})
--- a/platform/platform.go
+++ b/objects/platform.go
@@ -1,8 +1,8 @@
-// Package platform is the client of the platform's object API: versioned
+// Package objects is the client of the platform's object API: versioned
 // objects with conditional updates and watches, and the list of VMs. Store is
 // the small interface the rest of the system uses; HTTP reaches the real
 // service, Memory keeps objects in the process for development and tests.
-package platform
+package objects
 
 import (
 	"context"
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -26,11 +26,11 @@
 // lease is one controller's lease on a service. It belongs to one goroutine at
 // a time.
 type lease struct {
-	store   platform.Store
+	store   objects.Store
 	service string
 	node    string
 
-	version platform.Version
+	version objects.Version
 	stored  *schema.ControllerLease
 	// observed is when the stored lease was first seen as it is.
 	observed time.Time
@@ -70,7 +70,7 @@
 
 func (l *lease) read(ctx context.Context) error {
 	object, err := l.store.Get(ctx, leasePrefix+l.service)
-	if err != nil && !platform.IsNotFound(err) {
+	if err != nil && !objects.IsNotFound(err) {
 		return err
 	}
 	stored := &schema.ControllerLease{}
@@ -120,22 +120,22 @@
 
 // put writes the lease on the version that was read, and settles a lost answer
 // by reading back.
-func (l *lease) put(ctx context.Context, value []byte, nonce string) (platform.Object, error) {
+func (l *lease) put(ctx context.Context, value []byte, nonce string) (objects.Object, error) {
 	key := leasePrefix + l.service
 	version, err := l.store.Put(ctx, key, value, l.version)
 	if err == nil {
-		return platform.Object{Version: version}, nil
+		return objects.Object{Version: version}, nil
 	}
-	if !platform.IsUnknownEffect(err) {
-		return platform.Object{}, err
+	if !objects.IsUnknownEffect(err) {
+		return objects.Object{}, err
 	}
 	object, readErr := l.store.Get(ctx, key)
 	if readErr != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	stored := &schema.ControllerLease{}
 	if proto.Unmarshal(object.Value, stored) != nil || stored.GetNonce() != nonce {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	return object, nil
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,7 +14,7 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -37,7 +37,7 @@
 type Options struct {
 	// Node is this node's name.
 	Node    string
-	Store   platform.Store
+	Store   objects.Store
 	Targets Targets
 	// Load returns the work of a service's models, in targets kept busy; nil
 	// means that only the register counts.
@@ -103,7 +103,7 @@
 // Run serves until ctx ends, gives the leases back and returns ctx's error. It
 // must be called once.
 func (m *Manager) Run(ctx context.Context) error {
-	ctx = platform.WithPriority(ctx, platform.PriorityReport)
+	ctx = objects.WithPriority(ctx, objects.PriorityReport)
 	running := make(map[string]*controller)
 	var group sync.WaitGroup
 	defer group.Wait()
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -15,8 +15,8 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/placement"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -85,7 +85,7 @@
 	return topology.Build(c, members, topology.Options{})
 }
 
-func start(t *testing.T, node string, store platform.Store, target *fakeTarget, c *schema.Config) (*placement.Manager, context.CancelFunc) {
+func start(t *testing.T, node string, store objects.Store, target *fakeTarget, c *schema.Config) (*placement.Manager, context.CancelFunc) {
 	m := placement.New(placement.Options{Node: node, Store: store, Targets: target, MaxPause: 20 * time.Second})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = m.Run(ctx) }()
@@ -96,7 +96,7 @@
 func TestControllerLoadsWhatTheRegisterWantsAndHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		target := &fakeTarget{}
 		_, stop := start(t, "n1", store, target, config("m1", false))
 		time.Sleep(time.Second)
@@ -113,7 +113,7 @@
 func TestNewControllerWaitsOutLeaseAndPauseIfTargetsDoNotCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		hold := make(chan struct{})
 		target := &fakeTarget{hold: hold}
 		start(t, "n1", store, target, config("m1", false))
@@ -130,7 +130,7 @@
 func TestOrderOfAnOlderControllerIsRefusedIfTargetsCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		hold := make(chan struct{})
 		target := &fakeTarget{checks: true, hold: hold}
 		start(t, "n1", store, target, config("m1", true))
@@ -148,11 +148,11 @@
 func TestControllerSendsNothingWhileTheStoreIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		target := &fakeTarget{}
 		m, _ := start(t, "n1", store, target, config("m1", false))
 		time.Sleep(time.Second)
-		store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Unavailable: true} })
+		store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Unavailable: true} })
 		m.ApplyTopology(ownedBy("n1", config("m2", false)))
 		time.Sleep(5 * time.Minute)
 		is.Equal(target.models(), []string{"m1"})
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -12,7 +12,7 @@
 
 	"github.com/primrosemoor/primrosemoor/admission"
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -32,7 +32,7 @@
 
 // Options configures a Manager.
 type Options struct {
-	Store platform.Store
+	Store objects.Store
 	// Spreader may be nil.
 	Spreader Spreader
 	Logger   *log.Logger
@@ -168,22 +168,22 @@
 }
 
 // exchange returns the stored list, after adding entries if there are any.
-func (m *Manager) exchange(ctx context.Context, entries []*schema.Quarantine) (platform.Object, error) {
+func (m *Manager) exchange(ctx context.Context, entries []*schema.Quarantine) (objects.Object, error) {
 	if len(entries) > 0 {
-		return platform.Update(ctx, m.options.Store, addition(entries, rand.Text(), time.Now()))
+		return objects.Update(ctx, m.options.Store, addition(entries, rand.Text(), time.Now()))
 	}
 	object, err := m.options.Store.Get(ctx, Key)
 	if fault.KindOf(err) == schema.ErrorKind_ERROR_KIND_NOT_FOUND {
-		return platform.Object{}, nil
+		return objects.Object{}, nil
 	}
 	return object, err
 }
 
 // addition is the update that adds entries and drops expired ones.
-func addition(entries []*schema.Quarantine, nonce string, now time.Time) platform.Change {
-	return platform.Change{
+func addition(entries []*schema.Quarantine, nonce string, now time.Time) objects.Change {
+	return objects.Change{
 		Key: Key,
-		Mutate: func(current platform.Object) ([]byte, error) {
+		Mutate: func(current objects.Object) ([]byte, error) {
 			list := &schema.QuarantineList{}
 			if err := proto.Unmarshal(current.Value, list); err != nil {
 				return nil, fmt.Errorf("decode %s: %w", Key, err)
--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/primrosemoor/primrosemoor/admission"
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/quarantine"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
@@ -25,7 +25,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		peer := quarantine.New(quarantine.Options{Store: store})
 		m := quarantine.New(quarantine.Options{Store: store, Spreader: spreader{peer}})
 		go m.Run(ctx)
--- a/register/apply.go
+++ b/register/apply.go
@@ -12,7 +12,7 @@
 
 	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -36,7 +36,7 @@
 // came first, bad-request when the result fails the check, store-unavailable
 // when nothing was changed, and unknown-effect when the store did not answer
 // again after a write whose answer was lost.
-func Apply(ctx context.Context, store platform.Store, changes []Change, author string) (uint64, error) {
+func Apply(ctx context.Context, store objects.Store, changes []Change, author string) (uint64, error) {
 	w := &writer{store: store, changes: changes, author: author, nonce: rand.Text()[:12]}
 	w.wait = backoff.NewExponentialBackOff()
 	w.wait.InitialInterval = firstRetry
@@ -68,7 +68,7 @@
 
 // writer carries one edit through its attempts.
 type writer struct {
-	store   platform.Store
+	store   objects.Store
 	changes []Change
 	author  string
 	nonce   string
@@ -129,7 +129,7 @@
 		""))
 }
 
-func (w *writer) write(ctx context.Context, current *held, version platform.Version, merged *schema.Config) (uint64, error) {
+func (w *writer) write(ctx context.Context, current *held, version objects.Version, merged *schema.Config) (uint64, error) {
 	next := w.nextHead(current.head, merged)
 	dropped := next.retire(current.head)
 	for _, p := range next.fresh {
@@ -247,7 +247,7 @@
 
 // deleteParts removes parts that no head can name again. What fails stays
 // behind as garbage.
-func deleteParts(ctx context.Context, store platform.Store, refs []*schema.ConfigPart) {
+func deleteParts(ctx context.Context, store objects.Store, refs []*schema.ConfigPart) {
 	for _, ref := range refs {
 		object, err := store.Get(ctx, partKey(ref))
 		if err != nil {
--- a/register/apply_test.go
+++ b/register/apply_test.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
@@ -35,7 +35,7 @@
 	return withState(c, vm, schema.VMState_VM_STATE_LEAVING)
 }
 
-func install(t *testing.T, store platform.Store, c *schema.Config) *schema.Config {
+func install(t *testing.T, store objects.Store, c *schema.Config) *schema.Config {
 	t.Helper()
 	if _, err := register.Apply(t.Context(), store, register.Diff(nil, c), "setup"); err != nil {
 		t.Fatal(err)
@@ -43,7 +43,7 @@
 	return accepted(t, store)
 }
 
-func accepted(t *testing.T, store platform.Store) *schema.Config {
+func accepted(t *testing.T, store objects.Store) *schema.Config {
 	t.Helper()
 	c, err := register.Read(t.Context(), store)
 	if err != nil {
@@ -54,7 +54,7 @@
 
 func TestAppliedConfigurationIsReadBack(t *testing.T) {
 	is := is.New(t)
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	want := drumlin(t)
 	got := install(t, store, want)
 	is.Equal(got.GetRevision(), uint64(1))
@@ -66,7 +66,7 @@
 
 func TestEditsOfDifferentVMsMerge(t *testing.T) {
 	is := is.New(t)
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	base := install(t, store, drumlin(t))
 	_, err := register.Apply(t.Context(), store, leaving(base, 0), "first")
 	is.NoErr(err)
@@ -80,7 +80,7 @@
 
 func TestEditsOfTheSameVMConflictAndNameIt(t *testing.T) {
 	is := is.New(t)
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	base := install(t, store, drumlin(t))
 	_, err := register.Apply(t.Context(), store, leaving(base, 0), "first")
 	is.NoErr(err)
@@ -94,7 +94,7 @@
 
 func TestEditThatBreaksTheWholeIsRefused(t *testing.T) {
 	is := is.New(t)
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	base := install(t, store, drumlin(t))
 	want := proto.CloneOf(base)
 	want.AvailabilityZones = want.AvailabilityZones[1:]
@@ -104,10 +104,10 @@
 }
 
 // onHead injects a fault into the first n writes of the head.
-func onHead(n int, f platform.Fault) platform.Injector {
-	return func(operation platform.Operation, key string) platform.Fault {
-		if operation != platform.OperationPut || key != register.HeadKey || n == 0 {
-			return platform.Fault{}
+func onHead(n int, f objects.Fault) objects.Injector {
+	return func(operation objects.Operation, key string) objects.Fault {
+		if operation != objects.OperationPut || key != register.HeadKey || n == 0 {
+			return objects.Fault{}
 		}
 		n--
 		return f
@@ -115,7 +115,7 @@
 }
 
 func TestLostAnswerIsSettledByTheNonce(t *testing.T) {
-	faults := map[string]platform.Fault{
+	faults := map[string]objects.Fault{
 		"effect before the loss": {LoseAnswer: true},
 		"effect after the loss":  {LateEffect: 50 * time.Millisecond},
 		"no effect":              {Unavailable: true},
@@ -124,7 +124,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := platform.NewMemory()
+				store := objects.NewMemory()
 				base := install(t, store, drumlin(t))
 				store.Inject(onHead(1, f))
 				revision, err := register.Apply(t.Context(), store, leaving(base, 0), "x")
@@ -139,28 +139,28 @@
 
 func TestOutageAfterALostAnswerIsReportedAsUnknown(t *testing.T) {
 	tests := map[string]struct {
-		first platform.Fault
+		first objects.Fault
 		kind  schema.ErrorKind
 	}{
-		"lost":        {platform.Fault{LoseAnswer: true}, schema.ErrorKind_ERROR_KIND_UNKNOWN_EFFECT},
-		"unavailable": {platform.Fault{Unavailable: true}, schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE},
+		"lost":        {objects.Fault{LoseAnswer: true}, schema.ErrorKind_ERROR_KIND_UNKNOWN_EFFECT},
+		"unavailable": {objects.Fault{Unavailable: true}, schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := platform.NewMemory()
+				store := objects.NewMemory()
 				base := install(t, store, drumlin(t))
 				out := false
-				store.Inject(func(operation platform.Operation, key string) platform.Fault {
+				store.Inject(func(operation objects.Operation, key string) objects.Fault {
 					if out {
-						return platform.Fault{Unavailable: true}
+						return objects.Fault{Unavailable: true}
 					}
-					if operation == platform.OperationPut && key == register.HeadKey {
+					if operation == objects.OperationPut && key == register.HeadKey {
 						out = true
 						return test.first
 					}
-					return platform.Fault{}
+					return objects.Fault{}
 				})
 				_, err := register.Apply(deadline(t, 5*time.Second), store, leaving(base, 0), "x")
 				is.Equal(fault.KindOf(err), test.kind)
@@ -171,7 +171,7 @@
 
 func TestRetiredPartsAreDeleted(t *testing.T) {
 	is := is.New(t)
-	store := platform.NewMemory()
+	store := objects.NewMemory()
 	c := install(t, store, drumlin(t))
 	states := []schema.VMState{schema.VMState_VM_STATE_LEAVING, schema.VMState_VM_STATE_ACTIVE}
 	for i := range 200 {
--- a/register/inforce_test.go
+++ b/register/inforce_test.go
@@ -17,8 +17,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
@@ -41,7 +41,7 @@
 // fleet is a cluster of managers spread over availability zones, whose
 // heartbeats to their zone's reporter carry revisions.
 type fleet struct {
-	store    *platform.Memory
+	store    *objects.Memory
 	nodes    []*fleetNode
 	zones    int
 	pulled   atomic.Int64
@@ -64,9 +64,9 @@
 }
 
 func startFleet(t *testing.T, nodes, zones int, config *schema.Config) *fleet {
-	f := &fleet{store: platform.NewMemory(), zones: zones}
+	f := &fleet{store: objects.NewMemory(), zones: zones}
 	install(t, f.store, config)
-	f.store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Delay: storeDelay} })
+	f.store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Delay: storeDelay} })
 	for i := range nodes {
 		n := &fleetNode{fleet: f, index: i}
 		n.manager = register.NewManager(register.Options{Store: meteredStore{f}, Peers: n, Seed: uint64(i + 1)})
@@ -129,13 +129,13 @@
 // meteredStore counts the bytes that nodes read.
 type meteredStore struct{ fleet *fleet }
 
-func (s meteredStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s meteredStore) Get(ctx context.Context, key string) (objects.Object, error) {
 	o, err := s.fleet.store.Get(ctx, key)
 	s.fleet.stored.Add(int64(len(o.Value)))
 	return o, err
 }
 
-func (s meteredStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Changes, error) {
+func (s meteredStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (objects.Changes, error) {
 	changes, err := s.fleet.store.Watch(ctx, prefix, cursor, wait)
 	for _, o := range changes.Objects {
 		s.fleet.stored.Add(int64(len(o.Value)))
@@ -143,15 +143,15 @@
 	return changes, err
 }
 
-func (s meteredStore) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s meteredStore) Put(ctx context.Context, key string, value []byte, expect objects.Version) (objects.Version, error) {
 	return s.fleet.store.Put(ctx, key, value, expect)
 }
 
-func (s meteredStore) Delete(ctx context.Context, key string, expect platform.Version) error {
+func (s meteredStore) Delete(ctx context.Context, key string, expect objects.Version) error {
 	return s.fleet.store.Delete(ctx, key, expect)
 }
 
-func (s meteredStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (s meteredStore) List(ctx context.Context, prefix string) ([]objects.Object, error) {
 	objects, err := s.fleet.store.List(ctx, prefix)
 	for _, o := range objects {
 		s.fleet.stored.Add(int64(len(o.Value)))
@@ -159,7 +159,7 @@
 	return objects, err
 }
 
-func (s meteredStore) VMs(ctx context.Context) ([]platform.VMStatus, error) {
+func (s meteredStore) VMs(ctx context.Context) ([]objects.VMStatus, error) {
 	return s.fleet.store.VMs(ctx)
 }
 
@@ -267,7 +267,7 @@
 }
 
 func (f *fleet) calls() uint64 {
-	return f.store.Calls(platform.OperationGet) + f.store.Calls(platform.OperationWatch) + f.store.Calls(platform.OperationPut) + f.store.Calls(platform.OperationList)
+	return f.store.Calls(objects.OperationGet) + f.store.Calls(objects.OperationWatch) + f.store.Calls(objects.OperationPut) + f.store.Calls(objects.OperationList)
 }
 
 // change makes the case's changes: all at once, or at random moments.
--- a/register/loop.go
+++ b/register/loop.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -172,7 +172,7 @@
 
 // readNewer completes head, or the store's if it is nil. It returns nil if the
 // store holds nothing newer than have.
-func readNewer(ctx context.Context, store platform.Store, head *schema.ConfigHead, have *held) (*held, error) {
+func readNewer(ctx context.Context, store objects.Store, head *schema.ConfigHead, have *held) (*held, error) {
 	if head == nil {
 		var err error
 		if head, _, err = readHead(ctx, store); err != nil {
@@ -186,7 +186,7 @@
 		return nil, nil
 	}
 	h, err := readParts(ctx, store, head, have)
-	if platform.IsNotFound(err) {
+	if objects.IsNotFound(err) {
 		h, _, err = readAccepted(ctx, store, have)
 	}
 	return h, err
--- a/register/manager.go
+++ b/register/manager.go
@@ -10,8 +10,8 @@
 	"github.com/phuslu/log"
 
 	"github.com/primrosemoor/primrosemoor/logging"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -41,7 +41,7 @@
 
 // Options configures a Manager.
 type Options struct {
-	Store platform.Store
+	Store objects.Store
 	Peers Peers
 	// Logger may be nil.
 	Logger *log.Logger
--- a/register/manager_test.go
+++ b/register/manager_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
@@ -24,7 +24,7 @@
 
 // cluster is a set of managers whose peers are reached in the process.
 type cluster struct {
-	store    *platform.Memory
+	store    *objects.Memory
 	mu       sync.Mutex
 	managers map[string]*register.Manager
 	cut      map[string]bool
@@ -33,7 +33,7 @@
 
 func newCluster() *cluster {
 	return &cluster{
-		store:    platform.NewMemory(),
+		store:    objects.NewMemory(),
 		managers: make(map[string]*register.Manager),
 		cut:      make(map[string]bool),
 		bytes:    make(map[string]int),
@@ -125,8 +125,8 @@
 	return delta, err
 }
 
-func outage(platform.Operation, string) platform.Fault {
-	return platform.Fault{Unavailable: true}
+func outage(objects.Operation, string) objects.Fault {
+	return objects.Fault{Unavailable: true}
 }
 
 func TestChangeReachesEveryNodeThroughOneWatcher(t *testing.T) {
@@ -211,8 +211,8 @@
 		config := install(t, c.store, drumlin(t))
 		m := c.start(t, "watcher", true)
 		time.Sleep(time.Second)
-		c.store.Inject(func(operation platform.Operation, _ string) platform.Fault {
-			return platform.Fault{Unavailable: operation == platform.OperationWatch}
+		c.store.Inject(func(operation objects.Operation, _ string) objects.Fault {
+			return objects.Fault{Unavailable: operation == objects.OperationWatch}
 		})
 		time.Sleep(time.Minute)
 		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
@@ -232,9 +232,9 @@
 		time.Sleep(time.Second)
 		_, err := register.Apply(t.Context(), c.store, leaving(config, 0), "x")
 		is.NoErr(err)
-		c.store.Inject(func(operation platform.Operation, key string) platform.Fault {
-			read := operation == platform.OperationGet && strings.HasPrefix(key, "config/part/")
-			return platform.Fault{Unavailable: read}
+		c.store.Inject(func(operation objects.Operation, key string) objects.Fault {
+			read := operation == objects.OperationGet && strings.HasPrefix(key, "config/part/")
+			return objects.Fault{Unavailable: read}
 		})
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(m.Revision(), uint64(1))
--- a/register/race_test.go
+++ b/register/race_test.go
@@ -16,7 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemoor/primrosemoor/fault"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
@@ -62,7 +62,7 @@
 }
 
 // run lets the operators edit at once and returns what each was told.
-func (h history) run(ctx context.Context, store platform.Store) []attempt {
+func (h history) run(ctx context.Context, store objects.Store) []attempt {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var attempts []attempt
@@ -109,13 +109,13 @@
 }
 
 // faults befall a share of the calls.
-func (h history) faults() platform.Injector {
+func (h history) faults() objects.Injector {
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(h.Seed, 99))
-	return func(platform.Operation, string) platform.Fault {
+	return func(objects.Operation, string) objects.Fault {
 		mu.Lock()
 		defer mu.Unlock()
-		f := platform.Fault{Delay: time.Duration(random.IntN(5)) * time.Millisecond}
+		f := objects.Fault{Delay: time.Duration(random.IntN(5)) * time.Millisecond}
 		if random.Float64() >= h.FaultShare {
 			return f
 		}
@@ -135,9 +135,9 @@
 
 // judge runs the history in virtual time and returns what is wrong with it.
 // wrap may replace the store that the operators use.
-func (h history) judge(t *testing.T, wrap func(*platform.Memory) platform.Store) (wrong error) {
+func (h history) judge(t *testing.T, wrap func(*objects.Memory) objects.Store) (wrong error) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platform.NewMemory()
+		store := objects.NewMemory()
 		start := drumlin(t)
 		start.Vms = nil
 		for i := range h.VMs {
@@ -226,7 +226,7 @@
 	return nil
 }
 
-func asIs(m *platform.Memory) platform.Store { return m }
+func asIs(m *objects.Memory) objects.Store { return m }
 
 func TestNoAcceptedEditIsLostAndNoRefusedOneTakesEffect(t *testing.T) {
 	for _, patience := range []time.Duration{300 * time.Millisecond, time.Hour} {
@@ -241,11 +241,11 @@
 }
 
 // blindStore is a store whose writer skips the version check.
-type blindStore struct{ *platform.Memory }
+type blindStore struct{ *objects.Memory }
 
-func (s blindStore) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s blindStore) Put(ctx context.Context, key string, value []byte, expect objects.Version) (objects.Version, error) {
 	version, err := s.Memory.Put(ctx, key, value, expect)
-	for platform.IsConflict(err) && key == register.HeadKey {
+	for objects.IsConflict(err) && key == register.HeadKey {
 		object, getErr := s.Memory.Get(ctx, key)
 		if getErr != nil {
 			return 0, getErr
@@ -258,7 +258,7 @@
 func TestWriterThatSkipsTheVersionCheckIsCaught(t *testing.T) {
 	for seed := range uint64(20) {
 		h := history{Seed: seed, VMs: 30, Operators: 4, Edits: 6, Patience: time.Hour}
-		if h.judge(t, func(m *platform.Memory) platform.Store { return blindStore{m} }) != nil {
+		if h.judge(t, func(m *objects.Memory) objects.Store { return blindStore{m} }) != nil {
 			return
 		}
 	}
--- a/register/store.go
+++ b/register/store.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -16,7 +16,7 @@
 
 // Read returns the accepted configuration, or one of revision 0 without items
 // when none was accepted yet.
-func Read(ctx context.Context, store platform.Store) (*schema.Config, error) {
+func Read(ctx context.Context, store objects.Store) (*schema.Config, error) {
 	h, _, err := readAccepted(ctx, store, nil)
 	if err != nil {
 		return nil, err
@@ -25,9 +25,9 @@
 }
 
 // readHead returns the head and its version; both are zero when there is none.
-func readHead(ctx context.Context, store platform.Store) (*schema.ConfigHead, platform.Version, error) {
+func readHead(ctx context.Context, store objects.Store) (*schema.ConfigHead, objects.Version, error) {
 	object, err := store.Get(ctx, HeadKey)
-	if platform.IsNotFound(err) {
+	if objects.IsNotFound(err) {
 		return &schema.ConfigHead{}, 0, nil
 	}
 	if err != nil {
@@ -67,7 +67,7 @@
 
 // readAccepted reads the head and those of its parts that have lacks. When a
 // part has been deleted meanwhile, the head has moved on and is read again.
-func readAccepted(ctx context.Context, store platform.Store, have *held) (*held, platform.Version, error) {
+func readAccepted(ctx context.Context, store objects.Store, have *held) (*held, objects.Version, error) {
 	for {
 		head, version, err := readHead(ctx, store)
 		if err != nil {
@@ -77,7 +77,7 @@
 		if err == nil {
 			return h, version, nil
 		}
-		if !platform.IsNotFound(err) {
+		if !objects.IsNotFound(err) {
 			return nil, 0, err
 		}
 		again, _, err := readHead(ctx, store)
@@ -91,7 +91,7 @@
 }
 
 // readParts completes head with the parts that have lacks.
-func readParts(ctx context.Context, store platform.Store, head *schema.ConfigHead, have *held) (*held, error) {
+func readParts(ctx context.Context, store objects.Store, head *schema.ConfigHead, have *held) (*held, error) {
 	r := &partReader{store: store, parts: make(map[string]*part, len(head.GetParts()))}
 	var lacking []*schema.ConfigPart
 	for _, ref := range head.GetParts() {
@@ -117,7 +117,7 @@
 
 // partReader collects the parts of one head.
 type partReader struct {
-	store  platform.Store
+	store  objects.Store
 	listed map[string][]byte
 
 	mu    sync.Mutex
--- a/register/watch.go
+++ b/register/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/delay"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 )
 
 // maxWatchRetry bounds the time without a watch once the store is back.
@@ -27,7 +27,7 @@
 
 // watch reports each change of the head to Run until the context ends.
 func (l *loop) watch(ctx context.Context) {
-	wait := platform.NewBackOff()
+	wait := objects.NewBackOff()
 	wait.MaxInterval = maxWatchRetry
 	var cursor uint64
 	for ctx.Err() == nil {
@@ -42,7 +42,7 @@
 	}
 }
 
-func (l *loop) reportChanges(ctx context.Context, objects []platform.Object) {
+func (l *loop) reportChanges(ctx context.Context, objects []objects.Object) {
 	for _, o := range objects {
 		if o.Key != HeadKey || o.Version == 0 {
 			continue
--- a/standin/capacity/cluster.go
+++ b/standin/capacity/cluster.go
@@ -9,8 +9,8 @@
 	"go.uber.org/fx"
 
 	"github.com/primrosemoor/primrosemoor/node"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/routing"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -28,7 +28,7 @@
 // cluster is a number of nodes in this process that share an object API in
 // memory and talk over real links on loopback.
 type cluster struct {
-	memory *platform.Memory
+	memory *objects.Memory
 	use    *storeUse
 	nodes  []*member
 }
@@ -47,7 +47,7 @@
 // startCluster starts n nodes in front of the configuration's targets and
 // waits until it is in force at all of them.
 func startCluster(n int, config *schema.Config) (*cluster, error) {
-	c := &cluster{memory: platform.NewMemory(), use: &storeUse{}}
+	c := &cluster{memory: objects.NewMemory(), use: &storeUse{}}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	changes := register.Diff(&schema.Config{}, config)
--- a/standin/capacity/measure.go
+++ b/standin/capacity/measure.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
@@ -148,7 +148,7 @@
 func measureOperator(vms int) (float64, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
 	defer cancel()
-	c := &cluster{memory: platform.NewMemory()}
+	c := &cluster{memory: objects.NewMemory()}
 	changes := register.Diff(&schema.Config{}, makeConfig(vms, targetTeams))
 	if _, err := register.Apply(ctx, c.memory, changes, clusterName); err != nil {
 		return 0, fmt.Errorf("apply the configuration: %w", err)
--- a/standin/capacity/requests.go
+++ b/standin/capacity/requests.go
@@ -9,7 +9,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -142,8 +142,8 @@
 		return claimCost{}, err
 	}
 	defer c.stop()
-	c.memory.Inject(func(platform.Operation, string) platform.Fault {
-		return platform.Fault{Delay: platformDelay}
+	c.memory.Inject(func(objects.Operation, string) objects.Fault {
+		return objects.Fault{Delay: platformDelay}
 	})
 	time.Sleep(settleTime)
 	before := c.use.read()
--- a/standin/capacity/store.go
+++ b/standin/capacity/store.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 )
 
 // storeUse counts calls of the object API.
@@ -32,48 +32,48 @@
 
 // countingStore counts every call, a waiting watch as one.
 type countingStore struct {
-	platform.Store
+	objects.Store
 	use *storeUse
 }
 
-func (s countingStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s countingStore) Get(ctx context.Context, key string) (objects.Object, error) {
 	s.use.reads.Add(1)
 	o, err := s.Store.Get(ctx, key)
 	s.use.bytes.Add(int64(len(o.Value)))
 	return o, err
 }
 
-func (s countingStore) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s countingStore) Put(ctx context.Context, key string, value []byte, expect objects.Version) (objects.Version, error) {
 	s.use.writes.Add(1)
 	s.use.bytes.Add(int64(len(value)))
 	return s.Store.Put(ctx, key, value, expect)
 }
 
-func (s countingStore) Delete(ctx context.Context, key string, expect platform.Version) error {
+func (s countingStore) Delete(ctx context.Context, key string, expect objects.Version) error {
 	s.use.writes.Add(1)
 	return s.Store.Delete(ctx, key, expect)
 }
 
-func (s countingStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (s countingStore) List(ctx context.Context, prefix string) ([]objects.Object, error) {
 	s.use.reads.Add(1)
 	objects, err := s.Store.List(ctx, prefix)
 	s.count(objects)
 	return objects, err
 }
 
-func (s countingStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (platform.Changes, error) {
+func (s countingStore) Watch(ctx context.Context, prefix string, cursor uint64, wait time.Duration) (objects.Changes, error) {
 	s.use.reads.Add(1)
 	changes, err := s.Store.Watch(ctx, prefix, cursor, wait)
 	s.count(changes.Objects)
 	return changes, err
 }
 
-func (s countingStore) VMs(ctx context.Context) ([]platform.VMStatus, error) {
+func (s countingStore) VMs(ctx context.Context) ([]objects.VMStatus, error) {
 	s.use.reads.Add(1)
 	return s.Store.VMs(ctx)
 }
 
-func (s countingStore) count(objects []platform.Object) {
+func (s countingStore) count(objects []objects.Object) {
 	for _, o := range objects {
 		s.use.bytes.Add(int64(len(o.Value)))
 	}
--- a/standin/cmd/standin/platform.go
+++ b/standin/cmd/standin/platform.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/primrosemoor/primrosemoor/standin/platform"
+	"github.com/primrosemoor/primrosemoor/standin/objectapi"
 )
 
 type platformCommand struct {
@@ -16,11 +16,11 @@
 
 // Run implements kong's command interface.
 func (c *platformCommand) Run(ctx context.Context) error {
-	handler := platform.NewHandler(platform.Options{
-		Faults: platform.Faults{WritesPerSecond: c.WritesPerSecond, ReadsPerSecond: c.ReadsPerSecond},
+	handler := objectapi.NewHandler(objectapi.Options{
+		Faults: objectapi.Faults{WritesPerSecond: c.WritesPerSecond, ReadsPerSecond: c.ReadsPerSecond},
 		VMLag:  c.VMLag,
 	})
 	// An outage ends the watches that wait, so that shutdown need not.
-	drain := func(context.Context) { handler.SetFaults(platform.Faults{Down: true}) }
+	drain := func(context.Context) { handler.SetFaults(objectapi.Faults{Down: true}) }
 	return serveHTTP(ctx, c.Listen, handler, drain)
 }
--- a/standin/control/isolation_test.go
+++ b/standin/control/isolation_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/ledger"
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/topology"
 )
@@ -57,7 +57,7 @@
 	rules   rules
 	seed    uint64
 	cluster *cluster
-	store   *platform.Memory
+	store   *objects.Memory
 	ledgers map[string]*ledger.Manager
 	cutOff  string
 	random  *rand.Rand
@@ -73,7 +73,7 @@
 
 // cutStore is the object API as one node reaches it.
 type cutStore struct {
-	platform.Store
+	objects.Store
 	trial *trial
 	node  string
 }
@@ -85,21 +85,21 @@
 	return nil
 }
 
-func (s cutStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s cutStore) Get(ctx context.Context, key string) (objects.Object, error) {
 	if err := s.blocked(); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s cutStore) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s cutStore) Put(ctx context.Context, key string, value []byte, expect objects.Version) (objects.Version, error) {
 	if err := s.blocked(); err != nil {
 		return 0, err
 	}
 	return s.Store.Put(ctx, key, value, expect)
 }
 
-func (s cutStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (s cutStore) List(ctx context.Context, prefix string) ([]objects.Object, error) {
 	if err := s.blocked(); err != nil {
 		return nil, err
 	}
@@ -118,7 +118,7 @@
 	t.granted = make(map[string]int)
 	t.random = rand.New(rand.NewPCG(t.seed, 0))
 	t.cluster = &cluster{nodes: make(map[string]*clusterNode), cut: func(from, to string) bool { return t.isCut(from) || t.isCut(to) }}
-	t.cluster.storeOf = func(node string) platform.Store { return cutStore{t.store, t, node} }
+	t.cluster.storeOf = func(node string) objects.Store { return cutStore{t.store, t, node} }
 	m := MembershipCase{Settings: Intervals(300*time.Millisecond, time.Second, 500*time.Millisecond)}
 	m.Settings.IsolatedAfter = nil
 	for i := range trialNodes {
@@ -159,7 +159,7 @@
 	if wasCut && !t.cut {
 		t.rejoined = time.Now()
 	}
-	writes := t.store.Calls(platform.OperationPut)
+	writes := t.store.Calls(objects.OperationPut)
 	second := int(at / time.Second)
 	switch {
 	case second == int((cutBegins-10*time.Second)/time.Second) && t.result.WritesAtFirst == 0:
--- a/standin/control/membership.go
+++ b/standin/control/membership.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/primrosemoor/primrosemoor/membership"
+	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -55,7 +55,7 @@
 	nodes map[string]*clusterNode
 	order []*clusterNode
 	// storeOf returns the object API as a node reaches it; nil means store.
-	storeOf func(node string) platform.Store
+	storeOf func(node string) objects.Store
 	// cut reports whether the link between two nodes is down; nil means never.
 	cut func(from, to string) bool
 }
@@ -92,7 +92,7 @@
 func (c *cluster) start(ctx context.Context, m MembershipCase, zone, index int) {
 	n := &clusterNode{cluster: c, zone: fmt.Sprintf("zone-%02d", zone)}
 	n.name = fmt.Sprintf("%s-node-%03d", n.zone, index)
-	var store platform.Store = c.store
+	var store objects.Store = c.store
 	if c.storeOf != nil {
 		store = c.storeOf(n.name)
 	}
@@ -246,4 +246,4 @@
 	}
 }
 
-var _ platform.Store = (*meter)(nil)
+var _ objects.Store = (*meter)(nil)
--- a/standin/control/meter.go
+++ b/standin/control/meter.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/objects"
 )
 
 // storeDelay is the object API's answer time.
@@ -19,7 +19,7 @@
 
 // meter counts the calls and the value bytes of a Store.
 type meter struct {
-	platform.Store
+	objects.Store
 	reads    atomic.Int64
 	writes   atomic.Int64
 	received atomic.Int64
@@ -39,22 +39,22 @@
 	return usage{u.reads - before.reads, u.writes - before.writes, u.received - before.received, u.sent - before.sent}
 }
 
-func newStore() *platform.Memory {
-	store := platform.NewMemory()
-	store.Inject(func(platform.Operation, string) platform.Fault { return platform.Fault{Delay: storeDelay} })
+func newStore() *objects.Memory {
+	store := objects.NewMemory()
+	store.Inject(func(objects.Operation, string) objects.Fault { return objects.Fault{Delay: storeDelay} })
 	return store
 }
 
-// Get implements platform.Store.
-func (m *meter) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objects.Store.
+func (m *meter) Get(ctx context.Context, key string) (objects.Object, error) {
 	o, err := m.Store.Get(ctx, key)
 	m.reads.Add(1)
 	m.received.Add(int64(len(o.Value)))
 	return o, err
 }
 
-// List implements platform.Store.
-func (m *meter) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements objects.Store.
+func (m *meter) List(ctx context.Context, prefix string) ([]objects.Object, error) {
 	objects, err := m.Store.List(ctx, prefix)
 	m.reads.Add(1)
 	for _, o := range objects {
@@ -63,21 +63,21 @@
 	return objects, err
 }
 
-// VMs implements platform.Store.
-func (m *meter) VMs(ctx context.Context) ([]platform.VMStatus, error) {
+// VMs implements objects.Store.
+func (m *meter) VMs(ctx context.Context) ([]objects.VMStatus, error) {
 	m.reads.Add(1)
 	return m.Store.VMs(ctx)
 }
 
-// Put implements platform.Store.
-func (m *meter) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+// Put implements objects.Store.
+func (m *meter) Put(ctx context.Context, key string, value []byte, expect objects.Version) (objects.Version, error) {
 	m.writes.Add(1)
 	m.sent.Add(int64(len(value)))
 	return m.Store.Put(ctx, key, value, expect)
 }
 
-// Delete implements platform.Store.
-func (m *meter) Delete(ctx context.Context, key string, expect platform.Version) error {
+// Delete implements objects.Store.
+func (m *meter) Delete(ctx context.Context, key string, expect objects.Version) error {
 	m.writes.Add(1)
 	return m.Store.Delete(ctx, key, expect)
 }
--- a/standin/deployment/faults.go
+++ b/standin/deployment/faults.go
@@ -12,7 +12,7 @@
 
 	"github.com/primrosemoor/primrosemoor/standin/engine"
 	"github.com/primrosemoor/primrosemoor/standin/history"
-	"github.com/primrosemoor/primrosemoor/standin/platform"
+	"github.com/primrosemoor/primrosemoor/standin/objectapi"
 	"github.com/primrosemoor/primrosemoor/standin/relay"
 )
 
@@ -126,9 +126,9 @@
 }
 
 // SetPlatform replaces the platform's faults.
-func (d *Deployment) SetPlatform(f platform.Faults) error {
+func (d *Deployment) SetPlatform(f objectapi.Faults) error {
 	line := history.Line{Kind: history.KindFault, Node: NamePlatform, Fault: history.FaultCut}
-	if f == (platform.Faults{Seed: f.Seed}) {
+	if f == (objectapi.Faults{Seed: f.Seed}) {
 		line.Fault = history.FaultHeal
 	}
 	if err := d.options.History.Write(line); err != nil {
@@ -161,9 +161,9 @@
 }
 
 func (d *Deployment) setVMs(leaving []string) error {
-	var list []platform.VM
+	var list []objectapi.VM
 	for _, t := range d.Targets() {
-		list = append(list, platform.VM{Name: t.VM, Leaving: slices.Contains(leaving, t.VM)})
+		list = append(list, objectapi.VM{Name: t.VM, Leaving: slices.Contains(leaving, t.VM)})
 	}
 	return d.post("http://"+d.platform()+"/admin/vms", list)
 }
--- a/standin/platform/admin.go
+++ b/standin/objectapi/admin.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"encoding/json"
--- a/standin/platform/handler.go
+++ b/standin/objectapi/handler.go
@@ -1,7 +1,7 @@
-// Package platform stands in for the platform's object API: versioned objects
+// Package objectapi stands in for the platform's object API: versioned objects
 // with conditional updates and watches, and a lagging list of VMs. It brings
 // about outages, slow answers, lost answers and throttling on request.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/standin/platform/handler_test.go
+++ b/standin/objectapi/handler_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/primrosemoor/primrosemoor/standin/platform"
+	"github.com/primrosemoor/primrosemoor/standin/objectapi"
 )
 
 func put(t *testing.T, server, key, value, match string) (int, string) {
@@ -31,14 +31,14 @@
 	return response.StatusCode, response.Header.Get("ETag")
 }
 
-func list(t *testing.T, url string) platform.Listing {
+func list(t *testing.T, url string) objectapi.Listing {
 	t.Helper()
 	response, err := http.Get(url)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	var l platform.Listing
+	var l objectapi.Listing
 	if err := json.NewDecoder(response.Body).Decode(&l); err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 
 func TestConditionalUpdateAndWatch(t *testing.T) {
 	is := is.New(t)
-	server := httptest.NewServer(platform.NewHandler(platform.Options{}))
+	server := httptest.NewServer(objectapi.NewHandler(objectapi.Options{}))
 	defer server.Close()
 	status, tag := put(t, server.URL, "config/head", "one", "")
 	is.Equal(status, http.StatusOK)
@@ -64,23 +64,23 @@
 
 func TestLostAnswerHasTakenEffect(t *testing.T) {
 	is := is.New(t)
-	handler := platform.NewHandler(platform.Options{Faults: platform.Faults{LoseAnswers: 1}})
+	handler := objectapi.NewHandler(objectapi.Options{Faults: objectapi.Faults{LoseAnswers: 1}})
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	status, _ := put(t, server.URL, "k", "v", "")
 	is.Equal(status, 0) // the connection was cut
-	handler.SetFaults(platform.Faults{})
+	handler.SetFaults(objectapi.Faults{})
 	is.Equal(string(list(t, server.URL+"/v1/objects?prefix=k").Objects[0].Value), "v")
 }
 
 func TestOutageAndThrottling(t *testing.T) {
 	is := is.New(t)
-	handler := platform.NewHandler(platform.Options{Faults: platform.Faults{Down: true}})
+	handler := objectapi.NewHandler(objectapi.Options{Faults: objectapi.Faults{Down: true}})
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	status, _ := put(t, server.URL, "k", "v", "")
 	is.Equal(status, http.StatusServiceUnavailable)
-	handler.SetFaults(platform.Faults{WritesPerSecond: 0.001})
+	handler.SetFaults(objectapi.Faults{WritesPerSecond: 0.001})
 	status, _ = put(t, server.URL, "k", "v", "")
 	is.Equal(status, http.StatusOK)
 	status, _ = put(t, server.URL, "k2", "v", "")
--- a/standin/scenario/operations.go
+++ b/standin/scenario/operations.go
@@ -8,13 +8,13 @@
 	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/standin/deployment"
 	"github.com/primrosemoor/primrosemoor/standin/history"
-	"github.com/primrosemoor/primrosemoor/standin/platform"
+	"github.com/primrosemoor/primrosemoor/standin/objectapi"
 )
 
 // setPlatform reads "platform STATE [NUMBERS]", with several states joined in
 // one command: down, up, slow MILLIS, lose FRACTION, throttle WRITES READS.
 func setPlatform(s *session, args []string) error {
-	f := platform.Faults{Seed: s.seed}
+	f := objectapi.Faults{Seed: s.seed}
 	for len(args) > 0 {
 		used, err := applyState(&f, args)
 		if err != nil {
@@ -30,7 +30,7 @@
 }
 
 // applyState reads one state and returns the number of arguments it used.
-func applyState(f *platform.Faults, args []string) (int, error) {
+func applyState(f *objectapi.Faults, args []string) (int, error) {
 	switch args[0] {
 	case "up":
 		return 1, nil
