--- /dev/null
+++ b/balance/manager.go
@@ -0,0 +1,218 @@
+package balance
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/catalog"
+)
+
+const (
+	// eventQueue is how many events may wait for the manager.
+	eventQueue = 1024
+	// tickInterval is how often waiting requests are looked at without an event.
+	tickInterval = 20 * time.Millisecond
+)
+
+// Refusal is a request that gets no target.
+type Refusal struct {
+	Reason string
+	// RetryAfter is when the caller may come back.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("no target can serve the request: %s; retry after %v", r.Reason, r.RetryAfter)
+}
+
+// Options configures a Manager.
+type Options struct {
+	Zone string
+	// Regions gives the region of each availability zone.
+	Regions map[string]string
+	Logger  *log.Logger
+}
+
+// Manager owns what this node believes of the targets' load. Its methods may
+// be called by any goroutine.
+type Manager struct {
+	options Options
+	events  chan event
+	place   place
+	pools   map[string]*pool
+}
+
+// event changes the manager's state; it is applied by the manager's goroutine.
+type event interface {
+	apply(m *Manager, now time.Time)
+}
+
+// NewManager returns a manager without targets.
+func NewManager(options Options) *Manager {
+	return &Manager{
+		options: options,
+		events:  make(chan event, eventQueue),
+		place:   place{zone: options.Zone, regions: options.Regions},
+		pools:   make(map[string]*pool),
+	}
+}
+
+// Run applies events until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case e := <-m.events:
+			e.apply(m, time.Now())
+		case now := <-tick.C:
+			m.tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick refuses what waited too long and serves what has become possible.
+func (m *Manager) tick(now time.Time) {
+	for _, p := range m.pools {
+		if len(p.waiting) == 0 {
+			continue
+		}
+		p.expire(now)
+		m.assign(p, now)
+	}
+}
+
+func (m *Manager) assign(p *pool, now time.Time) {
+	p.assign(now, m.place, func(w *waiter, c choice) { w.reply <- decision{choice: c} })
+}
+
+func (m *Manager) pool(service string) *pool {
+	p := m.pools[service]
+	if p == nil {
+		p = &pool{name: service, targets: make(map[string]*target)}
+		m.pools[service] = p
+	}
+	return p
+}
+
+// Acquire waits for a target. The error is a *Refusal, or the cause of ctx.
+func (m *Manager) Acquire(ctx context.Context, w *Work) (*Grant, error) {
+	reply := make(chan decision, 1)
+	wait := &waiter{work: w, reply: reply}
+	m.events <- submitted{wait}
+	select {
+	case d := <-reply:
+		return m.answer(w, d)
+	case <-ctx.Done():
+		m.events <- withdrawn{wait}
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (m *Manager) answer(w *Work, d decision) (*Grant, error) {
+	if d.refusal != nil {
+		return nil, d.refusal
+	}
+	return &Grant{manager: m, work: w, choice: d.choice, Target: d.choice.target.Target, sent: time.Now()}, nil
+}
+
+// ApplyTargets takes over the targets and services of a configuration.
+func (m *Manager) ApplyTargets(targets []*catalog.Target, services map[string]*catalog.Service) {
+	m.events <- targetsChanged{targets, services}
+}
+
+// submitted is a new request.
+type submitted struct{ waiter *waiter }
+
+func (e submitted) apply(m *Manager, now time.Time) {
+	p := m.pool(e.waiter.work.Service)
+	if len(p.targets) == 0 {
+		e.waiter.reply <- decision{refusal: &Refusal{Reason: "the service has no target", RetryAfter: noTargetRetry}}
+		return
+	}
+	p.waiting = append(p.waiting, e.waiter)
+	m.assign(p, now)
+}
+
+// noTargetRetry is when a target of a service without any may have appeared.
+const noTargetRetry = time.Second
+
+// withdrawn is a request whose caller no longer waits. It may have got a
+// target meanwhile, which is then given back.
+type withdrawn struct{ waiter *waiter }
+
+func (e withdrawn) apply(m *Manager, now time.Time) {
+	p := m.pool(e.waiter.work.Service)
+	for i, w := range p.waiting {
+		if w == e.waiter {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			return
+		}
+	}
+	select {
+	case d := <-e.waiter.reply:
+		if d.refusal == nil {
+			(&Grant{manager: m, work: e.waiter.work, choice: d.choice}).end(now, Unsent)
+		}
+	default:
+	}
+}
+
+// targetsChanged is a new list of targets.
+type targetsChanged struct {
+	targets  []*catalog.Target
+	services map[string]*catalog.Service
+}
+
+func (e targetsChanged) apply(m *Manager, now time.Time) {
+	lists := make(map[string][]*catalog.Target)
+	for _, t := range e.targets {
+		lists[t.Service] = append(lists[t.Service], t)
+	}
+	for name := range m.pools {
+		if _, ok := lists[name]; !ok {
+			lists[name] = nil
+		}
+	}
+	for name, list := range lists {
+		p := m.pool(name)
+		if s := e.services[name]; s != nil {
+			p.describe(s.Engine)
+		}
+		p.apply(list, now)
+		m.assign(p, now)
+	}
+}
+
+// describe takes over what the configuration says of the engines.
+func (p *pool) describe(c *catalog.Engine) {
+	if c == nil {
+		p.engine = nil
+		return
+	}
+	if p.engine == nil {
+		p.engine = &engine{readTokens: startReadTokens, step: startStep.Seconds()}
+	}
+	p.engine.slots = c.Slots
+	p.engine.eventTokens = float64(c.EventTokens)
+}
+
+// expire refuses requests whose time is over.
+func (p *pool) expire(now time.Time) {
+	kept := p.waiting[:0]
+	for _, w := range p.waiting {
+		if now.Before(w.work.End) {
+			kept = append(kept, w)
+			continue
+		}
+		w.reply <- decision{refusal: &Refusal{Reason: "no target was free in time", RetryAfter: noTargetRetry}}
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
--- /dev/null
+++ b/balance/target.go
@@ -0,0 +1,65 @@
+// Package balance decides which target serves a request and in which order
+// requests wait. Its decisions are functions of what is known of the targets'
+// load, and need no network.
+package balance
+
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/catalog"
+)
+
+// Work is one request that needs a target.
+type Work struct {
+	ID      string
+	Service string
+	// Tier is the request's rank; 0 is the most important.
+	Tier int
+	// PromptTokens have to be read before the first event; 0 on plain services.
+	PromptTokens float64
+	// OutputTokens is the expected length of the answer.
+	OutputTokens float64
+	Arrived      time.Time
+	// Goal is when the answer, or a stream's first event, stops being on time.
+	Goal time.Time
+	// End is when the caller or the route gives up.
+	End time.Time
+	// Tried are the targets that the request was sent to before.
+	Tried []string
+}
+
+// Load is what one node has outstanding at a target.
+type Load struct {
+	// Requests counts requests that were sent and have not ended.
+	Requests int
+	// PromptTokens were sent and are not read yet, as far as is known.
+	PromptTokens float64
+}
+
+// target is what is known of one target.
+type target struct {
+	*catalog.Target
+	own    Load
+	remote Load
+	// read is when own.PromptTokens was last reduced by what the engine reads.
+	read time.Time
+	// pace is the learned speed.
+	pace pace
+	// health is the record of failures.
+	health health
+}
+
+// requests returns what all nodes have outstanding at the target.
+func (t *target) requests() int {
+	return t.own.Requests + t.remote.Requests
+}
+
+// advance takes off what the engine has read since the last call.
+func (t *target) advance(now time.Time, engine *engine) {
+	if elapsed := now.Sub(t.read); elapsed > 0 && engine != nil {
+		read := elapsed.Seconds() * engine.readRate(t)
+		t.own.PromptTokens = max(0, t.own.PromptTokens-read)
+		t.remote.PromptTokens = max(0, t.remote.PromptTokens-read)
+	}
+	t.read = now
+}
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,142 @@
+// Package catalog holds what an operator configures for a deployment: routes,
+// services, teams and limits, and the targets that serve. Its values are
+// immutable once they are published.
+package catalog
+
+import "time"
+
+// Kind says what may be done with a request after it was sent to a target.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming requests are answered with a stream of events; they run at most
+	// once, unless the route allows their stream to be resumed.
+	Streaming
+)
+
+// String returns the kind's name in log lines.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "non-idempotent"
+	}
+}
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says how requests of one host and path prefix are handled.
+type Route struct {
+	Name string
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       Kind
+	// Shares has at least one entry.
+	Shares []Share
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Goal is the time to the answer, or to a stream's first event, within
+	// which an answer counts as on time.
+	Goal time.Duration
+	// GapGoal is the longest pause between a stream's events that counts as on
+	// time; zero if the route sets none.
+	GapGoal time.Duration
+	// MaxAttempts bounds the targets that one request is sent to.
+	MaxAttempts int
+	// Tier is the rank of the route's requests; 0 is the most important.
+	Tier int
+	// Anonymous routes need no key.
+	Anonymous bool
+	// Resume allows a broken stream to be continued at another target.
+	Resume bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resume
+}
+
+// Service is a pool of targets that answer alike.
+type Service struct {
+	Name string
+	// HealthPath answers whether a target considers itself healthy.
+	HealthPath string
+	// MaxConnections is what one target accepts from all nodes; 0 is no limit.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int
+	// CacheTokens is the memory for running requests and cached prompts.
+	CacheTokens int
+	// EventTokens is how many tokens one event of a stream holds.
+	EventTokens int
+}
+
+// Team is a customer, its keys and its limit.
+type Team struct {
+	Name string
+	Keys []string
+	// Tier replaces the route's tier if HasTier is set.
+	Tier    int
+	HasTier bool
+	// Rate is the limit per second; 0 means that there is none.
+	Rate float64
+	// Burst is what may be used beyond the rate at once.
+	Burst float64
+	// ByTokens counts the limit in tokens and not in requests.
+	ByTokens bool
+	// DefaultTokens is what a request counts that states no tokens.
+	DefaultTokens float64
+}
+
+// Bounds limit what a caller may send.
+type Bounds struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operator's configuration.
+type Config struct {
+	// Version rises with each change, in uneven steps.
+	Version  uint64
+	Routes   []*Route
+	Services map[string]*Service
+	Teams    []*Team
+	Bounds   Bounds
+}
+
+// Target is one process that serves requests of a service.
+type Target struct {
+	// ID names one instance; a restarted process mostly has a new one.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Draining targets get no new requests.
+	Draining bool
+	// Started is when the instance started, in Unix milliseconds; 0 if unknown.
+	Started int64
+	// ColdFor is how much longer the target is slow after its start.
+	ColdFor time.Duration
+}
--- a/cmd/primrosemoor/main.go
+++ b/cmd/primrosemoor/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/primrosemoor/primrosemoor/entry"
 	"github.com/primrosemoor/primrosemoor/node"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/settings"
@@ -23,6 +24,7 @@
 
 type cli struct {
 	Run           runCommand   `cmd:"" help:"Run a node."`
+	Entry         entryCommand `cmd:"" help:"Run an entry node on a platform that has a store and a balancer."`
 	CheckSettings checkCommand `cmd:"" help:"Check a settings file and exit with 2 if it has faults."`
 }
 
@@ -31,6 +33,10 @@
 	Dev      bool   `help:"Run one node with objects in memory and an echo engine." xor:"source" required:""`
 }
 
+type entryCommand struct {
+	Settings string `type:"path" env:"PRIMROSEMOOR_BOOT" help:"Settings file (TOML)." required:""`
+}
+
 type checkCommand struct {
 	File string `arg:"" type:"path" help:"Settings file (TOML)."`
 }
@@ -66,6 +72,20 @@
 	return runNode(s, node.Options{})
 }
 
+// Run starts the entry node and blocks until it has stopped.
+func (r *entryCommand) Run() error {
+	s, err := settings.LoadGateway(r.Settings)
+	if err != nil {
+		return settingsError{err}
+	}
+	app := entry.New(s)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	app.Run()
+	return nil
+}
+
 // Run checks the file.
 func (c *checkCommand) Run() error {
 	if _, err := settings.Load(c.File); err != nil {
--- /dev/null
+++ b/datastore/follow.go
@@ -0,0 +1,151 @@
+package datastore
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/clock"
+)
+
+const (
+	// callSlack is what a call may take beyond the time it was asked to wait.
+	callSlack = 1500 * time.Millisecond
+	// A failed call is repeated soon, because promises with a bound of a few
+	// seconds depend on it, and less often while an outage lasts.
+	initialRetry = 100 * time.Millisecond
+	maxRetry     = 700 * time.Millisecond
+)
+
+// Update is what a follower knows after a call.
+type Update[T any] struct {
+	// Items holds all items by name; it is never changed afterwards.
+	Items map[string]T
+	// Proven is the latest instant at which Items were known to be complete.
+	Proven clock.Instant
+	// Changed is false if only Proven moved.
+	Changed bool
+	// Regained is true if the calls before had failed.
+	Regained bool
+}
+
+// Follower keeps the items of one source up to date.
+type Follower[T any] struct {
+	Source Source[T]
+	// Kind names the items in log lines.
+	Kind string
+	// Wait is how long a watch waits for changes.
+	Wait   time.Duration
+	Logger *log.Logger
+	// Apply is called after each successful call, by the follower's goroutine.
+	Apply func(Update[T])
+
+	items    map[string]T
+	revision uint64
+	listed   bool
+	failing  bool
+}
+
+// Run follows the source until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = initialRetry, maxRetry
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			retry.Reset()
+			continue
+		}
+		f.fail(ctx, err)
+		select {
+		case <-time.After(retry.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Follower[T]) step(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
+	}
+	err := f.watch(ctx)
+	if errors.Is(err, ErrHistoryGone) {
+		f.listed = false
+		f.Logger.Info().Str("event", "store_history_gone").Str("kind", f.Kind).Uint64("revision", f.revision).Msg("")
+		return nil
+	}
+	return err
+}
+
+func (f *Follower[T]) list(ctx context.Context) error {
+	began := clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	items, revision, err := f.Source.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.items = make(map[string]T, len(items))
+	f.merge(items)
+	f.revision, f.listed = revision, true
+	f.publish(began, true)
+	return nil
+}
+
+func (f *Follower[T]) watch(ctx context.Context) error {
+	began := clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+callSlack)
+	defer cancel()
+	changes, next, err := f.Source.Watch(ctx, f.revision, f.Wait)
+	if err != nil {
+		return err
+	}
+	f.revision = max(f.revision, next)
+	if len(changes) > 0 {
+		f.items = maps.Clone(f.items)
+		f.merge(changes)
+		f.publish(began, true)
+		return nil
+	}
+	// The store answered without a change after it had waited: nothing had
+	// changed by then. An answer that came sooner says so of its beginning only.
+	if clock.Since(began) >= f.Wait {
+		began = began.Add(f.Wait)
+	}
+	f.publish(began, false)
+	return nil
+}
+
+func (f *Follower[T]) merge(changes []Change[T]) {
+	for _, c := range changes {
+		if c.Err != nil {
+			f.Logger.Warn().Str("event", "object_unusable").Str("kind", f.Kind).Str("name", c.Name).Err(c.Err).Msg("")
+		}
+		if c.Removed || c.Err != nil {
+			delete(f.items, c.Name)
+			continue
+		}
+		f.items[c.Name] = c.Value
+	}
+}
+
+func (f *Follower[T]) publish(proven clock.Instant, changed bool) {
+	regained := f.failing
+	if regained {
+		f.failing = false
+		f.Logger.Info().Str("event", "store_regained").Str("kind", f.Kind).Msg("")
+	}
+	f.Apply(Update[T]{Items: f.items, Proven: proven, Changed: changed, Regained: regained})
+}
+
+func (f *Follower[T]) fail(ctx context.Context, err error) {
+	if ctx.Err() != nil || f.failing {
+		return
+	}
+	f.failing = true
+	f.Logger.Warn().Str("event", "store_lost").Str("kind", f.Kind).Err(err).Msg("")
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,128 @@
+// Package entry puts one entry node together: it follows the platform's store,
+// serves callers, and starts and stops its parts in order.
+package entry
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/gateway"
+	"github.com/primrosemoor/primrosemoor/logging"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/quota"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/upstream"
+)
+
+// New returns the application for settings that have been checked.
+func New(s *schema.GatewaySettings, further ...fx.Option) *fx.App {
+	return fx.New(
+		fx.Options(further...),
+		fx.Supply(s),
+		fx.WithLogger(func(logger *log.Logger) fxevent.Logger { return &startupLogger{logger} }),
+		fx.StopTimeout(s.GetBounds().GetGrace().AsDuration()),
+		fx.Provide(
+			newLogger,
+			newStore,
+			newBalancer,
+			newDatastore,
+			newUpstream,
+			newRetries,
+			quota.NewAllowance,
+			newGateway,
+		),
+		fx.Invoke(appendLifecycle),
+	)
+}
+
+func newLogger(s *schema.GatewaySettings) (*log.Logger, error) {
+	return logging.New(s.GetLog())
+}
+
+func newStore(s *schema.GatewaySettings) *platform.Store {
+	return platform.NewStore(s.GetStore().GetAddress(), func(string, int) {})
+}
+
+func newBalancer(s *schema.GatewaySettings, logger *log.Logger) *balance.Manager {
+	regions := make(map[string]string)
+	for _, z := range s.GetZones() {
+		regions[z.GetName()] = z.GetRegion()
+	}
+	return balance.NewManager(balance.Options{
+		Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Logger: logger,
+	})
+}
+
+func newDatastore(s *schema.GatewaySettings, store *platform.Store, b *balance.Manager, logger *log.Logger) *datastore.Manager {
+	return datastore.NewManager(datastore.Options{
+		Sources: datastore.Sources{
+			Configurations: store.Configurations(),
+			Targets:        store.Targets(),
+			Nodes:          store.Nodes(),
+		},
+		Revocation: s.GetBounds().GetRevocation().AsDuration(),
+		Logger:     logger,
+		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
+			b.ApplyTargets(targets, services)
+		},
+		OnNodes: func(map[string]datastore.Node) {},
+	})
+}
+
+func newUpstream() *upstream.Client {
+	return upstream.NewClient(func() {})
+}
+
+func newRetries(s *schema.GatewaySettings) *quota.Retries {
+	b := s.GetBounds()
+	return &quota.Retries{
+		Ratio:  b.GetRetryRatio() / 2,
+		Extra:  float64(b.GetRetryExtra()) / assumedNodes,
+		Window: b.GetRetryWindow().AsDuration(),
+	}
+}
+
+// assumedNodes share the retries while the number of nodes is not known.
+const assumedNodes = 8
+
+func newGateway(d *datastore.Manager, b *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, logger *log.Logger) *gateway.Gateway {
+	return gateway.New(gateway.Options{
+		Beliefs: d, Dialect: platform.Dialect{}, Balancer: b, Allowance: a, Retries: r, Sender: u, Logger: logger,
+	})
+}
+
+// startupLogger writes fx's failures as log lines; its other events are
+// dropped.
+type startupLogger struct {
+	logger *log.Logger
+}
+
+// LogEvent implements fxevent.Logger.
+func (l *startupLogger) LogEvent(event fxevent.Event) {
+	switch e := event.(type) {
+	case *fxevent.OnStartExecuted:
+		l.failed("start_failed", e.Err)
+	case *fxevent.OnStopExecuted:
+		l.failed("stop_failed", e.Err)
+	case *fxevent.Invoked:
+		l.failed("build_failed", e.Err)
+	case *fxevent.Started:
+		l.failed("start_failed", e.Err)
+	}
+}
+
+func (l *startupLogger) failed(name string, err error) {
+	if err != nil {
+		l.logger.Error().Str("event", name).Err(err).Msg("")
+	}
+}
+
+// settle is how long the balancer takes to stop sending connections to a node
+// that says it is not ready: two questions a second apart, and their answers.
+const settle = 2500 * time.Millisecond
--- /dev/null
+++ b/entry/lifecycle.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/gateway"
+	"github.com/primrosemoor/primrosemoor/logging"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/upstream"
+)
+
+// parts are what one entry node consists of.
+type parts struct {
+	fx.In
+
+	Settings  *schema.GatewaySettings
+	Logger    *log.Logger
+	Store     *platform.Store
+	Datastore *datastore.Manager
+	Balancer  *balance.Manager
+	Upstream  *upstream.Client
+	Gateway   *gateway.Gateway
+}
+
+// lifecycle starts the parts in order and stops them after the requests in
+// flight have ended.
+type lifecycle struct {
+	parts
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	callers   *http.Server
+	readiness *http.Server
+	draining  atomic.Bool
+}
+
+func appendLifecycle(lc fx.Lifecycle, p parts) {
+	l := &lifecycle{parts: p}
+	lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
+}
+
+const (
+	// headerTimeout bounds the head of a request; the configuration's limit is
+	// known only later, and is shorter.
+	headerTimeout = 15 * time.Second
+	// headerBytes bounds the head of a request.
+	headerBytes = 64 << 10
+)
+
+func (l *lifecycle) start(context.Context) error {
+	listen := l.Settings.GetListen()
+	callers, err := net.Listen("tcp4", listen.GetCallers())
+	if err != nil {
+		return fmt.Errorf("listen.callers: %w", err)
+	}
+	readiness, err := net.Listen("tcp4", listen.GetReadiness())
+	if err != nil {
+		return fmt.Errorf("listen.readiness: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	for _, run := range []func(context.Context){l.Datastore.Run, l.Balancer.Run, l.Upstream.Run, l.announce} {
+		l.running.Go(func() { run(ctx) })
+	}
+	l.callers = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
+	l.readiness = &http.Server{Handler: http.HandlerFunc(l.answerReady), ReadHeaderTimeout: headerTimeout}
+	l.serve(l.callers, callers)
+	l.serve(l.readiness, readiness)
+	l.Logger.Info().Str("event", "started").Str("node", l.Settings.GetNode().GetName()).
+		Str("zone", l.Settings.GetNode().GetAvailabilityZone()).Str("callers", listen.GetCallers()).Msg("")
+	return nil
+}
+
+func (l *lifecycle) serve(s *http.Server, listener net.Listener) {
+	l.running.Go(func() {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			l.Logger.Error().Str("event", "listener_failed").Str("address", listener.Addr().String()).Err(err).Msg("")
+		}
+	})
+}
+
+// answerReady tells the balancer whether to send connections here.
+func (l *lifecycle) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if l.draining.Load() || !l.Datastore.Ready() || !l.Datastore.KeysProven() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// announce writes this node's object until the store has taken it.
+func (l *lifecycle) announce(ctx context.Context) {
+	node := l.Settings.GetNode()
+	self := datastore.Node{
+		Name: node.GetName(), Address: l.Settings.GetListen().GetPeers(),
+		Zone: node.GetAvailabilityZone(), Region: node.GetRegion(), Started: time.Now(),
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := l.Store.Announce(call, self)
+		cancel()
+		if err == nil {
+			return
+		}
+		l.Logger.Warn().Str("event", "announce_failed").Err(err).Msg("")
+		select {
+		case <-time.After(announceRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+const (
+	announceTimeout = 2 * time.Second
+	announceRetry   = time.Second
+)
+
+// stop leaves the balancer, lets the requests in flight end, and ends.
+func (l *lifecycle) stop(ctx context.Context) error {
+	l.Logger.Info().Str("event", "draining").Msg("")
+	l.draining.Store(true)
+	l.Gateway.CloseConnections()
+	select {
+	case <-time.After(settle):
+	case <-ctx.Done():
+	}
+	err := l.callers.Shutdown(ctx)
+	if err != nil {
+		l.Logger.Warn().Str("event", "requests_cut").Err(err).Msg("")
+	}
+	l.cancel()
+	l.readiness.Close()
+	l.running.Wait()
+	l.Logger.Info().Str("event", "stopped").Msg("")
+	return errors.Join(err, logging.Close(l.Logger))
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,284 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/upstream"
+)
+
+// exchange is one request of a caller and what has become of it.
+type exchange struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+	call    Call
+
+	route   *catalog.Route
+	team    *catalog.Team
+	service string
+	body    []byte
+	end     time.Time
+
+	// sends counts the targets that got any byte of the request, ran those that
+	// may have run it.
+	sends, ran int
+	tried      []string
+}
+
+// errTimeLimit is the cause of a request's context when its time is over.
+var errTimeLimit = errors.New("gateway: the time limit was reached")
+
+// admit checks what can be checked before the body is read.
+func (x *exchange) admit() *refusal {
+	g := x.gateway
+	table := g.Beliefs.Table()
+	if table == nil {
+		return errNoConfig()
+	}
+	x.route = table.Route(hostOf(x.request.Host), x.request.URL.EscapedPath())
+	if x.route == nil {
+		return errNoRoute()
+	}
+	if !x.route.Anonymous && table.HasTeams() {
+		if !g.Beliefs.KeysProven() {
+			return errStaleKeys()
+		}
+		if x.team = table.Team(x.call.Key); x.team == nil {
+			return errKey()
+		}
+	}
+	x.service = x.route.Pick(draw())
+	x.end = x.arrived.Add(x.route.Timeout)
+	if x.call.HasLimit {
+		if limit := x.arrived.Add(x.call.Limit); limit.Before(x.end) {
+			x.end = limit
+		}
+	}
+	if p := x.read(table.Config.Bounds.BodyBytes); p != nil {
+		return p
+	}
+	return x.book()
+}
+
+// hostOf returns the host without its port, in lower case.
+func hostOf(hostport string) string {
+	host, _, err := net.SplitHostPort(hostport)
+	if err != nil {
+		host = hostport
+	}
+	return strings.ToLower(host)
+}
+
+// read takes in the whole body, so that the request can be sent at once when
+// its turn comes, and again where that is allowed.
+func (x *exchange) read(limit int64) *refusal {
+	body := io.Reader(x.request.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(x.writer, x.request.Body, limit)
+	}
+	var err error
+	x.body, err = io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return errTooLarge()
+	case err != nil:
+		return errBody()
+	}
+	return nil
+}
+
+// book counts the request against its team's limit.
+func (x *exchange) book() *refusal {
+	if x.team == nil || x.team.Rate <= 0 {
+		return nil
+	}
+	amount := 1.0
+	if x.team.ByTokens {
+		amount = x.team.DefaultTokens
+		if x.call.HasTokens {
+			amount = float64(x.call.PromptTokens + x.call.OutputTokens)
+		}
+	}
+	if after, ok := x.gateway.Allowance.Take(x.team, amount); !ok {
+		return errLimit(after)
+	}
+	return nil
+}
+
+// run sends the request to targets until one has answered, or until it may not
+// be sent again.
+func (x *exchange) run() {
+	ctx, cancel := context.WithDeadlineCause(x.request.Context(), x.end, errTimeLimit)
+	defer cancel()
+	for {
+		grant, err := x.gateway.Balancer.Acquire(ctx, x.work())
+		if err != nil {
+			x.giveUp(ctx, err)
+			return
+		}
+		if x.attempt(ctx, grant) {
+			return
+		}
+	}
+}
+
+func (x *exchange) work() *balance.Work {
+	w := &balance.Work{
+		ID:           x.call.ID,
+		Service:      x.service,
+		Tier:         x.route.Tier,
+		PromptTokens: float64(x.call.PromptTokens),
+		OutputTokens: float64(x.call.OutputTokens),
+		Arrived:      x.arrived,
+		Goal:         x.arrived.Add(x.route.Goal),
+		End:          x.end,
+		Tried:        x.tried,
+	}
+	if x.team != nil && x.team.HasTier {
+		w.Tier = x.team.Tier
+	}
+	return w
+}
+
+// giveUp ends a request that gets no target.
+func (x *exchange) giveUp(ctx context.Context, err error) {
+	var refused *balance.Refusal
+	switch {
+	case x.request.Context().Err() != nil:
+		x.log("caller_left", 0)
+	case x.ran > 0 && ctx.Err() != nil:
+		x.refuse(errTimeout())
+	case x.ran > 0:
+		x.refuse(errUnknown("no_target_left"))
+	case errors.As(err, &refused):
+		x.refuse(errNotRun(refused.Reason, refused.RetryAfter))
+	default:
+		x.refuse(errNotRun("queue_timeout", fullRetry))
+	}
+}
+
+// attempt sends the request to one target. It reports whether the request has
+// ended.
+func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
+	x.tried = append(x.tried, grant.Target.ID)
+	if x.sends == 0 {
+		x.gateway.Retries.Sent(x.service)
+	} else if !x.gateway.Retries.Again(x.service) {
+		grant.Done(balance.Unsent)
+		x.giveUp(ctx, errNoRetry)
+		return true
+	}
+	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
+	resp, err := x.gateway.Sender.Send(ctx, address, x.outgoing(grant))
+	if err != nil {
+		return x.failed(ctx, grant, err)
+	}
+	defer resp.Body.Close()
+	x.sends++
+	answer := x.gateway.Dialect.Answer(resp.StatusCode, resp.Header)
+	if answer.NotRun {
+		return x.rejected(ctx, grant, resp)
+	}
+	x.ran++
+	if x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode) {
+		return x.relayStream(ctx, grant, resp, answer)
+	}
+	return x.relayWhole(ctx, grant, resp, answer)
+}
+
+var errNoRetry = errors.New("gateway: the retry budget is used up")
+
+func isSuccess(status int) bool { return status/100 == 2 }
+
+// outgoing is the request as the target gets it.
+func (x *exchange) outgoing(grant *balance.Grant) *upstream.Request {
+	h := x.request.Header.Clone()
+	dropHopByHop(h)
+	ask := Ask{Left: time.Until(x.end), Instance: grant.Target.ID}
+	if x.team != nil {
+		ask.Team = x.team.Name
+	}
+	x.gateway.Dialect.Ask(h, ask)
+	return &upstream.Request{
+		Method: x.request.Method,
+		URI:    x.request.RequestURI,
+		Host:   x.request.Host,
+		Header: h,
+		Body:   x.body,
+		Belongs: func(h http.Header) bool {
+			return x.gateway.Dialect.Answer(http.StatusOK, h).ID == x.call.ID
+		},
+	}
+}
+
+// failed handles a send without an answer.
+func (x *exchange) failed(ctx context.Context, grant *balance.Grant, err error) bool {
+	var failed *upstream.SendError
+	sent := !errors.As(err, &failed) || failed.Sent
+	if sent {
+		x.sends++
+		x.ran++
+	}
+	if ctx.Err() != nil {
+		grant.Done(balance.Abandoned)
+		x.giveUp(ctx, err)
+		return true
+	}
+	x.gateway.Logger.Warn().Str("event", "send_failed").Str("request", x.call.ID).Bool("sent", sent).Err(err).Msg("")
+	if !sent {
+		grant.Done(balance.Unreachable)
+		return len(x.tried) >= maxTargets && x.end1(errNotRun("targets_unreachable", fullRetry))
+	}
+	grant.Done(balance.Broken)
+	if x.mayRepeat() {
+		return false
+	}
+	x.refuse(errUnknown("no_answer"))
+	return true
+}
+
+// maxTargets bounds the targets that are tried for one request, including those
+// that were not reached or did not run it.
+const maxTargets = 4
+
+// end1 refuses and reports that the request has ended.
+func (x *exchange) end1(p *refusal) bool {
+	x.refuse(p)
+	return true
+}
+
+// mayRepeat reports whether the request may go to one more target after it may
+// have run.
+func (x *exchange) mayRepeat() bool {
+	return x.route.Kind == catalog.Idempotent && x.ran < x.route.MaxAttempts && len(x.tried) < maxTargets
+}
+
+// rejected handles an answer which says that the request was not run.
+func (x *exchange) rejected(ctx context.Context, grant *balance.Grant, resp *http.Response) bool {
+	grant.Done(balance.Rejected)
+	if len(x.tried) < maxTargets && resp.StatusCode != http.StatusBadRequest {
+		return false
+	}
+	if resp.StatusCode == http.StatusBadRequest {
+		return x.end1(errBody())
+	}
+	if x.ran > 0 {
+		return x.end1(errUnknown("no_target_left"))
+	}
+	return x.end1(errNotRun("targets_full", fullRetry))
+}
+
+func (x *exchange) log(cause string, status int) {
+	x.gateway.Logger.Info().Str("event", "request_ended").Str("request", x.call.ID).Str("cause", cause).Int("status", status).
+		Dur("after", time.Since(x.arrived)).Int("sends", x.sends).Msg("")
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,113 @@
+// Package gateway serves callers: it finds the route and the team of a
+// request, waits for a target, sends the request there, and passes the answer
+// on. One node alone holds a request, from its first byte to its last.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/upstream"
+)
+
+// Beliefs is what the node knows of the deployment.
+type Beliefs interface {
+	// Table returns the configuration in force, or nil if none is known.
+	Table() *catalog.Table
+	// KeysProven reports whether the configuration is fresh enough to accept
+	// keys.
+	KeysProven() bool
+}
+
+// Balancer finds targets.
+type Balancer interface {
+	Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error)
+}
+
+// Allowance keeps teams within their limits.
+type Allowance interface {
+	// Take books an amount for a team, or returns when it may be tried again.
+	Take(team *catalog.Team, amount float64) (retryAfter time.Duration, ok bool)
+}
+
+// RetryBudget bounds the requests sent to a further target.
+type RetryBudget interface {
+	// Sent counts a first send.
+	Sent(service string)
+	// Again books a further send, or reports that the budget is used up.
+	Again(service string) bool
+}
+
+// Sender sends one request to one target.
+type Sender interface {
+	Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error)
+}
+
+// Options holds the parts that a Gateway works with.
+type Options struct {
+	Beliefs   Beliefs
+	Dialect   Dialect
+	Balancer  Balancer
+	Allowance Allowance
+	Retries   RetryBudget
+	Sender    Sender
+	Logger    *log.Logger
+}
+
+// Gateway is the HTTP handler for callers.
+type Gateway struct {
+	Options
+	router *mux.Router
+	// closing makes every answer end its connection.
+	closing atomic.Bool
+}
+
+// New returns a gateway.
+func New(options Options) *Gateway {
+	g := &Gateway{Options: options, router: mux.NewRouter().SkipClean(true).UseEncodedPath()}
+	g.router.PathPrefix("/").HandlerFunc(g.serve)
+	// Anything that no path prefix matches, such as "*", has no route either.
+	g.router.NotFoundHandler = http.HandlerFunc(g.serve)
+	return g
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.router.ServeHTTP(w, r)
+}
+
+// CloseConnections makes each later answer end its connection, so that callers
+// open their next one at another node.
+func (g *Gateway) CloseConnections() {
+	g.closing.Store(true)
+}
+
+// serve handles one request from its head to its end.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{
+		gateway: g,
+		writer:  w,
+		request: r,
+		arrived: time.Now(),
+		call:    g.Dialect.Read(r.Header),
+	}
+	if g.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if problem := x.admit(); problem != nil {
+		x.refuse(problem)
+		return
+	}
+	x.run()
+}
+
+// draw returns a uniform number for the choice of a route's service.
+func draw() float64 { return rand.Float64() }
