Share loads and allowances between nodes over peer links

Within a zone every node tells every other one; between zones the zone's speaker tells sums. Allowances are copies of one bucket, drawn together.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -39,7 +39,7 @@
 
 // eligible reports whether a target may take a request now.
 func eligible(t *target, w *Work, now time.Time) bool {
-	return !t.Draining && !t.health.paused(now) && t.requests() < t.Slots && !slices.Contains(w.Tried, t.ID)
+	return !t.Draining && !t.health.paused(now) && t.load().Requests < t.Slots && !slices.Contains(w.Tried, t.ID)
 }
 
 // choose returns the target with the lowest cost, or false if none is free.
@@ -60,7 +60,7 @@
 func (p *pool) rate(t *target, w *Work, now time.Time, at place) choice {
 	c := choice{target: t}
 	if p.engine == nil {
-		share := float64(t.requests()) / float64(t.Slots)
+		share := float64(t.load().Requests) / float64(t.Slots)
 		c.expected = time.Duration(share * float64(plainCost))
 	} else {
 		t.advance(now, p.engine)
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -39,14 +39,23 @@
 	// step is the seconds for one token; 0 until it is known.
 	step    float64
 	samples int
+	// told is the step that another node has learned, 0 if none has.
+	told float64
 }
 
+// ownSamples are enough to prefer this node's own value to another node's.
+const ownSamples = 5
+
 // stepSeconds returns the time of one step at a target.
 func (e *engine) stepSeconds(t *target) float64 {
-	if t.pace.step > 0 {
+	switch {
+	case t.pace.samples >= ownSamples || t.pace.samples > 0 && t.pace.told == 0:
 		return t.pace.step
+	case t.pace.told > 0:
+		return t.pace.told
+	default:
+		return e.step
 	}
-	return e.step
 }
 
 // readRate returns the prompt tokens that a target reads in a second.
@@ -57,7 +66,7 @@
 // firstEvent predicts the time from sending to the first event of a request
 // with the given prompt, behind what is outstanding at the target.
 func (e *engine) firstEvent(t *target, promptTokens float64) time.Duration {
-	waiting := t.own.PromptTokens + t.remote.PromptTokens + promptTokens
+	waiting := t.load().PromptTokens + promptTokens
 	steps := waiting/e.readTokens + firstSteps + e.eventTokens
 	return time.Duration(steps * e.stepSeconds(t) * float64(time.Second))
 }
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -74,6 +74,7 @@
 	}
 	t.advance(now, p.engine)
 	t.health.answered()
+	m.publish(t)
 	m.assign(p, now)
 }
 
@@ -108,5 +109,6 @@
 	case Unreachable, Broken:
 		t.health.failed(now)
 	}
+	g.manager.publish(t)
 	g.manager.assign(p, now)
 }
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -35,6 +35,9 @@
 	// Regions gives the region of each availability zone.
 	Regions map[string]string
 	Logger  *log.Logger
+	// Publish is told of each change of what this node has outstanding at a
+	// target, and the learned time of one step, 0 if unknown.
+	Publish func(target string, own Load, step time.Duration)
 }
 
 // Manager owns what this node believes of the targets' load. Its methods may
@@ -44,6 +47,8 @@
 	events  chan event
 	place   place
 	pools   map[string]*pool
+	// remote holds the loads that others told, by source and target.
+	remote map[string]map[string]Load
 }
 
 // event changes the manager's state; it is applied by the manager's goroutine.
@@ -58,6 +63,7 @@
 		events:  make(chan event, eventQueue),
 		place:   place{zone: options.Zone, regions: options.Regions},
 		pools:   make(map[string]*pool),
+		remote:  make(map[string]map[string]Load),
 	}
 }
 
@@ -89,7 +95,16 @@
 }
 
 func (m *Manager) assign(p *pool, now time.Time) {
-	p.assign(now, m.place, func(w *waiter, c choice) { w.reply <- decision{choice: c} })
+	p.assign(now, m.place, func(w *waiter, c choice) {
+		w.reply <- decision{choice: c}
+		m.publish(c.target)
+	})
+}
+
+// publish tells the other nodes what this one has outstanding at a target.
+func (m *Manager) publish(t *target) {
+	step := time.Duration(t.pace.step * float64(time.Second))
+	m.options.Publish(t.ID, t.own, step)
 }
 
 func (m *Manager) pool(service string) *pool {
@@ -185,7 +200,9 @@
 		if s := e.services[name]; s != nil {
 			p.describe(s.Engine)
 		}
-		p.apply(list, now)
+		for _, t := range p.apply(list, now) {
+			m.recall(t)
+		}
 		m.assign(p, now)
 	}
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -28,15 +28,16 @@
 	refusal *Refusal
 }
 
-// apply takes over the targets of the service.
-func (p *pool) apply(list []*catalog.Target, now time.Time) {
+// apply takes over the targets of the service and returns the new ones.
+func (p *pool) apply(list []*catalog.Target, now time.Time) (joined []*target) {
 	known := make(map[string]bool, len(list))
 	for _, c := range list {
 		known[c.ID] = true
 		t := p.targets[c.ID]
 		if t == nil || t.Started != c.Started {
-			t = &target{read: now}
+			t = &target{read: now, remote: make(map[string]Load)}
 			p.targets[c.ID] = t
+			joined = append(joined, t)
 		}
 		t.Target = c
 	}
@@ -45,10 +46,14 @@
 			delete(p.targets, id)
 		}
 	}
+	return joined
 }
 
 // assign gives targets to the waiting requests, the most important first.
 func (p *pool) assign(now time.Time, at place, granted func(*waiter, choice)) {
+	if len(p.waiting) == 0 {
+		return
+	}
 	slices.SortStableFunc(p.waiting, func(a, b *waiter) int { return order(a.work, b.work, now) })
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
--- a/balance/target.go
+++ b/balance/target.go
@@ -28,7 +28,7 @@
 	Tried []string
 }
 
-// Load is what one node has outstanding at a target.
+// Load is what is outstanding at a target.
 type Load struct {
 	// Requests counts requests that were sent and have not ended.
 	Requests int
@@ -39,9 +39,10 @@
 // target is what is known of one target.
 type target struct {
 	*catalog.Target
-	own    Load
-	remote Load
-	// read is when own.PromptTokens was last reduced by what the engine reads.
+	own Load
+	// remote is what others have outstanding, by node or zone.
+	remote map[string]Load
+	// read is when the prompt tokens were last reduced by what the engine reads.
 	read time.Time
 	// pace is the learned speed.
 	pace pace
@@ -49,17 +50,28 @@
 	health health
 }
 
-// requests returns what all nodes have outstanding at the target.
-func (t *target) requests() int {
-	return t.own.Requests + t.remote.Requests
+// load returns what all nodes have outstanding at the target.
+func (t *target) load() Load {
+	total := t.own
+	for _, l := range t.remote {
+		total.Requests += l.Requests
+		total.PromptTokens += l.PromptTokens
+	}
+	return total
 }
 
 // advance takes off what the engine has read since the last call.
 func (t *target) advance(now time.Time, engine *engine) {
-	if elapsed := now.Sub(t.read); elapsed > 0 && engine != nil {
-		read := elapsed.Seconds() * engine.readRate(t)
-		t.own.PromptTokens = max(0, t.own.PromptTokens-read)
-		t.remote.PromptTokens = max(0, t.remote.PromptTokens-read)
-	}
+	elapsed := now.Sub(t.read)
 	t.read = now
+	total := t.load().PromptTokens
+	if elapsed <= 0 || engine == nil || total <= 0 {
+		return
+	}
+	left := max(0, 1-elapsed.Seconds()*engine.readRate(t)/total)
+	t.own.PromptTokens *= left
+	for source, l := range t.remote {
+		l.PromptTokens *= left
+		t.remote[source] = l
+	}
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -123,6 +123,9 @@
 	Services map[string]*Service
 	Teams    []*Team
 	Bounds   Bounds
+	// Raw is the configuration as the store had it, to be passed on to nodes
+	// that cannot reach the store.
+	Raw []byte
 }
 
 // Target is one process that serves requests of a service.
@@ -139,4 +142,6 @@
 	Started int64
 	// ColdFor is how much longer the target is slow after its start.
 	ColdFor time.Duration
+	// Raw is the entry as the store had it.
+	Raw []byte
 }
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -35,6 +35,7 @@
 // Options configures a Manager.
 type Options struct {
 	Sources Sources
+	Relay   Relay
 	// Revocation is the time after which a key that was taken away must not
 	// work; 0 means that none is promised.
 	Revocation time.Duration
@@ -54,6 +55,8 @@
 	proven  atomic.Int64
 	ready   atomic.Bool
 	changes chan func(*beliefs)
+	relayed chan relayed
+	done    chan struct{}
 }
 
 // beliefs is the state that the manager's goroutine owns.
@@ -63,11 +66,17 @@
 	// lapsed are targets that vanished during an outage, kept until heldUntil.
 	lapsed    map[string]*catalog.Target
 	heldUntil time.Time
+	// listed is set once the store has told the targets.
+	listed bool
+	// fetching is set while another node is asked for its configuration.
+	fetching bool
 }
 
 // NewManager returns a manager that knows nothing yet.
 func NewManager(options Options) *Manager {
-	return &Manager{options: options, changes: make(chan func(*beliefs), 16)}
+	return &Manager{
+		options: options, changes: make(chan func(*beliefs)), relayed: make(chan relayed, 16), done: make(chan struct{}),
+	}
 }
 
 // Run follows the store until ctx ends.
@@ -75,11 +84,11 @@
 	var followers sync.WaitGroup
 	config := Follower[*catalog.Config]{
 		Source: m.options.Sources.Configurations, Kind: "configuration", Wait: configWait, Logger: m.options.Logger,
-		Apply: func(u Update[*catalog.Config]) { m.changes <- func(b *beliefs) { b.applyConfig(u) } },
+		Apply: func(u Update[*catalog.Config]) { m.submit(func(b *beliefs) { b.applyConfig(u) }) },
 	}
 	targets := Follower[*catalog.Target]{
 		Source: m.options.Sources.Targets, Kind: "targets", Wait: listWait, Logger: m.options.Logger,
-		Apply: func(u Update[*catalog.Target]) { m.changes <- func(b *beliefs) { b.applyTargets(u) } },
+		Apply: func(u Update[*catalog.Target]) { m.submit(func(b *beliefs) { b.applyTargets(u) }) },
 	}
 	nodes := Follower[Node]{
 		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: listWait, Logger: m.options.Logger,
@@ -93,13 +102,16 @@
 		followers.Go(func() { run(ctx) })
 	}
 	m.own(ctx)
-	// A follower may still be handing over its last update.
-	go func() {
-		for range m.changes {
-		}
-	}()
+	close(m.done)
 	followers.Wait()
-	close(m.changes)
+}
+
+// submit hands a change to the goroutine that owns the state.
+func (m *Manager) submit(change func(*beliefs)) {
+	select {
+	case m.changes <- change:
+	case <-m.done:
+	}
 }
 
 func (m *Manager) own(ctx context.Context) {
@@ -110,6 +122,8 @@
 		select {
 		case change := <-m.changes:
 			change(b)
+		case r := <-m.relayed:
+			b.applyRelayed(ctx, r)
 		case now := <-tick.C:
 			b.dropLapsed(now)
 		case <-ctx.Done():
@@ -146,18 +160,31 @@
 	for _, c := range u.Items {
 		newest = c
 	}
-	current := m.table.Load()
-	if newest == nil || current != nil && newest.Version < current.Config.Version {
+	if newest == nil || !b.adopt(newest) {
 		return
 	}
-	if current == nil || newest.Version > current.Config.Version {
-		m.table.Store(catalog.NewTable(newest))
-		m.options.Logger.Info().Str("event", "configuration_in_force").Uint64("version", newest.Version).
-			Int("routes", len(newest.Routes)).Int("teams", len(newest.Teams)).Msg("")
-		b.publish()
+	m.prove(u.Proven)
+}
+
+// adopt puts a configuration in force if it is newer than the present one. It
+// returns false for an older one.
+func (b *beliefs) adopt(config *catalog.Config) bool {
+	m := b.manager
+	current := m.table.Load()
+	if current != nil && config.Version <= current.Config.Version {
+		return config.Version == current.Config.Version
 	}
-	if int64(u.Proven) > m.proven.Load() {
-		m.proven.Store(int64(u.Proven))
+	m.table.Store(catalog.NewTable(config))
+	m.options.Logger.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).
+		Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Msg("")
+	b.publish()
+	return true
+}
+
+// prove records that the configuration in force was the newest at an instant.
+func (m *Manager) prove(at clock.Instant) {
+	if int64(at) > m.proven.Load() {
+		m.proven.Store(int64(at))
 	}
 }
 
@@ -172,8 +199,14 @@
 	if now.Before(b.heldUntil) {
 		b.hold(u.Items)
 	}
-	b.logChanges(u.Items)
-	b.targets = u.Items
+	b.listed = true
+	b.replace(u.Items)
+}
+
+// replace takes over a list of targets.
+func (b *beliefs) replace(items map[string]*catalog.Target) {
+	b.logChanges(items)
+	b.targets = items
 	b.manager.ready.Store(true)
 	b.publish()
 }
--- /dev/null
+++ b/datastore/relay.go
@@ -0,0 +1,135 @@
+package datastore
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/clock"
+)
+
+// Passed is what one node knows of the deployment, as the store had it.
+type Passed struct {
+	Version       uint64
+	Configuration []byte
+	// Targets holds the targets' entries by id.
+	Targets map[string][]byte
+}
+
+// Relay reads what other nodes know, for a node that the store does not answer.
+type Relay struct {
+	// Fetch asks the node at an address.
+	Fetch        func(ctx context.Context, address string) (Passed, error)
+	DecodeConfig func(raw []byte) (*catalog.Config, error)
+	DecodeTarget func(id string, raw []byte) (*catalog.Target, error)
+}
+
+// fetchTimeout bounds one question to another node.
+const fetchTimeout = time.Second
+
+// Proof returns the version in force and how long ago it was known to be the
+// newest; ok is false if no configuration is known.
+func (m *Manager) Proof() (version uint64, age time.Duration, ok bool) {
+	// The instant is read first: a newer version that comes in between makes
+	// the proof older than it is, and never younger.
+	proven := clock.Instant(m.proven.Load())
+	table := m.table.Load()
+	if table == nil || proven == 0 {
+		return 0, 0, false
+	}
+	return table.Config.Version, clock.Since(proven), true
+}
+
+// Relayed takes over another node's proof: at the instant, the version was the
+// newest one. If this node does not have the version, it asks the node at the
+// address for it.
+func (m *Manager) Relayed(version uint64, proven clock.Instant, address string) {
+	select {
+	case m.relayed <- relayed{version, proven, address}:
+	default:
+		// Another proof follows within a fraction of a second.
+	}
+}
+
+type relayed struct {
+	version uint64
+	proven  clock.Instant
+	address string
+}
+
+func (b *beliefs) applyRelayed(ctx context.Context, r relayed) {
+	m := b.manager
+	table := m.table.Load()
+	if table != nil && table.Config.Version == r.version {
+		m.prove(r.proven)
+		return
+	}
+	if table != nil && table.Config.Version > r.version || b.fetching {
+		return
+	}
+	b.fetching = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		passed, err := m.options.Relay.Fetch(ctx, r.address)
+		m.submit(func(b *beliefs) { b.applyPassed(r, passed, err) })
+	}()
+}
+
+// applyPassed takes over a newer configuration, and the targets if the store
+// has not told them yet.
+func (b *beliefs) applyPassed(r relayed, p Passed, err error) {
+	m := b.manager
+	b.fetching = false
+	if err != nil {
+		m.options.Logger.Warn().Str("event", "relay_failed").Str("address", r.address).Err(err).Msg("")
+		return
+	}
+	config, err := m.options.Relay.DecodeConfig(p.Configuration)
+	if err != nil {
+		m.options.Logger.Warn().Str("event", "relay_unusable").Str("address", r.address).Err(err).Msg("")
+		return
+	}
+	m.options.Logger.Info().Str("event", "configuration_relayed").Str("address", r.address).Uint64("version", config.Version).Msg("")
+	b.adopt(config)
+	if config.Version == r.version {
+		m.prove(r.proven)
+	}
+	if b.listed {
+		return
+	}
+	targets := make(map[string]*catalog.Target, len(p.Targets))
+	for id, raw := range p.Targets {
+		t, err := m.options.Relay.DecodeTarget(id, raw)
+		if err != nil {
+			m.options.Logger.Warn().Str("event", "object_unusable").Str("kind", "targets").Str("name", id).Err(err).Msg("")
+			continue
+		}
+		targets[id] = t
+	}
+	b.replace(targets)
+}
+
+// Pass returns what this node knows, for another node.
+func (m *Manager) Pass(ctx context.Context) Passed {
+	reply := make(chan Passed, 1)
+	m.submit(func(b *beliefs) { reply <- b.pass() })
+	select {
+	case p := <-reply:
+		return p
+	case <-ctx.Done():
+		return Passed{}
+	}
+}
+
+func (b *beliefs) pass() Passed {
+	table := b.manager.table.Load()
+	if table == nil {
+		return Passed{}
+	}
+	p := Passed{Version: table.Config.Version, Configuration: table.Config.Raw, Targets: make(map[string][]byte, len(b.targets))}
+	for id, t := range b.targets {
+		p.Targets[id] = t.Raw
+	}
+	return p
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/primrosemoor/primrosemoor/balance"
-	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
@@ -30,11 +29,17 @@
 		fx.Provide(
 			newLogger,
 			newStore,
+			newSelf,
+			newIdentity,
+			newPool,
+			newServer,
+			newHub,
+			newMesh,
 			newBalancer,
 			newDatastore,
+			newAllowance,
 			newUpstream,
 			newRetries,
-			quota.NewAllowance,
 			newGateway,
 		),
 		fx.Invoke(appendLifecycle),
@@ -49,32 +54,6 @@
 	return platform.NewStore(s.GetStore().GetAddress(), func(string, int) {})
 }
 
-func newBalancer(s *schema.GatewaySettings, logger *log.Logger) *balance.Manager {
-	regions := make(map[string]string)
-	for _, z := range s.GetZones() {
-		regions[z.GetName()] = z.GetRegion()
-	}
-	return balance.NewManager(balance.Options{
-		Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Logger: logger,
-	})
-}
-
-func newDatastore(s *schema.GatewaySettings, store *platform.Store, b *balance.Manager, logger *log.Logger) *datastore.Manager {
-	return datastore.NewManager(datastore.Options{
-		Sources: datastore.Sources{
-			Configurations: store.Configurations(),
-			Targets:        store.Targets(),
-			Nodes:          store.Nodes(),
-		},
-		Revocation: s.GetBounds().GetRevocation().AsDuration(),
-		Logger:     logger,
-		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
-			b.ApplyTargets(targets, services)
-		},
-		OnNodes: func(map[string]datastore.Node) {},
-	})
-}
-
 func newUpstream() *upstream.Client {
 	return upstream.NewClient(func() {})
 }
@@ -88,7 +67,7 @@
 	}
 }
 
-// assumedNodes share the retries while the number of nodes is not known.
+// assumedNodes share the retries.
 const assumedNodes = 8
 
 func newGateway(d *datastore.Manager, b *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, logger *log.Logger) *gateway.Gateway {
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -17,6 +17,8 @@
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
+	"github.com/primrosemoor/primrosemoor/mesh"
+	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/upstream"
@@ -28,7 +30,11 @@
 
 	Settings  *schema.GatewaySettings
 	Logger    *log.Logger
+	Self      datastore.Node
 	Store     *platform.Store
+	Pool      *peer.Pool
+	Server    *peer.Server
+	Mesh      *mesh.Manager
 	Datastore *datastore.Manager
 	Balancer  *balance.Manager
 	Upstream  *upstream.Client
@@ -69,9 +75,18 @@
 	if err != nil {
 		return fmt.Errorf("listen.readiness: %w", err)
 	}
+	peers, err := net.Listen("tcp4", listen.GetPeers())
+	if err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
-	for _, run := range []func(context.Context){l.Datastore.Run, l.Balancer.Run, l.Upstream.Run, l.announce} {
+	l.running.Go(func() {
+		if err := l.Server.Serve(peers); err != nil {
+			l.Logger.Error().Str("event", "listener_failed").Str("address", listen.GetPeers()).Err(err).Msg("")
+		}
+	})
+	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Datastore.Run, l.Upstream.Run, l.announce} {
 		l.running.Go(func() { run(ctx) })
 	}
 	l.callers = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
@@ -100,14 +115,9 @@
 
 // announce writes this node's object until the store has taken it.
 func (l *lifecycle) announce(ctx context.Context) {
-	node := l.Settings.GetNode()
-	self := datastore.Node{
-		Name: node.GetName(), Address: l.Settings.GetListen().GetPeers(),
-		Zone: node.GetAvailabilityZone(), Region: node.GetRegion(), Started: time.Now(),
-	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := l.Store.Announce(call, self)
+		err := l.Store.Announce(call, l.Self)
 		cancel()
 		if err == nil {
 			return
@@ -130,6 +140,7 @@
 	l.Logger.Info().Str("event", "draining").Msg("")
 	l.draining.Store(true)
 	l.Gateway.CloseConnections()
+	l.Mesh.Leave()
 	select {
 	case <-time.After(settle):
 	case <-ctx.Done():
@@ -140,6 +151,8 @@
 	}
 	l.cancel()
 	l.readiness.Close()
+	l.Server.Close()
+	l.Pool.Close()
 	l.running.Wait()
 	l.Logger.Info().Str("event", "stopped").Msg("")
 	return errors.Join(err, logging.Close(l.Logger))
--- /dev/null
+++ b/entry/wiring.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/clock"
+	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/mesh"
+	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/quota"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const (
+	// cluster guards against links to nodes of another program.
+	cluster = "primrosemoor-entry"
+	// peerCallTimeout bounds a question to another node.
+	peerCallTimeout = time.Second
+	// peerDialTimeout bounds the dial to another node: two ways between regions
+	// and no repeated packet.
+	peerDialTimeout = 500 * time.Millisecond
+)
+
+func newSelf(s *schema.GatewaySettings) datastore.Node {
+	node := s.GetNode()
+	return datastore.Node{
+		Name: node.GetName(), Address: s.GetListen().GetPeers(),
+		Zone: node.GetAvailabilityZone(), Region: node.GetRegion(), Started: time.Now(),
+	}
+}
+
+func newIdentity(self datastore.Node) peer.Identity {
+	return peer.Identity{
+		Cluster: cluster, Node: self.Name, AvailabilityZone: self.Zone, Incarnation: uint64(self.Started.UnixNano()),
+	}
+}
+
+func newPool(id peer.Identity) *peer.Pool {
+	return peer.NewPool(peer.PoolOptions{
+		Identity: id, Meter: peer.NopMeter{}, DialTimeout: peerDialTimeout, CallTimeout: peerCallTimeout,
+	})
+}
+
+func newServer(id peer.Identity) *peer.Server {
+	return peer.NewServer(id, peer.NopMeter{}, nil)
+}
+
+// hub passes what one part learns to the others. The parts refer to each other
+// in a circle, so that it is filled in after they were made.
+type hub struct {
+	mesh      *mesh.Manager
+	balancer  *balance.Manager
+	allowance *quota.Allowance
+	datastore *datastore.Manager
+}
+
+func newHub() *hub { return &hub{} }
+
+// Load implements mesh.Listener.
+func (h *hub) Load(source, target string, use mesh.TargetUse) {
+	load := balance.Load{Requests: use.Requests, PromptTokens: float64(use.PromptTokens)}
+	h.balancer.Remote(source, target, load, time.Duration(use.StepMicros)*time.Microsecond)
+}
+
+// Lost implements mesh.Listener.
+func (h *hub) Lost(source string) { h.balancer.Lost(source) }
+
+// Booked implements mesh.Listener.
+func (h *hub) Booked(team string, amount, level float64) { h.allowance.Booked(team, amount, level) }
+
+// Silent implements mesh.Listener.
+func (h *hub) Silent(share float64) { h.allowance.Silent(share) }
+
+// Proof implements mesh.Prover.
+func (h *hub) Proof() (uint64, time.Duration, bool) { return h.datastore.Proof() }
+
+// Relayed implements mesh.Prover.
+func (h *hub) Relayed(version uint64, proven clock.Instant, address string) {
+	h.datastore.Relayed(version, proven, address)
+}
+
+func newMesh(h *hub, self datastore.Node, id peer.Identity, pool *peer.Pool, server *peer.Server, logger *log.Logger) *mesh.Manager {
+	h.mesh = mesh.New(mesh.Options{
+		Self: self, Pool: pool, Incarnation: id.Incarnation, Listener: h, Prover: h, Logger: logger,
+	})
+	server.HandleStream(schema.Method_METHOD_MESH, h.mesh.Serve)
+	return h.mesh
+}
+
+func newBalancer(s *schema.GatewaySettings, h *hub, m *mesh.Manager, logger *log.Logger) *balance.Manager {
+	regions := make(map[string]string)
+	for _, z := range s.GetZones() {
+		regions[z.GetName()] = z.GetRegion()
+	}
+	h.balancer = balance.NewManager(balance.Options{
+		Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Logger: logger,
+		Publish: func(target string, own balance.Load, step time.Duration) {
+			m.SetTarget(target, mesh.TargetUse{
+				Requests: own.Requests, PromptTokens: int(own.PromptTokens), StepMicros: int(step.Microseconds()),
+			})
+		},
+	})
+	return h.balancer
+}
+
+func newAllowance(h *hub, m *mesh.Manager) *quota.Allowance {
+	h.allowance = quota.NewAllowance(m.Book)
+	return h.allowance
+}
+
+func newDatastore(s *schema.GatewaySettings, h *hub, store *platform.Store, pool *peer.Pool, server *peer.Server, logger *log.Logger) *datastore.Manager {
+	h.datastore = datastore.NewManager(datastore.Options{
+		Sources: datastore.Sources{
+			Configurations: store.Configurations(),
+			Targets:        store.Targets(),
+			Nodes:          store.Nodes(),
+		},
+		Relay: datastore.Relay{
+			Fetch: func(ctx context.Context, address string) (datastore.Passed, error) {
+				return fetch(ctx, pool, address)
+			},
+			DecodeConfig: platform.DecodeConfig,
+			DecodeTarget: platform.DecodeTarget,
+		},
+		Revocation: s.GetBounds().GetRevocation().AsDuration(),
+		Logger:     logger,
+		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
+			h.balancer.ApplyTargets(targets, services)
+		},
+		OnNodes: func(nodes map[string]datastore.Node) { h.mesh.SetNodes(nodes) },
+	})
+	serveBeliefs(server, h.datastore)
+	return h.datastore
+}
+
+// serveBeliefs answers other nodes that the store does not answer.
+func serveBeliefs(server *peer.Server, d *datastore.Manager) {
+	peer.Handle(server, schema.Method_METHOD_BELIEFS, func() *schema.BeliefsRequest { return &schema.BeliefsRequest{} },
+		func(ctx context.Context, _ peer.Identity, _ *schema.BeliefsRequest) (*schema.BeliefsReply, error) {
+			p := d.Pass(ctx)
+			return &schema.BeliefsReply{Version: p.Version, Configuration: p.Configuration, Targets: p.Targets}, nil
+		})
+}
+
+func fetch(ctx context.Context, pool *peer.Pool, address string) (datastore.Passed, error) {
+	reply := &schema.BeliefsReply{}
+	if err := pool.Call(ctx, address, schema.Method_METHOD_BELIEFS, &schema.BeliefsRequest{}, reply); err != nil {
+		return datastore.Passed{}, err
+	}
+	return datastore.Passed{
+		Version: reply.GetVersion(), Configuration: reply.GetConfiguration(), Targets: reply.GetTargets(),
+	}, nil
+}
--- /dev/null
+++ b/mesh/codec.go
@@ -0,0 +1,110 @@
+package mesh
+
+import "github.com/primrosemoor/primrosemoor/schema"
+
+// encoder writes ids in full once on a link and as short refs afterwards.
+type encoder struct {
+	refs map[string]uint32
+	// zones are those whose speaker was told on the link.
+	zones map[string]bool
+}
+
+func newEncoder() *encoder {
+	return &encoder{refs: make(map[string]uint32), zones: make(map[string]bool)}
+}
+
+// zone encodes a zone's sums; the speaker is told once on a link.
+func (e *encoder) zone(zone, speaker string, incarnation uint64, c changes) *schema.MeshZone {
+	z := &schema.MeshZone{Zone: zone, Use: e.use(c)}
+	if !e.zones[zone] {
+		e.zones[zone] = true
+		z.Speaker, z.Incarnation = speaker, incarnation
+	}
+	return z
+}
+
+// ref returns the ref of an id, and the id itself if it is new on the link.
+func (e *encoder) ref(id string) (uint32, string) {
+	if r, ok := e.refs[id]; ok {
+		return r, ""
+	}
+	r := uint32(len(e.refs) + 1)
+	e.refs[id] = r
+	return r, id
+}
+
+func (e *encoder) use(c changes) *schema.MeshUse {
+	if c.empty() {
+		return nil
+	}
+	u := &schema.MeshUse{}
+	for id, t := range c.targets {
+		m := &schema.MeshTarget{
+			Requests: uint32(t.Requests), PromptTokens: uint32(t.PromptTokens), StepMicros: uint32(t.StepMicros),
+		}
+		m.Ref, m.Id = e.ref("target/" + id)
+		if m.Id != "" {
+			m.Id = id
+		}
+		u.Targets = append(u.Targets, m)
+	}
+	for name, t := range c.teams {
+		m := &schema.MeshTeam{Booked: t.Booked, Level: t.Level}
+		m.Ref, m.Name = e.ref("team/" + name)
+		if m.Name != "" {
+			m.Name = name
+		}
+		u.Teams = append(u.Teams, m)
+	}
+	return u
+}
+
+// decoder remembers which id each ref of a link stands for.
+type decoder struct {
+	ids      map[uint32]string
+	speakers map[string]speaker
+}
+
+// speaker is a process whose counters a zone's sums are.
+type speaker struct {
+	name        string
+	incarnation uint64
+}
+
+func newDecoder() *decoder {
+	return &decoder{ids: make(map[uint32]string), speakers: make(map[string]speaker)}
+}
+
+func (d *decoder) speaker(z *schema.MeshZone) (string, uint64) {
+	if z.GetSpeaker() != "" {
+		d.speakers[z.GetZone()] = speaker{z.GetSpeaker(), z.GetIncarnation()}
+	}
+	s := d.speakers[z.GetZone()]
+	return s.name, s.incarnation
+}
+
+func (d *decoder) id(ref uint32, given string) (string, bool) {
+	if given != "" {
+		d.ids[ref] = given
+	}
+	id, ok := d.ids[ref]
+	return id, ok
+}
+
+// use decodes sums; those with a ref that was never introduced are left out.
+func (d *decoder) use(u *schema.MeshUse) changes {
+	c := changes{targets: make(map[string]TargetUse), teams: make(map[string]TeamUse)}
+	for _, m := range u.GetTargets() {
+		if id, ok := d.id(m.GetRef(), m.GetId()); ok {
+			c.targets[id] = TargetUse{
+				Requests: int(m.GetRequests()), PromptTokens: int(m.GetPromptTokens()), StepMicros: int(m.GetStepMicros()),
+			}
+		}
+	}
+	for _, m := range u.GetTeams() {
+		if name, ok := d.id(m.GetRef(), m.GetName()); ok {
+			c.teams[name] = TeamUse{Booked: m.GetBooked(), Level: m.GetLevel()}
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,412 @@
+// Package mesh tells the other nodes what this node has outstanding at each
+// target and has booked against each team's limit, and learns the same of
+// them. Within an availability zone every node tells every other one at once;
+// between zones one node of each zone, its speaker, tells the sums of its zone
+// to one node of each other zone, which passes them on. What is told is a hint:
+// a node that hears nothing decides alone.
+package mesh
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/clock"
+	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const (
+	// zoneInterval is the shortest time between two updates within a zone, where
+	// bytes cost nothing.
+	zoneInterval = 3 * time.Millisecond
+	// regionInterval is the shortest time between two updates to another zone:
+	// about the way there and back, below which an update is old on arrival.
+	regionInterval = 40 * time.Millisecond
+	// beatInterval is the longest time between two updates.
+	beatInterval = 250 * time.Millisecond
+	// silentAfter is the time without an update after which a node or zone
+	// counts as silent: three beats.
+	silentAfter = 750 * time.Millisecond
+	// checkInterval is how often silence is looked for.
+	checkInterval = 100 * time.Millisecond
+)
+
+// Listener is told what other nodes have outstanding and have booked. Its
+// methods are called by one goroutine.
+type Listener interface {
+	// Load is the latest load of a target by a source, a node or a zone.
+	Load(source, target string, use TargetUse)
+	// Lost says that a source is silent; its loads no longer count.
+	Lost(source string)
+	// Booked says that a team booked an amount elsewhere, where the level is
+	// believed to be as given.
+	Booked(team string, amount, level float64)
+	// Silent says which part of the deployment's nodes is not heard of.
+	Silent(share float64)
+}
+
+// Prover knows how fresh the configuration is.
+type Prover interface {
+	// Proof returns the version in force and the age of its proof; ok is false
+	// if no configuration is known.
+	Proof() (version uint64, age time.Duration, ok bool)
+	// Relayed takes over a peer's proof: at the instant, the version was the
+	// newest. address is where the peer can be asked for its content.
+	Relayed(version uint64, proven clock.Instant, address string)
+}
+
+// Options configures a Manager.
+type Options struct {
+	Self datastore.Node
+	Pool *peer.Pool
+	// Incarnation differs with each start of this node.
+	Incarnation uint64
+	Listener    Listener
+	Prover      Prover
+	Logger      *log.Logger
+}
+
+// Manager keeps the links to other nodes. Its methods may be called by any
+// goroutine.
+type Manager struct {
+	options Options
+	// own is this node's use, zone the sum over the nodes of its zone.
+	own, zone *sums
+	changed   signal
+
+	mu sync.Mutex
+	// sources are the nodes of this zone and the other zones by name.
+	nodes map[string]*source
+	zones map[string]*source
+	known map[string]datastore.Node
+	// listed is set once the list of nodes is known.
+	listed bool
+	links  map[string]*link
+	// leaving is set when this node stops.
+	leaving bool
+	share   float64
+	// news is what the listener has not been told yet, in order.
+	news []func(Listener)
+	told chan struct{}
+}
+
+// source is a node of this zone, or another zone, that tells its use.
+type source struct {
+	*heard
+	name string
+	last time.Time
+	// silent sources are not heard of; what they book is reserved for them.
+	silent  bool
+	leaving bool
+	// speaker and incarnation tell where the counters of teams began.
+	speaker     string
+	incarnation uint64
+	// passed holds what is passed on within the zone; nil for nodes.
+	passed *sums
+	// direct is when the source was last heard of without another node between.
+	direct time.Time
+}
+
+// New returns a manager without links.
+func New(options Options) *Manager {
+	return &Manager{
+		options: options,
+		own:     newSums(),
+		zone:    newSums(),
+		changed: newSignal(),
+		nodes:   make(map[string]*source),
+		zones:   make(map[string]*source),
+		known:   make(map[string]datastore.Node),
+		links:   make(map[string]*link),
+		share:   -1,
+		told:    make(chan struct{}, 1),
+	}
+}
+
+// Run keeps links until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { m.deliver(ctx) })
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			m.check(now)
+			m.keepLinks(ctx, &running)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tell queues news for the listener. The manager's lock must be held; the
+// listener is called without it, because it may publish to the manager.
+func (m *Manager) tell(news func(Listener)) {
+	m.news = append(m.news, news)
+	select {
+	case m.told <- struct{}{}:
+	default:
+	}
+}
+
+// deliver calls the listener, in order, until ctx ends.
+func (m *Manager) deliver(ctx context.Context) {
+	for {
+		select {
+		case <-m.told:
+		case <-ctx.Done():
+			return
+		}
+		m.mu.Lock()
+		news := m.news
+		m.news = nil
+		m.mu.Unlock()
+		for _, n := range news {
+			n(m.options.Listener)
+		}
+	}
+}
+
+// SetNodes takes over the list of all nodes.
+func (m *Manager) SetNodes(nodes map[string]datastore.Node) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known, m.listed = maps.Clone(nodes), true
+	delete(m.known, m.options.Self.Name)
+	for _, n := range m.known {
+		if n.Zone == m.options.Self.Zone {
+			m.member(m.nodes, n.Name)
+		} else {
+			m.member(m.zones, n.Zone).ensurePassed()
+		}
+	}
+	for name := range m.nodes {
+		if _, ok := m.known[name]; !ok {
+			m.drop(m.nodes, name)
+		}
+	}
+}
+
+// member returns a source; one that is new counts as silent.
+func (m *Manager) member(sources map[string]*source, name string) *source {
+	s := sources[name]
+	if s == nil {
+		s = &source{heard: newHeard(), name: name, silent: true}
+		sources[name] = s
+	}
+	return s
+}
+
+func (s *source) ensurePassed() {
+	if s.passed == nil {
+		s.passed = newSums()
+	}
+}
+
+func (m *Manager) drop(sources map[string]*source, name string) {
+	m.silence(sources[name])
+	delete(sources, name)
+}
+
+// SetTarget publishes this node's use of a target.
+func (m *Manager) SetTarget(id string, use TargetUse) {
+	m.own.setTarget(id, use)
+	m.mu.Lock()
+	m.sumTarget(id)
+	m.mu.Unlock()
+	m.changed.raise()
+}
+
+// Book publishes that this node booked an amount for a team.
+func (m *Manager) Book(team string, amount, level float64) {
+	m.own.addTeam(team, uint64(amount), int64(level))
+	m.zone.addTeam(team, uint64(amount), int64(level))
+	m.changed.raise()
+}
+
+// Leave tells the others that this node stops.
+func (m *Manager) Leave() {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.changed.raise()
+}
+
+// sumTarget sums a target's use over this zone.
+func (m *Manager) sumTarget(id string) {
+	m.own.mu.Lock()
+	total := m.own.targets[id].value
+	m.own.mu.Unlock()
+	for _, s := range m.nodes {
+		if s.silent {
+			continue
+		}
+		u := s.targets[id]
+		total.Requests += u.Requests
+		total.PromptTokens += u.PromptTokens
+		total.StepMicros = max(total.StepMicros, u.StepMicros)
+	}
+	m.zone.setTarget(id, total)
+}
+
+// check looks for sources that fell silent and tells what part is not heard.
+func (m *Manager) check(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, sources := range []map[string]*source{m.nodes, m.zones} {
+		for _, s := range sources {
+			if !s.silent && now.Sub(s.last) > silentAfter {
+				m.silence(s)
+			}
+		}
+	}
+	if m.listed {
+		m.tellShare()
+	}
+}
+
+// silence stops counting what a source has outstanding.
+func (m *Manager) silence(s *source) {
+	if s.silent {
+		return
+	}
+	s.silent = true
+	m.options.Logger.Info().Str("event", "peer_lost").Str("source", s.name).Bool("leaving", s.leaving).Msg("")
+	m.tell(func(l Listener) { l.Lost(s.name) })
+	if s.passed == nil {
+		for id := range s.targets {
+			m.sumTarget(id)
+		}
+	}
+	s.heard = newHeard()
+}
+
+// tellShare tells the listener which part of the nodes is silent.
+func (m *Manager) tellShare() {
+	silent, all := 0, 1
+	for _, n := range m.known {
+		s := m.zones[n.Zone]
+		if n.Zone == m.options.Self.Zone {
+			s = m.nodes[n.Name]
+		}
+		if s != nil && s.leaving {
+			continue
+		}
+		all++
+		if s == nil || s.silent {
+			silent++
+		}
+	}
+	share := float64(silent) / float64(all)
+	if share != m.share {
+		m.share = share
+		m.options.Logger.Info().Str("event", "silent_share").Float64("share", share).Int("nodes", all).Msg("")
+		m.tell(func(l Listener) { l.Silent(share) })
+	}
+}
+
+// speaker reports whether this node speaks for its zone: it is the first by
+// name of those that are heard.
+func (m *Manager) speaker() bool {
+	for name, s := range m.nodes {
+		if !s.silent && !s.leaving && name < m.options.Self.Name {
+			return false
+		}
+	}
+	return !m.leaving
+}
+
+// foreign returns the nodes of another zone in the order in which they are
+// tried.
+func (m *Manager) foreign(zone string) []datastore.Node {
+	var list []datastore.Node
+	for _, n := range m.known {
+		if n.Zone == zone {
+			list = append(list, n)
+		}
+	}
+	slices.SortFunc(list, func(a, b datastore.Node) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// received takes in an update that came from a node.
+func (m *Manager) received(from peer.Identity, d *decoder, u *schema.MeshUpdate) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if from.AvailabilityZone == m.options.Self.Zone {
+		s := m.member(m.nodes, from.Node)
+		s.leaving = u.GetLeaving()
+		m.take(s, now, from.Node, from.Incarnation, d.use(u.GetOwn()))
+	}
+	for _, z := range u.GetZones() {
+		if z.GetZone() == m.options.Self.Zone {
+			continue
+		}
+		s := m.member(m.zones, z.GetZone())
+		s.ensurePassed()
+		speaker, incarnation := d.speaker(z)
+		if from.AvailabilityZone != m.options.Self.Zone {
+			s.direct = now
+		}
+		m.take(s, now, speaker, incarnation, d.use(z.GetUse()))
+	}
+}
+
+// take merges a report of a source.
+func (m *Manager) take(s *source, now time.Time, speaker string, incarnation uint64, c changes) {
+	if s.speaker != speaker || s.incarnation != incarnation {
+		// Counters of another process begin anew. What a silent source booked
+		// was reserved for it, so that only later bookings count.
+		s.speaker, s.incarnation = speaker, incarnation
+		s.heard.teams = make(map[string]uint64)
+		m.baseline(s, c)
+	} else if s.silent {
+		m.baseline(s, c)
+	}
+	if s.silent {
+		s.silent = false
+		m.options.Logger.Info().Str("event", "peer_heard").Str("source", s.name).Msg("")
+	}
+	s.last = now
+	for team, amount := range s.heard.take(c) {
+		level := c.teams[team].Level
+		m.tell(func(l Listener) { l.Booked(team, float64(amount), float64(level)) })
+		if s.passed != nil {
+			s.passed.addTeam(team, amount, level)
+		} else {
+			m.zone.addTeam(team, amount, level)
+		}
+	}
+	for id, use := range c.targets {
+		m.tell(func(l Listener) { l.Load(s.name, id, use) })
+		if s.passed != nil {
+			s.passed.setTarget(id, use)
+		} else {
+			m.sumTarget(id)
+		}
+	}
+	if !c.empty() {
+		m.changed.raise()
+	}
+}
+
+// baseline takes the counters as they are without counting them as booked now.
+func (m *Manager) baseline(s *source, c changes) {
+	for name, t := range c.teams {
+		s.heard.teams[name] = t.Booked
+	}
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -111,6 +111,31 @@
 	return stream.Receive(resp)
 }
 
+// OpenStream opens a stream of a method that stays open until it is closed. It
+// returns a *fault.Error of kind unreachable if the peer cannot be reached.
+func (p *Pool) OpenStream(ctx context.Context, address string, method schema.Method) (*Stream, error) {
+	stream, err := p.open(ctx, address)
+	if err != nil {
+		return nil, unreachable(err, address)
+	}
+	if err := stream.Send(&schema.CallHeader{Method: method}); err != nil {
+		stream.Close()
+		return nil, unreachable(err, address)
+	}
+	return stream, nil
+}
+
+// Forget ends the session to a peer, so that the next call dials anew.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	l := p.links[address]
+	delete(p.links, address)
+	p.mu.Unlock()
+	if l != nil {
+		l.close()
+	}
+}
+
 // Traffic returns the bytes that this node's outgoing links carried.
 func (p *Pool) Traffic() Traffic {
 	return p.counter.traffic()
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,10 @@
 // the stream.
 type Handler func(ctx context.Context, from Identity, request []byte) (proto.Message, error)
 
+// StreamHandler serves a stream that stays open. The stream ends when it
+// returns; it should return when the context ends.
+type StreamHandler func(ctx context.Context, from Identity, s *Stream) error
+
 // Server accepts connections from peers and dispatches their calls.
 type Server struct {
 	identity Identity
@@ -29,6 +33,7 @@
 
 	mu       sync.Mutex
 	handlers map[schema.Method]Handler
+	streams  map[schema.Method]StreamHandler
 	sessions map[*yamux.Session]struct{}
 	listener net.Listener
 	closed   bool
@@ -42,6 +47,7 @@
 		meter:    meter,
 		tls:      tlsConfig,
 		handlers: make(map[schema.Method]Handler),
+		streams:  make(map[schema.Method]StreamHandler),
 		sessions: make(map[*yamux.Session]struct{}),
 	}
 }
@@ -60,6 +66,12 @@
 	}
 }
 
+// HandleStream registers the function that serves the streams of a method. It
+// must be called before Serve.
+func (s *Server) HandleStream(method schema.Method, serve StreamHandler) {
+	s.streams[method] = serve
+}
+
 // Serve accepts connections until Close. It returns nil after Close.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
@@ -195,6 +207,11 @@
 	if err := stream.Receive(header); err != nil {
 		return
 	}
+	if serve, ok := s.streams[header.GetMethod()]; ok {
+		// The stream's own errors end it; both sides see that and open another.
+		_ = serve(context.Background(), from, stream)
+		return
+	}
 	request, err := stream.receiveRaw()
 	if err != nil {
 		return
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,5 +1,5 @@
-// Package quota keeps teams within their limits, and the node within its share
-// of the retries.
+// Package quota keeps teams within their limits over all nodes, and the node
+// within its share of the retries.
 package quota
 
 import (
@@ -9,38 +9,98 @@
 	"github.com/primrosemoor/primrosemoor/catalog"
 )
 
-// Allowance is a token bucket for each team.
+// Allowance is each node's copy of one token bucket for each team. A node books
+// its own requests at once and those of others when it hears of them, and draws
+// its levels towards theirs, so that the copies stay alike although nodes start
+// at different times. For the nodes that it does not hear of it leaves their
+// share of the rate, and they do the same, so that the parts of a split
+// deployment stay within the limit together.
 type Allowance struct {
+	// publish tells the other nodes of a booking.
+	publish func(team string, amount, level float64)
+	started time.Time
+
 	mu      sync.Mutex
 	buckets map[string]*bucket
+	// silent is the share of the nodes that is not heard of.
+	silent float64
 }
 
+// assumedNodes share the limits while the list of nodes is not known.
+const assumedNodes = 8
+
 type bucket struct {
 	level float64
 	at    time.Time
 }
 
-// NewAllowance returns an Allowance with empty buckets.
-func NewAllowance() *Allowance {
-	return &Allowance{buckets: make(map[string]*bucket)}
+// NewAllowance returns an Allowance whose buckets are empty and fill from now
+// on: what was booked before a start is not known.
+func NewAllowance(publish func(team string, amount, level float64)) *Allowance {
+	return &Allowance{publish: publish, started: time.Now(), buckets: make(map[string]*bucket), silent: 1 - 1.0/assumedNodes}
 }
 
 // Take books an amount for a team. If the team has not enough left, it returns
 // when it will have.
 func (a *Allowance) Take(team *catalog.Team, amount float64) (time.Duration, bool) {
-	now := time.Now()
+	after, level, ok := a.take(team, amount, time.Now())
+	if ok {
+		a.publish(team.Name, amount, level)
+	}
+	return after, ok
+}
+
+func (a *Allowance) take(team *catalog.Team, amount float64, now time.Time) (after time.Duration, level float64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b := a.buckets[team.Name]
-	if b == nil {
-		b = &bucket{at: now, level: team.Burst}
-		a.buckets[team.Name] = b
-	}
-	b.level = min(team.Burst, b.level+now.Sub(b.at).Seconds()*team.Rate)
+	heard := 1 - a.silent
+	b := a.bucket(team.Name)
+	b.level = min(team.Burst*heard, b.level+now.Sub(b.at).Seconds()*team.Rate*heard)
 	b.at = now
-	if b.level < amount {
-		return time.Duration((amount - b.level) / team.Rate * float64(time.Second)), false
+	// A request larger than the burst waits for a full bucket.
+	need := min(amount, team.Burst*heard)
+	if b.level < need || heard <= 0 {
+		return waitFor(need-b.level, team.Rate*heard), b.level, false
 	}
 	b.level -= amount
-	return 0, true
+	return 0, b.level, true
+}
+
+// maxWait bounds the time that a caller is told to stay away.
+const maxWait = 30 * time.Second
+
+func waitFor(missing, rate float64) time.Duration {
+	if rate <= 0 || missing/rate > maxWait.Seconds() {
+		return maxWait
+	}
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
+// drawShare is how far a level moves towards another node's with each report:
+// enough to settle within a second, and little beside one late report's error.
+const drawShare = 0.1
+
+// Booked takes off what was booked at another node, whose level was as given.
+func (a *Allowance) Booked(team string, amount, level float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(team)
+	b.level -= amount
+	b.level += drawShare * (level - b.level)
+}
+
+// Silent sets the share of the nodes that is not heard of.
+func (a *Allowance) Silent(share float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = share
+}
+
+func (a *Allowance) bucket(team string) *bucket {
+	b := a.buckets[team]
+	if b == nil {
+		b = &bucket{at: a.started}
+		a.buckets[team] = b
+	}
+	return b
 }
