--- a/quota/quota.go
+++ b/quota/quota.go
@@ -31,7 +31,10 @@
 
 type bucket struct {
 	level float64
+	// at is when the level was last filled up, drawn when it was last drawn
+	// towards another node's.
 	at    time.Time
+	drawn time.Time
 }
 
 // NewAllowance returns an Allowance whose buckets are empty and fill from now
@@ -76,17 +79,20 @@
 	return time.Duration(missing / rate * float64(time.Second))
 }
 
-// drawShare is how far a level moves towards another node's with each report:
-// enough to settle within a second, and little beside one late report's error.
-const drawShare = 0.1
+// drawRate is how far, per second, a level moves towards what other nodes
+// report. A report lacks what this node has booked since the other heard of it,
+// so that drawing faster would give a team more than its limit.
+const drawRate = 0.5
 
 // Booked takes off what was booked at another node, whose level was as given.
 func (a *Allowance) Booked(team string, amount, level float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
 	b := a.bucket(team)
 	b.level -= amount
-	b.level += drawShare * (level - b.level)
+	b.level += min(1, drawRate*now.Sub(b.drawn).Seconds()) * (level - b.level)
+	b.drawn = now
 }
 
 // Silent sets the share of the nodes that is not heard of.
