Order waiting requests by tier and worth over all nodes; refuse what has no prospect

Cause: each node served its own queue, so that a place freed at one node went to its guest chats while drafts waited at another; requests waited until their callers left (4 s without an event), which cost twice; slow engines were known only after a stream had ended on them.

Nodes now tell how many requests of each tier wait and can still be on time; a free place is left to more important ones elsewhere for the time that they need to hear of it. Within a tier what is worth most for the time of its slot goes first. What can no longer be on time goes last, and is refused at once while others wait. Speeds are learned from the first pauses of a stream and told.

--- a/balance/engine.go
+++ b/balance/engine.go
@@ -12,16 +12,11 @@
 	// one step.
 	startReadTokens = 150.0
 	// firstSteps is the time to the first event beyond reading, in steps: the
-	// request's way through the engine and the event's own tokens.
-	firstSteps = 5.0
-)
-
-// Weights of a new sample in the learned values. A service's engines are alike
-// in how they read, so its value moves slowly; one engine's speed may change
-// with its load and health.
-const (
-	stepWeight = 0.15
-	readWeight = 0.05
+	// request's way through the engine.
+	firstSteps = 4.0
+	// startStretch is how much longer a token takes on average than at best,
+	// because prompts of others are read in between.
+	startStretch = 1.5
 )
 
 // engine is what is learned of a service's engines in common.
@@ -30,21 +25,29 @@
 	eventTokens float64
 	// readTokens is how many prompt tokens are read in the time of a step.
 	readTokens float64
-	// step is the usual step time, the start value for new targets.
+	// step is the usual step time in seconds, the start value for new targets.
 	step float64
+	// prompts and outputs are the mean lengths of prompts and answers by route.
+	prompts, outputs map[string]float64
+}
+
+func newEngine() *engine {
+	return &engine{readTokens: startReadTokens, step: startStep.Seconds(), prompts: make(map[string]float64), outputs: make(map[string]float64)}
 }
 
 // pace is what is learned of one engine.
 type pace struct {
-	// step is the seconds for one token; 0 until it is known.
+	// step is the seconds for one token at best; 0 until it is known.
 	step    float64
 	samples int
 	// told is the step that another node has learned, 0 if none has.
 	told float64
+	// stretch is the mean time of a token over the step.
+	stretch float64
 }
 
 // ownSamples are enough to prefer this node's own value to another node's.
-const ownSamples = 5
+const ownSamples = 3
 
 // stepSeconds returns the time of one step at a target.
 func (e *engine) stepSeconds(t *target) float64 {
@@ -65,32 +68,28 @@
 
 // firstEvent predicts the time from sending to the first event of a request
 // with the given prompt, behind what is outstanding at the target.
-func (e *engine) firstEvent(t *target, promptTokens float64) time.Duration {
-	waiting := t.load().PromptTokens + promptTokens
-	steps := waiting/e.readTokens + firstSteps + e.eventTokens
-	return time.Duration(steps * e.stepSeconds(t) * float64(time.Second))
+func (e *engine) firstEvent(t *target, backlog, promptTokens float64) time.Duration {
+	steps := (backlog+promptTokens)/e.readTokens + firstSteps + e.eventTokens
+	return seconds(steps * e.stepSeconds(t))
 }
 
-// learnStep takes the shortest pause between two events of a stream as a
-// sample of the step time: longer ones hold the reading of prompts too.
-func (e *engine) learnStep(t *target, pause time.Duration) {
-	sample := pause.Seconds() / e.eventTokens
-	if sample <= 0 {
-		return
-	}
-	if t.pace.samples == 0 {
-		t.pace.step = sample
+// rest predicts the time from the first event to the last.
+func (e *engine) rest(t *target, outputTokens float64) time.Duration {
+	stretch := t.pace.stretch
+	if stretch == 0 {
+		stretch = startStretch
 	}
-	t.pace.samples++
-	t.pace.step += stepWeight * (sample - t.pace.step)
+	return seconds(outputTokens * e.stepSeconds(t) * stretch)
 }
 
-// learnRead takes the time to the first event of a long prompt that was read
-// alone as a sample of the reading speed.
-func (e *engine) learnRead(t *target, promptTokens float64, first time.Duration) {
-	steps := first.Seconds()/e.stepSeconds(t) - firstSteps - e.eventTokens
-	if steps <= 0 {
-		return
+// output returns the expected length of a request's answer.
+func (e *engine) output(w *Work) float64 {
+	if w.HintTokens > 0 {
+		return w.HintTokens
 	}
-	e.readTokens += readWeight * (promptTokens/steps - e.readTokens)
+	return e.outputs[w.Route]
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
 }
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -34,14 +34,18 @@
 	choice  choice
 	sent    time.Time
 	// first is when the first event came, last when the last one did.
-	first    time.Time
-	last     time.Time
-	shortest time.Duration
+	first  time.Time
+	last   time.Time
+	pauses pauses
 }
 
 // Expected returns the predicted time to the first event or answer.
 func (g *Grant) Expected() time.Duration { return g.choice.expected }
 
+// Seen returns what was believed to be outstanding at the target, and the time
+// of one step there, when it was chosen.
+func (g *Grant) Seen() (Load, time.Duration) { return g.choice.load, g.choice.step }
+
 // Event records that an event of the stream has arrived.
 func (g *Grant) Event(now time.Time) {
 	if g.first.IsZero() {
@@ -49,10 +53,11 @@
 		g.manager.events <- firstEvent{g, now.Sub(g.sent)}
 		return
 	}
-	if pause := now.Sub(g.last); g.shortest == 0 || pause < g.shortest {
-		g.shortest = pause
-	}
+	g.pauses.add(now.Sub(g.last))
 	g.last = now
+	if g.pauses.count == minPauses {
+		g.manager.events <- paced{g.choice.target, g.work.Service, g.pauses}
+	}
 }
 
 // Done records how the request ended.
@@ -78,6 +83,20 @@
 	m.assign(p, now)
 }
 
+// paced is a stream that has shown its engine's speed.
+type paced struct {
+	target  *target
+	service string
+	pauses  pauses
+}
+
+func (e paced) apply(m *Manager, now time.Time) {
+	if p := m.pools[e.service]; p != nil && p.engine != nil {
+		e.target.advance(now, p.engine)
+		p.engine.learnStep(e.target, e.pauses)
+	}
+}
+
 // ended is the end of a request at its target.
 type ended struct {
 	grant  *Grant
@@ -94,13 +113,16 @@
 	t := g.choice.target
 	p := g.manager.pool(g.work.Service)
 	t.own.Requests--
+	t.noteFree(now)
 	if p.engine != nil {
 		t.advance(now, p.engine)
 		if g.first.IsZero() {
 			t.own.PromptTokens = max(0, t.own.PromptTokens-g.work.PromptTokens)
 		}
-		if g.shortest > 0 {
-			p.engine.learnStep(t, g.shortest)
+		p.engine.learnStep(t, g.pauses)
+		p.engine.learnStretch(t, g.pauses)
+		if r == Answered {
+			p.engine.learnLength(g.work.Route, g.work.PromptTokens, float64(g.pauses.count+1)*p.engine.eventTokens)
 		}
 	}
 	switch r {
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -14,7 +14,7 @@
 	// eventQueue is how many events may wait for the manager.
 	eventQueue = 1024
 	// tickInterval is how often waiting requests are looked at without an event.
-	tickInterval = 20 * time.Millisecond
+	tickInterval = 10 * time.Millisecond
 )
 
 // Refusal is a request that gets no target.
@@ -31,6 +31,7 @@
 
 // Options configures a Manager.
 type Options struct {
+	Node string
 	Zone string
 	// Regions gives the region of each availability zone.
 	Regions map[string]string
@@ -38,6 +39,9 @@
 	// Publish is told of each change of what this node has outstanding at a
 	// target, and the learned time of one step, 0 if unknown.
 	Publish func(target string, own Load, step time.Duration)
+	// PublishQueue is told of each change of how many requests of a tier wait
+	// here and can still be on time.
+	PublishQueue func(service string, tier, waiting int)
 }
 
 // Manager owns what this node believes of the targets' load. Its methods may
@@ -49,6 +53,7 @@
 	pools   map[string]*pool
 	// remote holds the loads that others told, by source and target.
 	remote map[string]map[string]Load
+	claims claims
 }
 
 // event changes the manager's state; it is applied by the manager's goroutine.
@@ -64,6 +69,7 @@
 		place:   place{zone: options.Zone, regions: options.Regions},
 		pools:   make(map[string]*pool),
 		remote:  make(map[string]map[string]Load),
+		claims:  newClaims(options.Node, options.Regions),
 	}
 }
 
@@ -89,16 +95,21 @@
 		if len(p.waiting) == 0 {
 			continue
 		}
-		p.expire(now)
 		m.assign(p, now)
 	}
 }
 
 func (m *Manager) assign(p *pool, now time.Time) {
-	p.assign(now, m.place, func(w *waiter, c choice) {
+	p.assign(now, m.place, &m.claims, func(w *waiter, c choice) {
 		w.reply <- decision{choice: c}
 		m.publish(c.target)
 	})
+	for tier, waiting := range p.counted(now) {
+		if p.published[tier] != waiting {
+			p.published[tier] = waiting
+			m.options.PublishQueue(p.name, tier, waiting)
+		}
+	}
 }
 
 // publish tells the other nodes what this one has outstanding at a target.
@@ -110,7 +121,7 @@
 func (m *Manager) pool(service string) *pool {
 	p := m.pools[service]
 	if p == nil {
-		p = &pool{name: service, targets: make(map[string]*target)}
+		p = &pool{name: service, targets: make(map[string]*target), published: make(map[int]int)}
 		m.pools[service] = p
 	}
 	return p
@@ -167,6 +178,7 @@
 	for i, w := range p.waiting {
 		if w == e.waiter {
 			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			m.assign(p, now)
 			return
 		}
 	}
@@ -214,22 +226,8 @@
 		return
 	}
 	if p.engine == nil {
-		p.engine = &engine{readTokens: startReadTokens, step: startStep.Seconds()}
+		p.engine = newEngine()
 	}
 	p.engine.slots = c.Slots
 	p.engine.eventTokens = float64(c.EventTokens)
 }
-
-// expire refuses requests whose time is over.
-func (p *pool) expire(now time.Time) {
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
-		if now.Before(w.work.End) {
-			kept = append(kept, w)
-			continue
-		}
-		w.reply <- decision{refusal: &Refusal{Reason: "no target was free in time", RetryAfter: noTargetRetry}}
-	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
-}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
@@ -14,18 +12,10 @@
 	engine  *engine
 	targets map[string]*target
 	waiting []*waiter
-}
-
-// waiter is a request that waits for a target.
-type waiter struct {
-	work  *Work
-	reply chan decision
-}
-
-// decision ends a wait.
-type decision struct {
-	choice  choice
-	refusal *Refusal
+	// fastest is the step time of the fastest engine in seconds.
+	fastest float64
+	// published is how many requests of each tier the others were told of.
+	published map[int]int
 }
 
 // apply takes over the targets of the service and returns the new ones.
@@ -48,37 +38,3 @@
 	}
 	return joined
 }
-
-// assign gives targets to the waiting requests, the most important first.
-func (p *pool) assign(now time.Time, at place, granted func(*waiter, choice)) {
-	if len(p.waiting) == 0 {
-		return
-	}
-	slices.SortStableFunc(p.waiting, func(a, b *waiter) int { return order(a.work, b.work, now) })
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
-		c, ok := p.choose(w.work, now, at)
-		if !ok {
-			kept = append(kept, w)
-			continue
-		}
-		c.target.own.Requests++
-		c.target.own.PromptTokens += w.work.PromptTokens
-		granted(w, c)
-	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
-}
-
-// order compares two waiting requests: first those that can still be on time,
-// then by tier, then by arrival.
-func order(a, b *Work, now time.Time) int {
-	lateA, lateB := now.After(a.Goal), now.After(b.Goal)
-	if lateA != lateB {
-		if lateB {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.Tier, b.Tier), a.Arrived.Compare(b.Arrived))
-}
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -35,6 +35,7 @@
 		t.advance(now, p.engine)
 		freed := e.load.Requests < t.remote[e.source].Requests
 		t.remote[e.source] = e.load
+		t.noteFree(now)
 		if e.step > 0 {
 			t.pace.told = e.step.Seconds()
 		}
@@ -49,10 +50,12 @@
 
 func (e remoteLost) apply(m *Manager, now time.Time) {
 	delete(m.remote, e.source)
+	delete(m.claims.waiting, e.source)
 	for _, p := range m.pools {
 		for _, t := range p.targets {
 			t.advance(now, p.engine)
 			delete(t.remote, e.source)
+			t.noteFree(now)
 		}
 		m.assign(p, now)
 	}
--- /dev/null
+++ b/balance/score.go
@@ -0,0 +1,90 @@
+package balance
+
+import "time"
+
+const (
+	// otherZoneCost and otherRegionCost are added for a target elsewhere: what
+	// the way there and back takes, and what the bytes are worth.
+	otherZoneCost   = 3 * time.Millisecond
+	otherRegionCost = 60 * time.Millisecond
+	// plainCost weighs the load of a plain target against the way to it: a
+	// target whose slots are all taken is as far as this.
+	plainCost = 200 * time.Millisecond
+	// fastCost keeps the fast engines of a busy pool for the requests that need
+	// them: an engine of usual speed costs as much more when no slot is free.
+	fastCost = 300 * time.Millisecond
+	// safety stretches a prediction that decides whether a request is on time.
+	safety = 1.2
+)
+
+// choice is a target for a request, with the inputs that decided.
+type choice struct {
+	target *target
+	// expected is the predicted time to the first event or to the answer.
+	expected time.Duration
+	cost     time.Duration
+	// onTime says that the goal is expected to be met, whole that the answer
+	// will have ended before the caller gives up.
+	onTime, whole bool
+	// load and step are what was known of the target.
+	load Load
+	step time.Duration
+}
+
+// place is where this node stands.
+type place struct {
+	zone    string
+	regions map[string]string
+}
+
+// way returns the cost of a target's place.
+func (p place) way(zone string) time.Duration {
+	switch {
+	case zone == p.zone:
+		return 0
+	case p.regions[zone] == p.regions[p.zone]:
+		return otherZoneCost
+	default:
+		return otherRegionCost
+	}
+}
+
+// score predicts how a request would fare at a target.
+func (p *pool) score(t *target, w *Work, now time.Time, at place, busy float64) choice {
+	c := choice{target: t, load: t.load(), onTime: true, whole: true}
+	way := at.way(t.Zone)
+	if p.engine == nil {
+		c.expected = time.Duration(float64(c.load.Requests) / float64(t.Slots) * float64(plainCost))
+		c.cost = c.expected + way
+		return c
+	}
+	t.advance(now, p.engine)
+	c.load = t.load()
+	step := p.engine.stepSeconds(t)
+	c.step = seconds(step)
+	c.expected = p.engine.firstEvent(t, c.load.PromptTokens, w.PromptTokens)
+	first := now.Add(time.Duration(safety*float64(c.expected)) + way)
+	c.onTime = first.Before(w.Goal)
+	c.whole = first.Add(p.engine.rest(t, p.engine.output(w))).Before(w.End)
+	scarce := busy * p.engine.step / step
+	c.cost = c.expected + way + time.Duration(scarce*float64(fastCost))
+	return c
+}
+
+// busy returns the share of the pool's slots that are taken, squared, so that
+// it matters only when few are left.
+func (p *pool) busy(now time.Time) float64 {
+	slots, taken := 0, 0
+	for _, t := range p.targets {
+		if t.Draining || t.health.paused(now) {
+			continue
+		}
+		slots += t.Slots
+		taken += min(t.load().Requests, t.Slots)
+	}
+	if slots == 0 {
+		return 0
+	}
+	share := float64(taken) / float64(slots)
+	return share * share
+}
--- a/balance/target.go
+++ b/balance/target.go
@@ -17,13 +17,18 @@
 	Tier int
 	// PromptTokens have to be read before the first event; 0 on plain services.
 	PromptTokens float64
-	// OutputTokens is the expected length of the answer.
-	OutputTokens float64
-	Arrived      time.Time
+	// HintTokens is the caller's estimate of the answer's length, 0 if it has
+	// none.
+	HintTokens float64
+	// Route names requests whose answers are alike in length.
+	Route   string
+	Arrived time.Time
 	// Goal is when the answer, or a stream's first event, stops being on time.
 	Goal time.Time
 	// End is when the caller or the route gives up.
 	End time.Time
+	// Patience is when the caller leaves if no event has come.
+	Patience time.Time
 	// Tried are the targets that the request was sent to before.
 	Tried []string
 }
@@ -44,6 +49,10 @@
 	remote map[string]Load
 	// read is when the prompt tokens were last reduced by what the engine reads.
 	read time.Time
+	// full is whether all slots were taken when last looked at, freed when that
+	// ended.
+	full  bool
+	freed time.Time
 	// pace is the learned speed.
 	pace pace
 	// health is the record of failures.
@@ -60,6 +69,15 @@
 	return total
 }
 
+// noteFree records when a slot becomes free.
+func (t *target) noteFree(now time.Time) {
+	full := t.load().Requests >= t.Slots
+	if t.full && !full {
+		t.freed = now
+	}
+	t.full = full
+}
+
 // advance takes off what the engine has read since the last call.
 func (t *target) advance(now time.Time, engine *engine) {
 	elapsed := now.Sub(t.read)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -54,6 +54,9 @@
 	// GapGoal is the longest pause between a stream's events that counts as on
 	// time; zero if the route sets none.
 	GapGoal time.Duration
+	// Patience is how long callers wait for a stream's first or next event;
+	// zero if they wait until their time limit.
+	Patience time.Duration
 	// MaxAttempts bounds the targets that one request is sent to.
 	MaxAttempts int
 	// Tier is the rank of the route's requests; 0 is the most important.
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -72,7 +72,14 @@
 func (h *hub) Lost(source string) { h.balancer.Lost(source) }
 
 // Booked implements mesh.Listener.
-func (h *hub) Booked(team string, amount, level float64) { h.allowance.Booked(team, amount, level) }
+func (h *hub) Booked(team string, amount float64, level *int64) {
+	h.allowance.Booked(team, amount, level)
+}
+
+// Waiting implements mesh.Listener.
+func (h *hub) Waiting(source string, q mesh.Queue, waiting int) {
+	h.balancer.Waiting(source, q.Service, q.Tier, waiting)
+}
 
 // Silent implements mesh.Listener.
 func (h *hub) Silent(share float64) { h.allowance.Silent(share) }
@@ -99,12 +106,13 @@
 		regions[z.GetName()] = z.GetRegion()
 	}
 	h.balancer = balance.NewManager(balance.Options{
-		Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Logger: logger,
+		Node: s.GetNode().GetName(), Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Logger: logger,
 		Publish: func(target string, own balance.Load, step time.Duration) {
 			m.SetTarget(target, mesh.TargetUse{
 				Requests: own.Requests, PromptTokens: int(own.PromptTokens), StepMicros: int(step.Microseconds()),
 			})
 		},
+		PublishQueue: func(service string, tier, waiting int) { m.SetQueue(mesh.Queue{Service: service, Tier: tier}, waiting) },
 	})
 	return h.balancer
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,6 +32,12 @@
 	// may have run it.
 	sends, ran int
 	tried      []string
+	// placed is when the last target was found, first when its first event came.
+	placed, first time.Time
+	// last is when the last event came, longest the longest pause between two.
+	last    time.Time
+	longest time.Duration
+	events  int
 }
 
 // errTimeLimit is the cause of a request's context when its time is over.
@@ -138,12 +144,17 @@
 		Service:      x.service,
 		Tier:         x.route.Tier,
 		PromptTokens: float64(x.call.PromptTokens),
-		OutputTokens: float64(x.call.OutputTokens),
+		HintTokens:   float64(x.call.LengthHint),
+		Route:        x.route.Name,
 		Arrived:      x.arrived,
 		Goal:         x.arrived.Add(x.route.Goal),
+		Patience:     x.end,
 		End:          x.end,
 		Tried:        x.tried,
 	}
+	if x.route.Patience > 0 && x.arrived.Add(x.route.Patience).Before(x.end) {
+		w.Patience = x.arrived.Add(x.route.Patience)
+	}
 	if x.team != nil && x.team.HasTier {
 		w.Tier = x.team.Tier
 	}
@@ -171,6 +182,7 @@
 // ended.
 func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
 	x.tried = append(x.tried, grant.Target.ID)
+	x.logPlaced(grant)
 	if x.sends == 0 {
 		x.gateway.Retries.Sent(x.service)
 	} else if !x.gateway.Retries.Again(x.service) {
@@ -277,8 +289,3 @@
 	}
 	return x.end1(errNotRun("targets_full", fullRetry))
 }
-
-func (x *exchange) log(cause string, status int) {
-	x.gateway.Logger.Info().Str("event", "request_ended").Str("request", x.call.ID).Str("cause", cause).Int("status", status).
-		Dur("after", time.Since(x.arrived)).Int("sends", x.sends).Msg("")
-}
--- /dev/null
+++ b/gateway/log.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+)
+
+// logPlaced records the choice of a target with its inputs.
+func (x *exchange) logPlaced(grant *balance.Grant) {
+	x.placed = time.Now()
+	load, step := grant.Seen()
+	x.gateway.Logger.Info().Str("event", "request_placed").Str("request", x.call.ID).Str("route", x.route.Name).
+		Str("target", grant.Target.ID).Str("zone", grant.Target.Zone).Int("attempt", len(x.tried)).
+		Dur("waited", x.placed.Sub(x.arrived)).Dur("expected", grant.Expected()).Dur("step", step).
+		Int("running", load.Requests).Float64("backlog_tokens", load.PromptTokens).
+		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Msg("")
+}
+
+// log records the end of the request.
+func (x *exchange) log(cause string, status int) {
+	entry := x.gateway.Logger.Info().Str("event", "request_ended").Str("request", x.call.ID).Str("cause", cause).
+		Int("status", status).Int("sends", x.sends).Int("ran", x.ran).Dur("after", time.Since(x.arrived)).
+		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Dur("limit", x.call.Limit)
+	if x.route != nil {
+		entry.Str("route", x.route.Name).Str("kind", x.route.Kind.String()).Int("tier", x.route.Tier)
+	}
+	if !x.first.IsZero() {
+		entry.Dur("first", x.first.Sub(x.arrived)).Dur("longest_pause", x.longest).Int("events", x.events)
+	}
+	if x.team != nil {
+		entry.Str("team", x.team.Name)
+	}
+	entry.Msg("")
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -113,7 +113,7 @@
 				x.copyHead(resp)
 				x.writer.WriteHeader(resp.StatusCode)
 			}
-			grant.Event(time.Now())
+			x.note(grant, time.Now())
 			if _, werr := x.writer.Write(ready); werr != nil || control.Flush() != nil {
 				grant.Done(balance.Abandoned)
 				x.abort("caller_left", resp.StatusCode)
@@ -136,6 +136,18 @@
 	}
 }
 
+// note records the arrival of events.
+func (x *exchange) note(grant *balance.Grant, now time.Time) {
+	grant.Event(now)
+	if x.first.IsZero() {
+		x.first = now
+	} else {
+		x.longest = max(x.longest, now.Sub(x.last))
+	}
+	x.last = now
+	x.events++
+}
+
 func (x *exchange) streamBroke(ctx context.Context, grant *balance.Grant, resp *http.Response, err error) {
 	cause := "stream_broken"
 	if ctx.Err() != nil {
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -56,6 +56,14 @@
 		}
 		u.Teams = append(u.Teams, m)
 	}
+	for q, waiting := range c.queues {
+		m := &schema.MeshQueue{Tier: uint32(q.Tier), Waiting: uint32(waiting)}
+		m.Ref, m.Service = e.ref("queue/" + q.Service)
+		if m.Service != "" {
+			m.Service = q.Service
+		}
+		u.Queues = append(u.Queues, m)
+	}
 	return u
 }
 
@@ -93,7 +101,7 @@
 
 // use decodes sums; those with a ref that was never introduced are left out.
 func (d *decoder) use(u *schema.MeshUse) changes {
-	c := changes{targets: make(map[string]TargetUse), teams: make(map[string]TeamUse)}
+	c := changes{targets: make(map[string]TargetUse), teams: make(map[string]TeamUse), queues: make(map[Queue]int)}
 	for _, m := range u.GetTargets() {
 		if id, ok := d.id(m.GetRef(), m.GetId()); ok {
 			c.targets[id] = TargetUse{
@@ -103,7 +111,12 @@
 	}
 	for _, m := range u.GetTeams() {
 		if name, ok := d.id(m.GetRef(), m.GetName()); ok {
-			c.teams[name] = TeamUse{Booked: m.GetBooked(), Level: m.GetLevel()}
+			c.teams[name] = TeamUse{Booked: m.GetBooked(), Level: m.Level}
+		}
+	}
+	for _, m := range u.GetQueues() {
+		if service, ok := d.id(m.GetRef(), m.GetService()); ok {
+			c.queues[Queue{service, int(m.GetTier())}] = int(m.GetWaiting())
 		}
 	}
 	return c
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -45,8 +45,10 @@
 	// Lost says that a source is silent; its loads no longer count.
 	Lost(source string)
 	// Booked says that a team booked an amount elsewhere, where the level is
-	// believed to be as given.
-	Booked(team string, amount, level float64)
+	// believed to be as given; it is nil if that is not known.
+	Booked(team string, amount float64, level *int64)
+	// Waiting is how many requests wait at a source.
+	Waiting(source string, q Queue, waiting int)
 	// Silent says which part of the deployment's nodes is not heard of.
 	Silent(share float64)
 }
@@ -226,9 +228,19 @@
 }
 
 // Book publishes that this node booked an amount for a team.
-func (m *Manager) Book(team string, amount, level float64) {
-	m.own.addTeam(team, uint64(amount), int64(level))
-	m.zone.addTeam(team, uint64(amount), int64(level))
+// level is what it believes to be left, nil if it does not know.
+func (m *Manager) Book(team string, amount float64, level *int64) {
+	m.own.addTeam(team, uint64(amount), level)
+	m.zone.addTeam(team, uint64(amount), level)
+	m.changed.raise()
+}
+
+// SetQueue publishes how many requests wait at this node.
+func (m *Manager) SetQueue(q Queue, waiting int) {
+	m.own.setQueue(q, waiting)
+	m.mu.Lock()
+	m.sumQueue(q)
+	m.mu.Unlock()
 	m.changed.raise()
 }
 
@@ -257,6 +269,17 @@
 	m.zone.setTarget(id, total)
 }
 
+// sumQueue sums a queue over this zone.
+func (m *Manager) sumQueue(q Queue) {
+	m.own.mu.Lock()
+	total := m.own.queues[q].value
+	m.own.mu.Unlock()
+	for _, s := range m.nodes {
+		total += s.queues[q]
+	}
+	m.zone.setQueue(q, total)
+}
+
 // check looks for sources that fell silent and tells what part is not heard.
 func (m *Manager) check(now time.Time) {
 	m.mu.Lock()
@@ -281,12 +304,17 @@
 	s.silent = true
 	m.options.Logger.Info().Str("event", "peer_lost").Str("source", s.name).Bool("leaving", s.leaving).Msg("")
 	m.tell(func(l Listener) { l.Lost(s.name) })
-	if s.passed == nil {
-		for id := range s.targets {
-			m.sumTarget(id)
-		}
-	}
+	old := s.heard
 	s.heard = newHeard()
+	if s.passed != nil {
+		return
+	}
+	for id := range old.targets {
+		m.sumTarget(id)
+	}
+	for q := range old.queues {
+		m.sumQueue(q)
+	}
 }
 
 // tellShare tells the listener which part of the nodes is silent.
@@ -384,7 +412,7 @@
 	s.last = now
 	for team, amount := range s.heard.take(c) {
 		level := c.teams[team].Level
-		m.tell(func(l Listener) { l.Booked(team, float64(amount), float64(level)) })
+		m.tell(func(l Listener) { l.Booked(team, float64(amount), level) })
 		if s.passed != nil {
 			s.passed.addTeam(team, amount, level)
 		} else {
@@ -399,6 +427,14 @@
 			m.sumTarget(id)
 		}
 	}
+	for q, waiting := range c.queues {
+		m.tell(func(l Listener) { l.Waiting(s.name, q, waiting) })
+		if s.passed != nil {
+			s.passed.setQueue(q, waiting)
+		} else {
+			m.sumQueue(q)
+		}
+	}
 	if !c.empty() {
 		m.changed.raise()
 	}
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -17,18 +17,27 @@
 type TeamUse struct {
 	// Booked counts since the start of the counter.
 	Booked uint64
-	// Level is what the teller believes to be left.
-	Level int64
+	// Level is what the teller believes to be left, if it knows.
+	Level *int64
+}
+
+// Queue names the requests of a service and a tier that wait for a target.
+type Queue struct {
+	Service string
+	Tier    int
 }
 
 // changes are the sums that changed after a version.
 type changes struct {
 	targets map[string]TargetUse
 	teams   map[string]TeamUse
+	queues  map[Queue]int
 	version uint64
 }
 
-func (c changes) empty() bool { return len(c.targets) == 0 && len(c.teams) == 0 }
+func (c changes) empty() bool {
+	return len(c.targets) == 0 && len(c.teams) == 0 && len(c.queues) == 0
+}
 
 // sums holds the latest value of each sum and the version of its last change,
 // so that each link can send what changed since its own last update. Its
@@ -38,6 +47,7 @@
 	version uint64
 	targets map[string]versioned[TargetUse]
 	teams   map[string]versioned[TeamUse]
+	queues  map[Queue]versioned[int]
 }
 
 type versioned[T any] struct {
@@ -46,21 +56,35 @@
 }
 
 func newSums() *sums {
-	return &sums{targets: make(map[string]versioned[TargetUse]), teams: make(map[string]versioned[TeamUse])}
+	return &sums{
+		targets: make(map[string]versioned[TargetUse]),
+		teams:   make(map[string]versioned[TeamUse]),
+		queues:  make(map[Queue]versioned[int]),
+	}
 }
 
 func (s *sums) setTarget(id string, u TargetUse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.targets[id]; ok && old.value == u {
+	set(s, s.targets, id, u)
+}
+
+func (s *sums) setQueue(q Queue, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set(s, s.queues, q, waiting)
+}
+
+func set[K, V comparable](s *sums, m map[K]versioned[V], key K, value V) {
+	if m[key].value == value {
 		return
 	}
 	s.version++
-	s.targets[id] = versioned[TargetUse]{u, s.version}
+	m[key] = versioned[V]{value, s.version}
 }
 
 // addTeam adds to a team's counter.
-func (s *sums) addTeam(name string, amount uint64, level int64) {
+func (s *sums) addTeam(name string, amount uint64, level *int64) {
 	if amount == 0 {
 		return
 	}
@@ -78,33 +102,35 @@
 	if s.version == version {
 		return c
 	}
-	for id, v := range s.targets {
-		if v.version > version {
-			if c.targets == nil {
-				c.targets = make(map[string]TargetUse)
-			}
-			c.targets[id] = v.value
+	c.targets = newer(s.targets, version)
+	c.teams = newer(s.teams, version)
+	c.queues = newer(s.queues, version)
+	return c
+}
+
+func newer[K comparable, V any](m map[K]versioned[V], version uint64) map[K]V {
+	var changed map[K]V
+	for key, v := range m {
+		if v.version <= version {
+			continue
 		}
-	}
-	for name, v := range s.teams {
-		if v.version > version {
-			if c.teams == nil {
-				c.teams = make(map[string]TeamUse)
-			}
-			c.teams[name] = v.value
+		if changed == nil {
+			changed = make(map[K]V)
 		}
+		changed[key] = v.value
 	}
-	return c
+	return changed
 }
 
 // heard is the latest report of another node or zone.
 type heard struct {
 	targets map[string]TargetUse
 	teams   map[string]uint64
+	queues  map[Queue]int
 }
 
 func newHeard() *heard {
-	return &heard{targets: make(map[string]TargetUse), teams: make(map[string]uint64)}
+	return &heard{targets: make(map[string]TargetUse), teams: make(map[string]uint64), queues: make(map[Queue]int)}
 }
 
 // take merges a report and returns how much each team booked since the last.
@@ -119,5 +145,6 @@
 		h.teams[name] = total.Booked
 	}
 	maps.Copy(h.targets, c.targets)
+	maps.Copy(h.queues, c.queues)
 	return booked
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -17,7 +17,7 @@
 // deployment stay within the limit together.
 type Allowance struct {
 	// publish tells the other nodes of a booking.
-	publish func(team string, amount, level float64)
+	publish func(team string, amount float64, level *int64)
 	started time.Time
 
 	mu      sync.Mutex
@@ -39,7 +39,7 @@
 
 // NewAllowance returns an Allowance whose buckets are empty and fill from now
 // on: what was booked before a start is not known.
-func NewAllowance(publish func(team string, amount, level float64)) *Allowance {
+func NewAllowance(publish func(team string, amount float64, level *int64)) *Allowance {
 	return &Allowance{publish: publish, started: time.Now(), buckets: make(map[string]*bucket), silent: 1 - 1.0/assumedNodes}
 }
 
@@ -48,11 +48,21 @@
 func (a *Allowance) Take(team *catalog.Team, amount float64) (time.Duration, bool) {
 	after, level, ok := a.take(team, amount, time.Now())
 	if ok {
-		a.publish(team.Name, amount, level)
+		a.publish(team.Name, amount, a.known(level))
 	}
 	return after, ok
 }
 
+// known returns a level to be published, or nil while this node has not run long
+// enough to know it.
+func (a *Allowance) known(level float64) *int64 {
+	if time.Since(a.started) < settleTime {
+		return nil
+	}
+	rounded := int64(level)
+	return &rounded
+}
+
 func (a *Allowance) take(team *catalog.Team, amount float64, now time.Time) (after time.Duration, level float64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -84,14 +94,26 @@
 // so that drawing faster would give a team more than its limit.
 const drawRate = 0.5
 
-// Booked takes off what was booked at another node, whose level was as given.
-func (a *Allowance) Booked(team string, amount, level float64) {
+// settleTime is how long a node takes other nodes' levels as they are after its
+// start, and does not tell its own.
+const settleTime = 3 * time.Second
+
+// Booked takes off what was booked at another node, whose level was as given,
+// nil if it does not know.
+func (a *Allowance) Booked(team string, amount float64, level *int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	b := a.bucket(team)
 	b.level -= amount
-	b.level += min(1, drawRate*now.Sub(b.drawn).Seconds()) * (level - b.level)
+	if level == nil {
+		return
+	}
+	share := min(1, drawRate*now.Sub(b.drawn).Seconds())
+	if now.Sub(a.started) < settleTime {
+		share = 1
+	}
+	b.level += share * (float64(*level) - b.level)
 	b.drawn = now
 }
 
