--- a/balance/queue.go
+++ b/balance/queue.go
@@ -36,11 +36,8 @@
 // that is worth most for the time of its slot goes first, so that a shortage
 // costs as little as it may; late ones go by age.
 func (p *pool) order(a, b *waiter) int {
-	if a.late != b.late {
-		if b.late {
-			return -1
-		}
-		return 1
+	if c := compareBools(a.late, b.late); c != 0 {
+		return c
 	}
 	if c := cmp.Compare(a.work.Tier, b.work.Tier); c != 0 {
 		return c
@@ -51,6 +48,18 @@
 	return cmp.Compare(b.density, a.density)
 }
 
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // outputWorth is how many prompt tokens one token of an answer is worth.
 const outputWorth = 10
 
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -117,8 +117,10 @@
 	return h.balancer
 }
 
-func newAllowance(h *hub, m *mesh.Manager) *quota.Allowance {
-	h.allowance = quota.NewAllowance(m.Book)
+func newAllowance(s *schema.GatewaySettings, h *hub, m *mesh.Manager) *quota.Allowance {
+	b := s.GetBounds()
+	slack := quota.Slack{Overshoot: b.GetLimitOvershoot(), Fixed: b.GetLimitSlack()}
+	h.allowance = quota.NewAllowance(slack, m.Book)
 	return h.allowance
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,7 +46,7 @@
 // admit checks what can be checked before the body is read.
 func (x *exchange) admit() *refusal {
 	g := x.gateway
-	table := g.Beliefs.Table()
+	table := g.awaitTable(x.request.Context())
 	if table == nil {
 		return errNoConfig()
 	}
@@ -155,6 +155,9 @@
 	if x.route.Patience > 0 && x.arrived.Add(x.route.Patience).Before(x.end) {
 		w.Patience = x.arrived.Add(x.route.Patience)
 	}
+	if x.call.HasLimit {
+		w.Goal = w.Goal.Add(-x.gateway.limits.passed(x.route.Name, x.call.Limit))
+	}
 	if x.team != nil && x.team.HasTier {
 		w.Tier = x.team.Tier
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,8 @@
 type Beliefs interface {
 	// Table returns the configuration in force, or nil if none is known.
 	Table() *catalog.Table
+	// Ready reports whether the configuration and the targets are known.
+	Ready() bool
 	// KeysProven reports whether the configuration is fresh enough to accept
 	// keys.
 	KeysProven() bool
@@ -66,6 +68,7 @@
 type Gateway struct {
 	Options
 	router *mux.Router
+	limits limits
 	// closing makes every answer end its connection.
 	closing atomic.Bool
 }
@@ -109,5 +112,24 @@
 	x.run()
 }
 
+const (
+	// startWait is how long a request waits at a node that has just started for
+	// the configuration, which takes some ways to the store.
+	startWait  = 400 * time.Millisecond
+	startCheck = 10 * time.Millisecond
+)
+
+// awaitTable returns the configuration, and waits for it shortly if the node
+// knows none yet.
+func (g *Gateway) awaitTable(ctx context.Context) *catalog.Table {
+	for waited := time.Duration(0); ; waited += startCheck {
+		table := g.Beliefs.Table()
+		if table != nil && g.Beliefs.Ready() || waited >= startWait || ctx.Err() != nil {
+			return table
+		}
+		time.Sleep(startCheck)
+	}
+}
+
 // draw returns a uniform number for the choice of a route's service.
 func draw() float64 { return rand.Float64() }
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -16,8 +16,8 @@
 
 // Times after which a caller may come back.
 const (
-	// unreadyRetry: a node that starts knows its configuration within a second.
-	unreadyRetry = time.Second
+	// unreadyRetry: a node that starts knows its configuration soon.
+	unreadyRetry = 300 * time.Millisecond
 	// fullRetry: places at targets free up within this time.
 	fullRetry = 500 * time.Millisecond
 )
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -19,6 +19,7 @@
 	// publish tells the other nodes of a booking.
 	publish func(team string, amount float64, level *int64)
 	started time.Time
+	slack   Slack
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -37,10 +38,26 @@
 	drawn time.Time
 }
 
-// NewAllowance returns an Allowance whose buckets are empty and fill from now
-// on: what was booked before a start is not known.
-func NewAllowance(publish func(team string, amount float64, level *int64)) *Allowance {
-	return &Allowance{publish: publish, started: time.Now(), buckets: make(map[string]*bucket), silent: 1 - 1.0/assumedNodes}
+// Slack is what may pass beyond a team's limit in a window, over all nodes:
+// Overshoot times the limit, plus Fixed in the limit's unit.
+type Slack struct {
+	Overshoot float64
+	Fixed     float64
+}
+
+const (
+	// usedSlack is the part of the slack that widens the buckets, so that no
+	// request within the limit is refused because copies differ. The rest covers
+	// what is booked elsewhere and not heard of yet.
+	usedSlack = 0.4
+	// startSlack is the part of the slack that all nodes together may start with.
+	startSlack = 0.3
+)
+
+// NewAllowance returns an Allowance whose buckets fill from now on: what was
+// booked before a start is not known.
+func NewAllowance(slack Slack, publish func(team string, amount float64, level *int64)) *Allowance {
+	return &Allowance{slack: slack, publish: publish, started: time.Now(), buckets: make(map[string]*bucket), silent: 1 - 1.0/assumedNodes}
 }
 
 // Take books an amount for a team. If the team has not enough left, it returns
@@ -67,18 +84,31 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	heard := 1 - a.silent
+	rate, burst := a.widened(team, heard)
 	b := a.bucket(team.Name)
-	b.level = min(team.Burst*heard, b.level+now.Sub(b.at).Seconds()*team.Rate*heard)
+	if b.at.Before(a.started) {
+		b.at = a.started
+		b.level += startSlack / usedSlack * (burst - team.Burst*heard) / assumedNodes
+	}
+	b.level = min(burst, b.level+now.Sub(b.at).Seconds()*rate)
 	b.at = now
 	// A request larger than the burst waits for a full bucket.
-	need := min(amount, team.Burst*heard)
+	need := min(amount, burst)
 	if b.level < need || heard <= 0 {
-		return waitFor(need-b.level, team.Rate*heard), b.level, false
+		return waitFor(need-b.level, rate), b.level, false
 	}
 	b.level -= amount
 	return 0, b.level, true
 }
 
+// widened returns the rate and burst of this node's copy: the team's, with some
+// of the slack, less the share of the nodes that are not heard of.
+func (a *Allowance) widened(team *catalog.Team, heard float64) (rate, burst float64) {
+	rate = team.Rate * (1 + usedSlack*a.slack.Overshoot)
+	burst = team.Burst*(1+usedSlack*a.slack.Overshoot) + usedSlack*a.slack.Fixed
+	return rate * heard, burst * heard
+}
+
 // maxWait bounds the time that a caller is told to stay away.
 const maxWait = 30 * time.Second
 
@@ -127,7 +157,7 @@
 func (a *Allowance) bucket(team string) *bucket {
 	b := a.buckets[team]
 	if b == nil {
-		b = &bucket{at: a.started}
+		b = &bucket{}
 		a.buckets[team] = b
 	}
 	return b
