--- a/quota/quota.go
+++ b/quota/quota.go
@@ -92,10 +92,11 @@
 	}
 	b.level = min(burst, b.level+now.Sub(b.at).Seconds()*rate)
 	b.at = now
-	// A request larger than the burst waits for a full bucket.
-	need := min(amount, burst)
-	if b.level < need || heard <= 0 {
-		return waitFor(need-b.level, rate), b.level, false
+	// A bucket that is not empty admits a request of any size and owes the rest:
+	// waiting for the whole amount would refuse the large ones of a busy team
+	// while its small ones slip through.
+	if b.level <= 0 || heard <= 0 {
+		return waitFor(-b.level, rate), b.level, false
 	}
 	b.level -= amount
 	return 0, b.level, true
