Limit teams by window, spread by a bucket

The users state a limit as rate times window plus burst; the bucket alone kept a busy team at rate times window. Copies of the sums of a window need no drawing together, since they forget.

--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -119,7 +119,7 @@
 
 func newAllowance(s *schema.GatewaySettings, h *hub, m *mesh.Manager) *quota.Allowance {
 	b := s.GetBounds()
-	slack := quota.Slack{Overshoot: b.GetLimitOvershoot(), Fixed: b.GetLimitSlack()}
+	slack := quota.Slack{Window: b.GetLimitWindow().AsDuration(), Overshoot: b.GetLimitOvershoot(), Fixed: b.GetLimitSlack()}
 	h.allowance = quota.NewAllowance(slack, m.Book)
 	return h.allowance
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -9,55 +9,70 @@
 	"github.com/primrosemoor/primrosemoor/catalog"
 )
 
-// Allowance is each node's copy of one token bucket for each team. A node books
-// its own requests at once and those of others when it hears of them, and draws
-// its levels towards theirs, so that the copies stay alike although nodes start
-// at different times. For the nodes that it does not hear of it leaves their
-// share of the rate, and they do the same, so that the parts of a split
-// deployment stay within the limit together.
+// Slack is what may pass beyond a team's limit in a window, over all nodes:
+// Overshoot times the limit, plus Fixed in the limit's unit.
+type Slack struct {
+	Window    time.Duration
+	Overshoot float64
+	Fixed     float64
+}
+
+// Allowance is each node's copy of what all teams use. Within a window a team
+// may use its rate times the window, plus its burst. A bucket spreads that over
+// the window, so that a busy team is served evenly.
+//
+// A node books its own requests at once and those of others when it hears of
+// them, and draws its levels towards theirs, so that the copies stay alike
+// although nodes start at different times. For the nodes that it does not hear
+// of it leaves their share of the rate, and they do the same, so that the parts
+// of a split deployment stay within the limit together.
 type Allowance struct {
+	slack Slack
 	// publish tells the other nodes of a booking.
 	publish func(team string, amount float64, level *int64)
 	started time.Time
-	slack   Slack
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
+	mu    sync.Mutex
+	books map[string]*book
 	// silent is the share of the nodes that is not heard of.
 	silent float64
 }
 
-// assumedNodes share the limits while the list of nodes is not known.
-const assumedNodes = 8
-
-type bucket struct {
+// book is what is known of one team's use.
+type book struct {
 	level float64
 	// at is when the level was last filled up, drawn when it was last drawn
 	// towards another node's.
 	at    time.Time
 	drawn time.Time
-}
-
-// Slack is what may pass beyond a team's limit in a window, over all nodes:
-// Overshoot times the limit, plus Fixed in the limit's unit.
-type Slack struct {
-	Overshoot float64
-	Fixed     float64
+	used  window
 }
 
 const (
-	// usedSlack is the part of the slack that widens the buckets, so that no
-	// request within the limit is refused because copies differ. The rest covers
-	// what is booked elsewhere and not heard of yet.
-	usedSlack = 0.4
-	// startSlack is the part of the slack that all nodes together may start with.
-	startSlack = 0.3
+	// assumedNodes share the limits while the list of nodes is not known.
+	assumedNodes = 8
+	// usedSlack is the part of the slack that widens the limit, so that no
+	// request within it is refused because copies differ. The rest covers what
+	// was booked elsewhere and is not heard of yet, and what was booked before
+	// all nodes started anew.
+	usedSlack = 0.3
+	// maxWait bounds the time that a caller is told to stay away.
+	maxWait = 30 * time.Second
+	// drawRate is how far, per second, a level moves towards what other nodes
+	// report. A report lacks what this node has booked since the other heard of
+	// it, so that drawing faster would give a team more than its limit.
+	drawRate = 0.5
+	// settleTime is how long a node takes other nodes' levels as they are after
+	// its start, and does not tell its own.
+	settleTime = 3 * time.Second
 )
 
-// NewAllowance returns an Allowance whose buckets fill from now on: what was
-// booked before a start is not known.
+// NewAllowance returns an Allowance whose buckets are empty and fill from now
+// on: what was booked before a start is not known.
 func NewAllowance(slack Slack, publish func(team string, amount float64, level *int64)) *Allowance {
-	return &Allowance{slack: slack, publish: publish, started: time.Now(), buckets: make(map[string]*bucket), silent: 1 - 1.0/assumedNodes}
+	return &Allowance{
+		slack: slack, publish: publish, started: time.Now(), books: make(map[string]*book), silent: 1 - 1.0/assumedNodes,
+	}
 }
 
 // Take books an amount for a team. If the team has not enough left, it returns
@@ -84,35 +99,33 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	heard := 1 - a.silent
-	rate, burst := a.widened(team, heard)
-	b := a.bucket(team.Name)
-	if b.at.Before(a.started) {
-		b.at = a.started
-		b.level += startSlack / usedSlack * (burst - team.Burst*heard) / assumedNodes
-	}
-	b.level = min(burst, b.level+now.Sub(b.at).Seconds()*rate)
+	limit := a.limit(team)
+	rate := limit / a.slack.Window.Seconds() * heard
+	b := a.book(team.Name)
+	b.level = min(team.Burst*heard, b.level+now.Sub(b.at).Seconds()*rate)
 	b.at = now
+	b.used.advance(now)
 	// A bucket that is not empty admits a request of any size and owes the rest:
 	// waiting for the whole amount would refuse the large ones of a busy team
 	// while its small ones slip through.
 	if b.level <= 0 || heard <= 0 {
 		return waitFor(-b.level, rate), b.level, false
 	}
+	// What silent nodes have used is not known; the lower rate stands for it.
+	if a.silent == 0 && b.used.sum+amount > limit {
+		return waitFor(amount, rate), b.level, false
+	}
 	b.level -= amount
+	b.used.add(now, amount)
 	return 0, b.level, true
 }
 
-// widened returns the rate and burst of this node's copy: the team's, with some
-// of the slack, less the share of the nodes that are not heard of.
-func (a *Allowance) widened(team *catalog.Team, heard float64) (rate, burst float64) {
-	rate = team.Rate * (1 + usedSlack*a.slack.Overshoot)
-	burst = team.Burst*(1+usedSlack*a.slack.Overshoot) + usedSlack*a.slack.Fixed
-	return rate * heard, burst * heard
+// limit returns what a team may use within a window, with some of the slack.
+func (a *Allowance) limit(team *catalog.Team) float64 {
+	limit := team.Rate*a.slack.Window.Seconds() + team.Burst
+	return limit + usedSlack*(limit*a.slack.Overshoot+a.slack.Fixed)
 }
 
-// maxWait bounds the time that a caller is told to stay away.
-const maxWait = 30 * time.Second
-
 func waitFor(missing, rate float64) time.Duration {
 	if rate <= 0 || missing/rate > maxWait.Seconds() {
 		return maxWait
@@ -120,23 +133,15 @@
 	return time.Duration(missing / rate * float64(time.Second))
 }
 
-// drawRate is how far, per second, a level moves towards what other nodes
-// report. A report lacks what this node has booked since the other heard of it,
-// so that drawing faster would give a team more than its limit.
-const drawRate = 0.5
-
-// settleTime is how long a node takes other nodes' levels as they are after its
-// start, and does not tell its own.
-const settleTime = 3 * time.Second
-
 // Booked takes off what was booked at another node, whose level was as given,
 // nil if it does not know.
 func (a *Allowance) Booked(team string, amount float64, level *int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	b := a.bucket(team)
+	b := a.book(team)
 	b.level -= amount
+	b.used.add(now, amount)
 	if level == nil {
 		return
 	}
@@ -155,11 +160,11 @@
 	a.silent = share
 }
 
-func (a *Allowance) bucket(team string) *bucket {
-	b := a.buckets[team]
+func (a *Allowance) book(team string) *book {
+	b := a.books[team]
 	if b == nil {
-		b = &bucket{}
-		a.buckets[team] = b
+		b = &book{at: a.started, drawn: a.started, used: window{width: a.slack.Window}}
+		a.books[team] = b
 	}
 	return b
 }
--- a/quota/retries.go
+++ b/quota/retries.go
@@ -16,6 +16,12 @@
 	levels map[string]*bucket
 }
 
+// bucket is what is left of the retries of one service.
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
 // Sent implements gateway.RetryBudget.
 func (r *Retries) Sent(service string) {
 	r.mu.Lock()
