Count prompts as unread until their first event; learn steps over several pauses

Cause: of the requests whose first event came four times later than predicted, nearly all went to an engine whose backlog was believed empty while 2,000 to 30,000 tokens of others were still being read: steps were learned from single pauses, which jitter to half their length, so that the backlog drained too fast. Ruled out: reports that come late (most were of the same zone).

--- a/balance/grant.go
+++ b/balance/grant.go
@@ -33,9 +33,8 @@
 	work    *Work
 	choice  choice
 	sent    time.Time
-	// first is when the first event came, last when the last one did.
+	// first is when the first event came.
 	first  time.Time
-	last   time.Time
 	pauses pauses
 }
 
@@ -48,14 +47,12 @@
 
 // Event records that an event of the stream has arrived.
 func (g *Grant) Event(now time.Time) {
+	g.pauses.add(now)
 	if g.first.IsZero() {
-		g.first, g.last = now, now
+		g.first = now
 		g.manager.events <- firstEvent{g, now.Sub(g.sent)}
-		return
 	}
-	g.pauses.add(now.Sub(g.last))
-	g.last = now
-	if g.pauses.count == minPauses {
+	if g.pauses.count == pauseSpan {
 		g.manager.events <- paced{g.choice.target, g.work.Service, g.pauses}
 	}
 }
@@ -78,6 +75,8 @@
 		return
 	}
 	t.advance(now, p.engine)
+	t.wasRead(e.grant.work)
+	p.engine.learnRead(t, e.grant.choice.load.PromptTokens, e.grant.work.PromptTokens, e.after)
 	t.health.answered()
 	m.publish(t)
 	m.assign(p, now)
@@ -113,12 +112,10 @@
 	t := g.choice.target
 	p := g.manager.pool(g.work.Service)
 	t.own.Requests--
+	t.wasRead(g.work)
 	t.noteFree(now)
 	if p.engine != nil {
 		t.advance(now, p.engine)
-		if g.first.IsZero() {
-			t.own.PromptTokens = max(0, t.own.PromptTokens-g.work.PromptTokens)
-		}
 		p.engine.learnStep(t, g.pauses)
 		p.engine.learnStretch(t, g.pauses)
 		if r == Answered {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -25,7 +25,7 @@
 		known[c.ID] = true
 		t := p.targets[c.ID]
 		if t == nil || t.Started != c.Started {
-			t = &target{read: now, remote: make(map[string]Load)}
+			t = &target{read: now, reading: make(map[*Work]*prompt), remote: make(map[string]told)}
 			p.targets[c.ID] = t
 			joined = append(joined, t)
 		}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -102,9 +102,7 @@
 		c, ok := p.pick(w.work, now, at, p.busy(now), reserved)
 		switch {
 		case ok && (c.onTime || w.late):
-			c.target.own.Requests++
-			c.target.own.PromptTokens += w.work.PromptTokens
-			c.target.noteFree(now)
+			c.target.send(w.work, now)
 			granted(w, c)
 		case !now.Before(w.work.Patience) || w.late && pressed:
 			w.reply <- decision{refusal: p.refusal(w.work, now)}
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -34,7 +34,7 @@
 		}
 		t.advance(now, p.engine)
 		freed := e.load.Requests < t.remote[e.source].Requests
-		t.remote[e.source] = e.load
+		t.remote[e.source] = told{e.load, e.load.PromptTokens}
 		t.noteFree(now)
 		if e.step > 0 {
 			t.pace.told = e.step.Seconds()
@@ -65,7 +65,7 @@
 func (m *Manager) recall(t *target) {
 	for source, loads := range m.remote {
 		if l, ok := loads[t.ID]; ok {
-			t.remote[source] = l
+			t.remote[source] = told{l, l.PromptTokens}
 		}
 	}
 }
--- a/balance/target.go
+++ b/balance/target.go
@@ -45,8 +45,10 @@
 type target struct {
 	*catalog.Target
 	own Load
+	// reading are this node's requests whose prompts are being read.
+	reading map[*Work]*prompt
 	// remote is what others have outstanding, by node or zone.
-	remote map[string]Load
+	remote map[string]told
 	// read is when the prompt tokens were last reduced by what the engine reads.
 	read time.Time
 	// full is whether all slots were taken when last looked at, freed when that
@@ -69,6 +71,13 @@
 	return total
 }
 
+// told is the load of another node or zone.
+type told struct {
+	Load
+	// prompts is what PromptTokens were when they were told.
+	prompts float64
+}
+
 // noteFree records when a slot becomes free.
 func (t *target) noteFree(now time.Time) {
 	full := t.load().Requests >= t.Slots
@@ -78,6 +87,37 @@
 	t.full = full
 }
 
+// prompt is a prompt that is being read.
+type prompt struct {
+	tokens, left float64
+}
+
+// unreadShare of a prompt counts as unread until its first event has come,
+// whatever time has passed: predictions of the reading time are too short as
+// often as too long.
+const unreadShare = 0.25
+
+// send adds a request of this node.
+func (t *target) send(w *Work, now time.Time) {
+	t.own.Requests++
+	t.reading[w] = &prompt{w.PromptTokens, w.PromptTokens}
+	t.sumPrompts()
+	t.noteFree(now)
+}
+
+// read notes that a request's prompt has been read.
+func (t *target) wasRead(w *Work) {
+	delete(t.reading, w)
+	t.sumPrompts()
+}
+
+func (t *target) sumPrompts() {
+	t.own.PromptTokens = 0
+	for _, p := range t.reading {
+		t.own.PromptTokens += p.left
+	}
+}
+
 // advance takes off what the engine has read since the last call.
 func (t *target) advance(now time.Time, engine *engine) {
 	elapsed := now.Sub(t.read)
@@ -87,9 +127,12 @@
 		return
 	}
 	left := max(0, 1-elapsed.Seconds()*engine.readRate(t)/total)
-	t.own.PromptTokens *= left
+	for _, p := range t.reading {
+		p.left = max(p.left*left, p.tokens*unreadShare)
+	}
+	t.sumPrompts()
 	for source, l := range t.remote {
-		l.PromptTokens *= left
+		l.PromptTokens = max(l.PromptTokens*left, l.prompts*unreadShare)
 		t.remote[source] = l
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -113,7 +113,7 @@
 				x.copyHead(resp)
 				x.writer.WriteHeader(resp.StatusCode)
 			}
-			x.note(grant, time.Now())
+			x.note(grant, time.Now(), countEvents(ready))
 			if _, werr := x.writer.Write(ready); werr != nil || control.Flush() != nil {
 				grant.Done(balance.Abandoned)
 				x.abort("caller_left", resp.StatusCode)
@@ -136,16 +136,23 @@
 	}
 }
 
+// countEvents counts the whole events in a piece of a stream.
+func countEvents(p []byte) int {
+	return max(1, bytes.Count(p, []byte("\n\n"))+bytes.Count(p, []byte("\r\n\r\n")))
+}
+
 // note records the arrival of events.
-func (x *exchange) note(grant *balance.Grant, now time.Time) {
-	grant.Event(now)
+func (x *exchange) note(grant *balance.Grant, now time.Time, events int) {
+	for range events {
+		grant.Event(now)
+	}
 	if x.first.IsZero() {
 		x.first = now
 	} else {
 		x.longest = max(x.longest, now.Sub(x.last))
 	}
 	x.last = now
-	x.events++
+	x.events += events
 }
 
 func (x *exchange) streamBroke(ctx context.Context, grant *balance.Grant, resp *http.Response, err error) {
