--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -39,7 +39,10 @@
 	// Kind names the items in log lines.
 	Kind string
 	// Wait is how long a watch waits for changes.
-	Wait   time.Duration
+	Wait time.Duration
+	// Pause is the shortest time between a change and the next watch, so that
+	// changes that come together cost one call.
+	Pause  time.Duration
 	Logger *log.Logger
 	// Apply is called after each successful call, by the follower's goroutine.
 	Apply func(Update[T])
@@ -48,6 +51,8 @@
 	revision uint64
 	listed   bool
 	failing  bool
+	// pause is what is left to wait before the next call.
+	pause time.Duration
 }
 
 // Run follows the source until ctx ends.
@@ -56,13 +61,19 @@
 	retry.InitialInterval, retry.MaxInterval = initialRetry, maxRetry
 	for ctx.Err() == nil {
 		err := f.step(ctx)
+		pause := f.pause
 		if err == nil {
 			retry.Reset()
+		} else {
+			f.fail(ctx, err)
+			pause = retry.NextBackOff()
+		}
+		f.pause = 0
+		if pause == 0 {
 			continue
 		}
-		f.fail(ctx, err)
 		select {
-		case <-time.After(retry.NextBackOff()):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
@@ -108,6 +119,7 @@
 	if len(changes) > 0 {
 		f.items = maps.Clone(f.items)
 		f.merge(changes)
+		f.pause = f.Pause
 		f.publish(began, true)
 		return nil
 	}
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -20,6 +20,14 @@
 	// listWait is how long the other watches wait. A connection that has gone
 	// silent is noticed after it.
 	listWait = 4 * time.Second
+	// targetsPause and nodesPause are left between the changes of a list. A
+	// target that leaves must be known within a few seconds; a node that is new
+	// says so itself.
+	targetsPause = 250 * time.Millisecond
+	nodesPause   = 3 * time.Second
+	// nodesWait is how long a watch of the nodes waits; a change that is missed
+	// costs only the hints of one node.
+	nodesWait = 15 * time.Second
 	// returnGrace is how long targets that vanished during an outage of the
 	// store are kept after its end; entries that had lapsed are back by then.
 	returnGrace = 2 * time.Second
@@ -87,11 +95,11 @@
 		Apply: func(u Update[*catalog.Config]) { m.submit(func(b *beliefs) { b.applyConfig(u) }) },
 	}
 	targets := Follower[*catalog.Target]{
-		Source: m.options.Sources.Targets, Kind: "targets", Wait: listWait, Logger: m.options.Logger,
+		Source: m.options.Sources.Targets, Kind: "targets", Wait: listWait, Pause: targetsPause, Logger: m.options.Logger,
 		Apply: func(u Update[*catalog.Target]) { m.submit(func(b *beliefs) { b.applyTargets(u) }) },
 	}
 	nodes := Follower[Node]{
-		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: listWait, Logger: m.options.Logger,
+		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: nodesWait, Pause: nodesPause, Logger: m.options.Logger,
 		Apply: func(u Update[Node]) {
 			if u.Changed {
 				m.options.OnNodes(u.Items)
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -32,8 +32,9 @@
 	sentOwn  uint64
 	sentZone uint64
 	// sentPassed are the versions of the other zones' sums.
-	sentPassed map[string]uint64
-	failed     bool
+	sentPassed  map[string]uint64
+	sentLeaving bool
+	failed      bool
 }
 
 // keepLinks starts and ends links, so that there is one to each node of this
@@ -126,7 +127,7 @@
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
 	defer stop()
 	l.encode = newEncoder()
-	l.sentOwn, l.sentZone, l.sentPassed = 0, 0, make(map[string]uint64)
+	l.sentOwn, l.sentZone, l.sentPassed = 0, 0, nil
 	acks := make(chan error, 1)
 	answered := make(chan struct{}, 1)
 	go func() { acks <- l.receive(stream, answered) }()
@@ -139,24 +140,27 @@
 	if l.inZone() {
 		interval = zoneInterval
 	}
-	beat := time.NewTicker(beatInterval)
-	defer beat.Stop()
 	overdue := time.NewTimer(ackTimeout)
 	defer overdue.Stop()
+	var sent time.Time
 	for {
 		changed := l.manager.changed.wait()
-		u := l.update()
-		if err := stream.Send(u); err != nil {
-			return err
+		u, news := l.update()
+		if due := time.Since(sent) >= beatInterval-interval; news || due {
+			if err := stream.Send(u); err != nil {
+				return err
+			}
+			sent = time.Now()
 		}
 		pause := time.After(interval)
+		beat := time.After(time.Until(sent.Add(beatInterval)))
 		for waiting := true; waiting; {
 			select {
 			case <-changed:
 				changed, waiting = nil, pause != nil
 			case <-pause:
 				pause, waiting = nil, changed != nil
-			case <-beat.C:
+			case <-beat:
 				waiting = false
 			case <-answered:
 				overdue.Reset(ackTimeout)
@@ -174,10 +178,15 @@
 
 func (l *link) inZone() bool { return l.to.Zone == l.manager.options.Self.Zone }
 
-// update collects what the other node does not know yet.
-func (l *link) update() *schema.MeshUpdate {
+// update collects what the other node does not know yet, and reports whether
+// there is anything.
+func (l *link) update() (u *schema.MeshUpdate, news bool) {
 	m := l.manager
-	u := &schema.MeshUpdate{SentAt: int64(clock.Now())}
+	u = &schema.MeshUpdate{SentAt: int64(clock.Now())}
+	if l.sentPassed == nil {
+		l.sentPassed = make(map[string]uint64)
+		u.Address = m.options.Self.Address
+	}
 	m.mu.Lock()
 	u.Leaving = m.leaving
 	passed := make(map[string]*source)
@@ -190,18 +199,23 @@
 	if l.inZone() {
 		c := m.own.since(l.sentOwn)
 		u.Own, l.sentOwn = l.encode.use(c), c.version
+		news = news || !c.empty()
 	} else {
 		c := m.zone.since(l.sentZone)
 		l.sentZone = c.version
+		news = news || !c.empty()
 		u.Zones = append(u.Zones, l.encode.zone(m.options.Self.Zone, m.options.Self.Name, m.options.Incarnation, c))
 	}
 	for name, s := range passed {
 		c := s.passed.since(l.sentPassed[name])
 		l.sentPassed[name] = c.version
+		news = news || !c.empty()
 		// The counters are this node's own sums of what it heard.
 		u.Zones = append(u.Zones, l.encode.zone(name, m.options.Self.Name, m.options.Incarnation, c))
 	}
-	return u
+	news = news || u.GetLeaving() != l.sentLeaving
+	l.sentLeaving = u.GetLeaving()
+	return u, news
 }
 
 // receive reads the answers and takes over the proofs that they carry.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -87,6 +87,9 @@
 	nodes map[string]*source
 	zones map[string]*source
 	known map[string]datastore.Node
+	// introduced are nodes that made themselves known before the store told of
+	// them.
+	introduced map[string]datastore.Node
 	// listed is set once the list of nodes is known.
 	listed bool
 	links  map[string]*link
@@ -126,8 +129,10 @@
 		zones:   make(map[string]*source),
 		known:   make(map[string]datastore.Node),
 		links:   make(map[string]*link),
-		share:   -1,
-		told:    make(chan struct{}, 1),
+
+		introduced: make(map[string]datastore.Node),
+		share:      -1,
+		told:       make(chan struct{}, 1),
 	}
 }
 
@@ -182,6 +187,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.known, m.listed = maps.Clone(nodes), true
+	for name, n := range m.introduced {
+		if _, ok := m.known[name]; ok {
+			delete(m.introduced, name)
+		} else {
+			m.known[name] = n
+		}
+	}
 	delete(m.known, m.options.Self.Name)
 	for _, n := range m.known {
 		if n.Zone == m.options.Self.Zone {
@@ -375,6 +387,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	if _, ok := m.known[from.Node]; !ok && u.GetAddress() != "" {
+		n := datastore.Node{Name: from.Node, Address: u.GetAddress(), Zone: from.AvailabilityZone}
+		m.known[n.Name], m.introduced[n.Name] = n, n
+	}
 	if from.AvailabilityZone == m.options.Self.Zone {
 		s := m.member(m.nodes, from.Node)
 		s.leaving = u.GetLeaving()
