--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -92,9 +92,9 @@
 	h.datastore.Relayed(version, proven, address)
 }
 
-func newMesh(h *hub, self datastore.Node, id peer.Identity, pool *peer.Pool, server *peer.Server, logger *log.Logger) *mesh.Manager {
+func newMesh(h *hub, self datastore.Node, pool *peer.Pool, server *peer.Server, logger *log.Logger) *mesh.Manager {
 	h.mesh = mesh.New(mesh.Options{
-		Self: self, Pool: pool, Incarnation: id.Incarnation, Listener: h, Prover: h, Logger: logger,
+		Self: self, Pool: pool, Listener: h, Prover: h, Logger: logger,
 	})
 	server.HandleStream(schema.Method_METHOD_MESH, h.mesh.Serve)
 	return h.mesh
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -5,23 +5,9 @@
 // encoder writes ids in full once on a link and as short refs afterwards.
 type encoder struct {
 	refs map[string]uint32
-	// zones are those whose speaker was told on the link.
-	zones map[string]bool
 }
 
-func newEncoder() *encoder {
-	return &encoder{refs: make(map[string]uint32), zones: make(map[string]bool)}
-}
-
-// zone encodes a zone's sums; the speaker is told once on a link.
-func (e *encoder) zone(zone, speaker string, incarnation uint64, c changes) *schema.MeshZone {
-	z := &schema.MeshZone{Zone: zone, Use: e.use(c)}
-	if !e.zones[zone] {
-		e.zones[zone] = true
-		z.Speaker, z.Incarnation = speaker, incarnation
-	}
-	return z
-}
+func newEncoder() *encoder { return &encoder{refs: make(map[string]uint32)} }
 
 // ref returns the ref of an id, and the id itself if it is new on the link.
 func (e *encoder) ref(id string) (uint32, string) {
@@ -69,27 +55,10 @@
 
 // decoder remembers which id each ref of a link stands for.
 type decoder struct {
-	ids      map[uint32]string
-	speakers map[string]speaker
-}
-
-// speaker is a process whose counters a zone's sums are.
-type speaker struct {
-	name        string
-	incarnation uint64
-}
-
-func newDecoder() *decoder {
-	return &decoder{ids: make(map[uint32]string), speakers: make(map[string]speaker)}
+	ids map[uint32]string
 }
 
-func (d *decoder) speaker(z *schema.MeshZone) (string, uint64) {
-	if z.GetSpeaker() != "" {
-		d.speakers[z.GetZone()] = speaker{z.GetSpeaker(), z.GetIncarnation()}
-	}
-	s := d.speakers[z.GetZone()]
-	return s.name, s.incarnation
-}
+func newDecoder() *decoder { return &decoder{ids: make(map[uint32]string)} }
 
 func (d *decoder) id(ref uint32, given string) (string, bool) {
 	if given != "" {
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -191,7 +191,7 @@
 	u.Leaving = m.leaving
 	passed := make(map[string]*source)
 	for name, s := range m.zones {
-		if l.inZone() && !s.silent && time.Since(s.direct) < silentAfter {
+		if l.inZone() && s.feed != nil && time.Since(s.direct) < silentAfter {
 			passed[name] = s
 		}
 	}
@@ -204,14 +204,13 @@
 		c := m.zone.since(l.sentZone)
 		l.sentZone = c.version
 		news = news || !c.empty()
-		u.Zones = append(u.Zones, l.encode.zone(m.options.Self.Zone, m.options.Self.Name, m.options.Incarnation, c))
+		u.Zones = append(u.Zones, &schema.MeshZone{Zone: m.options.Self.Zone, Use: l.encode.use(c)})
 	}
 	for name, s := range passed {
 		c := s.passed.since(l.sentPassed[name])
 		l.sentPassed[name] = c.version
 		news = news || !c.empty()
-		// The counters are this node's own sums of what it heard.
-		u.Zones = append(u.Zones, l.encode.zone(name, m.options.Self.Name, m.options.Incarnation, c))
+		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encode.use(c)})
 	}
 	news = news || u.GetLeaving() != l.sentLeaving
 	l.sentLeaving = u.GetLeaving()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -18,7 +18,6 @@
 	"github.com/primrosemoor/primrosemoor/clock"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/peer"
-	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 const (
@@ -65,13 +64,11 @@
 
 // Options configures a Manager.
 type Options struct {
-	Self datastore.Node
-	Pool *peer.Pool
-	// Incarnation differs with each start of this node.
-	Incarnation uint64
-	Listener    Listener
-	Prover      Prover
-	Logger      *log.Logger
+	Self     datastore.Node
+	Pool     *peer.Pool
+	Listener Listener
+	Prover   Prover
+	Logger   *log.Logger
 }
 
 // Manager keeps the links to other nodes. Its methods may be called by any
@@ -103,15 +100,12 @@
 
 // source is a node of this zone, or another zone, that tells its use.
 type source struct {
-	*heard
 	name string
-	last time.Time
-	// silent sources are not heard of; what they book is reserved for them.
-	silent  bool
+	// feed is the stream that is believed; nil if the source is silent. What a
+	// silent source books is reserved for it.
+	feed    *feed
+	last    time.Time
 	leaving bool
-	// speaker and incarnation tell where the counters of teams began.
-	speaker     string
-	incarnation uint64
 	// passed holds what is passed on within the zone; nil for nodes.
 	passed *sums
 	// direct is when the source was last heard of without another node between.
@@ -213,7 +207,7 @@
 func (m *Manager) member(sources map[string]*source, name string) *source {
 	s := sources[name]
 	if s == nil {
-		s = &source{heard: newHeard(), name: name, silent: true}
+		s = &source{name: name}
 		sources[name] = s
 	}
 	return s
@@ -270,10 +264,10 @@
 	total := m.own.targets[id].value
 	m.own.mu.Unlock()
 	for _, s := range m.nodes {
-		if s.silent {
+		if s.feed == nil {
 			continue
 		}
-		u := s.targets[id]
+		u := s.feed.targets[id]
 		total.Requests += u.Requests
 		total.PromptTokens += u.PromptTokens
 		total.StepMicros = max(total.StepMicros, u.StepMicros)
@@ -287,7 +281,9 @@
 	total := m.own.queues[q].value
 	m.own.mu.Unlock()
 	for _, s := range m.nodes {
-		total += s.queues[q]
+		if s.feed != nil {
+			total += s.feed.queues[q]
+		}
 	}
 	m.zone.setQueue(q, total)
 }
@@ -298,7 +294,7 @@
 	defer m.mu.Unlock()
 	for _, sources := range []map[string]*source{m.nodes, m.zones} {
 		for _, s := range sources {
-			if !s.silent && now.Sub(s.last) > silentAfter {
+			if s.feed != nil && now.Sub(s.last) > silentAfter {
 				m.silence(s)
 			}
 		}
@@ -310,14 +306,13 @@
 
 // silence stops counting what a source has outstanding.
 func (m *Manager) silence(s *source) {
-	if s.silent {
+	if s.feed == nil {
 		return
 	}
-	s.silent = true
+	old := s.feed
+	s.feed = nil
 	m.options.Logger.Info().Str("event", "peer_lost").Str("source", s.name).Bool("leaving", s.leaving).Msg("")
 	m.tell(func(l Listener) { l.Lost(s.name) })
-	old := s.heard
-	s.heard = newHeard()
 	if s.passed != nil {
 		return
 	}
@@ -341,7 +336,7 @@
 			continue
 		}
 		all++
-		if s == nil || s.silent {
+		if s == nil || s.feed == nil {
 			silent++
 		}
 	}
@@ -357,7 +352,7 @@
 // name of those that are heard.
 func (m *Manager) speaker() bool {
 	for name, s := range m.nodes {
-		if !s.silent && !s.leaving && name < m.options.Self.Name {
+		if s.feed != nil && !s.leaving && name < m.options.Self.Name {
 			return false
 		}
 	}
@@ -381,84 +376,3 @@
 	})
 	return list
 }
-
-// received takes in an update that came from a node.
-func (m *Manager) received(from peer.Identity, d *decoder, u *schema.MeshUpdate) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	if _, ok := m.known[from.Node]; !ok && u.GetAddress() != "" {
-		n := datastore.Node{Name: from.Node, Address: u.GetAddress(), Zone: from.AvailabilityZone}
-		m.known[n.Name], m.introduced[n.Name] = n, n
-	}
-	if from.AvailabilityZone == m.options.Self.Zone {
-		s := m.member(m.nodes, from.Node)
-		s.leaving = u.GetLeaving()
-		m.take(s, now, from.Node, from.Incarnation, d.use(u.GetOwn()))
-	}
-	for _, z := range u.GetZones() {
-		if z.GetZone() == m.options.Self.Zone {
-			continue
-		}
-		s := m.member(m.zones, z.GetZone())
-		s.ensurePassed()
-		speaker, incarnation := d.speaker(z)
-		if from.AvailabilityZone != m.options.Self.Zone {
-			s.direct = now
-		}
-		m.take(s, now, speaker, incarnation, d.use(z.GetUse()))
-	}
-}
-
-// take merges a report of a source.
-func (m *Manager) take(s *source, now time.Time, speaker string, incarnation uint64, c changes) {
-	if s.speaker != speaker || s.incarnation != incarnation {
-		// Counters of another process begin anew. What a silent source booked
-		// was reserved for it, so that only later bookings count.
-		s.speaker, s.incarnation = speaker, incarnation
-		s.heard.teams = make(map[string]uint64)
-		m.baseline(s, c)
-	} else if s.silent {
-		m.baseline(s, c)
-	}
-	if s.silent {
-		s.silent = false
-		m.options.Logger.Info().Str("event", "peer_heard").Str("source", s.name).Msg("")
-	}
-	s.last = now
-	for team, amount := range s.heard.take(c) {
-		level := c.teams[team].Level
-		m.tell(func(l Listener) { l.Booked(team, float64(amount), level) })
-		if s.passed != nil {
-			s.passed.addTeam(team, amount, level)
-		} else {
-			m.zone.addTeam(team, amount, level)
-		}
-	}
-	for id, use := range c.targets {
-		m.tell(func(l Listener) { l.Load(s.name, id, use) })
-		if s.passed != nil {
-			s.passed.setTarget(id, use)
-		} else {
-			m.sumTarget(id)
-		}
-	}
-	for q, waiting := range c.queues {
-		m.tell(func(l Listener) { l.Waiting(s.name, q, waiting) })
-		if s.passed != nil {
-			s.passed.setQueue(q, waiting)
-		} else {
-			m.sumQueue(q)
-		}
-	}
-	if !c.empty() {
-		m.changed.raise()
-	}
-}
-
-// baseline takes the counters as they are without counting them as booked now.
-func (m *Manager) baseline(s *source, c changes) {
-	for name, t := range c.teams {
-		s.heard.teams[name] = t.Booked
-	}
-}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -17,14 +17,14 @@
 
 // Serve takes in and answers the updates of one other node until its stream ends.
 func (m *Manager) Serve(_ context.Context, from peer.Identity, stream *peer.Stream) error {
-	d := newDecoder()
+	in := newInbound(from)
 	var acked time.Time
 	for {
 		u := &schema.MeshUpdate{}
 		if err := stream.Receive(u); err != nil {
 			return err
 		}
-		m.received(from, d, u)
+		m.received(in, u)
 		if time.Since(acked) < ackInterval {
 			continue
 		}
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -137,10 +137,8 @@
 func (h *heard) take(c changes) map[string]uint64 {
 	booked := make(map[string]uint64, len(c.teams))
 	for name, total := range c.teams {
-		if before, ok := h.teams[name]; ok && total.Booked > before {
+		if before := h.teams[name]; total.Booked > before {
 			booked[name] = total.Booked - before
-		} else if !ok {
-			booked[name] = total.Booked
 		}
 		h.teams[name] = total.Booked
 	}
