--- a/mesh/link.go
+++ b/mesh/link.go
@@ -34,7 +34,12 @@
 	// sentPassed are the versions of the other zones' sums.
 	sentPassed  map[string]uint64
 	sentLeaving bool
-	failed      bool
+	// failed is set from a failure to the next answer.
+	failed bool
+	// connected is set while the stream is open; kicked ends an attempt to open
+	// it, or the pause before one.
+	connected bool
+	kicked    chan struct{}
 }
 
 // keepLinks starts and ends links, so that there is one to each node of this
@@ -65,7 +70,7 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(ctx)
-		l := &link{manager: m, to: n, cancel: cancel}
+		l := &link{manager: m, to: n, cancel: cancel, kicked: make(chan struct{}, 1)}
 		m.links[name] = l
 		running.Go(func() { l.run(ctx) })
 	}
@@ -104,11 +109,30 @@
 		l.setFailed(true)
 		select {
 		case <-time.After(redialInterval):
+		case <-l.kicked:
 		case <-ctx.Done():
 		}
 	}
 }
 
+// kick makes a link that is not open try again at once: the other node has just
+// shown that it is there. The manager's lock must be held.
+func (l *link) kick() {
+	if l.connected {
+		return
+	}
+	select {
+	case l.kicked <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) setConnected(connected bool) {
+	l.manager.mu.Lock()
+	l.connected = connected
+	l.manager.mu.Unlock()
+}
+
 func (l *link) setFailed(failed bool) {
 	l.manager.mu.Lock()
 	l.failed = failed
@@ -117,13 +141,13 @@
 
 // talk opens the stream and sends updates until it fails.
 func (l *link) talk(ctx context.Context) error {
-	open, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	stream, err := l.manager.options.Pool.OpenStream(open, l.to.Address, schema.Method_METHOD_MESH)
+	stream, err := l.open(ctx)
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
+	l.setConnected(true)
+	defer l.setConnected(false)
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
 	defer stop()
 	l.encode = newEncoder()
@@ -134,6 +158,20 @@
 	return l.send(ctx, stream, acks, answered)
 }
 
+// open opens the stream, unless it takes too long or the link is kicked.
+func (l *link) open(ctx context.Context) (*peer.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-l.kicked:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return l.manager.options.Pool.OpenStream(ctx, l.to.Address, schema.Method_METHOD_MESH)
+}
+
 // send sends an update whenever something has changed, and at each beat.
 func (l *link) send(ctx context.Context, stream *peer.Stream, acks <-chan error, answered <-chan struct{}) error {
 	interval := regionInterval
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -46,6 +46,9 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	m.introduce(in.from, u.GetAddress())
+	if l := m.links[in.from.Node]; l != nil && u.GetAddress() != "" {
+		l.kick()
+	}
 	if in.from.AvailabilityZone == m.options.Self.Zone {
 		s := m.member(m.nodes, in.from.Node)
 		s.leaving = u.GetLeaving()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -41,6 +41,8 @@
 // book is what is known of one team's use.
 type book struct {
 	level float64
+	// begun is set once the level holds what a node may use at its start.
+	begun bool
 	// at is when the level was last filled up, drawn when it was last drawn
 	// towards another node's.
 	at    time.Time
@@ -62,13 +64,16 @@
 	// report. A report lacks what this node has booked since the other heard of
 	// it, so that drawing faster would give a team more than its limit.
 	drawRate = 0.5
+	// startSlack is the part of the slack that all nodes together may use at
+	// their start, before they have heard of each other.
+	startSlack = 0.3
 	// settleTime is how long a node takes other nodes' levels as they are after
 	// its start, and does not tell its own.
 	settleTime = 3 * time.Second
 )
 
-// NewAllowance returns an Allowance whose buckets are empty and fill from now
-// on: what was booked before a start is not known.
+// NewAllowance returns an Allowance whose buckets hold a part of the slack and
+// fill from now on: what was booked before a start is not known.
 func NewAllowance(slack Slack, publish func(team string, amount float64, level *int64)) *Allowance {
 	return &Allowance{
 		slack: slack, publish: publish, started: time.Now(), books: make(map[string]*book), silent: 1 - 1.0/assumedNodes,
@@ -102,6 +107,10 @@
 	limit := a.limit(team)
 	rate := limit / a.slack.Window.Seconds() * heard
 	b := a.book(team.Name)
+	if !b.begun {
+		b.begun = true
+		b.level += startSlack * a.slackOf(team) / assumedNodes
+	}
 	b.level = min(team.Burst*heard, b.level+now.Sub(b.at).Seconds()*rate)
 	b.at = now
 	b.used.advance(now)
@@ -122,8 +131,16 @@
 
 // limit returns what a team may use within a window, with some of the slack.
 func (a *Allowance) limit(team *catalog.Team) float64 {
-	limit := team.Rate*a.slack.Window.Seconds() + team.Burst
-	return limit + usedSlack*(limit*a.slack.Overshoot+a.slack.Fixed)
+	return a.stated(team) + usedSlack*a.slackOf(team)
+}
+
+// stated returns what a team may use within a window as its limit is stated.
+func (a *Allowance) stated(team *catalog.Team) float64 {
+	return team.Rate*a.slack.Window.Seconds() + team.Burst
+}
+
+func (a *Allowance) slackOf(team *catalog.Team) float64 {
+	return a.stated(team)*a.slack.Overshoot + a.slack.Fixed
 }
 
 func waitFor(missing, rate float64) time.Duration {
