--- a/balance/grant.go
+++ b/balance/grant.go
@@ -13,6 +13,8 @@
 const (
 	// Answered requests got a whole answer.
 	Answered Result = iota
+	// Failed requests got an answer that says that the target failed.
+	Failed
 	// Unsent requests were not sent after all.
 	Unsent
 	// Abandoned requests were given up by their caller or at their time limit.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -26,7 +26,8 @@
 	team    *catalog.Team
 	service string
 	body    []byte
-	end     time.Time
+	// until is when the caller or the route gives up.
+	until time.Time
 
 	// sends counts the targets that got any byte of the request, ran those that
 	// may have run it.
@@ -38,6 +39,10 @@
 	last    time.Time
 	longest time.Duration
 	events  int
+	// started is set once the head of a stream was sent to the caller, position
+	// is the last event that was.
+	started  bool
+	position position
 }
 
 // errTimeLimit is the cause of a request's context when its time is over.
@@ -63,10 +68,10 @@
 		}
 	}
 	x.service = x.route.Pick(draw())
-	x.end = x.arrived.Add(x.route.Timeout)
+	x.until = x.arrived.Add(x.route.Timeout)
 	if x.call.HasLimit {
-		if limit := x.arrived.Add(x.call.Limit); limit.Before(x.end) {
-			x.end = limit
+		if limit := x.arrived.Add(x.call.Limit); limit.Before(x.until) {
+			x.until = limit
 		}
 	}
 	if p := x.read(table.Config.Bounds.BodyBytes); p != nil {
@@ -124,7 +129,7 @@
 // run sends the request to targets until one has answered, or until it may not
 // be sent again.
 func (x *exchange) run() {
-	ctx, cancel := context.WithDeadlineCause(x.request.Context(), x.end, errTimeLimit)
+	ctx, cancel := context.WithDeadlineCause(x.request.Context(), x.until, errTimeLimit)
 	defer cancel()
 	for {
 		grant, err := x.gateway.Balancer.Acquire(ctx, x.work())
@@ -148,11 +153,11 @@
 		Route:        x.route.Name,
 		Arrived:      x.arrived,
 		Goal:         x.arrived.Add(x.route.Goal),
-		Patience:     x.end,
-		End:          x.end,
+		Patience:     x.until,
+		End:          x.until,
 		Tried:        x.tried,
 	}
-	if x.route.Patience > 0 && x.arrived.Add(x.route.Patience).Before(x.end) {
+	if x.route.Patience > 0 && x.arrived.Add(x.route.Patience).Before(x.until) {
 		w.Patience = x.arrived.Add(x.route.Patience)
 	}
 	if x.call.HasLimit {
@@ -164,10 +169,12 @@
 	return w
 }
 
-// giveUp ends a request that gets no target.
+// giveUp ends a request that gets no target, or no answer in time.
 func (x *exchange) giveUp(ctx context.Context, err error) {
 	var refused *balance.Refusal
 	switch {
+	case x.started:
+		x.abort("stream_not_resumed", http.StatusOK)
 	case x.request.Context().Err() != nil:
 		x.log("caller_left", 0)
 	case x.ran > 0 && ctx.Err() != nil:
@@ -181,6 +188,14 @@
 	}
 }
 
+// finish refuses and reports that the request has ended.
+func (x *exchange) finish(p *refusal) bool {
+	x.refuse(p)
+	return true
+}
+
+var errNoRetry = errors.New("gateway: the retry budget is used up")
+
 // attempt sends the request to one target. It reports whether the request has
 // ended.
 func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
@@ -193,25 +208,38 @@
 		x.giveUp(ctx, errNoRetry)
 		return true
 	}
+	limited, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	alive := x.watch(cancel)
 	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
-	resp, err := x.gateway.Sender.Send(ctx, address, x.outgoing(grant))
+	resp, err := x.gateway.Sender.Send(limited, address, x.outgoing(grant))
 	if err != nil {
 		return x.failed(ctx, grant, err)
 	}
 	defer resp.Body.Close()
 	x.sends++
 	answer := x.gateway.Dialect.Answer(resp.StatusCode, resp.Header)
-	if answer.NotRun {
+	switch {
+	case answer.NotRun:
 		return x.rejected(ctx, grant, resp)
+	case x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode):
+		x.ran++
+		return x.relayStream(ctx, grant, resp, answer, alive)
+	default:
+		x.ran++
+		return x.relayWhole(ctx, grant, resp, answer)
 	}
-	x.ran++
-	if x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode) {
-		return x.relayStream(ctx, grant, resp, answer)
-	}
-	return x.relayWhole(ctx, grant, resp, answer)
 }
 
-var errNoRetry = errors.New("gateway: the retry budget is used up")
+// watch ends an attempt whose target falls silent, if the request may go to
+// another one. It returns the function that shows that the target is alive.
+func (x *exchange) watch(cancel context.CancelCauseFunc) (alive func()) {
+	if !x.mayRepeatAfter(x.ran + 1) {
+		return func() {}
+	}
+	timer := time.AfterFunc(x.stall(), func() { cancel(errStalled) })
+	return func() { timer.Reset(x.stall()) }
+}
 
 func isSuccess(status int) bool { return status/100 == 2 }
 
@@ -219,7 +247,7 @@
 func (x *exchange) outgoing(grant *balance.Grant) *upstream.Request {
 	h := x.request.Header.Clone()
 	dropHopByHop(h)
-	ask := Ask{Left: time.Until(x.end), Instance: grant.Target.ID}
+	ask := Ask{Left: time.Until(x.until), Instance: grant.Target.ID, LastEvent: x.lastEvent()}
 	if x.team != nil {
 		ask.Team = x.team.Name
 	}
@@ -252,43 +280,42 @@
 	x.gateway.Logger.Warn().Str("event", "send_failed").Str("request", x.call.ID).Bool("sent", sent).Err(err).Msg("")
 	if !sent {
 		grant.Done(balance.Unreachable)
-		return len(x.tried) >= maxTargets && x.end1(errNotRun("targets_unreachable", fullRetry))
+		return len(x.tried) >= maxTargets && x.finish(errNotRun("targets_unreachable", fullRetry))
 	}
 	grant.Done(balance.Broken)
 	if x.mayRepeat() {
 		return false
 	}
-	x.refuse(errUnknown("no_answer"))
-	return true
+	if x.started {
+		x.abort("stream_not_resumed", http.StatusOK)
+	}
+	return x.finish(errUnknown("no_answer"))
 }
 
 // maxTargets bounds the targets that are tried for one request, including those
 // that were not reached or did not run it.
 const maxTargets = 4
 
-// end1 refuses and reports that the request has ended.
-func (x *exchange) end1(p *refusal) bool {
-	x.refuse(p)
-	return true
-}
+// mayRepeat reports whether the request may go to one more target although it
+// may have run.
+func (x *exchange) mayRepeat() bool { return x.mayRepeatAfter(x.ran) }
 
-// mayRepeat reports whether the request may go to one more target after it may
-// have run.
-func (x *exchange) mayRepeat() bool {
-	return x.route.Kind == catalog.Idempotent && x.ran < x.route.MaxAttempts && len(x.tried) < maxTargets
+func (x *exchange) mayRepeatAfter(ran int) bool {
+	return x.route.Repeatable() && ran < x.route.MaxAttempts && len(x.tried) < maxTargets
 }
 
 // rejected handles an answer which says that the request was not run.
 func (x *exchange) rejected(ctx context.Context, grant *balance.Grant, resp *http.Response) bool {
 	grant.Done(balance.Rejected)
-	if len(x.tried) < maxTargets && resp.StatusCode != http.StatusBadRequest {
+	switch {
+	case resp.StatusCode == http.StatusBadRequest && !x.started:
+		return x.finish(errBody())
+	case len(x.tried) < maxTargets:
 		return false
+	case x.started || x.ran > 0:
+		x.giveUp(ctx, errNoRetry)
+		return true
+	default:
+		return x.finish(errNotRun("targets_full", fullRetry))
 	}
-	if resp.StatusCode == http.StatusBadRequest {
-		return x.end1(errBody())
-	}
-	if x.ran > 0 {
-		return x.end1(errUnknown("no_target_left"))
-	}
-	return x.end1(errNotRun("targets_full", fullRetry))
 }
