--- a/gateway/log.go
+++ b/gateway/log.go
@@ -14,7 +14,15 @@
 		Str("target", grant.Target.ID).Str("zone", grant.Target.Zone).Int("attempt", len(x.tried)).
 		Dur("waited", x.placed.Sub(x.arrived)).Dur("expected", grant.Expected()).Dur("step", step).
 		Int("running", load.Requests).Float64("backlog_tokens", load.PromptTokens).
-		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Msg("")
+		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Str("team", x.teamName()).Msg("")
+}
+
+// teamName returns the caller's team, empty on anonymous routes.
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
 }
 
 // log records the end of the request.
@@ -28,8 +36,5 @@
 	if !x.first.IsZero() {
 		entry.Dur("first", x.first.Sub(x.arrived)).Dur("longest_pause", x.longest).Int("events", x.events)
 	}
-	if x.team != nil {
-		entry.Str("team", x.team.Name)
-	}
-	entry.Msg("")
+	entry.Str("team", x.teamName()).Msg("")
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -57,7 +57,7 @@
 	// request within it is refused because copies differ. The rest covers what
 	// was booked elsewhere and is not heard of yet, and what was booked before
 	// all nodes started anew.
-	usedSlack = 0.3
+	usedSlack = 0.2
 	// maxWait bounds the time that a caller is told to stay away.
 	maxWait = 30 * time.Second
 	// drawRate is how far, per second, a level moves towards what other nodes
@@ -66,7 +66,7 @@
 	drawRate = 0.5
 	// startSlack is the part of the slack that all nodes together may use at
 	// their start, before they have heard of each other.
-	startSlack = 0.3
+	startSlack = 0.1
 	// settleTime is how long a node takes other nodes' levels as they are after
 	// its start, and does not tell its own.
 	settleTime = 3 * time.Second
@@ -105,7 +105,13 @@
 	defer a.mu.Unlock()
 	heard := 1 - a.silent
 	limit := a.limit(team)
-	rate := limit / a.slack.Window.Seconds() * heard
+	rate := limit / a.slack.Window.Seconds()
+	// What was used before a start is not known for the time of a window.
+	blind := a.silent > 0 || now.Sub(a.started) < a.slack.Window
+	if blind {
+		rate = team.Rate
+	}
+	rate *= heard
 	b := a.book(team.Name)
 	if !b.begun {
 		b.begun = true
@@ -116,12 +122,16 @@
 	b.used.advance(now)
 	// A bucket that is not empty admits a request of any size and owes the rest:
 	// waiting for the whole amount would refuse the large ones of a busy team
-	// while its small ones slip through.
-	if b.level <= 0 || heard <= 0 {
-		return waitFor(-b.level, rate), b.level, false
+	// while its small ones slip through. A node that does not know what was used
+	// elsewhere, or before its start, owes nothing, because all nodes would.
+	need := 0.0
+	if blind {
+		need = amount
+	}
+	if b.level <= need {
+		return waitFor(need-b.level, rate), b.level, false
 	}
-	// What silent nodes have used is not known; the lower rate stands for it.
-	if a.silent == 0 && b.used.sum+amount > limit {
+	if !blind && b.used.sum+amount > limit {
 		return waitFor(amount, rate), b.level, false
 	}
 	b.level -= amount
