--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -44,6 +44,8 @@
 	// changes that come together cost one call.
 	Pause  time.Duration
 	Logger *log.Logger
+	// Now reads the clock.
+	Now func() clock.Instant
 	// Apply is called after each successful call, by the follower's goroutine.
 	Apply func(Update[T])
 
@@ -93,7 +95,7 @@
 }
 
 func (f *Follower[T]) list(ctx context.Context) error {
-	began := clock.Now()
+	began := f.Now()
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
 	items, revision, err := f.Source.List(ctx)
@@ -108,7 +110,7 @@
 }
 
 func (f *Follower[T]) watch(ctx context.Context) error {
-	began := clock.Now()
+	began := f.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+callSlack)
 	defer cancel()
 	changes, next, err := f.Source.Watch(ctx, f.revision, f.Wait)
@@ -125,7 +127,7 @@
 	}
 	// The store answered without a change after it had waited: nothing had
 	// changed by then. An answer that came sooner says so of its beginning only.
-	if clock.Since(began) >= f.Wait {
+	if f.Now().Sub(began) >= f.Wait {
 		began = began.Add(f.Wait)
 	}
 	f.publish(began, false)
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -48,6 +48,8 @@
 	// work; 0 means that none is promised.
 	Revocation time.Duration
 	Logger     *log.Logger
+	// Now reads the clock; nil means the VM's.
+	Now func() clock.Instant
 	// OnTargets is called with each new list of targets or configuration.
 	OnTargets func(targets []*catalog.Target, services map[string]*catalog.Service)
 	// OnNodes is called with each new list of nodes.
@@ -82,6 +84,9 @@
 
 // NewManager returns a manager that knows nothing yet.
 func NewManager(options Options) *Manager {
+	if options.Now == nil {
+		options.Now = clock.Now
+	}
 	return &Manager{
 		options: options, changes: make(chan func(*beliefs)), relayed: make(chan relayed, 16), done: make(chan struct{}),
 	}
@@ -91,15 +96,15 @@
 func (m *Manager) Run(ctx context.Context) {
 	var followers sync.WaitGroup
 	config := Follower[*catalog.Config]{
-		Source: m.options.Sources.Configurations, Kind: "configuration", Wait: configWait, Logger: m.options.Logger,
+		Source: m.options.Sources.Configurations, Kind: "configuration", Wait: configWait, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[*catalog.Config]) { m.submit(func(b *beliefs) { b.applyConfig(u) }) },
 	}
 	targets := Follower[*catalog.Target]{
-		Source: m.options.Sources.Targets, Kind: "targets", Wait: listWait, Pause: targetsPause, Logger: m.options.Logger,
+		Source: m.options.Sources.Targets, Kind: "targets", Wait: listWait, Pause: targetsPause, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[*catalog.Target]) { m.submit(func(b *beliefs) { b.applyTargets(u) }) },
 	}
 	nodes := Follower[Node]{
-		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: nodesWait, Pause: nodesPause, Logger: m.options.Logger,
+		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: nodesWait, Pause: nodesPause, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[Node]) {
 			if u.Changed {
 				m.options.OnNodes(u.Items)
@@ -154,7 +159,7 @@
 
 // ProofAge returns how long ago the configuration was known to be the newest.
 func (m *Manager) ProofAge() time.Duration {
-	return clock.Since(clock.Instant(m.proven.Load()))
+	return m.options.Now().Sub(clock.Instant(m.proven.Load()))
 }
 
 // Ready reports whether the configuration and the targets are known.
--- a/datastore/relay.go
+++ b/datastore/relay.go
@@ -37,7 +37,7 @@
 	if table == nil || proven == 0 {
 		return 0, 0, false
 	}
-	return table.Config.Version, clock.Since(proven), true
+	return table.Config.Version, m.options.Now().Sub(proven), true
 }
 
 // Relayed takes over another node's proof: at the instant, the version was the
