--- a/datastore/manager_test.go
+++ b/datastore/manager_test.go
@@ -399,9 +399,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := startWorld(t)
-		for _, s := range []interface{ set(func()) }{w.configs, w.targets} {
-			s.set(func() { w.configs.down, w.targets.down = true, true })
-		}
+		w.configs.set(func() { w.configs.down = true })
+		w.targets.set(func() { w.targets.down = true })
 		time.Sleep(time.Second)
 		is.True(!w.manager.Ready())
 		w.passed = datastore.Passed{Version: 5, Configuration: []byte{5}, Targets: map[string][]byte{"i-7": {}}}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,14 +40,17 @@
 	for {
 		n, err := resp.Body.Read(chunk)
 		ready, bad := events.add(chunk[:n])
-		if errors.Is(err, io.EOF) {
+		if bad == nil && errors.Is(err, io.EOF) {
 			ready = append(ready, events.rest()...)
 		}
 		if len(ready) > 0 {
 			alive()
 			x.note(grant, time.Now(), ready)
 		}
-		if ready, bad = x.position.filter(ready); bad != nil {
+		if bad == nil {
+			ready, bad = x.position.filter(ready)
+		}
+		if bad != nil {
 			err = errors.Join(bad, err)
 		}
 		if len(ready) > 0 && !x.pass(resp, ready) {
