--- a/quota/quota.go
+++ b/quota/quota.go
@@ -58,7 +58,8 @@
 	// was booked elsewhere and is not heard of yet, and what was booked before
 	// all nodes started anew.
 	usedSlack = 0.2
-	// maxWait bounds the time that a caller is told to stay away.
+	// minWait and maxWait bound the time that a caller is told to stay away.
+	minWait = 50 * time.Millisecond
 	maxWait = 30 * time.Second
 	// drawRate is how far, per second, a level moves towards what other nodes
 	// report. A report lacks what this node has booked since the other heard of
@@ -131,7 +132,7 @@
 	if b.level <= need {
 		return waitFor(need-b.level, rate), b.level, false
 	}
-	if !blind && b.used.sum+amount > limit {
+	if !blind && b.used.sum > limit {
 		return waitFor(amount, rate), b.level, false
 	}
 	b.level -= amount
@@ -157,7 +158,7 @@
 	if rate <= 0 || missing/rate > maxWait.Seconds() {
 		return maxWait
 	}
-	return time.Duration(missing / rate * float64(time.Second))
+	return max(minWait, time.Duration(missing/rate*float64(time.Second)))
 }
 
 // Booked takes off what was booked at another node, whose level was as given,
