--- /dev/null
+++ b/balance/manager_test.go
@@ -0,0 +1,172 @@
+package balance_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/logging"
+)
+
+// start runs a manager with one plain target of two slots.
+func start(t *testing.T) (*balance.Manager, func() balance.Load) {
+	t.Helper()
+	var mu sync.Mutex
+	var published balance.Load
+	m := balance.NewManager(balance.Options{
+		Node: "n1", Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
+		Publish: func(_ string, own balance.Load, _ time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			published = own
+		},
+		PublishQueue: func(string, int, int) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		m.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	m.ApplyTargets([]*catalog.Target{{ID: "i-1", Service: "s", Zone: "a", Slots: 2}}, nil)
+	return m, func() balance.Load {
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		return published
+	}
+}
+
+func work() *balance.Work {
+	now := time.Now()
+	return &balance.Work{
+		Service: "s", Arrived: now, Goal: now.Add(time.Second), Patience: now.Add(4 * time.Second), End: now.Add(4 * time.Second),
+	}
+}
+
+func TestAPlaceIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, load := start(t)
+		for range 10 {
+			var grants []*balance.Grant
+			for range 2 {
+				g, err := m.Acquire(t.Context(), work())
+				is.NoErr(err)
+				grants = append(grants, g)
+			}
+			is.Equal(load().Requests, 2)
+			for i, r := range []balance.Result{balance.Answered, balance.Abandoned} {
+				grants[i].Done(r)
+			}
+			is.Equal(load().Requests, 0)
+		}
+	})
+}
+
+func TestARequestWaitsForAPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		first, err := m.Acquire(t.Context(), work())
+		is.NoErr(err)
+		_, err = m.Acquire(t.Context(), work())
+		is.NoErr(err)
+		time.AfterFunc(300*time.Millisecond, func() { first.Done(balance.Answered) })
+		began := time.Now()
+		_, err = m.Acquire(t.Context(), work())
+		is.NoErr(err)
+		is.Equal(time.Since(began), 300*time.Millisecond)
+	})
+}
+
+func TestACallerThatLeavesTheQueueLeavesNothingBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, load := start(t)
+		var grants []*balance.Grant
+		for range 2 {
+			g, err := m.Acquire(t.Context(), work())
+			is.NoErr(err)
+			grants = append(grants, g)
+		}
+		cause := errors.New("left")
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(100*time.Millisecond, func() { cancel(cause) })
+		_, err := m.Acquire(ctx, work())
+		is.Equal(err, cause)
+		for _, g := range grants {
+			g.Done(balance.Answered)
+		}
+		is.Equal(load().Requests, 0)
+	})
+}
+
+func TestARequestThatGetsNoPlaceIsRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		for range 2 {
+			_, err := m.Acquire(t.Context(), work())
+			is.NoErr(err)
+		}
+		began := time.Now()
+		_, err := m.Acquire(t.Context(), work())
+		var refused *balance.Refusal
+		is.True(errors.As(err, &refused))
+		is.True(refused.RetryAfter > 0)
+		is.True(time.Since(began) <= 4*time.Second+20*time.Millisecond)
+	})
+}
+
+func TestAServiceWithoutTargetsRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		w := work()
+		w.Service = "unknown"
+		began := time.Now()
+		_, err := m.Acquire(t.Context(), w)
+		var refused *balance.Refusal
+		is.True(errors.As(err, &refused))
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+func TestOtherNodesLoadsCountUntilTheirNodeIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		m.Remote("n2", "i-1", balance.Load{Requests: 2}, 0)
+		time.AfterFunc(500*time.Millisecond, func() { m.Lost("n2") })
+		began := time.Now()
+		_, err := m.Acquire(t.Context(), work())
+		is.NoErr(err)
+		is.Equal(time.Since(began), 500*time.Millisecond)
+	})
+}
+
+func TestAnUnreachableTargetIsLeftAloneForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		g, err := m.Acquire(t.Context(), work())
+		is.NoErr(err)
+		g.Done(balance.Unreachable)
+		began := time.Now()
+		_, err = m.Acquire(t.Context(), work())
+		is.NoErr(err)
+		is.True(time.Since(began) >= 500*time.Millisecond)
+	})
+}
