--- a/balance/manager.go
+++ b/balance/manager.go
@@ -145,7 +145,7 @@
 	if d.refusal != nil {
 		return nil, d.refusal
 	}
-	return &Grant{manager: m, work: w, choice: d.choice, Target: d.choice.target.Target, sent: time.Now()}, nil
+	return &Grant{manager: m, work: w, choice: d.choice, Target: d.choice.chosen, sent: time.Now()}, nil
 }
 
 // ApplyTargets takes over the targets and services of a configuration.
--- a/balance/score.go
+++ b/balance/score.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/catalog"
+)
 
 const (
 	// otherZoneCost and otherRegionCost are added for a target elsewhere: what
@@ -20,6 +24,9 @@
 // choice is a target for a request, with the inputs that decided.
 type choice struct {
 	target *target
+	// chosen is the target as it was when it was chosen; the manager's goroutine
+	// alone reads target.
+	chosen *catalog.Target
 	// expected is the predicted time to the first event or to the answer.
 	expected time.Duration
 	cost     time.Duration
@@ -51,7 +58,7 @@
 
 // score predicts how a request would fare at a target.
 func (p *pool) score(t *target, w *Work, now time.Time, at place, busy float64) choice {
-	c := choice{target: t, load: t.load(), onTime: true, whole: true}
+	c := choice{target: t, chosen: t.Target, load: t.load(), onTime: true, whole: true}
 	way := at.way(t.Zone)
 	if p.engine == nil {
 		c.expected = time.Duration(float64(c.load.Requests) / float64(t.Slots) * float64(plainCost))
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -62,8 +62,10 @@
 	table   atomic.Pointer[catalog.Table]
 	// proven is the latest instant at which the configuration was known to be
 	// the newest.
-	proven  atomic.Int64
-	ready   atomic.Bool
+	proven atomic.Int64
+	ready  atomic.Bool
+	// listed is set once the store has told the nodes.
+	listed  atomic.Bool
 	changes chan func(*beliefs)
 	relayed chan relayed
 	done    chan struct{}
@@ -73,6 +75,7 @@
 type beliefs struct {
 	manager *Manager
 	targets map[string]*catalog.Target
+	nodes   map[string]Node
 	// lapsed are targets that vanished during an outage, kept until heldUntil.
 	lapsed    map[string]*catalog.Target
 	heldUntil time.Time
@@ -107,6 +110,8 @@
 		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: nodesWait, Pause: nodesPause, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[Node]) {
 			if u.Changed {
+				m.listed.Store(true)
+				m.submit(func(b *beliefs) { b.nodes = u.Items })
 				m.options.OnNodes(u.Items)
 			}
 		},
--- a/datastore/relay.go
+++ b/datastore/relay.go
@@ -14,6 +14,10 @@
 	Configuration []byte
 	// Targets holds the targets' entries by id.
 	Targets map[string][]byte
+	// Nodes are the nodes that the other one knows, itself among them.
+	Nodes map[string]Node
+	// Age is how long ago the configuration was known to be the newest.
+	Age time.Duration
 }
 
 // Relay reads what other nodes know, for a node that the store does not answer.
@@ -68,32 +72,55 @@
 		return
 	}
 	b.fetching = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
-		passed, err := m.options.Relay.Fetch(ctx, r.address)
-		m.submit(func(b *beliefs) { b.applyPassed(r, passed, err) })
-	}()
+	go func() { m.ask(ctx, r.address) }()
 }
 
-// applyPassed takes over a newer configuration, and the targets if the store
-// has not told them yet.
-func (b *beliefs) applyPassed(r relayed, p Passed, err error) {
+// AskPeer takes over what the node at an address knows, for a node that starts
+// while the store does not answer. It reports whether the configuration and the
+// targets are known afterwards.
+func (m *Manager) AskPeer(ctx context.Context, address string) bool {
+	m.ask(ctx, address)
+	return m.Ready()
+}
+
+func (m *Manager) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	began := m.options.Now()
+	passed, err := m.options.Relay.Fetch(ctx, address)
+	applied := make(chan struct{})
+	m.submit(func(b *beliefs) {
+		defer close(applied)
+		b.applyPassed(address, passed, began, err)
+	})
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+}
+
+// applyPassed takes over what another node was asked for at an instant: a newer
+// configuration and its proof, and the targets and nodes if the store has not
+// told them yet.
+func (b *beliefs) applyPassed(address string, p Passed, asked clock.Instant, err error) {
 	m := b.manager
 	b.fetching = false
 	if err != nil {
-		m.options.Logger.Warn().Str("event", "relay_failed").Str("address", r.address).Err(err).Msg("")
+		m.options.Logger.Warn().Str("event", "relay_failed").Str("address", address).Err(err).Msg("")
 		return
 	}
 	config, err := m.options.Relay.DecodeConfig(p.Configuration)
 	if err != nil {
-		m.options.Logger.Warn().Str("event", "relay_unusable").Str("address", r.address).Err(err).Msg("")
+		m.options.Logger.Warn().Str("event", "relay_unusable").Str("address", address).Err(err).Msg("")
 		return
 	}
-	m.options.Logger.Info().Str("event", "configuration_relayed").Str("address", r.address).Uint64("version", config.Version).Msg("")
-	b.adopt(config)
-	if config.Version == r.version {
-		m.prove(r.proven)
+	m.options.Logger.Info().Str("event", "configuration_relayed").Str("address", address).Uint64("version", config.Version).Msg("")
+	if b.adopt(config) {
+		// The other node answered after it was asked.
+		m.prove(asked.Add(-p.Age))
+	}
+	if !m.listed.Load() && len(p.Nodes) > 0 {
+		m.options.OnNodes(p.Nodes)
 	}
 	if b.listed {
 		return
@@ -127,7 +154,11 @@
 	if table == nil {
 		return Passed{}
 	}
-	p := Passed{Version: table.Config.Version, Configuration: table.Config.Raw, Targets: make(map[string][]byte, len(b.targets))}
+	_, age, _ := b.manager.Proof()
+	p := Passed{
+		Version: table.Config.Version, Configuration: table.Config.Raw, Age: age,
+		Targets: make(map[string][]byte, len(b.targets)), Nodes: b.nodes,
+	}
 	for id, t := range b.targets {
 		p.Targets[id] = t.Raw
 	}
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -86,7 +86,7 @@
 			l.Logger.Error().Str("event", "listener_failed").Str("address", listen.GetPeers()).Err(err).Msg("")
 		}
 	})
-	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Datastore.Run, l.Upstream.Run, l.announce} {
+	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Datastore.Run, l.Upstream.Run, l.announce, l.askSeeds} {
 		l.running.Go(func() { run(ctx) })
 	}
 	l.callers = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
@@ -130,7 +130,35 @@
 	}
 }
 
+// askSeeds asks other nodes for what the store does not tell, until the node is
+// ready.
+func (l *lifecycle) askSeeds(ctx context.Context) {
+	_, port, err := net.SplitHostPort(l.Self.Address)
+	if err != nil {
+		l.Logger.Error().Str("event", "seeds_unusable").Err(err).Msg("")
+		return
+	}
+	for ctx.Err() == nil {
+		select {
+		case <-time.After(seedInterval):
+		case <-ctx.Done():
+			return
+		}
+		if l.Datastore.Ready() {
+			return
+		}
+		for _, seed := range l.Settings.GetSeeds() {
+			host, _, err := net.SplitHostPort(seed)
+			if address := net.JoinHostPort(host, port); err == nil && address != l.Self.Address {
+				l.Datastore.AskPeer(ctx, address)
+			}
+		}
+	}
+}
+
 const (
+	// seedInterval gives the store time to answer first.
+	seedInterval    = 700 * time.Millisecond
 	announceTimeout = 2 * time.Second
 	announceRetry   = time.Second
 )
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -154,7 +154,13 @@
 	peer.Handle(server, schema.Method_METHOD_BELIEFS, func() *schema.BeliefsRequest { return &schema.BeliefsRequest{} },
 		func(ctx context.Context, _ peer.Identity, _ *schema.BeliefsRequest) (*schema.BeliefsReply, error) {
 			p := d.Pass(ctx)
-			return &schema.BeliefsReply{Version: p.Version, Configuration: p.Configuration, Targets: p.Targets}, nil
+			reply := &schema.BeliefsReply{
+				Version: p.Version, Configuration: p.Configuration, Targets: p.Targets, ProofAgeMicros: uint64(p.Age.Microseconds()),
+			}
+			for _, n := range p.Nodes {
+				reply.Nodes = append(reply.Nodes, &schema.MeshNode{Name: n.Name, Address: n.Address, Zone: n.Zone, Region: n.Region})
+			}
+			return reply, nil
 		})
 }
 
@@ -163,7 +169,12 @@
 	if err := pool.Call(ctx, address, schema.Method_METHOD_BELIEFS, &schema.BeliefsRequest{}, reply); err != nil {
 		return datastore.Passed{}, err
 	}
+	nodes := make(map[string]datastore.Node, len(reply.GetNodes()))
+	for _, n := range reply.GetNodes() {
+		nodes[n.GetName()] = datastore.Node{Name: n.GetName(), Address: n.GetAddress(), Zone: n.GetZone(), Region: n.GetRegion()}
+	}
 	return datastore.Passed{
-		Version: reply.GetVersion(), Configuration: reply.GetConfiguration(), Targets: reply.GetTargets(),
+		Version: reply.GetVersion(), Configuration: reply.GetConfiguration(), Targets: reply.GetTargets(), Nodes: nodes,
+		Age: time.Duration(reply.GetProofAgeMicros()) * time.Microsecond,
 	}, nil
 }
