--- a/admission/order_test.go
+++ b/admission/order_test.go
@@ -1,12 +1,12 @@
 package admission
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 )
 
 const (
@@ -15,22 +15,7 @@
 	mutantSeeds = 200
 )
 
-// TestMain fixes the seed and the number of histories unless flags set them.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string][2]string{
-		"rapid.seed":   {"0", "20260102"},
-		"rapid.checks": {"100", "1000"},
-	} {
-		if flag.Lookup(name).Value.String() != value[0] {
-			continue
-		}
-		if err := flag.Set(name, value[1]); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "20260102", "1000") }
 
 // runHistory draws one interleaving of requests, returns, pauses and cuts.
 func runHistory(t *rapid.T, mutate func(*Owner)) *world {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -280,7 +280,7 @@
 	x.gateway.Logger.Warn().Str("event", "send_failed").Str("request", x.call.ID).Bool("sent", sent).Err(err).Msg("")
 	if !sent {
 		grant.Done(balance.Unreachable)
-		return len(x.tried) >= maxTargets && x.finish(errNotRun("targets_unreachable", fullRetry))
+		return len(x.tried) >= maxTargets && x.outOfTargets(ctx, "targets_unreachable")
 	}
 	grant.Done(balance.Broken)
 	if x.mayRepeat() {
@@ -312,10 +312,16 @@
 		return x.finish(errBody())
 	case len(x.tried) < maxTargets:
 		return false
-	case x.started || x.ran > 0:
+	default:
+		return x.outOfTargets(ctx, "targets_full")
+	}
+}
+
+// outOfTargets ends a request for which no more targets are tried.
+func (x *exchange) outOfTargets(ctx context.Context, cause string) bool {
+	if x.started || x.ran > 0 {
 		x.giveUp(ctx, errNoRetry)
 		return true
-	default:
-		return x.finish(errNotRun("targets_full", fullRetry))
 	}
+	return x.finish(errNotRun(cause, fullRetry))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,8 +12,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 )
 
+func TestMain(m *testing.M) { rapidtest.Main(m, "1", "150") }
+
 func TestARequestReachesATargetAndItsAnswerTheCaller(t *testing.T) {
 	is := is.New(t)
 	answer := ok("done")
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -1,11 +1,11 @@
 package ledger_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 )
 
 // Share of the histories that every test run checks; make soak-ledger checks
@@ -18,24 +18,7 @@
 // mutantHistories is how many histories may pass before the mutant is caught.
 const mutantHistories = 500
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	setDefault("rapid.seed", defaultSeed)
-	setDefault("rapid.checks", defaultChecks)
-	os.Exit(m.Run())
-}
-
-// setDefault sets a flag unless the command line did.
-func setDefault(name, value string) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-	if given {
-		return
-	}
-	if err := flag.Set(name, value); err != nil {
-		panic(err)
-	}
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, defaultSeed, defaultChecks) }
 
 func TestNoIDIsClaimedTwice(t *testing.T) {
 	histories, granted := 0, 0
--- a/limits/allocator_internal_test.go
+++ b/limits/allocator_internal_test.go
@@ -1,22 +1,16 @@
 package limits
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "20261204", "100") }
 
 // tolerance covers the rounding of sums of floating-point shares.
 const tolerance = 1e-6
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -1,9 +1,7 @@
 package membership_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -11,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 	"github.com/primrosemoor/primrosemoor/objects"
 )
 
@@ -20,24 +19,7 @@
 	defaultChecks = "60"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	setDefault("rapid.seed", defaultSeed)
-	setDefault("rapid.checks", defaultChecks)
-	os.Exit(m.Run())
-}
-
-// setDefault sets a flag unless the command line did.
-func setDefault(name, value string) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-	if given {
-		return
-	}
-	if err := flag.Set(name, value); err != nil {
-		panic(err)
-	}
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, defaultSeed, defaultChecks) }
 
 // trouble is one fault of a history; it lasts until the next one.
 type trouble struct {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -10,8 +10,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 )
 
+func TestMain(m *testing.M) { rapidtest.Main(m, "1", "300") }
+
 var slack = Slack{Window: 8 * time.Second, Overshoot: 0.1, Fixed: 140_000}
 
 // bound is what a team may pass in a window, over all nodes.
--- a/register/race_test.go
+++ b/register/race_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -16,18 +14,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/register"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "20261204", "100") }
 
 // history is one run of several operators against a faulty store.
 type history struct {
