--- a/balance/manager.go
+++ b/balance/manager.go
@@ -153,6 +153,53 @@
 	m.events <- targetsChanged{targets, services}
 }
 
+// PoolStatus is the present state of one service.
+type PoolStatus struct {
+	Service string
+	// Slots and Taken are those of the targets that may be used; Taken is what
+	// all nodes have outstanding there.
+	Slots, Taken int
+	// Waiting counts this node's requests that wait, by tier.
+	Waiting map[int]int
+}
+
+// Status returns the present state of all services, or nil if ctx ends first.
+func (m *Manager) Status(ctx context.Context) []PoolStatus {
+	reply := make(chan []PoolStatus, 1)
+	select {
+	case m.events <- statusAsked{reply}:
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case s := <-reply:
+		return s
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// statusAsked is a question for the present state.
+type statusAsked struct{ reply chan []PoolStatus }
+
+func (e statusAsked) apply(m *Manager, now time.Time) {
+	var list []PoolStatus
+	for _, p := range m.pools {
+		s := PoolStatus{Service: p.name, Waiting: make(map[int]int)}
+		for _, t := range p.targets {
+			if !t.Draining && !t.health.paused(now) {
+				s.Slots += t.Slots
+				s.Taken += t.load().Requests
+			}
+		}
+		for _, w := range p.waiting {
+			s.Waiting[w.work.Tier]++
+		}
+		list = append(list, s)
+	}
+	e.reply <- list
+}
+
 // submitted is a new request.
 type submitted struct{ waiter *waiter }
 
--- a/cmd/primrosemoor/main.go
+++ b/cmd/primrosemoor/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosemoor/primrosemoor/entry"
 	"github.com/primrosemoor/primrosemoor/node"
+	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/settings"
 )
@@ -34,7 +35,7 @@
 }
 
 type entryCommand struct {
-	Settings string `type:"path" env:"PRIMROSEMOOR_BOOT" help:"Settings file (TOML)." required:""`
+	Settings string `type:"path" env:"${settings_variable}" help:"Settings file (TOML)." required:""`
 }
 
 type checkCommand struct {
@@ -46,7 +47,7 @@
 
 func main() {
 	var c cli
-	parser := kong.Parse(&c, kong.Name("primrosemoor"),
+	parser := kong.Parse(&c, kong.Name("primrosemoor"), kong.Vars{"settings_variable": platform.SettingsVariable},
 		kong.Description("Request scheduler for unlike engines: one node."))
 	err := parser.Run()
 	if err == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
 	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -27,6 +28,8 @@
 		fx.WithLogger(func(logger *log.Logger) fxevent.Logger { return &startupLogger{logger} }),
 		fx.StopTimeout(s.GetBounds().GetGrace().AsDuration()),
 		fx.Provide(
+			telemetry.NewEntry,
+			newBounded,
 			newLogger,
 			newStore,
 			newSelf,
@@ -46,16 +49,18 @@
 	)
 }
 
-func newLogger(s *schema.GatewaySettings) (*log.Logger, error) {
-	return logging.New(s.GetLog())
+func newBounded(s *schema.GatewaySettings, t *telemetry.Entry) (*logging.Bounded, error) {
+	return logging.NewBounded(s.GetLog(), logging.StandardOutput{}, t.LinesDropped)
 }
 
-func newStore(s *schema.GatewaySettings) *platform.Store {
-	return platform.NewStore(s.GetStore().GetAddress(), func(string, int) {})
+func newLogger(b *logging.Bounded) *log.Logger { return b.Logger }
+
+func newStore(s *schema.GatewaySettings, t *telemetry.Entry) *platform.Store {
+	return platform.NewStore(s.GetStore().GetAddress(), t.StoreCall)
 }
 
-func newUpstream() *upstream.Client {
-	return upstream.NewClient(func() {})
+func newUpstream(t *telemetry.Entry) *upstream.Client {
+	return upstream.NewClient(t.Dialed)
 }
 
 func newRetries(s *schema.GatewaySettings) *quota.Retries {
@@ -70,9 +75,10 @@
 // assumedNodes share the retries.
 const assumedNodes = 8
 
-func newGateway(d *datastore.Manager, b *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, logger *log.Logger) *gateway.Gateway {
+func newGateway(d *datastore.Manager, b *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, t *telemetry.Entry, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Beliefs: d, Dialect: platform.Dialect{}, Balancer: b, Allowance: a, Retries: r, Sender: u, Logger: logger,
+		Beliefs: d, Dialect: platform.Dialect{}, Balancer: b, Allowance: a, Retries: r, Sender: u,
+		Metrics: t, Logger: logger,
 	})
 }
 
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -20,7 +20,9 @@
 	"github.com/primrosemoor/primrosemoor/mesh"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/quota"
 	"github.com/primrosemoor/primrosemoor/schema"
+	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -29,7 +31,9 @@
 	fx.In
 
 	Settings  *schema.GatewaySettings
+	Lines     *logging.Bounded
 	Logger    *log.Logger
+	Metrics   *telemetry.Entry
 	Self      datastore.Node
 	Store     *platform.Store
 	Pool      *peer.Pool
@@ -37,6 +41,7 @@
 	Mesh      *mesh.Manager
 	Datastore *datastore.Manager
 	Balancer  *balance.Manager
+	Allowance *quota.Allowance
 	Upstream  *upstream.Client
 	Gateway   *gateway.Gateway
 }
@@ -49,6 +54,7 @@
 	running   sync.WaitGroup
 	callers   *http.Server
 	readiness *http.Server
+	metrics   *http.Server
 	draining  atomic.Bool
 }
 
@@ -91,6 +97,9 @@
 	}
 	l.callers = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
 	l.readiness = &http.Server{Handler: http.HandlerFunc(l.answerReady), ReadHeaderTimeout: headerTimeout}
+	if err := l.serveMetrics(); err != nil {
+		return err
+	}
 	l.serve(l.callers, callers)
 	l.serve(l.readiness, readiness)
 	l.Logger.Info().Str("event", "started").Str("node", l.Settings.GetNode().GetName()).
@@ -179,9 +188,10 @@
 	}
 	l.cancel()
 	l.readiness.Close()
+	l.metrics.Close()
 	l.Server.Close()
 	l.Pool.Close()
 	l.running.Wait()
 	l.Logger.Info().Str("event", "stopped").Msg("")
-	return errors.Join(err, logging.Close(l.Logger))
+	return errors.Join(err, l.Lines.Close())
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -147,7 +147,7 @@
 	w := &balance.Work{
 		ID:           x.call.ID,
 		Service:      x.service,
-		Tier:         x.route.Tier,
+		Tier:         x.tier(),
 		PromptTokens: float64(x.call.PromptTokens),
 		HintTokens:   float64(x.call.LengthHint),
 		Route:        x.route.Name,
@@ -163,12 +163,21 @@
 	if x.call.HasLimit {
 		w.Goal = w.Goal.Add(-x.gateway.limits.passed(x.route.Name, x.call.Limit))
 	}
-	if x.team != nil && x.team.HasTier {
-		w.Tier = x.team.Tier
-	}
 	return w
 }
 
+// tier returns the request's rank: the team's goes before the route's.
+func (x *exchange) tier() int {
+	switch {
+	case x.team != nil && x.team.HasTier:
+		return x.team.Tier
+	case x.route != nil:
+		return x.route.Tier
+	default:
+		return 0
+	}
+}
+
 // giveUp ends a request that gets no target, or no answer in time.
 func (x *exchange) giveUp(ctx context.Context, err error) {
 	var refused *balance.Refusal
@@ -201,9 +210,7 @@
 func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
 	x.tried = append(x.tried, grant.Target.ID)
 	x.logPlaced(grant)
-	if x.sends == 0 {
-		x.gateway.Retries.Sent(x.service)
-	} else if !x.gateway.Retries.Again(x.service) {
+	if !x.bookSend() {
 		grant.Done(balance.Unsent)
 		x.giveUp(ctx, errNoRetry)
 		return true
@@ -231,6 +238,20 @@
 	}
 }
 
+// bookSend counts a send, and reports whether the retry budget allows it.
+func (x *exchange) bookSend() bool {
+	g := x.gateway
+	if x.sends == 0 {
+		g.Retries.Sent(x.service)
+		return true
+	}
+	if !g.Retries.Again(x.service) {
+		return false
+	}
+	g.Metrics.SentAgain(x.service)
+	return true
+}
+
 // watch ends an attempt whose target falls silent, if the request may go to
 // another one. It returns the function that shows that the target is alive.
 func (x *exchange) watch(cancel context.CancelCauseFunc) (alive func()) {
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -17,6 +17,7 @@
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -176,6 +177,13 @@
 	return r.left >= 0
 }
 
+// metrics records nothing.
+type metrics struct{}
+
+func (metrics) RequestPlaced(string, int, time.Duration) {}
+func (metrics) RequestEnded(telemetry.Ended)             {}
+func (metrics) SentAgain(string)                         {}
+
 // world is a gateway with scripted targets behind a real HTTP server.
 type world struct {
 	beliefs   *beliefs
@@ -224,7 +232,7 @@
 	balancer.ApplyTargets(list, nil)
 	w.gateway = gateway.New(gateway.Options{
 		Beliefs: w.beliefs, Dialect: platform.Dialect{}, Balancer: balancer, Allowance: w.allowance,
-		Retries: w.retries, Sender: w.sender, Logger: logging.Discard(),
+		Retries: w.retries, Sender: w.sender, Metrics: metrics{}, Logger: logging.Discard(),
 	})
 	w.server = httptest.NewServer(w.gateway)
 	tb.Cleanup(func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -53,6 +54,13 @@
 	Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error)
 }
 
+// Metrics records what becomes of requests.
+type Metrics interface {
+	RequestPlaced(service string, tier int, waited time.Duration)
+	RequestEnded(e telemetry.Ended)
+	SentAgain(service string)
+}
+
 // Options holds the parts that a Gateway works with.
 type Options struct {
 	Beliefs   Beliefs
@@ -61,6 +69,7 @@
 	Allowance Allowance
 	Retries   RetryBudget
 	Sender    Sender
+	Metrics   Metrics
 	Logger    *log.Logger
 }
 
--- /dev/null
+++ b/logging/bounded.go
@@ -0,0 +1,181 @@
+package logging
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+const (
+	// budgetWindow is the time over which lines of an event are counted.
+	budgetWindow = time.Second
+	// infoLines and failureLines are what one event may write in a window. A
+	// busy node serves some tens of requests a second, with two lines each; what
+	// says that something failed is the last to go.
+	infoLines    = 150
+	failureLines = 400
+	// boundedQueue is how many lines may wait for the writer. More are dropped:
+	// a reader that is slow must not slow the node.
+	boundedQueue = 4096
+	// closeTimeout bounds the wait for the reader of the last lines.
+	closeTimeout = 300 * time.Millisecond
+)
+
+var errCloseTimeout = errors.New("logging: the last lines could not be written in time")
+
+// Bounded is a logger that never blocks its callers and writes a bounded number
+// of lines. Lines of one event beyond its budget are left out, and a line
+// lines_left_out says how many.
+type Bounded struct {
+	Logger *log.Logger
+	queue  *log.AsyncWriter
+	// dropped is told of lines that were not written.
+	dropped func(event string, lines int)
+	now     func() time.Time
+
+	mu     sync.Mutex
+	began  time.Time
+	counts map[string]*lineCount
+
+	// open keeps lines from a queue that has been closed.
+	open   sync.RWMutex
+	closed bool
+}
+
+// lineCount counts the lines of one event in the present window.
+type lineCount struct {
+	written, left int
+}
+
+// NewBounded returns a bounded logger that writes to out, or a bad-request error
+// for an unknown level. dropped is told of lines that were not written.
+func NewBounded(settings *schema.LogSettings, out io.Writer, dropped func(event string, lines int)) (*Bounded, error) {
+	level, err := parseLevel(settings.GetLevel())
+	if err != nil {
+		return nil, err
+	}
+	b := &Bounded{
+		queue: &log.AsyncWriter{
+			ChannelSize:   boundedQueue,
+			DiscardOnFull: true,
+			Writer:        &log.ConsoleWriter{Formatter: formatLine, Writer: out},
+		},
+		dropped: dropped,
+		now:     time.Now,
+		counts:  make(map[string]*lineCount),
+	}
+	b.Logger = &log.Logger{Level: level, TimeField: timeField, TimeFormat: timeFormat, Writer: b}
+	return b, nil
+}
+
+// WriteEntry implements log.Writer.
+func (b *Bounded) WriteEntry(e *log.Entry) (int, error) {
+	event := eventOf(e)
+	if !b.admit(event, e.Level) {
+		return 0, nil
+	}
+	b.open.RLock()
+	defer b.open.RUnlock()
+	if b.closed {
+		return 0, nil
+	}
+	n, err := b.queue.WriteEntry(e)
+	if errors.Is(err, log.ErrAsyncWriterFull) {
+		b.dropped(event, 1)
+		return 0, nil
+	}
+	return n, err
+}
+
+// admit counts a line and reports whether it is within its event's budget.
+func (b *Bounded) admit(event string, level log.Level) bool {
+	b.mu.Lock()
+	ended := b.turn()
+	c := b.counts[event]
+	if c == nil {
+		c = &lineCount{}
+		b.counts[event] = c
+	}
+	budget := infoLines
+	if level >= log.WarnLevel {
+		budget = failureLines
+	}
+	within := c.written < budget
+	if within {
+		c.written++
+	} else {
+		c.left++
+	}
+	b.mu.Unlock()
+	b.report(ended)
+	return within
+}
+
+// turn begins a new window if the present one is over, and returns what was left
+// out of that one.
+func (b *Bounded) turn() map[string]int {
+	now := b.now()
+	if now.Sub(b.began) < budgetWindow {
+		return nil
+	}
+	b.began = now
+	left := make(map[string]int)
+	for event, c := range b.counts {
+		if c.left > 0 {
+			left[event] = c.left
+		}
+	}
+	clear(b.counts)
+	return left
+}
+
+// report writes what was left out.
+func (b *Bounded) report(left map[string]int) {
+	for event, lines := range left {
+		b.dropped(event, lines)
+		b.Logger.Warn().Str("event", "lines_left_out").Str("of", event).Int("lines", lines).Msg("")
+	}
+}
+
+// Close writes what is left, but does not wait long for a reader that is stuck.
+// Later lines are dropped, and later calls do nothing.
+func (b *Bounded) Close() error {
+	b.mu.Lock()
+	b.began = time.Time{}
+	left := b.turn()
+	b.mu.Unlock()
+	b.report(left)
+	b.open.Lock()
+	closed := b.closed
+	b.closed = true
+	b.open.Unlock()
+	if closed {
+		return nil
+	}
+	done := make(chan error, 1)
+	go func() { done <- b.queue.Close() }()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(closeTimeout):
+		return errCloseTimeout
+	}
+}
+
+var eventField = []byte(`"event":"`)
+
+// eventOf returns the name of a line's event.
+func eventOf(e *log.Entry) string {
+	_, rest, found := bytes.Cut(e.Value(), eventField)
+	if !found {
+		return ""
+	}
+	name, _, _ := bytes.Cut(rest, []byte{'"'})
+	return string(name)
+}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -90,6 +90,13 @@
 // Write implements io.Writer.
 func (standardError) Write(p []byte) (int, error) { return os.Stderr.Write(p) }
 
+// StandardOutput is the process's standard output; closing a logger that writes
+// to it leaves it open.
+type StandardOutput struct{}
+
+// Write implements io.Writer.
+func (StandardOutput) Write(p []byte) (int, error) { return os.Stdout.Write(p) }
+
 func open(file string) (io.Writer, error) {
 	if file == "" {
 		return standardError{}, nil
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -188,6 +188,13 @@
 	a.silent = share
 }
 
+// SilentShare returns the share of the nodes that is not heard of.
+func (a *Allowance) SilentShare() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.silent
+}
+
 func (a *Allowance) book(team string) *book {
 	b := a.books[team]
 	if b == nil {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -5,23 +5,13 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
-	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"go.opentelemetry.io/otel/attribute"
-	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-const meterName = "github.com/primrosemoor/primrosemoor"
-
 // Bounds of the latency histograms, in seconds. They are dense around the
 // goals for the first token and between tokens.
 var (
@@ -32,22 +22,10 @@
 // Telemetry records the node's measures. Its methods may be called by any
 // goroutine.
 type Telemetry struct {
-	registry *prometheus.Registry
-	provider *sdkmetric.MeterProvider
-	meter    metric.Meter
+	*exporter
 	counters counters
 	first    metric.Float64Histogram
 	gap      metric.Float64Histogram
-
-	mu     sync.RWMutex
-	series map[labels]series
-}
-
-// series holds the options of one set of labels, made once.
-type series struct {
-	add     []metric.AddOption
-	record  []metric.RecordOption
-	observe []metric.ObserveOption
 }
 
 type counters struct {
@@ -59,17 +37,11 @@
 
 // New returns a Telemetry with its own registry.
 func New() (*Telemetry, error) {
-	registry := prometheus.NewRegistry()
-	// The process collector reports the processor time and resident memory.
-	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
-	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry),
-		otelprometheus.WithoutScopeInfo(), otelprometheus.WithoutTargetInfo())
+	e, err := newExporter()
 	if err != nil {
-		return nil, fmt.Errorf("prometheus exporter: %w", err)
+		return nil, err
 	}
-	t := &Telemetry{registry: registry, series: make(map[labels]series)}
-	t.provider = sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
-	t.meter = t.provider.Meter(meterName)
+	t := &Telemetry{exporter: e}
 	if err := t.createCounters(); err != nil {
 		return nil, err
 	}
@@ -79,16 +51,6 @@
 	return t, nil
 }
 
-// Handler serves the measures in the Prometheus text format.
-func (t *Telemetry) Handler() http.Handler {
-	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
-}
-
-// Shutdown ends the recording.
-func (t *Telemetry) Shutdown(ctx context.Context) error {
-	return t.provider.Shutdown(ctx)
-}
-
 func (t *Telemetry) createCounters() error {
 	c := &t.counters
 	list := []struct {
@@ -135,47 +97,6 @@
 	return nil
 }
 
-// labels are the attributes of one series; empty ones are left out.
-type labels struct {
-	tier, service, result, method, state string
-}
-
-// with returns the options of a series. Label values come from the
-// configuration and from enumerations, so the map is bounded by them.
-func (t *Telemetry) with(l labels) series {
-	t.mu.RLock()
-	s, ok := t.series[l]
-	t.mu.RUnlock()
-	if ok {
-		return s
-	}
-	option := l.option()
-	s = series{
-		add:     []metric.AddOption{option},
-		record:  []metric.RecordOption{option},
-		observe: []metric.ObserveOption{option},
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.series[l] = s
-	return s
-}
-
-func (l labels) option() metric.MeasurementOption {
-	var attributes []attribute.KeyValue
-	add := func(key, value string) {
-		if value != "" {
-			attributes = append(attributes, attribute.String(key, value))
-		}
-	}
-	add("tier", l.tier)
-	add("service", l.service)
-	add("result", l.result)
-	add("method", l.method)
-	add("state", l.state)
-	return metric.WithAttributeSet(attribute.NewSet(attributes...))
-}
-
 // Request is the measure of one ended request.
 type Request struct {
 	Tier    string
