--- a/gateway/events.go
+++ b/gateway/events.go
@@ -22,16 +22,18 @@
 // add takes in bytes and returns the whole events that they complete. What it
 // returns is valid until the next call.
 func (s *eventSplitter) add(p []byte) ([]byte, error) {
+	// What was pending holds no whole event; only an end across the seam is new.
+	seam := max(0, len(s.pending)-(len(blankLineCRLF)-1))
 	s.pending = append(s.pending, p...)
-	end := lastEventEnd(s.pending)
+	end := lastEventEnd(s.pending[seam:])
 	if end == 0 {
 		if len(s.pending) > eventBytes {
 			return nil, errEventTooLarge
 		}
 		return nil, nil
 	}
-	ready := s.pending[:end]
-	s.pending = append([]byte(nil), s.pending[end:]...)
+	ready := s.pending[:seam+end]
+	s.pending = append([]byte(nil), s.pending[seam+end:]...)
 	return ready, nil
 }
 
