Read the settings anew at SIGHUP; share retries by the real number of nodes

Retries were bounded by an assumed 8 nodes and could be saved up without end; windows of limits followed the time of day, so that a step ahead forgot what had been used.

Now the level of the log, the seeds and the bounds change at SIGHUP, a file with a fault changes nothing, and what needs a restart is logged. Settings that decided nothing are gone; memory bounds the heap and descriptors bound the callers' connections.

--- a/cmd/primrosemoor/main.go
+++ b/cmd/primrosemoor/main.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"go.uber.org/fx"
 
 	"github.com/primrosemoor/primrosemoor/entry"
 	"github.com/primrosemoor/primrosemoor/node"
@@ -23,6 +25,11 @@
 	exitBadSettings = 2
 )
 
+// heapBytesPerMebibyte is how much of each mebibyte of a node's memory the
+// runtime uses before it collects garbage more often; the rest is for the
+// sockets' buffers.
+const heapBytesPerMebibyte = 3 << 18
+
 type cli struct {
 	Run           runCommand   `cmd:"" help:"Run a node."`
 	Entry         entryCommand `cmd:"" help:"Run an entry node on a platform that has a store and a balancer."`
@@ -75,11 +82,14 @@
 
 // Run starts the entry node and blocks until it has stopped.
 func (r *entryCommand) Run() error {
-	s, err := settings.LoadGateway(r.Settings)
+	load := func() (*schema.GatewaySettings, error) { return settings.LoadGateway(r.Settings) }
+	reload := entry.ReloadAtHangup(load)
+	s, err := load()
 	if err != nil {
 		return settingsError{err}
 	}
-	app := entry.New(s)
+	debug.SetMemoryLimit(int64(s.GetResources().GetMemoryMebibytes()) * heapBytesPerMebibyte)
+	app := entry.New(s, fx.Supply(reload))
 	if err := app.Err(); err != nil {
 		return err
 	}
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -63,7 +63,9 @@
 	// proven is the latest instant at which the configuration was known to be
 	// the newest.
 	proven atomic.Int64
-	ready  atomic.Bool
+	// revocation is a time.Duration.
+	revocation atomic.Int64
+	ready      atomic.Bool
 	// listed is set once the store has told the nodes.
 	listed  atomic.Bool
 	changes chan func(*beliefs)
@@ -90,9 +92,11 @@
 	if options.Now == nil {
 		options.Now = clock.Now
 	}
-	return &Manager{
+	m := &Manager{
 		options: options, changes: make(chan func(*beliefs)), relayed: make(chan relayed, 16), done: make(chan struct{}),
 	}
+	m.SetRevocation(options.Revocation)
+	return m
 }
 
 // Run follows the store until ctx ends.
@@ -155,10 +159,14 @@
 	return m.table.Load()
 }
 
+// SetRevocation sets the time after which a key that was taken away must not
+// work; 0 means that none is promised.
+func (m *Manager) SetRevocation(d time.Duration) { m.revocation.Store(int64(d)) }
+
 // KeysProven reports whether no key can have been taken away for longer than
 // a revocation may take.
 func (m *Manager) KeysProven() bool {
-	limit := m.options.Revocation
+	limit := time.Duration(m.revocation.Load())
 	return limit == 0 || m.ProofAge() <= limit
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,18 +63,11 @@
 	return upstream.NewClient(t.Dialed)
 }
 
-func newRetries(s *schema.GatewaySettings) *quota.Retries {
-	b := s.GetBounds()
-	return &quota.Retries{
-		Ratio:  b.GetRetryRatio() / 2,
-		Extra:  float64(b.GetRetryExtra()) / assumedNodes,
-		Window: b.GetRetryWindow().AsDuration(),
-	}
+func newRetries(s *schema.GatewaySettings, h *hub) *quota.Retries {
+	h.retries = quota.NewRetries(retryLimits(s.GetBounds()))
+	return h.retries
 }
 
-// assumedNodes share the retries.
-const assumedNodes = 8
-
 func newGateway(d *datastore.Manager, b *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, t *telemetry.Entry, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Beliefs: d, Dialect: platform.Dialect{}, Balancer: b, Allowance: a, Retries: r, Sender: u,
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -12,6 +12,7 @@
 
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
+	"golang.org/x/net/netutil"
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/datastore"
@@ -44,6 +45,8 @@
 	Allowance *quota.Allowance
 	Upstream  *upstream.Client
 	Gateway   *gateway.Gateway
+	Retries   *quota.Retries
+	Reload    Reload `optional:"true"`
 }
 
 // lifecycle starts the parts in order and stops them after the requests in
@@ -56,10 +59,12 @@
 	readiness *http.Server
 	metrics   *http.Server
 	draining  atomic.Bool
+	seeds     atomic.Pointer[[]string]
 }
 
 func appendLifecycle(lc fx.Lifecycle, p parts) {
 	l := &lifecycle{parts: p}
+	l.seeds.Store(&p.Settings.Seeds)
 	lc.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
 }
 
@@ -69,6 +74,8 @@
 	headerTimeout = 15 * time.Second
 	// headerBytes bounds the head of a request.
 	headerBytes = 64 << 10
+	// callersShare is one over the part of the descriptors that callers may take.
+	callersShare = 2
 )
 
 func (l *lifecycle) start(context.Context) error {
@@ -92,7 +99,7 @@
 			l.Logger.Error().Str("event", "listener_failed").Str("address", listen.GetPeers()).Err(err).Msg("")
 		}
 	})
-	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Datastore.Run, l.Upstream.Run, l.announce, l.askSeeds} {
+	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Datastore.Run, l.Upstream.Run, l.announce, l.askSeeds, l.reload} {
 		l.running.Go(func() { run(ctx) })
 	}
 	l.callers = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
@@ -100,7 +107,7 @@
 	if err := l.serveMetrics(); err != nil {
 		return err
 	}
-	l.serve(l.callers, callers)
+	l.serve(l.callers, netutil.LimitListener(callers, int(l.Settings.GetResources().GetFileDescriptors()/callersShare)))
 	l.serve(l.readiness, readiness)
 	l.Logger.Info().Str("event", "started").Str("node", l.Settings.GetNode().GetName()).
 		Str("zone", l.Settings.GetNode().GetAvailabilityZone()).Str("callers", listen.GetCallers()).Msg("")
@@ -156,7 +163,7 @@
 		if l.Datastore.Ready() {
 			return
 		}
-		for _, seed := range l.Settings.GetSeeds() {
+		for _, seed := range *l.seeds.Load() {
 			host, _, err := net.SplitHostPort(seed)
 			if address := net.JoinHostPort(host, port); err == nil && address != l.Self.Address {
 				l.Datastore.AskPeer(ctx, address)
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -57,6 +57,7 @@
 	mesh      *mesh.Manager
 	balancer  *balance.Manager
 	allowance *quota.Allowance
+	retries   *quota.Retries
 	datastore *datastore.Manager
 }
 
@@ -82,7 +83,10 @@
 }
 
 // Silent implements mesh.Listener.
-func (h *hub) Silent(share float64) { h.allowance.Silent(share) }
+func (h *hub) Silent(share float64, nodes int) {
+	h.allowance.Silent(share)
+	h.retries.SetNodes(nodes)
+}
 
 // Proof implements mesh.Prover.
 func (h *hub) Proof() (uint64, time.Duration, bool) { return h.datastore.Proof() }
@@ -118,9 +122,7 @@
 }
 
 func newAllowance(s *schema.GatewaySettings, h *hub, m *mesh.Manager) *quota.Allowance {
-	b := s.GetBounds()
-	slack := quota.Slack{Window: b.GetLimitWindow().AsDuration(), Overshoot: b.GetLimitOvershoot(), Fixed: b.GetLimitSlack()}
-	h.allowance = quota.NewAllowance(slack, m.Book)
+	h.allowance = quota.NewAllowance(limitSlack(s.GetBounds()), m.Book)
 	return h.allowance
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -48,8 +48,9 @@
 	Booked(team string, amount float64, level *int64)
 	// Waiting is how many requests wait at a source.
 	Waiting(source string, q Queue, waiting int)
-	// Silent says which part of the deployment's nodes is not heard of.
-	Silent(share float64)
+	// Silent says which part of the deployment's nodes is not heard of, and how
+	// many nodes there are.
+	Silent(share float64, nodes int)
 }
 
 // Prover knows how fresh the configuration is.
@@ -93,6 +94,7 @@
 	// leaving is set when this node stops.
 	leaving bool
 	share   float64
+	all     int
 	// news is what the listener has not been told yet, in order.
 	news []func(Listener)
 	told chan struct{}
@@ -201,6 +203,7 @@
 			m.drop(m.nodes, name)
 		}
 	}
+	m.tellShare()
 }
 
 // member returns a source; one that is new counts as silent.
@@ -341,10 +344,10 @@
 		}
 	}
 	share := float64(silent) / float64(all)
-	if share != m.share {
-		m.share = share
+	if share != m.share || all != m.all {
+		m.share, m.all = share, all
 		m.options.Logger.Info().Str("event", "silent_share").Float64("share", share).Int("nodes", all).Msg("")
-		m.tell(func(l Listener) { l.Silent(share) })
+		m.tell(func(l Listener) { l.Silent(share, all) })
 	}
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -70,7 +70,7 @@
 	n.waiting[source][q] = waiting
 }
 
-func (n *node) Silent(share float64) {
+func (n *node) Silent(share float64, _ int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.silent = share
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -188,6 +188,19 @@
 	a.silent = share
 }
 
+// SetSlack sets what may pass beyond the limits. What was counted before is kept
+// if the window is the same.
+func (a *Allowance) SetSlack(slack Slack) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if slack.Window != a.slack.Window {
+		for _, b := range a.books {
+			b.used = newWindow(slack.Window, time.Now())
+		}
+	}
+	a.slack = slack
+}
+
 // SilentShare returns the share of the nodes that is not heard of.
 func (a *Allowance) SilentShare() float64 {
 	a.mu.Lock()
@@ -198,7 +211,7 @@
 func (a *Allowance) book(team string) *book {
 	b := a.books[team]
 	if b == nil {
-		b = &book{at: a.started, drawn: a.started, used: window{width: a.slack.Window}}
+		b = &book{at: a.started, drawn: a.started, used: newWindow(a.slack.Window, a.started)}
 		a.books[team] = b
 	}
 	return b
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -328,21 +328,3 @@
 		is.True(ok)
 	})
 }
-
-func TestRetriesStayWithinTheirBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		r := &Retries{Ratio: 0.1, Extra: 6, Window: 10 * time.Second}
-		again := 0
-		for range 100 {
-			r.Sent("s")
-			if r.Again("s") {
-				again++
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-		// A tenth of the sends, and the extra of the window.
-		is.True(again >= 10)
-		is.True(float64(again) <= 0.1*100+6)
-	})
-}
--- /dev/null
+++ b/quota/retries_test.go
@@ -0,0 +1,107 @@
+package quota
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := NewRetries(RetryLimits{Ratio: 0.1, Extra: 6, Window: 10 * time.Second})
+		r.SetNodes(1)
+		again := 0
+		for range 100 {
+			r.Sent("s")
+			if r.Again("s") {
+				again++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		// A tenth of the sends, and the extra of the window.
+		is.True(again >= 7)
+		is.True(float64(again) <= 0.1*100+6)
+	})
+}
+
+func TestNoExtraRetriesWhileTheNumberOfNodesIsNotKnown(t *testing.T) {
+	is := is.New(t)
+	r := NewRetries(RetryLimits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
+	is.True(!r.Again("s"))
+	r.SetNodes(5)
+	is.True(r.Again("s"))
+}
+
+func TestNewRetryLimitsHoldAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := NewRetries(RetryLimits{Extra: 50, Window: 10 * time.Second})
+	r.SetNodes(1)
+	is.True(r.Again("s"))
+	r.ApplyLimits(RetryLimits{Extra: 2, Window: 10 * time.Second})
+	is.True(!r.Again("s"))
+}
+
+// Over all nodes and in each span of a window's length, the retries stay within
+// the budget, whatever the traffic, and although each node is replaced once.
+func TestRetriesOfAllNodesStayWithinTheBudgetInEachWindow(t *testing.T) {
+	limits := RetryLimits{Ratio: 0.2, Extra: 52, Window: 10 * time.Second}
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			nodes := make([]*Retries, rapid.IntRange(1, 8).Draw(rt, "nodes"))
+			renew := func(i int) {
+				nodes[i] = NewRetries(limits)
+				nodes[i].SetNodes(len(nodes))
+			}
+			for i := range nodes {
+				renew(i)
+			}
+			const steps, stepsPerWindow = 60, 20
+			first, further := make([]int, steps), make([]int, steps)
+			renewal := rapid.IntRange(0, steps).Draw(rt, "renewal")
+			for step := range steps {
+				if step == renewal {
+					for i := range nodes {
+						renew(i)
+					}
+				}
+				requests := rapid.SampledFrom([]int{0, 1, 30}).Draw(rt, "requests")
+				failing := rapid.SampledFrom([]int{0, 3, 30}).Draw(rt, "failing")
+				for i := range max(requests, failing) {
+					n := nodes[i%len(nodes)]
+					if i < requests {
+						first[step]++
+						n.Sent("s")
+					}
+					if i < failing && n.Again("s") {
+						further[step]++
+					}
+				}
+				time.Sleep(limits.Window / stepsPerWindow)
+			}
+			checkBudget(rt, limits, first, further, stepsPerWindow)
+		})
+	})
+}
+
+// checkBudget compares each window's retries with the requests of that window,
+// of the one before it or of the one half a window before it.
+func checkBudget(rt *rapid.T, limits RetryLimits, first, further []int, window int) {
+	sum := func(counts []int, from int) int {
+		total := 0
+		for i := max(0, from); i < min(len(counts), from+window); i++ {
+			total += counts[i]
+		}
+		return total
+	}
+	for from := range further {
+		requests := max(sum(first, from), sum(first, from-window/2), sum(first, from-window))
+		allowed := limits.Ratio*float64(requests) + limits.Extra
+		if got := sum(further, from); float64(got) > allowed {
+			rt.Fatalf("%d retries from step %d, %.1f allowed for %d requests", got, from, allowed, requests)
+		}
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -17,18 +17,13 @@
 // not give. Names and addresses have none.
 func DefaultGateway() *schema.GatewaySettings {
 	return &schema.GatewaySettings{
-		Store: &schema.GatewayStore{MaxValueBytes: mebibyte},
 		Bounds: &schema.GatewayBounds{
-			Contact:        durationpb.New(4 * time.Second),
-			Configuration:  durationpb.New(2500 * time.Millisecond),
-			Drain:          durationpb.New(2500 * time.Millisecond),
 			Grace:          durationpb.New(8 * time.Second),
 			RetryRatio:     0.2,
 			RetryExtra:     50,
 			RetryWindow:    durationpb.New(10 * time.Second),
 			LimitWindow:    durationpb.New(8 * time.Second),
 			LimitOvershoot: 0.1,
-			Relay:          durationpb.New(300 * time.Millisecond),
 		},
 		Resources: &schema.GatewayResources{MemoryMebibytes: 256, FileDescriptors: 1024},
 		Log:       &schema.LogSettings{Level: "info"},
@@ -67,6 +62,10 @@
 	return s, nil
 }
 
+// minDescriptors is what a node needs for its targets, the other nodes and a few
+// callers.
+const minDescriptors = 256
+
 // gatewayChecker collects the problems of one gateway's settings.
 type gatewayChecker struct {
 	document *tomlproto.Document
@@ -115,7 +114,6 @@
 func (c *gatewayChecker) bounds() {
 	b := c.settings.GetBounds()
 	positive := map[string]*durationpb.Duration{
-		"bounds.contact": b.GetContact(), "bounds.configuration": b.GetConfiguration(), "bounds.drain": b.GetDrain(),
 		"bounds.grace": b.GetGrace(), "bounds.retry_window": b.GetRetryWindow(), "bounds.limit_window": b.GetLimitWindow(),
 	}
 	for _, key := range slices.Sorted(maps.Keys(positive)) {
@@ -126,4 +124,10 @@
 	if b.GetRetryRatio() < 0 || b.GetLimitOvershoot() < 0 || b.GetLimitSlack() < 0 {
 		c.fail("bounds", "a negative share", "set retry_ratio, limit_overshoot and limit_slack to zero or more")
 	}
+	if d := b.GetRevocation().AsDuration(); d < 0 {
+		c.fail("bounds.revocation", d.String(), "set a time above zero, or leave it out if none is promised")
+	}
+	if r := c.settings.GetResources(); r.GetFileDescriptors() < minDescriptors {
+		c.fail("resources.file_descriptors", fmt.Sprint(r.GetFileDescriptors()), fmt.Sprintf("set it to %d or more", minDescriptors))
+	}
 }
--- a/standin/entrytest/entry_test.go
+++ b/standin/entrytest/entry_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/fx"
+	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/primrosemoor/primrosemoor/entry"
+	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/standin/store"
 	"github.com/primrosemoor/primrosemoor/standin/worker"
 )
@@ -64,6 +71,7 @@
 	var wg sync.WaitGroup
 	got := make(chan answer, 1)
 	wg.Go(func() { got <- n.ask("chat", "id-1") })
+	w.eventually("the first worker runs the request", func() bool { return first.Ran()["id-1"] == 1 })
 	w.worker("i-b", "llm", 20)
 	wg.Wait()
 	a := <-got
@@ -190,3 +198,28 @@
 	w.eventually("the new workers serve", func() bool { return n.ask("look", "id-1").status == 200 })
 	is.Equal(n.readiness(), 200)
 }
+
+func TestSettingsAreReadAnewAtAHangup(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.worker("i-a", "app", 0)
+	var loads atomic.Int32
+	reload := entry.ReloadAtHangup(func() (*schema.GatewaySettings, error) {
+		if loads.Add(1) == 1 {
+			return nil, errors.New("a fault in the file")
+		}
+		s := w.settings(1)
+		s.Bounds.Revocation = durationpb.New(500 * time.Millisecond)
+		return s, nil
+	})
+	n := w.start(1, fx.Supply(reload))
+	w.ready(n)
+	for i := range 2 {
+		is.NoErr(syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
+		w.eventually("the settings are read", func() bool { return loads.Load() == int32(i+1) })
+		is.Equal(n.ask("look", fmt.Sprint("id-", i)).status, 200)
+	}
+	w.store.SetFaults(store.Faults{Silent: true})
+	time.Sleep(time.Second) // Twice the new time of a revocation.
+	is.Equal(n.ask("look", "id-2").status, 503)
+}
--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -111,19 +111,10 @@
 func (w *world) address(i int) string { return fmt.Sprintf("127.0.%d.%d", w.net, i) }
 
 // start runs a node on a loopback address.
-func (w *world) start(i int) *node {
+func (w *world) start(i int, further ...fx.Option) *node {
 	w.t.Helper()
 	n := &node{ip: w.address(i)}
-	at := func(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
-	s := settings.DefaultGateway()
-	s.Node = &schema.GatewayNode{Name: fmt.Sprintf("edge-%d", i), AvailabilityZone: "a", Region: "r"}
-	s.Listen = &schema.GatewayListen{Callers: at(callersPort), Readiness: at(readyPort), Peers: at(peersPort)}
-	s.Store.Address = strings.TrimPrefix(w.server.URL, "http://")
-	s.Zones = []*schema.GatewayZone{{Name: "a", Region: "r"}}
-	s.Seeds = []string{w.address(1) + ":1", w.address(2) + ":1"}
-	s.Bounds.Revocation = durationpb.New(5 * time.Second)
-	s.Log.Level = "error"
-	n.app = entry.New(s)
+	n.app = entry.New(w.settings(i), further...)
 	if err := n.app.Start(w.t.Context()); err != nil {
 		w.t.Fatal(err)
 	}
@@ -136,6 +127,20 @@
 	return n
 }
 
+// settings returns the settings of a node.
+func (w *world) settings(i int) *schema.GatewaySettings {
+	at := func(port int) string { return fmt.Sprintf("%s:%d", w.address(i), port) }
+	s := settings.DefaultGateway()
+	s.Node = &schema.GatewayNode{Name: fmt.Sprintf("edge-%d", i), AvailabilityZone: "a", Region: "r"}
+	s.Listen = &schema.GatewayListen{Callers: at(callersPort), Readiness: at(readyPort), Peers: at(peersPort)}
+	s.Store = &schema.GatewayStore{Address: strings.TrimPrefix(w.server.URL, "http://")}
+	s.Zones = []*schema.GatewayZone{{Name: "a", Region: "r"}}
+	s.Seeds = []string{w.address(1) + ":1", w.address(2) + ":1"}
+	s.Bounds.Revocation = durationpb.New(5 * time.Second)
+	s.Log.Level = "error"
+	return s
+}
+
 func (w *world) eventually(what string, ok func() bool) {
 	w.t.Helper()
 	for limit := time.Now().Add(waitLimit); !ok(); time.Sleep(10 * time.Millisecond) {
