Let a stopping node end: the balance manager takes no events after its end

Cause: the mesh and the handlers handed events to a queue that nobody read once the manager had ended; with the queue full the stop waited for ever. The test fails without the change by a deadlock.

--- a/balance/claims.go
+++ b/balance/claims.go
@@ -66,7 +66,7 @@
 // Waiting takes over how many requests of a tier wait at a source, a node or a
 // zone.
 func (m *Manager) Waiting(source, service string, tier, waiting int) {
-	m.events <- claimed{source, service, tier, waiting}
+	m.submit(claimed{source, service, tier, waiting})
 }
 
 // claimed is a report of another node or zone.
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -52,16 +52,16 @@
 	g.pauses.add(now)
 	if g.first.IsZero() {
 		g.first = now
-		g.manager.events <- firstEvent{g, now.Sub(g.sent)}
+		g.manager.submit(firstEvent{g, now.Sub(g.sent)})
 	}
 	if g.pauses.count == pauseSpan {
-		g.manager.events <- paced{g.choice.target, g.work.Service, g.pauses}
+		g.manager.submit(paced{g.choice.target, g.work.Service, g.pauses})
 	}
 }
 
 // Done records how the request ended.
 func (g *Grant) Done(r Result) {
-	g.manager.events <- ended{g, r}
+	g.manager.submit(ended{g, r})
 }
 
 // firstEvent is the first event of a stream.
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -49,6 +49,7 @@
 type Manager struct {
 	options Options
 	events  chan event
+	done    chan struct{}
 	place   place
 	pools   map[string]*pool
 	// remote holds the loads that others told, by source and target.
@@ -66,6 +67,7 @@
 	return &Manager{
 		options: options,
 		events:  make(chan event, eventQueue),
+		done:    make(chan struct{}),
 		place:   place{zone: options.Zone, regions: options.Regions},
 		pools:   make(map[string]*pool),
 		remote:  make(map[string]map[string]Load),
@@ -75,6 +77,7 @@
 
 // Run applies events until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	defer close(m.done)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -89,6 +92,15 @@
 	}
 }
 
+// submit hands an event to the goroutine that owns the state; after its end the
+// event is dropped.
+func (m *Manager) submit(e event) {
+	select {
+	case m.events <- e:
+	case <-m.done:
+	}
+}
+
 // tick refuses what waited too long and serves what has become possible.
 func (m *Manager) tick(now time.Time) {
 	for _, p := range m.pools {
@@ -131,12 +143,14 @@
 func (m *Manager) Acquire(ctx context.Context, w *Work) (*Grant, error) {
 	reply := make(chan decision, 1)
 	wait := &waiter{work: w, reply: reply}
-	m.events <- submitted{wait}
+	m.submit(submitted{wait})
 	select {
 	case d := <-reply:
 		return m.answer(w, d)
+	case <-m.done:
+		return nil, &Refusal{Reason: "the node stops", RetryAfter: stoppingRetry}
 	case <-ctx.Done():
-		m.events <- withdrawn{wait}
+		m.submit(withdrawn{wait})
 		return nil, context.Cause(ctx)
 	}
 }
@@ -150,7 +164,7 @@
 
 // ApplyTargets takes over the targets and services of a configuration.
 func (m *Manager) ApplyTargets(targets []*catalog.Target, services map[string]*catalog.Service) {
-	m.events <- targetsChanged{targets, services}
+	m.submit(targetsChanged{targets, services})
 }
 
 // PoolStatus is the present state of one service.
@@ -163,17 +177,15 @@
 	Waiting map[int]int
 }
 
-// Status returns the present state of all services, or nil if ctx ends first.
+// Status returns the present state of all services, or nil if ctx or the manager ends first.
 func (m *Manager) Status(ctx context.Context) []PoolStatus {
 	reply := make(chan []PoolStatus, 1)
-	select {
-	case m.events <- statusAsked{reply}:
-	case <-ctx.Done():
-		return nil
-	}
+	m.submit(statusAsked{reply})
 	select {
 	case s := <-reply:
 		return s
+	case <-m.done:
+		return nil
 	case <-ctx.Done():
 		return nil
 	}
@@ -213,6 +225,9 @@
 	m.assign(p, now)
 }
 
+// stoppingRetry lets the caller's next attempt reach another node at once.
+const stoppingRetry = 50 * time.Millisecond
+
 // noTargetRetry is when a target of a service without any may have appeared.
 const noTargetRetry = time.Second
 
--- a/balance/manager_test.go
+++ b/balance/manager_test.go
@@ -170,3 +170,26 @@
 		is.True(time.Since(began) >= 500*time.Millisecond)
 	})
 }
+
+// A node that stops must not wait for news that nobody takes in any more.
+func TestNothingBlocksOnceTheManagerHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := balance.NewManager(balance.Options{
+			Logger: logging.Discard(), Publish: func(string, balance.Load, time.Duration) {}, PublishQueue: func(string, int, int) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		m.Run(ctx)
+		const more = 5000 // than the manager's queue holds
+		for range more {
+			m.Remote("n2", "i-1", balance.Load{Requests: 1}, 0)
+			m.Waiting("n2", "s", 1, 1)
+			m.ApplyTargets(nil, nil)
+		}
+		is.Equal(m.Status(t.Context()), nil)
+		_, err := m.Acquire(t.Context(), work())
+		var refusal *balance.Refusal
+		is.True(errors.As(err, &refusal))
+	})
+}
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -5,12 +5,12 @@
 // Remote takes over what a source, a node or a zone, has outstanding at a
 // target, and the step time that it has learned, 0 if unknown.
 func (m *Manager) Remote(source, target string, load Load, step time.Duration) {
-	m.events <- remoteLoad{source, target, load, step}
+	m.submit(remoteLoad{source, target, load, step})
 }
 
 // Lost forgets what a source has outstanding.
 func (m *Manager) Lost(source string) {
-	m.events <- remoteLost{source}
+	m.submit(remoteLost{source})
 }
 
 // remoteLoad is a report of another node or zone.
