--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,13 @@
 	go test -run '^$$' -fuzz FuzzEventReader -fuzztime 20000x ./engine
 	go test -run '^$$' -fuzz FuzzStreamedBody -fuzztime 20000x ./engine
 	go test -run '^$$' -fuzz FuzzProblemBody -fuzztime 20000x ./problem
+.PHONY: fuzz-platform
+
+fuzz-platform: ## Fuzz the decoders of what the platform's store, callers and targets send, for a bounded count.
+	go test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime 20000x ./platform
+	go test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime 20000x ./platform
+	go test -run '^$$' -fuzz FuzzHeaders -fuzztime 20000x ./platform
+
 .PHONY: traces
 
 traces: ## Write the example traces anew.
--- a/cmd/primrosemoor/main.go
+++ b/cmd/primrosemoor/main.go
@@ -47,6 +47,7 @@
 
 type checkCommand struct {
 	File string `arg:"" type:"path" help:"Settings file (TOML)."`
+	For  string `enum:"run,entry" default:"run" help:"The command that the file is for (run or entry)."`
 }
 
 // settingsError marks an error that ends the process with exitBadSettings.
@@ -99,13 +100,22 @@
 
 // Run checks the file.
 func (c *checkCommand) Run() error {
-	if _, err := settings.Load(c.File); err != nil {
+	if err := c.check(); err != nil {
 		return settingsError{err}
 	}
 	fmt.Println(c.File + ": ok")
 	return nil
 }
 
+func (c *checkCommand) check() error {
+	if c.For == "entry" {
+		_, err := settings.LoadGateway(c.File)
+		return err
+	}
+	_, err := settings.Load(c.File)
+	return err
+}
+
 func runNode(s *schema.Settings, options node.Options) error {
 	app := node.New(s, options)
 	if err := app.Err(); err != nil {
