--- a/datastore/manager_test.go
+++ b/datastore/manager_test.go
@@ -36,6 +36,8 @@
 	// silent calls get no answer at all.
 	silent  bool
 	changed chan struct{}
+	// watches counts the calls that wait for changes.
+	watches int
 }
 
 type entry[T any] struct {
@@ -106,6 +108,7 @@
 }
 
 func (s *fakeStore[T]) Watch(ctx context.Context, after uint64, wait time.Duration) ([]datastore.Change[T], uint64, error) {
+	s.set(func() { s.watches++ })
 	if err := s.fails(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -377,6 +380,35 @@
 	})
 }
 
+// A node that gets proofs from others asks the store less often, and as often as
+// before once they stay away; its keys are proven all the while.
+func TestProofsOfPeersSpareCallsToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := startWorld(t)
+		watches := func(relayed bool) int {
+			before := 0
+			w.configs.set(func() { before = w.configs.watches })
+			for range 120 {
+				time.Sleep(250 * time.Millisecond)
+				if relayed {
+					w.manager.Relayed(3, virtualNow(), "peer")
+				}
+				is.True(w.manager.ProofAge() < revocation)
+			}
+			after := 0
+			w.configs.set(func() { after = w.configs.watches })
+			return after - before
+		}
+		alone := watches(false)
+		together := watches(true)
+		again := watches(false)
+		is.True(alone >= 19) // in 30 s
+		is.True(together <= 14)
+		is.True(again >= 18)
+	})
+}
+
 func TestAPeersNewerConfigurationIsFetched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
