Rest connections for less at targets that forget them

Cause: a target may drop an idle connection without a word; what is sent next is reset, which a request that must not run twice answers with 502. With many nodes a connection rests for seconds between two requests, so that each one would fail.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -26,6 +26,20 @@
 type pool struct {
 	address Address
 	idle    []*conn
+	// shortRest bounds the rest of a connection until shortUntil: the target
+	// lately reset one that had rested for twice as long.
+	shortRest  time.Duration
+	shortUntil time.Time
+}
+
+// usable reports whether a connection that has rested may carry a request.
+func (p *pool) usable(cn *conn) bool {
+	now := time.Now()
+	rest := now.Sub(cn.idleSince)
+	if now.Before(p.shortUntil) && rest >= p.shortRest {
+		return false
+	}
+	return rest < cn.idleFor && cn.quiet()
 }
 
 // NewClient returns a client without connections. onDial is called for each
@@ -72,6 +86,9 @@
 		if cause := context.Cause(ctx); cause != nil {
 			return nil, &SendError{Address: to, Sent: true, Err: cause}
 		}
+		if cn.used > 0 && isReset(err) {
+			c.shortenRest(cn)
+		}
 		return nil, &SendError{Address: to, Sent: true, Reset: isReset(err), Err: err}
 	}
 	cn.used++
@@ -102,11 +119,11 @@
 
 func (c *Client) take(ctx context.Context, to Address, fresh bool) (*conn, error) {
 	for !fresh {
-		cn := c.popIdle(to)
+		cn, usable := c.popIdle(to)
 		if cn == nil {
 			break
 		}
-		if time.Since(cn.idleSince) < cn.idleFor && cn.quiet() {
+		if usable {
 			return cn, nil
 		}
 		cn.Conn.Close()
@@ -116,18 +133,20 @@
 }
 
 // popIdle returns the connection that was used last, because the target is
-// least likely to have closed it.
-func (c *Client) popIdle(to Address) *conn {
+// least likely to have closed it, and whether it may be used; nil if there is
+// none.
+func (c *Client) popIdle(to Address) (cn *conn, usable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[to]
 	if p == nil || len(p.idle) == 0 {
-		return nil
+		return nil, false
 	}
 	last := len(p.idle) - 1
-	cn := p.idle[last]
+	cn = p.idle[last]
 	p.idle = p.idle[:last]
-	return cn
+	cn.rested = time.Since(cn.idleSince)
+	return cn, p.usable(cn)
 }
 
 func (c *Client) pool(to Address) *pool {
@@ -154,13 +173,22 @@
 	p.idle = append(p.idle, cn)
 }
 
+// shortenRest makes the connections to a target that reset a kept one rest for
+// less, for some time.
+func (c *Client) shortenRest(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cn.pool.shortRest = cn.rested / 2
+	cn.pool.shortUntil = time.Now().Add(shortRestTime)
+}
+
 func (c *Client) prune() {
 	c.mu.Lock()
 	var dead []*conn
 	for _, p := range c.pools {
 		kept := p.idle[:0]
 		for _, cn := range p.idle {
-			if time.Since(cn.idleSince) < cn.idleFor && cn.quiet() {
+			if p.usable(cn) {
 				kept = append(kept, cn)
 			} else {
 				dead = append(dead, cn)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -28,6 +28,8 @@
 	// it may be kept.
 	idleSince time.Time
 	idleFor   time.Duration
+	// rested is how long the connection was idle before its present request.
+	rested time.Duration
 }
 
 func dial(ctx context.Context, dialer *net.Dialer, p *pool) (*conn, error) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,6 +26,10 @@
 	// idleShare of the timeout that a target states is used, because the
 	// target's clock started earlier.
 	idleShare = 0.7
+	// shortRestTime is how long the connections to a target that reset a kept one
+	// rest for less. A target that forgets connections does so for many requests
+	// to come; a new connection costs about a millisecond.
+	shortRestTime = time.Minute
 	// inlineBytes may be written without a peer that reads: they fit into the
 	// socket's buffer.
 	inlineBytes = 2 << 10
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -397,3 +397,40 @@
 	}
 	is.Equal(tg.conns.Load(), int32(2))
 }
+
+// A target that forgets connections without a word costs one request; the next
+// ones go over connections that have rested for less.
+func TestConnectionsThatRestTooLongAreNotUsedAgainAfterAReset(t *testing.T) {
+	is := is.New(t)
+	const forgets = 200 * time.Millisecond
+	tg := startTarget(t, func(p *peer) {
+		for last := time.Now(); ; last = time.Now() {
+			r, _, err := p.request()
+			if err != nil {
+				return
+			}
+			if time.Since(last) > forgets {
+				// Closing without lingering resets the connection.
+				_ = p.Conn.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			p.say(answer(r.Header.Get("Id"), "ok"))
+		}
+	})
+	c := newClient(t)
+	failed := 0
+	for i := range 6 {
+		if _, err := roundTrip(t, c, tg, fmt.Sprint("id-", i)); err != nil {
+			failed++
+		}
+		time.Sleep(forgets * 3 / 2)
+	}
+	is.Equal(failed, 1)
+	// Connections that rest for a short time are still reused.
+	before := tg.conns.Load()
+	for i := range 3 {
+		_, err := roundTrip(t, c, tg, fmt.Sprint("quick-", i))
+		is.NoErr(err)
+	}
+	is.True(tg.conns.Load()-before <= 1)
+}
