--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,13 @@
 	-$(SCENARIO) --size kowhai --results $(RESULTS) $(SCENARIOS_ALL)
 	$(BIN)/standin proof --results $(RESULTS) --output docs/PROOF.md
 
+.PHONY: days
+
+SINCE ?= 2026-12-04T09:00:00Z
+
+days: build ## Write docs/DAYS.md from the journal of days played: make days [SINCE=TIME].
+	$(BIN)/standin days --since $(SINCE)
+
 soak-scheduling: ## Run 100,000 seeded histories of the shedding order.
 	go test ./admission -run 'TestNoLowerTierIsDispatchedAfterAHigherWasShed' -rapid.checks=100000 -rapid.seed=7 -timeout 30m
 
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -28,6 +28,7 @@
 	Scenario scenarioCommand `cmd:"" help:"Run scenario files over the real binaries."`
 	Soak     soakCommand     `cmd:"" help:"Run scenarios with random failures."`
 	Proof    proofCommand    `cmd:"" help:"Write the table of promises and failures from results."`
+	Days     daysCommand     `cmd:"" help:"Write the table of days that the users' bench played."`
 	Check    checkCommand    `cmd:"" help:"Judge the history of a run."`
 }
 
--- a/standin/cmd/standin/proof.go
+++ b/standin/cmd/standin/proof.go
@@ -30,6 +30,26 @@
 	return proof.Write(file, results)
 }
 
+type daysCommand struct {
+	Journal string    `help:"Folder of the journal." type:"existingdir" default:"journal"`
+	Since   time.Time `help:"Leave out what was played before."`
+	Output  string    `help:"Page to write." default:"docs/DAYS.md"`
+}
+
+// Run implements kong's command interface.
+func (c *daysCommand) Run(context.Context) error {
+	days, err := proof.ReadDays(c.Journal, c.Since)
+	if err != nil {
+		return err
+	}
+	file, err := os.Create(c.Output)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return proof.WriteDays(file, days, c.Since)
+}
+
 type soakCommand struct {
 	scenarioFlags
 	For time.Duration `help:"Time after which no further scenario begins." default:"10m"`
--- a/standin/proof/proof.go
+++ b/standin/proof/proof.go
@@ -65,6 +65,7 @@
 Made by ` + "`make proof`" + ` from the results of scenario runs; do not edit. A cell names
 the scenarios with their seeds and the number of requests or events that the
 checker judged. "Not run" means that no run applied the promise to the failure.
+Days played on the users' platform are in [DAYS.md](DAYS.md).
 Run one again with ` + "`make scenario FILES=standin/scenarios/NAME.txtar SEED=N SIZE=SIZE`" + `.
 
 `
