A soak of entry nodes: real processes, disturbed from outside at random

Callers keep their connections; the platform's balancer, store and workers are stand-ins behind proxies that cut one way, delay and reset; processes are killed, stopped, frozen and told to reload. Judged: at most one run, true refusals, whole answers, revoked keys, leaving workers, planned stops that cut nothing, ends in time, and service after the last disturbance.

--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -21,15 +21,16 @@
 const stopTimeout = 60 * time.Second
 
 type commands struct {
-	Platform platformCommand `cmd:"" help:"Run the platform's object API."`
-	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
-	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
-	Relay    relayCommand    `cmd:"" help:"Run TCP relays whose links can be cut."`
-	Scenario scenarioCommand `cmd:"" help:"Run scenario files over the real binaries."`
-	Soak     soakCommand     `cmd:"" help:"Run scenarios with random failures."`
-	Proof    proofCommand    `cmd:"" help:"Write the table of promises and failures from results."`
-	Days     daysCommand     `cmd:"" help:"Write the table of days that the users' bench played."`
-	Check    checkCommand    `cmd:"" help:"Judge the history of a run."`
+	Platform  platformCommand  `cmd:"" help:"Run the platform's object API."`
+	Engine    engineCommand    `cmd:"" help:"Run a model engine."`
+	Service   serviceCommand   `cmd:"" help:"Run a plain service."`
+	Relay     relayCommand     `cmd:"" help:"Run TCP relays whose links can be cut."`
+	Scenario  scenarioCommand  `cmd:"" help:"Run scenario files over the real binaries."`
+	Soak      soakCommand      `cmd:"" help:"Run scenarios with random failures."`
+	Proof     proofCommand     `cmd:"" help:"Write the table of promises and failures from results."`
+	EntrySoak entrySoakCommand `cmd:"" help:"Disturb processes of entry nodes at random, and check their promises."`
+	Days      daysCommand      `cmd:"" help:"Write the table of days that the users' bench played."`
+	Check     checkCommand     `cmd:"" help:"Judge the history of a run."`
 }
 
 func main() {
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -62,11 +62,15 @@
 	mu      sync.Mutex
 	cuts    []Link
 	changed chan struct{}
+	// delays are added to what passes, by listen address.
+	delays map[string]time.Duration
+	// open are the dialing sides' connections, with their listen addresses.
+	open map[net.Conn]string
 }
 
 // New returns a relay without cuts.
 func New() *Relay {
-	return &Relay{changed: make(chan struct{})}
+	return &Relay{changed: make(chan struct{}), delays: make(map[string]time.Duration), open: make(map[net.Conn]string)}
 }
 
 // Cut holds back the bytes on a link.
@@ -94,6 +98,44 @@
 	r.changed = make(chan struct{})
 }
 
+// Delay holds back what passes a listen address for a time; zero ends it.
+func (r *Relay) Delay(listen string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delays[listen] = d
+}
+
+// Reset resets the connections that are open to a listen address.
+func (r *Relay) Reset(listen string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn, address := range r.open {
+		if tcp, ok := conn.(*net.TCPConn); ok && address == listen {
+			// Without lingering, the close is a reset.
+			_ = tcp.SetLinger(0)
+			tcp.Close()
+		}
+	}
+}
+
+// track remembers an open connection until the returned function is called.
+func (r *Relay) track(conn net.Conn, listen string) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[conn] = listen
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.open, conn)
+	}
+}
+
+func (r *Relay) delay(listen string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delays[listen]
+}
+
 // selects reports whether every field that l names equals that of c.
 func (l Link) selects(c Link) bool {
 	if l.Listen != "" && l.Listen != c.Listen {
@@ -199,6 +241,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer conn.Close()
+	defer r.track(conn, route.Listen)()
 	source := conn.RemoteAddr().(*net.TCPAddr).IP
 	if r.pass(ctx, route.Listen, source.String(), DirectionIn) != nil {
 		return
@@ -224,6 +267,7 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, readErr := from.Read(buffer)
+		time.Sleep(r.delay(listen))
 		if r.pass(ctx, listen, source, direction) != nil {
 			return
 		}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -44,6 +44,9 @@
 	// Work is how long a request, or one event, takes.
 	Work  time.Duration
 	Slots int
+	// Advertise is the address that the worker registers, if it is not the one
+	// it listens on.
+	Advertise func(listen string) (string, error)
 
 	server *http.Server
 	addr   string
@@ -62,6 +65,12 @@
 		return fmt.Errorf("worker %s: %w", w.ID, err)
 	}
 	w.addr = l.Addr().String()
+	if w.Advertise != nil {
+		if w.addr, err = w.Advertise(w.addr); err != nil {
+			l.Close()
+			return fmt.Errorf("worker %s: %w", w.ID, err)
+		}
+	}
 	w.ran, w.teams = make(map[string]int), make(map[string]string)
 	w.server = &http.Server{Handler: w}
 	go w.server.Serve(l)
@@ -76,6 +85,9 @@
 	})
 }
 
+// Address returns the address that the worker registers.
+func (w *Worker) Address() string { return w.addr }
+
 // Stop ends the worker at once.
 func (w *Worker) Stop() { w.server.Close() }
 
