--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 SCENARIOS_CI = $(addprefix standin/scenarios/,$(addsuffix .txtar,double-runs not-run entry-kill platform-down graceful-stop tier-order leaving-target))
 SCENARIO = $(BIN)/standin scenario --binaries $(BIN) --seed $(SEED) $(if $(SIZE),--size $(SIZE))
 
-.PHONY: scenario scenario-ci soak proof
+.PHONY: scenario scenario-ci soak soak-entry proof
 
 scenario: build ## Run scenario files: make scenario FILES='a.txtar b.txtar' [SEED=N] [SIZE=drumlin].
 	$(SCENARIO) $(or $(FILES),$(SCENARIOS_ALL))
@@ -49,6 +49,12 @@
 soak: build ## Run scenarios with random failures for a bounded time: make soak [SOAK=10m] [SEED=N].
 	$(BIN)/standin soak --binaries $(BIN) --seed $(SEED) --for $(SOAK)
 
+SEEDS ?= 1
+LENGTH ?= 20s
+
+soak-entry: build ## Disturb processes of entry nodes at random: make soak-entry [SEED=N] [SEEDS=COUNT] [LENGTH=20s].
+	$(BIN)/standin entry-soak --binaries $(BIN) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH)
+
 proof: build ## Run all scenarios at both deployments' sizes and write docs/PROOF.md from their results.
 	rm -f $(RESULTS)
 	-$(SCENARIO) --size drumlin --results $(RESULTS) $(SCENARIOS_ALL)
