Rely on others' proofs for longer where there are many nodes; ask at once when proofs stay away

Cause: with 70 nodes each watched the configuration every 1.5 to 3 s for a proof that any of the others would give; and after an outage the first proof took a whole wait, because the answer to a watch is the proof (test: keys are stale 1 s after the store's return, fails before). Now the wait grows with the nodes up to 10 s, a watch is cut off when proofs stay away (a test fails without that), and the next one waits 0.1 s.

--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -21,6 +22,9 @@
 	maxRetry     = 700 * time.Millisecond
 )
 
+// errHurry cuts a watch off that waits for too long.
+var errHurry = errors.New("datastore: the answer is needed sooner")
+
 // Update is what a follower knows after a call.
 type Update[T any] struct {
 	// Items holds all items by name; it is never changed afterwards.
@@ -49,6 +53,11 @@
 	// Apply is called after each successful call, by the follower's goroutine.
 	Apply func(Update[T])
 
+	mu sync.Mutex
+	// cut ends the watch that waits, for waitTime at most; nil if none does.
+	cut      context.CancelCauseFunc
+	waitTime time.Duration
+
 	items    map[string]T
 	revision uint64
 	listed   bool
@@ -113,7 +122,14 @@
 	began, wait := f.Now(), f.Wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
+	ctx, cut := context.WithCancelCause(ctx)
+	f.setWaiting(cut, wait)
 	changes, next, err := f.Source.Watch(ctx, f.revision, wait)
+	f.setWaiting(nil, 0)
+	if errors.Is(context.Cause(ctx), errHurry) {
+		return nil
+	}
+	cut(nil)
 	if err != nil {
 		return err
 	}
@@ -134,6 +150,22 @@
 	return nil
 }
 
+func (f *Follower[T]) setWaiting(cut context.CancelCauseFunc, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut, f.waitTime = cut, wait
+}
+
+// Hurry cuts off a watch that waits for longer than a time, so that the next one
+// begins.
+func (f *Follower[T]) Hurry(most time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut != nil && f.waitTime > most {
+		f.cut(errHurry)
+	}
+}
+
 func (f *Follower[T]) merge(changes []Change[T]) {
 	for _, c := range changes {
 		if c.Err != nil {
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -18,9 +18,17 @@
 	// the proof that no key was taken away, so it has to come several times
 	// within the time of a revocation.
 	configWait = 1500 * time.Millisecond
-	// sharedConfigWait is the same for a node that gets proofs from others, which
-	// ask at other times.
-	sharedConfigWait = 3 * time.Second
+	// A node that gets proofs from others, which ask at other times, waits for
+	// proofSpacing times the nodes, so that there is a proof from somebody that
+	// often, within minSharedWait and maxSharedWait.
+	proofSpacing  = 500 * time.Millisecond
+	minSharedWait = 3 * time.Second
+	maxSharedWait = 10 * time.Second
+	// lateProof is the age of the proof after which a node no longer relies on
+	// others and asks anew: half the time of the shortest revocation in use. It
+	// then waits for urgentWait only, since the answer to a watch is the proof.
+	lateProof  = 2500 * time.Millisecond
+	urgentWait = 100 * time.Millisecond
 	// waitSpread is the part of that wait by which the nodes' waits differ, so
 	// that they do not all ask at once.
 	waitSpread = 0.4
@@ -72,6 +80,8 @@
 	// proven is the latest instant at which the configuration was known to be
 	// the newest.
 	proven atomic.Int64
+	// nodes is how many nodes there are.
+	nodes atomic.Int64
 	// provenElsewhere is the latest instant of another node's proof.
 	provenElsewhere atomic.Int64
 	// revocation is a time.Duration.
@@ -113,19 +123,20 @@
 // Run follows the store until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	var followers sync.WaitGroup
-	config := Follower[*catalog.Config]{
+	config := &Follower[*catalog.Config]{
 		Source: m.options.Sources.Configurations, Kind: "configuration", Wait: m.configWait, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[*catalog.Config]) { m.submit(func(b *beliefs) { b.applyConfig(u) }) },
 	}
-	targets := Follower[*catalog.Target]{
+	targets := &Follower[*catalog.Target]{
 		Source: m.options.Sources.Targets, Kind: "targets", Wait: fixed(listWait), Pause: targetsPause, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[*catalog.Target]) { m.submit(func(b *beliefs) { b.applyTargets(u) }) },
 	}
-	nodes := Follower[Node]{
+	nodes := &Follower[Node]{
 		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: fixed(nodesWait), Pause: nodesPause, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[Node]) {
 			if u.Changed {
 				m.listed.Store(true)
+				m.nodes.Store(int64(len(u.Items)))
 				m.submit(func(b *beliefs) { b.nodes = u.Items })
 				m.options.OnNodes(u.Items)
 			}
@@ -134,7 +145,7 @@
 	for _, run := range []func(context.Context){config.Run, targets.Run, nodes.Run} {
 		followers.Go(func() { run(ctx) })
 	}
-	m.own(ctx)
+	m.own(ctx, config)
 	close(m.done)
 	followers.Wait()
 }
@@ -145,8 +156,12 @@
 
 // configWait returns how long the next watch of the configuration waits.
 func (m *Manager) configWait() time.Duration {
+	if m.ProofAge() > lateProof {
+		return urgentWait
+	}
 	if m.options.Now().Sub(clock.Instant(m.provenElsewhere.Load())) < sharedProof {
-		return time.Duration(float64(sharedConfigWait) * (1 - waitSpread*rand.Float64()))
+		wait := min(maxSharedWait, max(minSharedWait, proofSpacing*time.Duration(m.nodes.Load())))
+		return time.Duration(float64(wait) * (1 - waitSpread*rand.Float64()))
 	}
 	return configWait
 }
@@ -159,7 +174,7 @@
 	}
 }
 
-func (m *Manager) own(ctx context.Context) {
+func (m *Manager) own(ctx context.Context, config *Follower[*catalog.Config]) {
 	b := &beliefs{manager: m}
 	tick := time.NewTicker(returnGrace / 4)
 	defer tick.Stop()
@@ -171,6 +186,9 @@
 			b.applyRelayed(ctx, r)
 		case now := <-tick.C:
 			b.dropLapsed(now)
+			if m.ProofAge() > lateProof {
+				config.Hurry(configWait)
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/datastore/manager_test.go
+++ b/datastore/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -409,6 +410,43 @@
 	})
 }
 
+// A node whose peers fall silent in the middle of a long watch has a proof of its
+// own before its keys count as stale.
+func TestALongWatchIsCutOffWhenProofsStayAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := startWorld(t)
+		for i := range 60 {
+			w.nodes.put(fmt.Sprint("n", i), datastore.Node{Name: fmt.Sprint("n", i)})
+		}
+		time.Sleep(20 * time.Second)
+		for range 10 {
+			for range 30 {
+				time.Sleep(250 * time.Millisecond)
+				w.manager.Relayed(3, virtualNow(), "peer")
+			}
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				is.True(w.manager.ProofAge() < 4*time.Second)
+			}
+		}
+	})
+}
+
+func TestKeysAreProvenAtOnceAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := startWorld(t)
+		time.Sleep(time.Second)
+		w.configs.set(func() { w.configs.down = true })
+		time.Sleep(10 * time.Second)
+		is.True(!w.manager.KeysProven())
+		w.configs.set(func() { w.configs.down = false })
+		time.Sleep(time.Second) // the longest pause between two calls, and their time
+		is.True(w.manager.KeysProven())
+	})
+}
+
 func TestAPeersNewerConfigurationIsFetched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
