--- a/Makefile
+++ b/Makefile
@@ -126,6 +126,11 @@
 bench: ## Measure the decisions against baselines and an oracle, write docs/RESULTS.md and print the cells that miss their goals.
 	go test ./bench -run TestResults -count 1 -v -results $(CURDIR)/docs/RESULTS.md
 
+.PHONY: experiment
+
+experiment: ## Play traffic on the model of engines, policies side by side: make experiment [SEED=N].
+	go test -count 1 -v ./bench/enginesim -length 20s -seed $(SEED)
+
 .PHONY: capacity capacity-render
 
 capacity: ## Measure the slopes of docs/CAPACITY.md and write its tables; takes about 7 minutes.
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -46,6 +46,9 @@
 	stretch float64
 }
 
+// known reports whether the engine's step time is known.
+func (p pace) known() bool { return p.samples > 0 || p.told > 0 }
+
 // ownSamples are enough to prefer this node's own value to another node's.
 const ownSamples = 3
 
--- a/balance/score.go
+++ b/balance/score.go
@@ -17,6 +17,11 @@
 	// fastCost keeps the fast engines of a busy pool for the requests that need
 	// them: an engine of usual speed costs as much more when no slot is free.
 	fastCost = 300 * time.Millisecond
+	// unknownSlower is how much slower than usual an engine is taken for of which
+	// nothing is known, when it is compared with others: a long prompt at a slow
+	// engine holds up all that run there, while a short one shows its speed at
+	// little cost.
+	unknownSlower = 2.0
 	// safety stretches a prediction that decides whether a request is on time.
 	safety = 1.2
 )
@@ -75,6 +80,9 @@
 	c.whole = first.Add(p.engine.rest(t, p.engine.output(w))).Before(w.End)
 	scarce := busy * p.engine.step / step
 	c.cost = c.expected + way + time.Duration(scarce*float64(fastCost))
+	if !t.pace.known() {
+		c.cost += time.Duration((unknownSlower - 1) * float64(c.expected))
+	}
 	return c
 }
 
--- /dev/null
+++ b/bench/enginesim/policy.go
@@ -0,0 +1,130 @@
+package enginesim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/logging"
+)
+
+const service = "llm"
+
+// leave is the right to send one request to an engine.
+type leave struct {
+	engine int
+	// event is called for each event, done at the end.
+	event func()
+	done  func(balance.Result)
+}
+
+// policy decides where the requests of one node go. acquire waits for a place or
+// refuses with an error.
+type policy interface {
+	acquire(ctx context.Context, w *balance.Work) (leave, error)
+}
+
+// naive sends each request at once to the engine with the fewest requests of its
+// own node.
+type naive struct {
+	mu          sync.Mutex
+	outstanding []int
+}
+
+func (n *naive) acquire(context.Context, *balance.Work) (leave, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	least := 0
+	for i, k := range n.outstanding {
+		if k < n.outstanding[least] {
+			least = i
+		}
+	}
+	n.outstanding[least]++
+	return leave{engine: least, event: func() {}, done: func(balance.Result) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.outstanding[least]--
+	}}, nil
+}
+
+// balanced asks the real balancer of its node.
+type balanced struct{ manager *balance.Manager }
+
+func (b balanced) acquire(ctx context.Context, w *balance.Work) (leave, error) {
+	g, err := b.manager.Acquire(ctx, w)
+	if err != nil {
+		return leave{}, err
+	}
+	var engine int
+	if _, err := fmt.Sscanf(g.Target.ID, "engine-%d", &engine); err != nil {
+		return leave{}, fmt.Errorf("target %s: %w", g.Target.ID, err)
+	}
+	return leave{engine: engine, event: func() { g.Event(time.Now()) }, done: g.Done}, nil
+}
+
+// deployment makes a policy for each node; run keeps them going until its context
+// ends.
+type deployment func(nodes, engines, slots int) (all []policy, run func(context.Context))
+
+func newNaive(nodes, engines, _ int) ([]policy, func(context.Context)) {
+	var all []policy
+	for range nodes {
+		all = append(all, &naive{outstanding: make([]int, engines)})
+	}
+	return all, func(context.Context) {}
+}
+
+// newBalanced returns linked balancers, one for each node, that tell each other
+// their loads with a delay.
+func newBalanced(delay time.Duration) deployment {
+	return func(nodes, engines, slots int) ([]policy, func(context.Context)) {
+		managers := make([]*balance.Manager, nodes)
+		others := func(self int, tell func(*balance.Manager)) {
+			time.AfterFunc(delay, func() {
+				for i, m := range managers {
+					if i != self {
+						tell(m)
+					}
+				}
+			})
+		}
+		for i := range managers {
+			name := fmt.Sprint("node-", i)
+			managers[i] = balance.NewManager(balance.Options{
+				Node: name, Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
+				Publish: func(target string, own balance.Load, step time.Duration) {
+					others(i, func(m *balance.Manager) { m.Remote(name, target, own, step) })
+				},
+				PublishQueue: func(service string, tier, waiting int) {
+					others(i, func(m *balance.Manager) { m.Waiting(name, service, tier, waiting) })
+				},
+			})
+		}
+		var all []policy
+		for _, m := range managers {
+			m.ApplyTargets(targets(engines, slots), map[string]*catalog.Service{
+				service: {Name: service, Engine: &catalog.Engine{Slots: slots, EventTokens: eventTokens}},
+			})
+			all = append(all, balanced{m})
+		}
+		return all, func(ctx context.Context) {
+			var running sync.WaitGroup
+			defer running.Wait()
+			for _, m := range managers {
+				running.Go(func() { m.Run(ctx) })
+			}
+		}
+	}
+}
+
+func targets(engines, slots int) []*catalog.Target {
+	var list []*catalog.Target
+	for i := range engines {
+		list = append(list, &catalog.Target{ID: fmt.Sprint("engine-", i), Service: service, Zone: "a", Slots: slots})
+	}
+	return list
+}
