Answer primrosectl at entry nodes: state, and the log lines of a request

The lines are those that the log has, taken where they are written, so that the two cannot differ; 4,096 requests, 32 lines each.

--- a/balance/manager.go
+++ b/balance/manager.go
@@ -173,10 +173,19 @@
 	// Slots and Taken are those of the targets that may be used; Taken is what
 	// all nodes have outstanding there.
 	Slots, Taken int
+	Targets      []TargetStatus
 	// Waiting counts this node's requests that wait, by tier.
 	Waiting map[int]int
 }
 
+// TargetStatus is the present state of one target.
+type TargetStatus struct {
+	ID       string
+	Draining bool
+	// Load is what all nodes have outstanding there.
+	Load Load
+}
+
 // Status returns the present state of all services, or nil if ctx or the manager ends first.
 func (m *Manager) Status(ctx context.Context) []PoolStatus {
 	reply := make(chan []PoolStatus, 1)
@@ -199,6 +208,7 @@
 	for _, p := range m.pools {
 		s := PoolStatus{Service: p.name, Waiting: make(map[int]int)}
 		for _, t := range p.targets {
+			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Draining: t.Draining, Load: t.load()})
 			if !t.Draining && !t.health.paused(now) {
 				s.Slots += t.Slots
 				s.Taken += t.load().Requests
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/platform"
@@ -29,6 +30,7 @@
 		fx.StopTimeout(s.GetBounds().GetGrace().AsDuration()),
 		fx.Provide(
 			telemetry.NewEntry,
+			newDecisions,
 			newBounded,
 			newLogger,
 			newStore,
@@ -49,8 +51,8 @@
 	)
 }
 
-func newBounded(s *schema.GatewaySettings, t *telemetry.Entry) (*logging.Bounded, error) {
-	return logging.NewBounded(s.GetLog(), logging.StandardOutput{}, t.LinesDropped)
+func newBounded(s *schema.GatewaySettings, t *telemetry.Entry, d *explain.Recorder) (*logging.Bounded, error) {
+	return logging.NewBounded(s.GetLog(), logging.StandardOutput{}, t.LinesDropped, d.Add)
 }
 
 func newLogger(b *logging.Bounded) *log.Logger { return b.Logger }
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -16,6 +16,7 @@
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/mesh"
@@ -46,6 +47,7 @@
 	Upstream  *upstream.Client
 	Gateway   *gateway.Gateway
 	Retries   *quota.Retries
+	Decisions *explain.Recorder
 	Reload    Reload `optional:"true"`
 }
 
@@ -92,6 +94,7 @@
 	if err != nil {
 		return fmt.Errorf("listen.peers: %w", err)
 	}
+	l.serveOperators()
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
 	l.running.Go(func() {
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/explain"
+	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// serveOperators answers primrosectl's questions: the node's state, and the log
+// lines of a recent request.
+func (l *lifecycle) serveOperators() {
+	peer.Handle(l.Server, schema.Method_METHOD_STATUS, func() *schema.StatusRequest { return &schema.StatusRequest{} },
+		func(ctx context.Context, _ peer.Identity, _ *schema.StatusRequest) (*schema.StatusReply, error) {
+			return l.describe(ctx), nil
+		})
+	peer.Handle(l.Server, schema.Method_METHOD_EXPLAIN, func() *schema.ExplainRequest { return &schema.ExplainRequest{} },
+		func(ctx context.Context, _ peer.Identity, q *schema.ExplainRequest) (*schema.ExplainReply, error) {
+			return l.Decisions.Handle(ctx, q)
+		})
+}
+
+func (l *lifecycle) describe(ctx context.Context) *schema.StatusReply {
+	version, _, _ := l.Datastore.Proof()
+	reply := &schema.StatusReply{
+		Node: l.Self.Name, AvailabilityZone: l.Self.Zone, ConfigRevision: version,
+		Draining: l.draining.Load(), StoreReachable: l.Datastore.KeysProven(),
+	}
+	for _, pool := range l.Balancer.Status(ctx) {
+		reply.Groups = append(reply.Groups, groupStatus(pool))
+	}
+	slices.SortFunc(reply.Groups, func(a, b *schema.GroupStatus) int { return strings.Compare(a.GetId(), b.GetId()) })
+	for _, n := range l.Datastore.Pass(ctx).Nodes {
+		state := "silent"
+		if n.Name == l.Self.Name || l.Mesh.Hears(n) {
+			state = "heard"
+		}
+		reply.Members = append(reply.Members, &schema.MemberStatus{
+			Node: n.Name, AvailabilityZone: n.Zone, Address: n.Address, State: state,
+		})
+	}
+	slices.SortFunc(reply.Members, func(a, b *schema.MemberStatus) int { return strings.Compare(a.GetNode(), b.GetNode()) })
+	return reply
+}
+
+func groupStatus(pool balance.PoolStatus) *schema.GroupStatus {
+	g := &schema.GroupStatus{Id: pool.Service}
+	for tier, waiting := range pool.Waiting {
+		for len(g.Queued) <= tier {
+			g.Queued = append(g.Queued, 0)
+		}
+		g.Queued[tier] = uint32(waiting)
+	}
+	for _, t := range pool.Targets {
+		g.Targets = append(g.Targets, &schema.TargetStatus{
+			Name: t.ID, Leaving: t.Draining, InFlight: uint32(t.Load.Requests), OutstandingTokens: t.Load.PromptTokens,
+		})
+	}
+	slices.SortFunc(g.Targets, func(a, b *schema.TargetStatus) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return g
+}
+
+func newDecisions() (*explain.Recorder, error) { return explain.NewRecorder() }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -12,8 +12,13 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// maxRequests is the number of requests whose decisions are kept.
-const maxRequests = 4096
+const (
+	// maxRequests is the number of requests whose decisions are kept.
+	maxRequests = 4096
+	// maxLines is how many lines of one request are kept. A request has a few;
+	// more come only from callers that use an id again.
+	maxLines = 32
+)
 
 // Recorder keeps the decision lines of recent requests. It is safe for
 // concurrent use.
@@ -33,6 +38,9 @@
 // Add appends a line to a request's decisions.
 func (r *Recorder) Add(requestID, line string) {
 	before, _ := r.lines.Get(requestID)
+	if len(before) >= maxLines {
+		return
+	}
 	// The stored slice is shared with readers, so it is copied.
 	r.lines.Add(requestID, append(before[:len(before):len(before)], line))
 }
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,8 +55,9 @@
 }
 
 // NewBounded returns a bounded logger that writes to out, or a bad-request error
-// for an unknown level. dropped is told of lines that were not written.
-func NewBounded(settings *schema.LogSettings, out io.Writer, dropped func(event string, lines int)) (*Bounded, error) {
+// for an unknown level. dropped is told of lines that were not written, record of
+// each line about a request that was.
+func NewBounded(settings *schema.LogSettings, out io.Writer, dropped func(event string, lines int), record func(request, line string)) (*Bounded, error) {
 	level, err := parseLevel(settings.GetLevel())
 	if err != nil {
 		return nil, err
@@ -64,7 +66,7 @@
 		queue: &log.AsyncWriter{
 			ChannelSize:   boundedQueue,
 			DiscardOnFull: true,
-			Writer:        &log.ConsoleWriter{Formatter: formatLine, Writer: out},
+			Writer:        &log.ConsoleWriter{Formatter: recordLines(record), Writer: out},
 		},
 		dropped: dropped,
 		now:     time.Now,
@@ -74,6 +76,26 @@
 	return b, nil
 }
 
+// requestField holds the id of the request that a line is about.
+const requestField = "request"
+
+// recordLines formats lines and passes on those about a request.
+func recordLines(record func(request, line string)) func(io.Writer, *log.FormatterArgs) (int, error) {
+	return func(out io.Writer, args *log.FormatterArgs) (int, error) {
+		// The value points into a buffer that is used again.
+		id := strings.Clone(args.Get(requestField))
+		if id == "" {
+			return formatLine(out, args)
+		}
+		var line bytes.Buffer
+		if _, err := formatLine(&line, args); err != nil {
+			return 0, err
+		}
+		record(id, strings.TrimSuffix(line.String(), "\n"))
+		return out.Write(line.Bytes())
+	}
+}
+
 // WriteEntry implements log.Writer.
 func (b *Bounded) WriteEntry(e *log.Entry) (int, error) {
 	event := eventOf(e)
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -50,7 +50,7 @@
 func newBounded(t *testing.T, out io.Writer) (*Bounded, *drops) {
 	t.Helper()
 	d := &drops{}
-	b, err := NewBounded(&schema.LogSettings{Level: "info"}, out, d.add)
+	b, err := NewBounded(&schema.LogSettings{Level: "info"}, out, d.add, func(string, string) {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -125,6 +125,25 @@
 }
 
 func TestAnUnknownLevelIsRefused(t *testing.T) {
-	_, err := NewBounded(&schema.LogSettings{Level: "loud"}, io.Discard, nil)
+	_, err := NewBounded(&schema.LogSettings{Level: "loud"}, io.Discard, nil, nil)
 	is.New(t).True(err != nil)
 }
+
+func TestLinesAboutARequestAreRecorded(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	recorded := make(map[string][]string)
+	b, err := NewBounded(&schema.LogSettings{Level: "info"}, io.Discard, func(string, int) {}, func(request, line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		recorded[request] = append(recorded[request], line)
+	})
+	is.NoErr(err)
+	b.Logger.Info().Str("event", "request_placed").Str("request", "id-1").Msg("")
+	b.Logger.Info().Str("event", "started").Msg("")
+	b.Logger.Info().Str("event", "request_ended").Str("request", "id-1").Int("status", 200).Msg("")
+	is.NoErr(b.Close())
+	is.Equal(len(recorded), 1)
+	is.Equal(len(recorded["id-1"]), 2)
+	is.True(strings.HasSuffix(recorded["id-1"][1], "event=request_ended request=id-1 status=200"))
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -211,6 +211,17 @@
 	m.tellShare()
 }
 
+// Hears reports whether a node, or the zone that it stands in, is heard of.
+func (m *Manager) Hears(n datastore.Node) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.zones[n.Zone]
+	if n.Zone == m.options.Self.Zone {
+		s = m.nodes[n.Name]
+	}
+	return s != nil && s.feed != nil
+}
+
 // neighbours returns the number of other nodes in this zone.
 func (m *Manager) neighbours() int {
 	m.mu.Lock()
--- a/standin/entrytest/entry_test.go
+++ b/standin/entrytest/entry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/primrosemoor/primrosemoor/entry"
+	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/standin/store"
 	"github.com/primrosemoor/primrosemoor/standin/worker"
@@ -223,3 +225,33 @@
 	time.Sleep(time.Second) // Twice the new time of a revocation.
 	is.Equal(n.ask("look", "id-2").status, 503)
 }
+
+func TestOperatorsAreToldOfANodeAndOfItsRequests(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.worker("i-a", "app", 0)
+	s := w.settings(1)
+	s.Log.Level = "info"
+	n := w.startWith(1, s)
+	w.ready(n)
+	is.Equal(n.ask("look", "id-1").status, 200)
+	pool := peer.NewPool(peer.PoolOptions{
+		Identity: peer.Identity{Cluster: "primrosemoor-entry", Node: "operator"}, Meter: peer.NopMeter{},
+		DialTimeout: time.Second, CallTimeout: time.Second,
+	})
+	defer pool.Close()
+	status := &schema.StatusReply{}
+	is.NoErr(pool.Call(t.Context(), s.GetListen().GetPeers(), schema.Method_METHOD_STATUS, &schema.StatusRequest{}, status))
+	is.Equal(status.GetNode(), "edge-1")
+	is.Equal(status.GetConfigRevision(), uint64(w.version))
+	is.True(status.GetStoreReachable())
+	is.Equal(len(status.GetGroups()), 1)
+	is.Equal(status.GetGroups()[0].GetTargets()[0].GetName(), "i-a")
+	reply := &schema.ExplainReply{}
+	w.eventually("the request is explained", func() bool {
+		err := pool.Call(t.Context(), s.GetListen().GetPeers(), schema.Method_METHOD_EXPLAIN, &schema.ExplainRequest{RequestId: "id-1"}, reply)
+		return err == nil && len(reply.GetLines()) == 2
+	})
+	is.True(strings.Contains(reply.GetLines()[0], "event=request_placed request=id-1"))
+	is.True(strings.Contains(reply.GetLines()[1], "event=request_ended request=id-1 cause=answered status=200"))
+}
--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -112,9 +112,15 @@
 
 // start runs a node on a loopback address.
 func (w *world) start(i int, further ...fx.Option) *node {
+	w.t.Helper()
+	return w.startWith(i, w.settings(i), further...)
+}
+
+// startWith runs a node with settings of its own.
+func (w *world) startWith(i int, s *schema.GatewaySettings, further ...fx.Option) *node {
 	w.t.Helper()
 	n := &node{ip: w.address(i)}
-	n.app = entry.New(w.settings(i), further...)
+	n.app = entry.New(s, further...)
 	if err := n.app.Start(w.t.Context()); err != nil {
 		w.t.Fatal(err)
 	}
