--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/datastore"
@@ -26,7 +25,7 @@
 	return fx.New(
 		fx.Options(further...),
 		fx.Supply(s),
-		fx.WithLogger(func(logger *log.Logger) fxevent.Logger { return &startupLogger{logger} }),
+		fx.WithLogger(logging.Startup),
 		fx.StopTimeout(s.GetBounds().GetGrace().AsDuration()),
 		fx.Provide(
 			telemetry.NewEntry,
@@ -77,32 +76,6 @@
 	})
 }
 
-// startupLogger writes fx's failures as log lines; its other events are
-// dropped.
-type startupLogger struct {
-	logger *log.Logger
-}
-
-// LogEvent implements fxevent.Logger.
-func (l *startupLogger) LogEvent(event fxevent.Event) {
-	switch e := event.(type) {
-	case *fxevent.OnStartExecuted:
-		l.failed("start_failed", e.Err)
-	case *fxevent.OnStopExecuted:
-		l.failed("stop_failed", e.Err)
-	case *fxevent.Invoked:
-		l.failed("build_failed", e.Err)
-	case *fxevent.Started:
-		l.failed("start_failed", e.Err)
-	}
-}
-
-func (l *startupLogger) failed(name string, err error) {
-	if err != nil {
-		l.logger.Error().Str("event", name).Err(err).Msg("")
-	}
-}
-
 // settle is how long the balancer takes to stop sending connections to a node
 // that says it is not ready: two questions a second apart, and their answers.
 const settle = 2500 * time.Millisecond
--- a/node/node.go
+++ b/node/node.go
@@ -8,13 +8,13 @@
 
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"github.com/primrosemoor/primrosemoor/admission"
 	"github.com/primrosemoor/primrosemoor/dispatch"
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/ledger"
 	"github.com/primrosemoor/primrosemoor/limits"
+	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/membership"
 	"github.com/primrosemoor/primrosemoor/objects"
 	"github.com/primrosemoor/primrosemoor/peer"
@@ -70,7 +70,7 @@
 	return fx.New(
 		fx.Options(further...),
 		fx.Supply(settings, options),
-		fx.WithLogger(func(logger *log.Logger) fxevent.Logger { return &startupLogger{logger} }),
+		fx.WithLogger(logging.Startup),
 		fx.StopTimeout(settings.GetShutdown().GetDrainTimeout().AsDuration()+stopSlack),
 		fx.Provide(
 			newLogger,
@@ -103,29 +103,3 @@
 		fx.Invoke(appendLifecycle),
 	)
 }
-
-// startupLogger writes fx's failures as log lines; its other events are
-// dropped.
-type startupLogger struct {
-	logger *log.Logger
-}
-
-// LogEvent implements fxevent.Logger.
-func (l *startupLogger) LogEvent(event fxevent.Event) {
-	switch e := event.(type) {
-	case *fxevent.OnStartExecuted:
-		l.failed("start_failed", e.Err)
-	case *fxevent.OnStopExecuted:
-		l.failed("stop_failed", e.Err)
-	case *fxevent.Invoked:
-		l.failed("build_failed", e.Err)
-	case *fxevent.Started:
-		l.failed("start_failed", e.Err)
-	}
-}
-
-func (l *startupLogger) failed(name string, err error) {
-	if err != nil {
-		l.logger.Error().Str("event", name).Err(err).Msg("")
-	}
-}
