--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/standin/history"
+	"github.com/primrosemoor/primrosemoor/standin/process"
 )
 
 // Names of the shared processes.
@@ -31,6 +32,8 @@
 	readyTimeout = 20 * time.Second
 	adminTimeout = 5 * time.Second
 	applyTimeout = 20 * time.Second
+	// exitTimeout bounds the wait for a process that was told to end.
+	exitTimeout = 20 * time.Second
 )
 
 // CrashMarker is the text that ends an engine which reads it in a prompt.
@@ -61,7 +64,7 @@
 	client  http.Client
 
 	mu        sync.Mutex
-	processes map[string]*process
+	processes map[string]*process.Process
 	edit      Edit
 
 	// serving is what the balancer last found ready.
@@ -80,7 +83,7 @@
 		Layout:    layout,
 		options:   options,
 		client:    http.Client{Timeout: adminTimeout},
-		processes: make(map[string]*process),
+		processes: make(map[string]*process.Process),
 		edit:      Edit{Revision: 1},
 	}
 	d.serving.Store(new([]Node))
@@ -110,7 +113,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.processes {
-		p.end()
+		p.End()
 	}
 	d.probe.Close()
 }
@@ -167,14 +170,14 @@
 
 // run starts a program under a name.
 func (d *Deployment) run(name, program string, args ...string) error {
-	p := newProcess(d.options.Directory, name, filepath.Join(d.options.Binaries, program), args...)
+	p := process.New(d.options.Directory, name, filepath.Join(d.options.Binaries, program), args...)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.processes[name] = p
-	return p.start()
+	return p.Start()
 }
 
-func (d *Deployment) process(name string) (*process, error) {
+func (d *Deployment) find(name string) (*process.Process, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, ok := d.processes[name]
@@ -186,18 +189,18 @@
 
 // Restart starts a process that has ended, as it was started before.
 func (d *Deployment) Restart(name string) error {
-	p, err := d.process(name)
+	p, err := d.find(name)
 	if err != nil {
 		return err
 	}
-	if p.running() {
+	if p.Running() {
 		return fmt.Errorf("%s is still running", name)
 	}
 	line := history.Line{Kind: history.KindFault, Node: name, Fault: history.FaultRestart}
 	if err := d.options.History.Write(line); err != nil {
 		return err
 	}
-	return p.start()
+	return p.Start()
 }
 
 // Kill ends a process without notice.
@@ -205,11 +208,11 @@
 	if err := d.fault(name, history.FaultKill, syscall.SIGKILL); err != nil {
 		return err
 	}
-	p, err := d.process(name)
+	p, err := d.find(name)
 	if err != nil {
 		return err
 	}
-	return p.wait(exitTimeout)
+	return p.Wait(exitTimeout)
 }
 
 // Freeze stops a process's execution; Thaw lets it go on.
@@ -225,29 +228,29 @@
 // fault notes the failure before it takes effect, so that the checker never
 // finds an effect ahead of its cause.
 func (d *Deployment) fault(name string, f history.Fault, s syscall.Signal) error {
-	p, err := d.process(name)
+	p, err := d.find(name)
 	if err != nil {
 		return err
 	}
 	if err := d.options.History.Write(history.Line{Kind: history.KindFault, Node: name, Fault: f}); err != nil {
 		return err
 	}
-	return p.signal(s)
+	return p.Signal(s)
 }
 
 // Stop begins the graceful shutdown of a process and waits for its end.
 func (d *Deployment) Stop(name string, timeout time.Duration) error {
-	p, err := d.process(name)
+	p, err := d.find(name)
 	if err != nil {
 		return err
 	}
 	if err := d.options.History.Write(history.Line{Kind: history.KindStop, Node: name}); err != nil {
 		return err
 	}
-	if err := p.signal(syscall.SIGTERM); err != nil {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	if err := p.wait(timeout); err != nil {
+	if err := p.Wait(timeout); err != nil {
 		return err
 	}
 	return d.options.History.Write(history.Line{Kind: history.KindStopped, Node: name})
@@ -260,7 +263,7 @@
 	var nodes []Node
 	for i := range d.Nodes {
 		n := d.Node(i)
-		if p := d.processes[n.Name]; p != nil && p.running() && !p.frozen {
+		if p := d.processes[n.Name]; p != nil && p.Running() && !p.Frozen() {
 			nodes = append(nodes, n)
 		}
 	}
--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -49,8 +49,8 @@
 func (w *world) kill(random *rand.Rand) error {
 	n := w.anyNode(random)
 	defer w.history.begin("kill", n.name, false)()
-	left := n.left()
-	if err := n.signal(syscall.SIGKILL); err != nil {
+	left := n.Exited()
+	if err := n.send(syscall.SIGKILL); err != nil {
 		return err
 	}
 	<-left
@@ -61,8 +61,8 @@
 func (w *world) stop(random *rand.Rand) error {
 	n := w.anyNode(random)
 	defer w.history.begin("stop", n.name, true)()
-	began, left := time.Now(), n.left()
-	if err := n.signal(syscall.SIGTERM); err != nil {
+	began, left := time.Now(), n.Exited()
+	if err := n.send(syscall.SIGTERM); err != nil {
 		return err
 	}
 	select {
@@ -71,7 +71,7 @@
 		if w.history.calmSince(began.Add(-contact)) {
 			w.history.violation("%s did not end within its grace time", n.name)
 		}
-		if err := n.signal(syscall.SIGKILL); err != nil {
+		if err := n.send(syscall.SIGKILL); err != nil {
 			return err
 		}
 		<-left
@@ -83,17 +83,17 @@
 func (w *world) freeze(random *rand.Rand) error {
 	n := w.anyNode(random)
 	defer w.history.begin("freeze", n.name, false)()
-	if err := n.signal(syscall.SIGSTOP); err != nil {
+	if err := n.send(syscall.SIGSTOP); err != nil {
 		return err
 	}
 	time.Sleep(upTo(random, 200*time.Millisecond, 7*time.Second))
-	return n.signal(syscall.SIGCONT)
+	return n.send(syscall.SIGCONT)
 }
 
 func (w *world) reload(random *rand.Rand) error {
 	n := w.anyNode(random)
 	defer w.history.begin("reload", n.name, true)()
-	return n.signal(syscall.SIGHUP)
+	return n.send(syscall.SIGHUP)
 }
 
 func (w *world) storeFault(random *rand.Rand) error {
--- a/standin/entrysoak/soak.go
+++ b/standin/entrysoak/soak.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -53,13 +52,10 @@
 		return nil, err
 	}
 	for _, n := range w.nodes {
-		if err := n.start(); err != nil {
+		if err := n.Start(); err != nil {
 			return nil, err
 		}
-		defer func() {
-			// It may have ended, and its supervisor may have replaced it.
-			_ = n.signal(syscall.SIGKILL)
-		}()
+		defer n.End()
 	}
 	if err := w.waitReady(ctx); err != nil {
 		return nil, err
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -7,13 +7,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/primrosemoor/primrosemoor/standin/process"
 	"github.com/primrosemoor/primrosemoor/standin/relay"
 	"github.com/primrosemoor/primrosemoor/standin/store"
 	"github.com/primrosemoor/primrosemoor/standin/worker"
@@ -165,15 +165,10 @@
 
 // node is one entry node, a process of its own.
 type node struct {
+	*process.Process
 	name, ip string
 	// store is the proxy before the store that only this node uses.
-	store    string
-	settings string
-	program  string
-
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
+	store string
 }
 
 func (w *world) newNode(i int, storeAddress string) (*node, error) {
@@ -181,11 +176,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &node{
-		name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.9.%d.%d", w.options.Seed%250, i+1), store: proxy, program: w.options.Program,
-	}
+	n := &node{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.9.%d.%d", w.options.Seed%250, i+1), store: proxy}
 	zone := []string{"a", "b"}[i%2]
-	n.settings = filepath.Join(w.options.Directory, n.name+".toml")
+	settings := filepath.Join(w.options.Directory, n.name+".toml")
+	n.Process = process.New(w.options.Directory, n.name, w.options.Program, "entry", "--settings", settings)
 	text := fmt.Sprintf(`seeds = ["127.9.%d.1:1", "127.9.%d.2:1"]
 [node]
 name = %q
@@ -207,32 +201,7 @@
 revocation = %q
 grace = %q
 `, w.options.Seed%250, w.options.Seed%250, n.name, zone, n.ip, callersPort, n.ip, readyPort, n.ip, peersPort, proxy, revocation, grace)
-	return n, os.WriteFile(n.settings, []byte(text), 0o600)
-}
-
-// start runs the node's process, whose output is appended to its log. The
-// process is killed when this one dies.
-func (n *node) start() error {
-	log, err := os.OpenFile(n.settings+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	cmd := exec.Command(n.program, "entry", "--settings", n.settings)
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", n.name, err)
-	}
-	exited := make(chan struct{})
-	n.mu.Lock()
-	n.cmd, n.exited = cmd, exited
-	n.mu.Unlock()
-	go func() {
-		_ = cmd.Wait() // How a process ends is judged by who ended it.
-		close(exited)
-	}()
-	return nil
+	return n, os.WriteFile(settings, []byte(text), 0o600)
 }
 
 // keep starts the node's process again whenever it has ended, until ctx ends. An
@@ -240,7 +209,7 @@
 func (n *node) keep(ctx context.Context, h *history) error {
 	for {
 		select {
-		case <-n.left():
+		case <-n.Exited():
 		case <-ctx.Done():
 			return nil
 		}
@@ -251,29 +220,20 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err := n.start(); err != nil {
+		if err := n.Start(); err != nil {
 			return err
 		}
 	}
 }
 
-// signal sends a signal to the node's process, which it may have left.
-func (n *node) signal(s syscall.Signal) error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if err := n.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+// send sends a signal to the node's process, which may have ended meanwhile.
+func (n *node) send(s syscall.Signal) error {
+	if err := n.Signal(s); err != nil && !errors.Is(err, process.ErrNotRunning) && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("signal %s: %w", n.name, err)
 	}
 	return nil
 }
 
-// left returns a channel that is closed when the node's process has ended.
-func (n *node) left() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.exited
-}
-
 // ready asks what the platform's balancer asks.
 func (n *node) ready(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
