--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -156,7 +156,7 @@
 
 // configWait returns how long the next watch of the configuration waits.
 func (m *Manager) configWait() time.Duration {
-	if m.ProofAge() > lateProof {
+	if m.table.Load() != nil && m.ProofAge() > lateProof {
 		return urgentWait
 	}
 	if m.options.Now().Sub(clock.Instant(m.provenElsewhere.Load())) < sharedProof {
