Let the store's stand-in notice callers that leave a call with a body

It shows when a node announces itself late, after a test has made the store silent. The new test fails without the change after 5 s.

--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,9 @@
 	}
 	switch {
 	case f.Silent:
+		// Only once the body has been read does the server notice that the caller
+		// has left.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case f.Down:
--- /dev/null
+++ b/standin/store/store_test.go
@@ -0,0 +1,40 @@
+package store_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/standin/store"
+)
+
+// A call that gets no answer ends at the store when its caller has left, also if
+// it has a body, so that the store can be closed.
+func TestASilentStoreLetsGoOfCallersThatLeave(t *testing.T) {
+	is := is.New(t)
+	s := store.New()
+	server := httptest.NewServer(s)
+	s.SetFaults(store.Faults{Silent: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, server.URL+"/api/objects/nodes/n", strings.NewReader("{}"))
+	is.NoErr(err)
+	_, err = http.DefaultClient.Do(req)
+	is.True(err != nil)
+	closed := make(chan struct{})
+	go func() {
+		server.CloseClientConnections()
+		server.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the store still holds the call")
+	}
+}
