--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -35,9 +35,15 @@
 // lines_left_out says how many.
 type Bounded struct {
 	Logger *log.Logger
-	queue  *log.AsyncWriter
-	// dropped is told of lines that were not written.
+	// lines wait for the writer. The library's AsyncWriter would do, but reads an
+	// entry that it has already handed on (v1.0.121), which is a race.
+	lines chan []byte
+	// written gets the writer's last error at its end.
+	written chan error
+	// dropped is told of lines that were not written, record of those about a
+	// request that were.
 	dropped func(event string, lines int)
+	record  func(request, line string)
 	now     func() time.Time
 
 	mu     sync.Mutex
@@ -63,37 +69,30 @@
 		return nil, err
 	}
 	b := &Bounded{
-		queue: &log.AsyncWriter{
-			ChannelSize:   boundedQueue,
-			DiscardOnFull: true,
-			Writer:        &log.ConsoleWriter{Formatter: recordLines(record), Writer: out},
-		},
+		lines:   make(chan []byte, boundedQueue),
+		written: make(chan error, 1),
 		dropped: dropped,
+		record:  record,
 		now:     time.Now,
 		counts:  make(map[string]*lineCount),
 	}
 	b.Logger = &log.Logger{Level: level, TimeField: timeField, TimeFormat: timeFormat, Writer: b}
+	go b.write(out)
 	return b, nil
 }
 
 // requestField holds the id of the request that a line is about.
 const requestField = "request"
 
-// recordLines formats lines and passes on those about a request.
-func recordLines(record func(request, line string)) func(io.Writer, *log.FormatterArgs) (int, error) {
-	return func(out io.Writer, args *log.FormatterArgs) (int, error) {
-		// The value points into a buffer that is used again.
-		id := strings.Clone(args.Get(requestField))
-		if id == "" {
-			return formatLine(out, args)
-		}
-		var line bytes.Buffer
-		if _, err := formatLine(&line, args); err != nil {
-			return 0, err
+// write writes the lines that wait, until there are no more to come.
+func (b *Bounded) write(out io.Writer) {
+	var last error
+	for line := range b.lines {
+		if _, err := out.Write(line); err != nil {
+			last = err
 		}
-		record(id, strings.TrimSuffix(line.String(), "\n"))
-		return out.Write(line.Bytes())
 	}
+	b.written <- last
 }
 
 // WriteEntry implements log.Writer.
@@ -107,12 +106,32 @@
 	if b.closed {
 		return 0, nil
 	}
-	n, err := b.queue.WriteEntry(e)
-	if errors.Is(err, log.ErrAsyncWriterFull) {
+	line, request, err := format(e)
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case b.lines <- line:
+	default:
 		b.dropped(event, 1)
 		return 0, nil
 	}
-	return n, err
+	if request != "" {
+		b.record(request, strings.TrimSuffix(string(line), "\n"))
+	}
+	return len(line), nil
+}
+
+// format returns an entry's line, and the request that it is about.
+func format(e *log.Entry) (line []byte, request string, err error) {
+	var out bytes.Buffer
+	w := log.ConsoleWriter{Writer: &out, Formatter: func(out io.Writer, args *log.FormatterArgs) (int, error) {
+		// The value points into a buffer that is used again.
+		request = strings.Clone(args.Get(requestField))
+		return formatLine(out, args)
+	}}
+	_, err = w.WriteEntry(e)
+	return out.Bytes(), request, err
 }
 
 // admit counts a line and reports whether it is within its event's budget.
@@ -180,10 +199,9 @@
 	if closed {
 		return nil
 	}
-	done := make(chan error, 1)
-	go func() { done <- b.queue.Close() }()
+	close(b.lines)
 	select {
-	case err := <-done:
+	case err := <-b.written:
 		return err
 	case <-time.After(closeTimeout):
 		return errCloseTimeout
