Say once which source tells of a node, and how a lost answer ends

The choice between a node and its zone stood twice in mesh, the end of a request whose target gave no whole answer twice in gateway. Same behaviour; tests unchanged.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -303,6 +303,12 @@
 		grant.Done(balance.Unreachable)
 		return len(x.tried) >= maxTargets && x.outOfTargets(ctx, "targets_unreachable")
 	}
+	return x.lost(grant, "no_answer")
+}
+
+// lost handles a target that gave no whole answer. It reports whether the request
+// has ended; if not, it may go to another target.
+func (x *exchange) lost(grant *balance.Grant, cause string) bool {
 	grant.Done(balance.Broken)
 	if x.mayRepeat() {
 		return false
@@ -310,7 +316,7 @@
 	if x.started {
 		x.abort("stream_not_resumed", http.StatusOK)
 	}
-	return x.finish(errUnknown("no_answer"))
+	return x.finish(errUnknown(cause))
 }
 
 // maxTargets bounds the targets that are tried for one request, including those
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -65,14 +65,7 @@
 		x.giveUp(ctx, ctx.Err())
 		return true
 	}
-	grant.Done(balance.Broken)
-	if x.mayRepeat() {
-		return false
-	}
-	if x.started {
-		x.abort("stream_not_resumed", http.StatusOK)
-	}
-	return x.finish(errUnknown("answer_broken"))
+	return x.lost(grant, "answer_broken")
 }
 
 // abort ends the caller's connection so that a part of an answer does not look
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -48,15 +48,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wanted := make(map[string]datastore.Node)
-	speaks := m.speaker()
 	for _, n := range m.known {
 		if n.Zone == m.options.Self.Zone {
 			wanted[n.Name] = n
 		}
 	}
-	for zone := range m.zones {
-		if n, ok := m.partner(zone); ok && speaks {
-			wanted[n.Name] = n
+	if m.speaker() {
+		for zone := range m.zones {
+			if n, ok := m.partner(zone); ok {
+				wanted[n.Name] = n
+			}
 		}
 	}
 	for name, l := range m.links {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -10,6 +10,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -86,7 +87,7 @@
 	changed   signal
 
 	mu sync.Mutex
-	// sources are the nodes of this zone and the other zones by name.
+	// nodes are the other nodes of this zone, zones the other zones, by name.
 	nodes map[string]*source
 	zones map[string]*source
 	known map[string]datastore.Node
@@ -215,11 +216,17 @@
 func (m *Manager) Hears(n datastore.Node) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.zones[n.Zone]
+	s := m.source(n)
+	return s != nil && s.feed != nil
+}
+
+// source returns what tells of a node: itself in this zone, or else its zone; nil
+// if neither is known. The lock must be held.
+func (m *Manager) source(n datastore.Node) *source {
 	if n.Zone == m.options.Self.Zone {
-		s = m.nodes[n.Name]
+		return m.nodes[n.Name]
 	}
-	return s != nil && s.feed != nil
+	return m.zones[n.Zone]
 }
 
 // neighbours returns the number of other nodes in this zone.
@@ -354,10 +361,7 @@
 func (m *Manager) tellShare() {
 	silent, all := 0, 1
 	for _, n := range m.known {
-		s := m.zones[n.Zone]
-		if n.Zone == m.options.Self.Zone {
-			s = m.nodes[n.Name]
-		}
+		s := m.source(n)
 		if s != nil && s.leaving {
 			continue
 		}
@@ -394,11 +398,6 @@
 			list = append(list, n)
 		}
 	}
-	slices.SortFunc(list, func(a, b datastore.Node) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b datastore.Node) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
