Sum a target's load once for a score

The load was summed over all nodes, then again after the time passed was taken off. Same order of effects, same result; tests of the choice and of the model pass.

--- a/balance/score.go
+++ b/balance/score.go
@@ -63,6 +63,9 @@
 
 // score predicts how a request would fare at a target.
 func (p *pool) score(t *target, w *Work, now time.Time, at place, busy float64) choice {
+	if p.engine != nil {
+		t.advance(now, p.engine)
+	}
 	c := choice{target: t, chosen: t.Target, load: t.load(), onTime: true, whole: true}
 	way := at.way(t.Zone)
 	if p.engine == nil {
@@ -70,8 +73,6 @@
 		c.cost = c.expected + way
 		return c
 	}
-	t.advance(now, p.engine)
-	c.load = t.load()
 	step := p.engine.stepSeconds(t)
 	c.step = seconds(step)
 	c.expected = p.engine.firstEvent(t, c.load.PromptTokens, w.PromptTokens)
