Assign waiting requests once for events that come together; report a grant's fate through an interface

Cause: each event looked at all waiting requests and all targets again, which a node that chooses for a whole zone could not afford; and a grant was tied to the manager that gave it. No change of behaviour is meant; tests of balance, gateway and the model pass.

--- a/balance/claims.go
+++ b/balance/claims.go
@@ -75,9 +75,9 @@
 	tier, waiting   int
 }
 
-func (e claimed) apply(m *Manager, now time.Time) {
+func (e claimed) apply(m *Manager, _ time.Time) {
 	m.claims.set(e.source, e.service, e.tier, e.waiting)
 	if p := m.pools[e.service]; p != nil {
-		m.assign(p, now)
+		m.touch(p)
 	}
 }
--- a/balance/engine_test.go
+++ b/balance/engine_test.go
@@ -28,7 +28,7 @@
 
 // pausesOf returns the pauses of a stream whose events come each pause, with
 // the given jitter and now and then the reading of a prompt in between.
-func pausesOf(r *rand.Rand, events int, pause, jitter time.Duration, prompts float64) pauses {
+func pausesOf(r *rand.Rand, events int, pause, jitter time.Duration, prompts float64) Sample {
 	var p pauses
 	now := time.Unix(0, 0)
 	for range events {
@@ -38,7 +38,7 @@
 		}
 		p.add(now.Add(time.Duration(r.Float64() * float64(jitter))))
 	}
-	return p
+	return p.sample()
 }
 
 func TestTheStepIsLearnedThroughJitterAndPrompts(t *testing.T) {
--- a/balance/learn.go
+++ b/balance/learn.go
@@ -36,6 +36,11 @@
 	total    time.Duration
 }
 
+// sample returns what the events so far show.
+func (p *pauses) sample() Sample {
+	return Sample{Pauses: p.count, Shortest: p.shortest, Total: p.total}
+}
+
 // add records the arrival of an event.
 func (p *pauses) add(now time.Time) {
 	if last := p.recent[pauseSpan]; !last.IsZero() {
@@ -54,8 +59,8 @@
 
 // learnStep takes the shortest time of some events of a stream as a sample of
 // the engine's step time.
-func (e *engine) learnStep(t *target, p pauses) {
-	sample := p.shortest.Seconds() / pauseSpan / e.eventTokens
+func (e *engine) learnStep(t *target, s Sample) {
+	sample := s.Shortest.Seconds() / pauseSpan / e.eventTokens
 	if sample <= 0 {
 		return
 	}
@@ -83,11 +88,11 @@
 }
 
 // learnStretch takes the mean pause of a stream that has ended.
-func (e *engine) learnStretch(t *target, p pauses) {
-	if p.count < pauseSpan {
+func (e *engine) learnStretch(t *target, s Sample) {
+	if s.Pauses < pauseSpan {
 		return
 	}
-	mean := p.total.Seconds() / float64(p.count) / e.eventTokens
+	mean := s.Total.Seconds() / float64(s.Pauses) / e.eventTokens
 	sample := min(max(mean/e.stepSeconds(t), 1), maxStretch)
 	if t.pace.stretch == 0 {
 		t.pace.stretch = startStretch
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -55,6 +55,8 @@
 	// remote holds the loads that others told, by source and target.
 	remote map[string]map[string]Load
 	claims claims
+	// touched are the pools that changed since their requests were last assigned.
+	touched map[*pool]bool
 }
 
 // event changes the manager's state; it is applied by the manager's goroutine.
@@ -72,6 +74,7 @@
 		pools:   make(map[string]*pool),
 		remote:  make(map[string]map[string]Load),
 		claims:  newClaims(options.Node, options.Regions),
+		touched: make(map[*pool]bool),
 	}
 }
 
@@ -83,7 +86,7 @@
 	for {
 		select {
 		case e := <-m.events:
-			e.apply(m, time.Now())
+			m.take(e)
 		case now := <-tick.C:
 			m.tick(now)
 		case <-ctx.Done():
@@ -92,6 +95,28 @@
 	}
 }
 
+// take applies an event and those that wait behind it, and then gives targets to
+// the requests that wait: events that come together cost one look at them.
+func (m *Manager) take(e event) {
+	now := time.Now()
+	e.apply(m, now)
+	for waiting := true; waiting; {
+		select {
+		case e := <-m.events:
+			e.apply(m, now)
+		default:
+			waiting = false
+		}
+	}
+	for p := range m.touched {
+		delete(m.touched, p)
+		m.assign(p, now)
+	}
+}
+
+// touch marks a pool whose requests may get a target now.
+func (m *Manager) touch(p *pool) { m.touched[p] = true }
+
 // submit hands an event to the goroutine that owns the state; after its end the
 // event is dropped.
 func (m *Manager) submit(e event) {
@@ -104,10 +129,9 @@
 // tick refuses what waited too long and serves what has become possible.
 func (m *Manager) tick(now time.Time) {
 	for _, p := range m.pools {
-		if len(p.waiting) == 0 {
-			continue
+		if len(p.waiting) > 0 {
+			m.assign(p, now)
 		}
-		m.assign(p, now)
 	}
 }
 
@@ -159,7 +183,7 @@
 	if d.refusal != nil {
 		return nil, d.refusal
 	}
-	return &Grant{manager: m, work: w, choice: d.choice, Target: d.choice.chosen, sent: time.Now()}, nil
+	return NewGrant(d.choice.chosen, d.choice.seen(), &held{m, w, d.choice.target, d.choice.load}), nil
 }
 
 // ApplyTargets takes over the targets and services of a configuration.
@@ -232,7 +256,7 @@
 		return
 	}
 	p.waiting = append(p.waiting, e.waiter)
-	m.assign(p, now)
+	m.touch(p)
 }
 
 // stoppingRetry lets the caller's next attempt reach another node at once.
@@ -250,14 +274,14 @@
 	for i, w := range p.waiting {
 		if w == e.waiter {
 			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			m.assign(p, now)
+			m.touch(p)
 			return
 		}
 	}
 	select {
 	case d := <-e.waiter.reply:
 		if d.refusal == nil {
-			(&Grant{manager: m, work: e.waiter.work, choice: d.choice}).end(now, Unsent)
+			ended{held: &held{m, e.waiter.work, d.choice.target, d.choice.load}, result: Unsent}.apply(m, now)
 		}
 	default:
 	}
@@ -287,7 +311,7 @@
 		for _, t := range p.apply(list, now) {
 			m.recall(t)
 		}
-		m.assign(p, now)
+		m.touch(p)
 	}
 }
 
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -17,10 +17,12 @@
 	}
 }
 
-// pick returns the best eligible target, or false if none is free.
-func (p *pool) pick(w *Work, now time.Time, at place, busy float64, reserved time.Duration) (choice, bool) {
+// pick returns the best target of those with a free slot, or false if none may
+// take the request.
+func (p *pool) pick(w *Work, now time.Time, at place, c *capacity, reserved time.Duration) (choice, bool) {
 	var best choice
-	for _, t := range p.targets {
+	busy := c.busy()
+	for _, t := range c.free {
 		if !eligible(t, w, now, reserved) {
 			continue
 		}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -92,6 +92,7 @@
 	}
 	slices.SortStableFunc(p.waiting, p.order)
 	counts := p.counted(now)
+	free := p.capacity(now)
 	kept := p.waiting[:0]
 	pressed := false
 	for _, w := range p.waiting {
@@ -99,10 +100,11 @@
 		if p.engine != nil {
 			reserved = others.reserve(p.name, w.work.Tier, counts[w.work.Tier])
 		}
-		c, ok := p.pick(w.work, now, at, p.busy(now), reserved)
+		c, ok := p.pick(w.work, now, at, &free, reserved)
 		switch {
 		case ok && (c.onTime || w.late):
 			c.target.send(w.work, now)
+			free.take(c.target)
 			granted(w, c)
 		case !now.Before(w.work.Patience) || w.late && pressed:
 			w.reply <- decision{refusal: p.refusal(w.work, now)}
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -40,7 +40,7 @@
 			t.pace.told = e.step.Seconds()
 		}
 		if freed {
-			m.assign(p, now)
+			m.touch(p)
 		}
 	}
 }
@@ -57,7 +57,7 @@
 			delete(t.remote, e.source)
 			t.noteFree(now)
 		}
-		m.assign(p, now)
+		m.touch(p)
 	}
 }
 
--- a/balance/score.go
+++ b/balance/score.go
@@ -43,6 +43,8 @@
 	step time.Duration
 }
 
+func (c choice) seen() Seen { return Seen{Expected: c.expected, Load: c.load, Step: c.step} }
+
 // place is where this node stands.
 type place struct {
 	zone    string
@@ -86,21 +88,3 @@
 	}
 	return c
 }
-
-// busy returns the share of the pool's slots that are taken, squared, so that
-// it matters only when few are left.
-func (p *pool) busy(now time.Time) float64 {
-	slots, taken := 0, 0
-	for _, t := range p.targets {
-		if t.Draining || t.health.paused(now) {
-			continue
-		}
-		slots += t.Slots
-		taken += min(t.load().Requests, t.Slots)
-	}
-	if slots == 0 {
-		return 0
-	}
-	share := float64(taken) / float64(slots)
-	return share * share
-}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -10,12 +10,11 @@
 // logPlaced records the choice of a target with its inputs.
 func (x *exchange) logPlaced(grant *balance.Grant) {
 	x.placed = time.Now()
-	load, step := grant.Seen()
 	x.gateway.Metrics.RequestPlaced(x.service, x.tier(), x.placed.Sub(x.arrived))
 	x.gateway.Logger.Info().Str("event", "request_placed").Str("request", x.call.ID).Str("route", x.route.Name).
 		Str("target", grant.Target.ID).Str("zone", grant.Target.Zone).Int("attempt", len(x.tried)).
-		Dur("waited", x.placed.Sub(x.arrived)).Dur("expected", grant.Expected()).Dur("step", step).
-		Int("running", load.Requests).Float64("backlog_tokens", load.PromptTokens).
+		Dur("waited", x.placed.Sub(x.arrived)).Dur("expected", grant.Seen.Expected).Dur("step", grant.Seen.Step).
+		Int("running", grant.Seen.Load.Requests).Float64("backlog_tokens", grant.Seen.Load.PromptTokens).
 		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Str("team", x.teamName()).Msg("")
 }
 
