Let one node of each zone choose targets for all its nodes

Cause: on the grown sites 70 nodes chose for themselves from loads that were about 100 ms old, and chose the same engines: they believed that 3.8 requests ran where 14.5 did. Change: the best node of each zone owns it and is asked by the others over a stream (package owner); slots of other zones are taken only after they have been free for a while; requests of one tier go by their route's rank, because teams' tiers hide it; nodes that choose for nobody ask the store less often, and a list that is older than the history is not asked for in a loop.

--- a/balance/claims.go
+++ b/balance/claims.go
@@ -3,11 +3,14 @@
 import "time"
 
 const (
-	// zoneClaimTime and otherClaimTime are how long a place that has become free
-	// is left to the more important requests that wait at other nodes: in this
-	// zone, and in another one, whose node has to hear of the place first.
-	zoneClaimTime  = 10 * time.Millisecond
-	otherClaimTime = 100 * time.Millisecond
+	// zoneClaimTime is how long a slot that has become free is left to the more
+	// important requests that wait at other nodes of this zone. It matters only
+	// while the zone's nodes choose targets each for itself.
+	zoneClaimTime = 10 * time.Millisecond
+	// elsewhereTime is how long a slot in another zone has to be free before it is
+	// taken from here: the way between regions, the pause between two updates, and
+	// as much again for a late one. Its owner uses it sooner if it can.
+	elsewhereTime = 100 * time.Millisecond
 )
 
 // claims are the requests that wait at other nodes.
@@ -40,27 +43,23 @@
 	counts[claim{service, tier}] = waiting
 }
 
-// reserve returns how long a free place of a service is left to others before
-// a request of a tier may take it. own is how many requests of the tier wait
-// here: among the nodes of a zone, the one with the most goes first.
+// reserve returns how long a free slot of a service is left to other nodes of the
+// zone before a request of a tier may take it. own is how many requests of the
+// tier wait here: the node with the most goes first. Slots are not kept for other
+// zones, whose nodes would hear of them too late.
 func (c *claims) reserve(service string, tier, own int) time.Duration {
-	longest := time.Duration(0)
 	for source, counts := range c.waiting {
-		_, isZone := c.zones[source]
+		if _, isZone := c.zones[source]; isZone {
+			continue
+		}
 		for key, waiting := range counts {
-			if key.service != service {
-				continue
-			}
-			ahead := key.tier < tier
-			switch {
-			case isZone && ahead:
-				return otherClaimTime
-			case ahead || !isZone && key.tier == tier && (waiting > own || waiting == own && source < c.node):
-				longest = zoneClaimTime
+			ahead := waiting > own || waiting == own && source < c.node
+			if key.service == service && (key.tier < tier || key.tier == tier && ahead) {
+				return zoneClaimTime
 			}
 		}
 	}
-	return longest
+	return 0
 }
 
 // Waiting takes over how many requests of a tier wait at a source, a node or a
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -17,6 +17,12 @@
 	tickInterval = 10 * time.Millisecond
 )
 
+// Reasons of refusals that say nothing of the targets' load.
+const (
+	ReasonNoTarget = "no_target"
+	ReasonStopping = "stopping"
+)
+
 // Refusal is a request that gets no target.
 type Refusal struct {
 	Reason string
@@ -172,7 +178,7 @@
 	case d := <-reply:
 		return m.answer(w, d)
 	case <-m.done:
-		return nil, &Refusal{Reason: "stopping", RetryAfter: stoppingRetry}
+		return nil, &Refusal{Reason: ReasonStopping, RetryAfter: stoppingRetry}
 	case <-ctx.Done():
 		m.submit(withdrawn{wait})
 		return nil, context.Cause(ctx)
@@ -252,7 +258,7 @@
 func (e submitted) apply(m *Manager, now time.Time) {
 	p := m.pool(e.waiter.work.Service)
 	if len(p.targets) == 0 {
-		e.waiter.reply <- decision{refusal: &Refusal{Reason: "no_target", RetryAfter: noTargetRetry}}
+		e.waiter.reply <- decision{refusal: &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetry}}
 		return
 	}
 	p.waiting = append(p.waiting, e.waiter)
--- a/balance/manager_test.go
+++ b/balance/manager_test.go
@@ -157,6 +157,21 @@
 	})
 }
 
+// A request whose target another node chose counts here once that node is gone.
+func TestAnAdoptedRequestTakesAPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, load := start(t)
+		r := m.Adopt(work(), "i-1", true)
+		is.Equal(load().Requests, 1)
+		r.Paced(balance.Sample{})
+		r.Ended(balance.Answered, balance.Sample{})
+		is.Equal(load().Requests, 0)
+		m.Adopt(work(), "unknown", false).Ended(balance.Answered, balance.Sample{})
+		is.Equal(load().Requests, 0)
+	})
+}
+
 func TestAnUnreachableTargetIsLeftAloneForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -22,8 +22,8 @@
 func (p *pool) pick(w *Work, now time.Time, at place, c *capacity, reserved time.Duration) (choice, bool) {
 	var best choice
 	busy := c.busy()
-	for _, t := range c.free {
-		if !eligible(t, w, now, reserved) {
+	for _, t := range c.candidates() {
+		if !eligible(t, w, now, p.reserved(t, at, reserved)) {
 			continue
 		}
 		if c := p.score(t, w, now, at, busy); c.better(best) {
@@ -32,3 +32,13 @@
 	}
 	return best, best.target != nil
 }
+
+// reserved returns how long a slot of a target is left to others once it is free:
+// what is left to more important requests, and at a target in another zone what
+// its owner takes to use the slot itself and to tell of it.
+func (p *pool) reserved(t *target, at place, others time.Duration) time.Duration {
+	if p.engine == nil || t.Zone == at.zone {
+		return others
+	}
+	return max(others, elsewhereTime)
+}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -32,7 +32,7 @@
 }
 
 // order compares two waiting requests. Those that can still be on time go
-// first, then the more important ones. Of equals that can be on time the one
+// first, then the more important ones, by tier and then by rank. Of equals that can be on time the one
 // that is worth most for the time of its slot goes first, so that a shortage
 // costs as little as it may; late ones go by age.
 func (p *pool) order(a, b *waiter) int {
@@ -42,6 +42,9 @@
 	if c := cmp.Compare(a.work.Tier, b.work.Tier); c != 0 {
 		return c
 	}
+	if c := cmp.Compare(a.work.Rank, b.work.Rank); c != 0 {
+		return c
+	}
 	if a.late {
 		return a.work.Arrived.Compare(b.work.Arrived)
 	}
@@ -92,7 +95,7 @@
 	}
 	slices.SortStableFunc(p.waiting, p.order)
 	counts := p.counted(now)
-	free := p.capacity(now)
+	free := p.capacity(now, at)
 	kept := p.waiting[:0]
 	pressed := false
 	for _, w := range p.waiting {
--- a/balance/score.go
+++ b/balance/score.go
@@ -9,8 +9,8 @@
 const (
 	// otherZoneCost and otherRegionCost are added for a target elsewhere: what
 	// the way there and back takes, and what the bytes are worth.
-	otherZoneCost   = 3 * time.Millisecond
-	otherRegionCost = 60 * time.Millisecond
+	otherZoneCost   = 20 * time.Millisecond
+	otherRegionCost = 120 * time.Millisecond
 	// plainCost weighs the load of a plain target against the way to it: a
 	// target whose slots are all taken is as far as this.
 	plainCost = 200 * time.Millisecond
--- a/balance/target.go
+++ b/balance/target.go
@@ -15,6 +15,9 @@
 	Service string
 	// Tier is the request's rank; 0 is the most important.
 	Tier int
+	// Rank orders requests of the same tier: that of their route, where the tier is
+	// the team's.
+	Rank int
 	// PromptTokens have to be read before the first event; 0 on plain services.
 	PromptTokens float64
 	// HintTokens is the caller's estimate of the answer's length, 0 if it has
--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -44,9 +44,10 @@
 	Kind string
 	// Wait returns how long the next watch waits for changes.
 	Wait func() time.Duration
-	// Pause is the shortest time between a change and the next watch, so that
-	// changes that come together cost one call.
-	Pause  time.Duration
+	// Pause returns the shortest time between a change and the next watch, so that
+	// changes that come together cost one call. It is asked again meanwhile; nil
+	// means that there is none.
+	Pause  func() time.Duration
 	Logger *log.Logger
 	// Now reads the clock.
 	Now func() clock.Instant
@@ -62,8 +63,9 @@
 	revision uint64
 	listed   bool
 	failing  bool
-	// pause is what is left to wait before the next call.
-	pause time.Duration
+	// changed says that the last call brought changes, relisted that history was gone
+	// and no watch has succeeded since.
+	changed, relisted bool
 }
 
 // Run follows the source until ctx ends.
@@ -71,22 +73,38 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = initialRetry, maxRetry
 	for ctx.Err() == nil {
+		f.changed = false
 		err := f.step(ctx)
-		pause := f.pause
-		if err == nil {
-			retry.Reset()
-		} else {
+		switch {
+		case err != nil:
 			f.fail(ctx, err)
-			pause = retry.NextBackOff()
-		}
-		f.pause = 0
-		if pause == 0 {
+			sleep(ctx, retry.NextBackOff())
 			continue
+		case f.changed && f.Pause != nil:
+			f.rest(ctx)
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		retry.Reset()
+	}
+}
+
+// restStep is how often a pause is looked at whether it has become shorter.
+const restStep = 100 * time.Millisecond
+
+// rest waits until the pause after a change is over.
+func (f *Follower[T]) rest(ctx context.Context) {
+	for began := time.Now(); ctx.Err() == nil; {
+		left := f.Pause() - time.Since(began)
+		if left <= 0 {
+			return
 		}
+		sleep(ctx, min(left, restStep))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
@@ -97,6 +115,10 @@
 	err := f.watch(ctx)
 	if errors.Is(err, ErrHistoryGone) {
 		f.listed = false
+		if f.relisted {
+			return err
+		}
+		f.relisted = true
 		f.Logger.Info().Str("event", "store_history_gone").Str("kind", f.Kind).Uint64("revision", f.revision).Msg("")
 		return nil
 	}
@@ -133,11 +155,12 @@
 	if err != nil {
 		return err
 	}
+	f.relisted = false
 	f.revision = max(f.revision, next)
 	if len(changes) > 0 {
 		f.items = maps.Clone(f.items)
 		f.merge(changes)
-		f.pause = f.Pause
+		f.changed = true
 		f.publish(began, true)
 		return nil
 	}
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -18,12 +18,9 @@
 	// the proof that no key was taken away, so it has to come several times
 	// within the time of a revocation.
 	configWait = 1500 * time.Millisecond
-	// A node that gets proofs from others, which ask at other times, waits for
-	// proofSpacing times the nodes, so that there is a proof from somebody that
-	// often, within minSharedWait and maxSharedWait.
-	proofSpacing  = 500 * time.Millisecond
-	minSharedWait = 3 * time.Second
-	maxSharedWait = 10 * time.Second
+	// sharedWait is how long a node waits that gets proofs from the owner of its
+	// zone. Changes end the wait.
+	sharedWait = 10 * time.Second
 	// lateProof is the age of the proof after which a node no longer relies on
 	// others and asks anew: half the time of the shortest revocation in use. It
 	// then waits for urgentWait only, since the answer to a watch is the proof.
@@ -32,16 +29,21 @@
 	// waitSpread is the part of that wait by which the nodes' waits differ, so
 	// that they do not all ask at once.
 	waitSpread = 0.4
-	// sharedProof is how recent another node's proof must be for that.
-	sharedProof = time.Second
-	// listWait is how long the other watches wait. A connection that has gone
-	// silent is noticed after it.
+	// sharedProof is how recent another node's proof must be for that: the owner of
+	// the zone has a new one after configWait, and tells of it soon.
+	sharedProof = 2 * time.Second
+	// listWait is how long a watch of the targets waits. A connection that has gone
+	// silent, and an outage of the store, are noticed after it.
 	listWait = 4 * time.Second
 	// targetsPause and nodesPause are left between the changes of a list. A
 	// target that leaves must be known within a few seconds; a node that is new
 	// says so itself.
 	targetsPause = 250 * time.Millisecond
 	nodesPause   = 3 * time.Second
+	// drainShare of the time in which a target that leaves must get no more
+	// requests is the pause of a node that does not choose targets: it only
+	// declines what the owner of its zone, which knows sooner, has chosen.
+	drainShare = 0.5
 	// nodesWait is how long a watch of the nodes waits; a change that is missed
 	// costs only the hints of one node.
 	nodesWait = 15 * time.Second
@@ -64,7 +66,12 @@
 	// Revocation is the time after which a key that was taken away must not
 	// work; 0 means that none is promised.
 	Revocation time.Duration
-	Logger     *log.Logger
+	// Drain is the time after which a target that leaves must get no requests.
+	Drain time.Duration
+	// Owns reports whether this node chooses targets for others, which then ask the
+	// store less often; nil if no node does.
+	Owns   func() bool
+	Logger *log.Logger
 	// Now reads the clock; nil means the VM's.
 	Now func() clock.Instant
 	// OnTargets is called with each new list of targets or configuration.
@@ -80,15 +87,16 @@
 	// proven is the latest instant at which the configuration was known to be
 	// the newest.
 	proven atomic.Int64
-	// nodes is how many nodes there are.
-	nodes atomic.Int64
 	// provenElsewhere is the latest instant of another node's proof.
 	provenElsewhere atomic.Int64
 	// revocation is a time.Duration.
 	revocation atomic.Int64
 	ready      atomic.Bool
 	// listed is set once the store has told the nodes.
-	listed  atomic.Bool
+	listed atomic.Bool
+	// known are the targets that this node knows, and those that it knows to have
+	// left, by id.
+	known   atomic.Pointer[map[string]*catalog.Target]
 	changes chan func(*beliefs)
 	relayed chan relayed
 	done    chan struct{}
@@ -102,12 +110,24 @@
 	// lapsed are targets that vanished during an outage, kept until heldUntil.
 	lapsed    map[string]*catalog.Target
 	heldUntil time.Time
+	// left are targets that were removed lately, marked as draining.
+	left map[string]departed
 	// listed is set once the store has told the targets.
 	listed bool
 	// fetching is set while another node is asked for its configuration.
 	fetching bool
 }
 
+// departed is a target that was removed at an instant.
+type departed struct {
+	target *catalog.Target
+	at     time.Time
+}
+
+// departedTime is how long it is known that a target has left. Whoever chooses
+// one later believes in a list that is older than any that is in use.
+const departedTime = 30 * time.Second
+
 // NewManager returns a manager that knows nothing yet.
 func NewManager(options Options) *Manager {
 	if options.Now == nil {
@@ -116,6 +136,7 @@
 	m := &Manager{
 		options: options, changes: make(chan func(*beliefs)), relayed: make(chan relayed, 16), done: make(chan struct{}),
 	}
+	m.known.Store(&map[string]*catalog.Target{})
 	m.SetRevocation(options.Revocation)
 	return m
 }
@@ -128,15 +149,14 @@
 		Apply: func(u Update[*catalog.Config]) { m.submit(func(b *beliefs) { b.applyConfig(u) }) },
 	}
 	targets := &Follower[*catalog.Target]{
-		Source: m.options.Sources.Targets, Kind: "targets", Wait: fixed(listWait), Pause: targetsPause, Logger: m.options.Logger, Now: m.options.Now,
+		Source: m.options.Sources.Targets, Kind: "targets", Wait: fixed(listWait), Pause: m.targetsPause, Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[*catalog.Target]) { m.submit(func(b *beliefs) { b.applyTargets(u) }) },
 	}
 	nodes := &Follower[Node]{
-		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: fixed(nodesWait), Pause: nodesPause, Logger: m.options.Logger, Now: m.options.Now,
+		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: fixed(nodesWait), Pause: fixed(nodesPause), Logger: m.options.Logger, Now: m.options.Now,
 		Apply: func(u Update[Node]) {
 			if u.Changed {
 				m.listed.Store(true)
-				m.nodes.Store(int64(len(u.Items)))
 				m.submit(func(b *beliefs) { b.nodes = u.Items })
 				m.options.OnNodes(u.Items)
 			}
@@ -154,14 +174,24 @@
 	return func() time.Duration { return d }
 }
 
+// owns reports whether other nodes rely on this one.
+func (m *Manager) owns() bool { return m.options.Owns != nil && m.options.Owns() }
+
+// targetsPause returns how long changes of the targets are let come together.
+func (m *Manager) targetsPause() time.Duration {
+	if m.owns() {
+		return targetsPause
+	}
+	return max(targetsPause, time.Duration(drainShare*float64(m.options.Drain)))
+}
+
 // configWait returns how long the next watch of the configuration waits.
 func (m *Manager) configWait() time.Duration {
 	if m.table.Load() != nil && m.ProofAge() > lateProof {
 		return urgentWait
 	}
-	if m.options.Now().Sub(clock.Instant(m.provenElsewhere.Load())) < sharedProof {
-		wait := min(maxSharedWait, max(minSharedWait, proofSpacing*time.Duration(m.nodes.Load())))
-		return time.Duration(float64(wait) * (1 - waitSpread*rand.Float64()))
+	if !m.owns() && m.options.Now().Sub(clock.Instant(m.provenElsewhere.Load())) < sharedProof {
+		return time.Duration(float64(sharedWait) * (1 - waitSpread*rand.Float64()))
 	}
 	return configWait
 }
@@ -175,7 +205,7 @@
 }
 
 func (m *Manager) own(ctx context.Context, config *Follower[*catalog.Config]) {
-	b := &beliefs{manager: m}
+	b := &beliefs{manager: m, left: make(map[string]departed)}
 	tick := time.NewTicker(returnGrace / 4)
 	defer tick.Stop()
 	for {
@@ -216,6 +246,12 @@
 	return m.options.Now().Sub(clock.Instant(m.proven.Load()))
 }
 
+// Target returns what this node knows of a target, nil if it never heard of it.
+// One that has left counts as draining.
+func (m *Manager) Target(id string) *catalog.Target {
+	return (*m.known.Load())[id]
+}
+
 // Ready reports whether the configuration and the targets are known.
 func (m *Manager) Ready() bool {
 	return m.table.Load() != nil && m.ready.Load()
@@ -273,11 +309,29 @@
 // replace takes over a list of targets.
 func (b *beliefs) replace(items map[string]*catalog.Target) {
 	b.logChanges(items)
+	b.noteLeft(items, time.Now())
 	b.targets = items
 	b.manager.ready.Store(true)
 	b.publish()
 }
 
+// noteLeft remembers the targets that are missing from a new list.
+func (b *beliefs) noteLeft(items map[string]*catalog.Target, now time.Time) {
+	for id, d := range b.left {
+		if now.Sub(d.at) > departedTime {
+			delete(b.left, id)
+		}
+	}
+	for id, t := range b.targets {
+		if _, ok := items[id]; ok {
+			continue
+		}
+		gone := *t
+		gone.Draining = true
+		b.left[id] = departed{&gone, now}
+	}
+}
+
 // hold keeps ready targets that are missing from the list that follows an
 // outage.
 func (b *beliefs) hold(items map[string]*catalog.Target) {
@@ -333,5 +387,13 @@
 			list = append(list, t)
 		}
 	}
+	known := make(map[string]*catalog.Target, len(list)+len(b.left))
+	for id, t := range b.left {
+		known[id] = t.target
+	}
+	for _, t := range list {
+		known[t.ID] = t
+	}
+	b.manager.known.Store(&known)
 	b.manager.options.OnTargets(list, table.Config.Services)
 }
--- a/datastore/node.go
+++ b/datastore/node.go
@@ -9,5 +9,7 @@
 	Address string
 	Zone    string
 	Region  string
+	// Cores is the processor time that the node has.
+	Cores   float64
 	Started time.Time
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,11 +8,11 @@
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
 
-	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
+	"github.com/primrosemoor/primrosemoor/owner"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -40,6 +40,7 @@
 			newHub,
 			newMesh,
 			newBalancer,
+			newOwner,
 			newDatastore,
 			newAllowance,
 			newUpstream,
@@ -69,7 +70,7 @@
 	return h.retries
 }
 
-func newGateway(d *datastore.Manager, b *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, t *telemetry.Entry, logger *log.Logger) *gateway.Gateway {
+func newGateway(d *datastore.Manager, b *owner.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, t *telemetry.Entry, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Beliefs: d, Dialect: platform.Dialect{}, Balancer: b, Allowance: a, Retries: r, Sender: u,
 		Metrics: t, Logger: logger,
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -20,6 +20,7 @@
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/mesh"
+	"github.com/primrosemoor/primrosemoor/owner"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
@@ -43,6 +44,7 @@
 	Mesh      *mesh.Manager
 	Datastore *datastore.Manager
 	Balancer  *balance.Manager
+	Owner     *owner.Manager
 	Allowance *quota.Allowance
 	Upstream  *upstream.Client
 	Gateway   *gateway.Gateway
@@ -102,7 +104,7 @@
 			l.Logger.Error().Str("event", "listener_failed").Str("address", listen.GetPeers()).Err(err).Msg("")
 		}
 	})
-	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Datastore.Run, l.Upstream.Run, l.announce, l.askSeeds, l.reload} {
+	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.sayAble, l.Datastore.Run, l.Upstream.Run, l.announce, l.askSeeds, l.reload} {
 		l.running.Go(func() { run(ctx) })
 	}
 	l.callers = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
@@ -132,6 +134,28 @@
 	}
 }
 
+const (
+	// ableAfter is the time from a start after which a node has heard what is
+	// outstanding at the targets, so that it can choose for its zone.
+	ableAfter    = time.Second
+	ableInterval = 100 * time.Millisecond
+)
+
+// sayAble tells the others whether this node can own its zone, until ctx ends.
+func (l *lifecycle) sayAble(ctx context.Context) {
+	tick := time.NewTicker(ableInterval)
+	defer tick.Stop()
+	began := time.Now()
+	for {
+		select {
+		case now := <-tick.C:
+			l.Mesh.SetAble(now.Sub(began) >= ableAfter && l.Datastore.Ready() && l.Datastore.KeysProven())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // announce writes this node's object until the store has taken it.
 func (l *lifecycle) announce(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -66,7 +66,7 @@
 	kept := func(s *schema.GatewaySettings) *schema.GatewaySettings {
 		c := proto.CloneOf(s)
 		c.Seeds = nil
-		c.Bounds = &schema.GatewayBounds{Grace: s.GetBounds().GetGrace()}
+		c.Bounds = &schema.GatewayBounds{Grace: s.GetBounds().GetGrace(), Drain: s.GetBounds().GetDrain()}
 		return c
 	}
 	return !proto.Equal(kept(running), kept(s))
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -11,6 +11,7 @@
 	"github.com/primrosemoor/primrosemoor/clock"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/mesh"
+	"github.com/primrosemoor/primrosemoor/owner"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
@@ -32,6 +33,7 @@
 	return datastore.Node{
 		Name: node.GetName(), Address: s.GetListen().GetPeers(),
 		Zone: node.GetAvailabilityZone(), Region: node.GetRegion(), Started: time.Now(),
+		Cores: s.GetResources().GetProcessorShare() * float64(s.GetResources().GetCores()),
 	}
 }
 
@@ -121,12 +123,20 @@
 	return h.balancer
 }
 
+func newOwner(self datastore.Node, b *balance.Manager, m *mesh.Manager, d *datastore.Manager, pool *peer.Pool, server *peer.Server, logger *log.Logger) *owner.Manager {
+	o := owner.NewManager(owner.Options{
+		Self: self.Name, Balancer: b, Members: m, Targets: d, Pool: pool, Logger: logger,
+	})
+	server.HandleStream(schema.Method_METHOD_OWNER, o.Serve)
+	return o
+}
+
 func newAllowance(s *schema.GatewaySettings, h *hub, m *mesh.Manager) *quota.Allowance {
 	h.allowance = quota.NewAllowance(limitSlack(s.GetBounds()), m.Book)
 	return h.allowance
 }
 
-func newDatastore(s *schema.GatewaySettings, h *hub, store *platform.Store, pool *peer.Pool, server *peer.Server, logger *log.Logger) *datastore.Manager {
+func newDatastore(s *schema.GatewaySettings, self datastore.Node, h *hub, store *platform.Store, pool *peer.Pool, server *peer.Server, logger *log.Logger) *datastore.Manager {
 	h.datastore = datastore.NewManager(datastore.Options{
 		Sources: datastore.Sources{
 			Configurations: store.Configurations(),
@@ -141,6 +151,8 @@
 			DecodeTarget: platform.DecodeTarget,
 		},
 		Revocation: s.GetBounds().GetRevocation().AsDuration(),
+		Drain:      s.GetBounds().GetDrain().AsDuration(),
+		Owns:       func() bool { return h.mesh.Owner().Name == self.Name },
 		Logger:     logger,
 		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
 			h.balancer.ApplyTargets(targets, services)
@@ -160,7 +172,7 @@
 				Version: p.Version, Configuration: p.Configuration, Targets: p.Targets, ProofAgeMicros: uint64(p.Age.Microseconds()),
 			}
 			for _, n := range p.Nodes {
-				reply.Nodes = append(reply.Nodes, &schema.MeshNode{Name: n.Name, Address: n.Address, Zone: n.Zone, Region: n.Region})
+				reply.Nodes = append(reply.Nodes, &schema.MeshNode{Name: n.Name, Address: n.Address, Zone: n.Zone, Region: n.Region, Cores: n.Cores})
 			}
 			return reply, nil
 		})
@@ -173,7 +185,7 @@
 	}
 	nodes := make(map[string]datastore.Node, len(reply.GetNodes()))
 	for _, n := range reply.GetNodes() {
-		nodes[n.GetName()] = datastore.Node{Name: n.GetName(), Address: n.GetAddress(), Zone: n.GetZone(), Region: n.GetRegion()}
+		nodes[n.GetName()] = datastore.Node{Name: n.GetName(), Address: n.GetAddress(), Zone: n.GetZone(), Region: n.GetRegion(), Cores: n.GetCores()}
 	}
 	return datastore.Passed{
 		Version: reply.GetVersion(), Configuration: reply.GetConfiguration(), Targets: reply.GetTargets(), Nodes: nodes,
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -148,6 +148,7 @@
 		ID:           x.call.ID,
 		Service:      x.service,
 		Tier:         x.tier(),
+		Rank:         x.route.Tier,
 		PromptTokens: float64(x.call.PromptTokens),
 		HintTokens:   float64(x.call.LengthHint),
 		Route:        x.route.Name,
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -34,6 +34,7 @@
 	// sentPassed are the versions of the other zones' sums.
 	sentPassed  map[string]uint64
 	sentLeaving bool
+	sentAble    bool
 	// failed is set from a failure to the next answer.
 	failed bool
 	// connected is set while the stream is open; kicked ends an attempt to open
@@ -43,7 +44,7 @@
 }
 
 // keepLinks starts and ends links, so that there is one to each node of this
-// zone, and from the zone's speaker one to each other zone.
+// zone, and from the zone's owner one to each other zone.
 func (m *Manager) keepLinks(ctx context.Context, running *sync.WaitGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -53,7 +54,7 @@
 			wanted[n.Name] = n
 		}
 	}
-	if m.speaker() {
+	if m.owns() {
 		for zone := range m.zones {
 			if n, ok := m.partner(zone); ok {
 				wanted[n.Name] = n
@@ -78,9 +79,15 @@
 }
 
 // partner returns the node of another zone that is told of this zone: the one
-// that is linked already, or else the first that has not failed lately.
+// that speaks for its zone, or else the one that is linked already, or else the
+// first that has not failed lately.
 func (m *Manager) partner(zone string) (datastore.Node, bool) {
 	list := m.foreign(zone)
+	if s := m.zones[zone]; s != nil && time.Since(s.direct) < silentAfter {
+		if n, ok := m.known[s.by]; ok && (m.links[n.Name] == nil || !m.links[n.Name].failed) {
+			return n, true
+		}
+	}
 	for _, n := range list {
 		if l := m.links[n.Name]; l != nil && !l.failed {
 			return n, true
@@ -229,10 +236,10 @@
 	u = &schema.MeshUpdate{SentAt: int64(clock.Now())}
 	if l.sentPassed == nil {
 		l.sentPassed = make(map[string]uint64)
-		u.Address = m.options.Self.Address
+		u.Address, u.Cores = m.options.Self.Address, m.options.Self.Cores
 	}
 	m.mu.Lock()
-	u.Leaving = m.leaving
+	u.Leaving, u.Able = m.leaving, m.able
 	passed := make(map[string]*source)
 	for name, s := range m.zones {
 		if l.inZone() && s.feed != nil && time.Since(s.direct) < silentAfter {
@@ -256,8 +263,8 @@
 		news = news || !c.empty()
 		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encode.use(c)})
 	}
-	news = news || u.GetLeaving() != l.sentLeaving
-	l.sentLeaving = u.GetLeaving()
+	news = news || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentAble
+	l.sentLeaving, l.sentAble = u.GetLeaving(), u.GetAble()
 	return u, news
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,17 +1,17 @@
 // Package mesh tells the other nodes what this node has outstanding at each
 // target and has booked against each team's limit, and learns the same of
 // them. Within an availability zone every node tells every other one at once;
-// between zones one node of each zone, its speaker, tells the sums of its zone
-// to one node of each other zone, which passes them on. What is told is a hint:
-// a node that hears nothing decides alone.
+// between zones the owner of each zone tells the sums of its zone to one node of
+// each other zone, which passes them on. What is told is a hint: a node that
+// hears nothing decides alone.
 package mesh
 
 import (
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -97,10 +97,12 @@
 	// listed is set once the list of nodes is known.
 	listed bool
 	links  map[string]*link
-	// leaving is set when this node stops.
-	leaving bool
-	share   float64
-	all     int
+	// leaving is set when this node stops, able when it can own its zone.
+	leaving, able bool
+	// owner is the node that owns this zone, this one if it knows no other.
+	owner atomic.Pointer[datastore.Node]
+	share float64
+	all   int
 	// news is what the listener has not been told yet, in order.
 	news []func(Listener)
 	told chan struct{}
@@ -114,15 +116,19 @@
 	feed    *feed
 	last    time.Time
 	leaving bool
+	// able is whether a node says that it can own its zone.
+	able bool
 	// passed holds what is passed on within the zone; nil for nodes.
 	passed *sums
-	// direct is when the source was last heard of without another node between.
+	// direct is when the source was last heard of without another node between,
+	// by is the node that told then.
 	direct time.Time
+	by     string
 }
 
 // New returns a manager without links.
 func New(options Options) *Manager {
-	return &Manager{
+	m := &Manager{
 		options: options,
 		own:     newSums(),
 		zone:    newSums(),
@@ -136,6 +142,8 @@
 		share:      -1,
 		told:       make(chan struct{}, 1),
 	}
+	m.owner.Store(&options.Self)
+	return m
 }
 
 // Run keeps links until ctx ends.
@@ -209,6 +217,7 @@
 			m.drop(m.nodes, name)
 		}
 	}
+	m.elect()
 	m.tellShare()
 }
 
@@ -287,6 +296,7 @@
 func (m *Manager) Leave() {
 	m.mu.Lock()
 	m.leaving = true
+	m.elect()
 	m.mu.Unlock()
 	m.changed.raise()
 }
@@ -332,6 +342,7 @@
 			}
 		}
 	}
+	m.elect()
 	if m.listed {
 		m.tellShare()
 	}
@@ -378,19 +389,8 @@
 	}
 }
 
-// speaker reports whether this node speaks for its zone: it is the first by
-// name of those that are heard.
-func (m *Manager) speaker() bool {
-	for name, s := range m.nodes {
-		if s.feed != nil && !s.leaving && name < m.options.Self.Name {
-			return false
-		}
-	}
-	return !m.leaving
-}
-
 // foreign returns the nodes of another zone in the order in which they are
-// tried.
+// tried: those that are likely to own it first.
 func (m *Manager) foreign(zone string) []datastore.Node {
 	var list []datastore.Node
 	for _, n := range m.known {
@@ -398,6 +398,6 @@
 			list = append(list, n)
 		}
 	}
-	slices.SortFunc(list, func(a, b datastore.Node) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b datastore.Node) int { return candidate{Node: a}.compare(candidate{Node: b}) })
 	return list
 }
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -45,14 +45,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	m.introduce(in.from, u.GetAddress())
+	m.introduce(in.from, u)
 	if l := m.links[in.from.Node]; l != nil && u.GetAddress() != "" {
 		l.kick()
 	}
 	if in.from.AvailabilityZone == m.options.Self.Zone {
 		s := m.member(m.nodes, in.from.Node)
-		s.leaving = u.GetLeaving()
+		s.leaving, s.able = u.GetLeaving(), u.GetAble()
 		m.take(s, in.feed(in.from.Node), now, in.decode.use(u.GetOwn()))
+		m.elect()
 	}
 	for _, z := range u.GetZones() {
 		if z.GetZone() == m.options.Self.Zone {
@@ -61,18 +62,18 @@
 		s := m.member(m.zones, z.GetZone())
 		s.ensurePassed()
 		if in.from.AvailabilityZone != m.options.Self.Zone {
-			s.direct = now
+			s.direct, s.by = now, in.from.Node
 		}
 		m.take(s, in.feed(z.GetZone()), now, in.decode.use(z.GetUse()))
 	}
 }
 
 // introduce takes up a node that the store has not told of yet.
-func (m *Manager) introduce(from peer.Identity, address string) {
-	if _, ok := m.known[from.Node]; ok || address == "" {
+func (m *Manager) introduce(from peer.Identity, u *schema.MeshUpdate) {
+	if _, ok := m.known[from.Node]; ok || u.GetAddress() == "" {
 		return
 	}
-	n := datastore.Node{Name: from.Node, Address: address, Zone: from.AvailabilityZone}
+	n := datastore.Node{Name: from.Node, Address: u.GetAddress(), Zone: from.AvailabilityZone, Cores: u.GetCores()}
 	m.known[n.Name], m.introduced[n.Name] = n, n
 }
 
--- /dev/null
+++ b/owner/world_test.go
@@ -0,0 +1,219 @@
+package owner_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/logging"
+	"github.com/primrosemoor/primrosemoor/owner"
+	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// waitLimit bounds what takes fractions of a second.
+const waitLimit = 10 * time.Second
+
+func work(id string) *balance.Work {
+	now := time.Now()
+	return &balance.Work{
+		ID: id, Service: "s", Tier: 1, Rank: 2, Arrived: now,
+		Goal: now.Add(time.Second), Patience: now.Add(4 * time.Second), End: now.Add(8 * time.Second),
+	}
+}
+
+// world is some nodes of one zone, linked over loopback.
+type world struct {
+	t     *testing.T
+	nodes map[string]*node
+}
+
+type node struct {
+	self     datastore.Node
+	balancer *fakeBalancer
+	manager  *owner.Manager
+	targets  sync.Map
+	owner    atomic.Pointer[datastore.Node]
+	stop     func()
+}
+
+// Owner implements owner.Members.
+func (n *node) Owner() datastore.Node { return *n.owner.Load() }
+
+// Hears implements owner.Members.
+func (n *node) Hears(datastore.Node) bool { return true }
+
+// Target implements owner.Targets.
+func (n *node) Target(id string) *catalog.Target {
+	t, ok := n.targets.Load(id)
+	if !ok {
+		return nil
+	}
+	return t.(*catalog.Target)
+}
+
+func newWorld(t *testing.T, names ...string) *world {
+	t.Helper()
+	w := &world{t: t, nodes: make(map[string]*node)}
+	for _, name := range names {
+		w.nodes[name] = w.start(name)
+	}
+	return w
+}
+
+func (w *world) start(name string) *node {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	n := &node{
+		self:     datastore.Node{Name: name, Zone: "a", Address: l.Addr().String()},
+		balancer: newFakeBalancer(name + "-target"),
+	}
+	n.owner.Store(&n.self)
+	id := peer.Identity{Cluster: "test", Node: name, AvailabilityZone: "a", Incarnation: 1}
+	pool := peer.NewPool(peer.PoolOptions{Identity: id, Meter: peer.NopMeter{}, DialTimeout: time.Second, CallTimeout: time.Second})
+	server := peer.NewServer(id, peer.NopMeter{}, nil)
+	n.manager = owner.NewManager(owner.Options{
+		Self: name, Balancer: n.balancer, Members: n, Targets: n, Pool: pool, Logger: logging.Discard(),
+	})
+	server.HandleStream(schema.Method_METHOD_OWNER, n.manager.Serve)
+	var running sync.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	running.Go(func() { server.Serve(l) })
+	running.Go(func() { n.manager.Run(ctx) })
+	var once sync.Once
+	n.stop = func() {
+		once.Do(func() {
+			cancel()
+			pool.Close()
+			server.Close()
+			running.Wait()
+		})
+	}
+	w.t.Cleanup(n.stop)
+	return n
+}
+
+// owner makes a node the owner of the zone, as all nodes see it.
+func (w *world) owner(name string) {
+	for _, n := range w.nodes {
+		n.owner.Store(&w.nodes[name].self)
+	}
+}
+
+// silentOwner makes a node's owner one that takes streams and never answers.
+func (w *world) silentOwner(name string) {
+	w.t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	id := peer.Identity{Cluster: "test", Node: "silent", AvailabilityZone: "a", Incarnation: 1}
+	server := peer.NewServer(id, peer.NopMeter{}, nil)
+	server.HandleStream(schema.Method_METHOD_OWNER, func(_ context.Context, _ peer.Identity, s *peer.Stream) error {
+		call := &schema.OwnerCall{}
+		for {
+			if err := s.Receive(call); err != nil {
+				return err
+			}
+		}
+	})
+	go server.Serve(l)
+	w.t.Cleanup(server.Close)
+	w.nodes[name].owner.Store(&datastore.Node{Name: "silent", Zone: "a", Address: l.Addr().String()})
+}
+
+// linked waits until a node asks its owner.
+func (w *world) linked(name string) {
+	w.t.Helper()
+	w.eventually(w.nodes[name].manager.Linked)
+}
+
+func (w *world) eventually(condition func() bool) {
+	w.t.Helper()
+	for deadline := time.Now().Add(waitLimit); !condition(); {
+		if time.Now().After(deadline) {
+			w.t.Fatal("the condition did not come true")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// fakeBalancer grants one target, refuses, or lets requests wait for ever.
+type fakeBalancer struct {
+	asked     chan *balance.Work
+	adopted   chan string
+	reports   chan report
+	withdrawn atomic.Int32
+
+	mu      sync.Mutex
+	target  string
+	started int64
+	refusal *balance.Refusal
+	full    bool
+}
+
+// report is what a reporter was told.
+type report struct {
+	what   string
+	result balance.Result
+	sample balance.Sample
+}
+
+func newFakeBalancer(target string) *fakeBalancer {
+	return &fakeBalancer{
+		asked: make(chan *balance.Work, 16), adopted: make(chan string, 16), reports: make(chan report, 16), target: target,
+	}
+}
+
+func (b *fakeBalancer) set(change func(*fakeBalancer)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change(b)
+}
+
+// Acquire implements owner.Balancer.
+func (b *fakeBalancer) Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error) {
+	b.asked <- w
+	b.mu.Lock()
+	target, started, refusal, full := b.target, b.started, b.refusal, b.full
+	b.mu.Unlock()
+	switch {
+	case refusal != nil:
+		return nil, refusal
+	case full:
+		<-ctx.Done()
+		b.withdrawn.Add(1)
+		return nil, context.Cause(ctx)
+	}
+	for _, tried := range w.Tried {
+		if tried == target {
+			return nil, &balance.Refusal{Reason: balance.ReasonNoTarget}
+		}
+	}
+	return balance.NewGrant(&catalog.Target{ID: target, Started: started}, balance.Seen{}, b), nil
+}
+
+// Adopt implements owner.Balancer.
+func (b *fakeBalancer) Adopt(_ *balance.Work, target string, _ bool) balance.Reporter {
+	b.adopted <- target
+	return b
+}
+
+// First implements balance.Reporter.
+func (b *fakeBalancer) First(time.Duration) { b.reports <- report{what: "first"} }
+
+// Paced implements balance.Reporter.
+func (b *fakeBalancer) Paced(s balance.Sample) { b.reports <- report{what: "paced", sample: s} }
+
+// Ended implements balance.Reporter.
+func (b *fakeBalancer) Ended(r balance.Result, s balance.Sample) {
+	b.reports <- report{"ended", r, s}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -24,8 +24,9 @@
 			RetryWindow:    durationpb.New(10 * time.Second),
 			LimitWindow:    durationpb.New(8 * time.Second),
 			LimitOvershoot: 0.1,
+			Drain:          durationpb.New(2500 * time.Millisecond),
 		},
-		Resources: &schema.GatewayResources{MemoryMebibytes: 256, FileDescriptors: 1024},
+		Resources: &schema.GatewayResources{MemoryMebibytes: 256, FileDescriptors: 1024, ProcessorShare: 1, Cores: 1},
 		Log:       &schema.LogSettings{Level: "info"},
 	}
 }
@@ -114,7 +115,7 @@
 func (c *gatewayChecker) bounds() {
 	b := c.settings.GetBounds()
 	positive := map[string]*durationpb.Duration{
-		"bounds.grace": b.GetGrace(), "bounds.retry_window": b.GetRetryWindow(), "bounds.limit_window": b.GetLimitWindow(),
+		"bounds.grace": b.GetGrace(), "bounds.drain": b.GetDrain(), "bounds.retry_window": b.GetRetryWindow(), "bounds.limit_window": b.GetLimitWindow(),
 	}
 	for _, key := range slices.Sorted(maps.Keys(positive)) {
 		if d := positive[key].AsDuration(); d <= 0 {
@@ -127,6 +128,9 @@
 	if d := b.GetRevocation().AsDuration(); d < 0 {
 		c.fail("bounds.revocation", d.String(), "set a time above zero, or leave it out if none is promised")
 	}
+	if share := c.settings.GetResources().GetProcessorShare(); share < 0 || share > 1 {
+		c.fail("resources.processor_share", fmt.Sprint(share), "set a share above zero, 1 at most")
+	}
 	if r := c.settings.GetResources(); r.GetFileDescriptors() < minDescriptors {
 		c.fail("resources.file_descriptors", fmt.Sprint(r.GetFileDescriptors()), fmt.Sprintf("set it to %d or more", minDescriptors))
 	}
