Let the owner of a zone read targets and nodes for the others

Now a node states the revision of its targets and nodes in updates to the owner of its zone, and gets what changed since in the acknowledgement, with the age of what the owner knows. While that is recent enough it does not watch; when it gets too old it reads for itself at once. Proofs of the configuration stand in for its watch in the same way.

Tests: draining is known in time with a silent owner and with one that stands still; calls do not grow with changes (fails with the relay off).

--- a/cmd/primrosemoor/main.go
+++ b/cmd/primrosemoor/main.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return settingsError{err}
 	}
-	debug.SetMemoryLimit(int64(s.GetResources().GetMemoryMebibytes()) * heapBytesPerMebibyte)
+	debug.SetMemoryLimit(int64(s.GetResources().GetMemoryMebibytes() * heapBytesPerMebibyte))
 	app := entry.New(s, fx.Supply(reload))
 	if err := app.Err(); err != nil {
 		return err
--- a/datastore/fakes_test.go
+++ b/datastore/fakes_test.go
@@ -71,6 +71,17 @@
 	f()
 }
 
+// Decode implements datastore.Source. The raw form of an item is its name.
+func (s *fakeStore[T]) Decode(name string, raw []byte) (T, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v, ok := s.items[name]; ok {
+		return v, nil
+	}
+	var zero T
+	return zero, errors.New("unknown item")
+}
+
 // call simulates the latency and the failure of a call.
 func (s *fakeStore[T]) call(ctx context.Context) error {
 	time.Sleep(latency)
@@ -167,7 +178,22 @@
 	}
 	f.configs.put("main", &catalog.Config{Version: 3})
 	f.targets.put("i-1", &catalog.Target{ID: "i-1", Service: "s"})
-	f.manager = datastore.NewManager(datastore.Options{
+	f.start(t, nil)
+	return f
+}
+
+// startPeer starts another node that reads the same stores; edit may change its
+// options.
+func (f *fixture) startPeer(t *testing.T, edit func(*datastore.Options)) *fixture {
+	t.Helper()
+	peer := &fixture{configs: f.configs, targets: f.targets, nodes: f.nodes}
+	peer.start(t, edit)
+	return peer
+}
+
+func (f *fixture) start(t *testing.T, edit func(*datastore.Options)) {
+	t.Helper()
+	options := datastore.Options{
 		Sources: datastore.Sources{Configurations: f.configs, Targets: f.targets, Nodes: f.nodes},
 		SnapshotReader: datastore.SnapshotReader{
 			Fetch: func(context.Context, string) (datastore.Snapshot, error) { return f.snapshot, nil },
@@ -190,7 +216,11 @@
 			}
 		},
 		OnNodes: func(map[string]datastore.Node) {},
-	})
+	}
+	if edit != nil {
+		edit(&options)
+	}
+	f.manager = datastore.NewManager(options)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -201,7 +231,6 @@
 		cancel()
 		<-done
 	})
-	return f
 }
 
 func (f *fixture) has(id string) bool {
--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -45,6 +46,10 @@
 	Kind string
 	// Wait returns how long the next watch waits for changes.
 	Wait func() time.Duration
+	// RelayMaxAge returns the greatest age of what another node has read with which
+	// it stands in for a watch of this node; nil or zero if this node reads for
+	// itself.
+	RelayMaxAge func() time.Duration
 	// Pause returns the minimum time between a change and the next watch, so that
 	// changes close together cost one call. It is called again during the pause; nil
 	// means no pause.
@@ -61,6 +66,13 @@
 	cancelWatch context.CancelCauseFunc
 	watchWait   time.Duration
 
+	history history
+	// relayed holds the latest delta from another node until it is applied;
+	// relayProven is the clock.Instant at which the last one was proven.
+	relayed     atomic.Pointer[relayedDelta]
+	relayWake   chan struct{}
+	relayProven atomic.Int64
+
 	items    map[string]T
 	revision uint64
 	listed   bool
@@ -70,11 +82,20 @@
 	changed, relisted bool
 }
 
+// NewFollower returns a follower of a source; its other exported fields must be set
+// before Run.
+func NewFollower[T any](source Source[T], kind string, logger *log.Logger, now func() clock.Instant) *Follower[T] {
+	return &Follower[T]{Source: source, Kind: kind, Logger: logger, Now: now, relayWake: make(chan struct{}, 1)}
+}
+
 // Run follows the source until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = initialRetry, maxRetry
 	for ctx.Err() == nil {
+		if f.followRelay(ctx) {
+			continue
+		}
 		f.changed = false
 		err := f.step(ctx)
 		switch {
@@ -142,6 +163,7 @@
 	f.items = make(map[string]T, len(items))
 	f.merge(items)
 	f.revision, f.listed = revision, true
+	f.history.apply(newDelta(items, revision, true), start)
 	f.publish(start, true)
 	return nil
 }
@@ -167,6 +189,7 @@
 		f.items = maps.Clone(f.items)
 		f.merge(changes)
 		f.changed = true
+		f.history.apply(newDelta(changes, f.revision, false), start)
 		f.publish(start, true)
 		return nil
 	}
@@ -176,6 +199,7 @@
 	if f.Now().Sub(start) >= wait {
 		start = start.Add(wait)
 	}
+	f.history.apply(Delta{Revision: f.revision}, start)
 	f.publish(start, false)
 	return nil
 }
--- /dev/null
+++ b/datastore/follow_relay_test.go
@@ -0,0 +1,171 @@
+package datastore_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/datastore"
+)
+
+const (
+	drain = 2500 * time.Millisecond
+	// relayInterval is the time between two acknowledgements of the zone's owner.
+	relayInterval = 250 * time.Millisecond
+)
+
+// zone is the owner of a zone and another node of it.
+type zone struct {
+	owner, member *fixture
+	// cut stops the owner from passing on what it reads.
+	cut bool
+}
+
+// startZone starts an owner that reads the store and another node that takes from it
+// what it reads.
+func startZone(t *testing.T) *zone {
+	t.Helper()
+	stores := &fixture{
+		configs: newFakeStore[*catalog.Config](),
+		targets: newFakeStore[*catalog.Target](),
+		nodes:   newFakeStore[datastore.Node](),
+	}
+	stores.configs.put("main", &catalog.Config{Version: 3})
+	stores.targets.put("i-1", &catalog.Target{ID: "i-1", Service: "s"})
+	options := func(owns bool) func(*datastore.Options) {
+		return func(o *datastore.Options) {
+			o.Drain = drain
+			o.OwnsZone = func() bool { return owns }
+			o.ZoneNodes = func() int { return 10 }
+		}
+	}
+	return &zone{owner: stores.startPeer(t, options(true)), member: stores.startPeer(t, options(false))}
+}
+
+// run passes on what the owner reads for a duration.
+func (z *zone) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(relayInterval) {
+		if z.cut {
+			continue
+		}
+		for _, kind := range []datastore.Kind{datastore.KindTargets, datastore.KindNodes} {
+			sent := virtualNow()
+			if d, age, ok := z.owner.manager.Changes(kind, z.member.manager.Revision(kind)); ok {
+				z.member.manager.ApplyChanges(kind, d, sent.Add(-age))
+			}
+		}
+		version, age, ok := z.owner.manager.Proof()
+		if ok {
+			z.member.manager.ApplyProof(version, virtualNow().Add(-age), "owner")
+		}
+	}
+}
+
+// watches returns the calls of Watch of both nodes.
+func (z *zone) watches() (n int) {
+	z.owner.configs.set(func() { n += z.owner.configs.watches })
+	z.owner.targets.set(func() { n += z.owner.targets.watches })
+	z.owner.nodes.set(func() { n += z.owner.nodes.watches })
+	return n
+}
+
+func (z *zone) putTarget(i int, draining bool) {
+	id := fmt.Sprint("t-", i)
+	z.owner.targets.put(id, &catalog.Target{ID: id, Service: "s", Draining: draining})
+}
+
+// A node whose zone has an owner calls the store no more once it has started,
+// whatever changes, and knows of each change soon after the owner.
+func TestNodeTakesChangesFromTheOwnerOfItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t)
+		z.run(5 * time.Second)
+		memberWatches := func() int {
+			before := z.watches()
+			for i := range 20 {
+				z.putTarget(i, false)
+				z.run(time.Second)
+				is.True(z.member.has(fmt.Sprint("t-", i)))
+			}
+			return z.watches() - before
+		}()
+		z.owner.targets.remove("t-3")
+		z.run(time.Second)
+		is.True(!z.member.has("t-3"))
+		is.True(z.member.has("t-4"))
+		// The owner alone makes them: a configuration watch of 1.5 s, and one of the
+		// targets for each change and each 0.75 s.
+		is.True(memberWatches <= 20*2/3*2+20*2+5)
+	})
+}
+
+// A node that no longer hears from the owner, or whose owner no longer reads the
+// store, learns in time from the store itself that a target drains.
+func TestDrainingIsKnownInTimeWithoutTheOwner(t *testing.T) {
+	for name, fail := range map[string]func(z *zone){
+		"owner is silent": func(z *zone) { z.cut = true },
+		// Its watch is still waiting, and what it passes on no longer gets younger.
+		"owner stands still": func(z *zone) {
+			d, age, _ := z.owner.manager.Changes(datastore.KindTargets, 0)
+			proven := virtualNow().Add(-age)
+			z.cut = true
+			go func() {
+				for range 20 {
+					z.member.manager.ApplyChanges(datastore.KindTargets, d, proven)
+					time.Sleep(relayInterval)
+				}
+			}()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				z := startZone(t)
+				z.putTarget(1, false)
+				for range 7 {
+					z.cut = false
+					z.run(5*time.Second + 130*time.Millisecond)
+					is.True(z.member.has("t-1"))
+					fail(z)
+					z.owner.targets.remove("t-1")
+					z.run(drain)
+					is.True(!z.member.has("t-1"))
+					z.putTarget(1, false)
+					z.run(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// A node that missed more changes than the owner keeps gets all objects.
+func TestNodeThatMissedManyChangesGetsAllObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t)
+		for i := range 50 {
+			z.putTarget(i, false)
+		}
+		z.run(5 * time.Second)
+		missed := z.member.manager.Revision(datastore.KindTargets)
+		for range 60 {
+			for i := range 50 {
+				z.putTarget(i, false)
+			}
+			time.Sleep(time.Second)
+		}
+		z.owner.targets.remove("t-9")
+		time.Sleep(time.Second)
+		d, _, ok := z.owner.manager.Changes(datastore.KindTargets, missed)
+		is.True(ok)
+		is.True(d.Complete)
+		z.run(time.Second)
+		is.True(!z.member.has("t-9"))
+		is.True(z.member.has("t-8"))
+	})
+}
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,21 +17,12 @@
 	// proves that no key was revoked, so it must arrive several times within the
 	// time in which a revocation takes effect.
 	configWatchWait = 1500 * time.Millisecond
-	// peerProofWait is how long a watch waits at a node that receives proofs from
-	// the owner of its zone. A change ends the wait.
-	peerProofWait = 10 * time.Second
 	// staleProofAge is the age of the proof after which a node no longer relies on
-	// others and starts a new watch: half the shortest revocation time in use. That
-	// watch waits for staleProofWait only, since its answer is the proof.
+	// others and watches the configuration itself: half the shortest revocation time
+	// in use. That watch waits for staleProofWait only, since its answer is the
+	// proof.
 	staleProofAge  = 2500 * time.Millisecond
 	staleProofWait = 100 * time.Millisecond
-	// waitJitter is the fraction of peerProofWait by which waits are shortened at
-	// random, so that the nodes do not all call the store at once.
-	waitJitter = 0.4
-	// peerProofMaxAge is the maximum age of another node's proof for peerProofWait
-	// to apply: the owner of the zone gets a new proof after configWatchWait and
-	// relays it soon after.
-	peerProofMaxAge = 2 * time.Second
 	// targetsWatchWait is how long a watch of the targets waits. An unresponsive
 	// connection, or an outage of the store, is detected after it.
 	targetsWatchWait = 4 * time.Second
@@ -48,6 +38,16 @@
 	// nodesWatchWait is how long a watch of the nodes waits. A missed change only
 	// loses the load reports of one node.
 	nodesWatchWait = 15 * time.Second
+	// nodesRelayMaxAge is how old a list of nodes from the owner of the zone may be:
+	// the owner's watch and some time to spare.
+	nodesRelayMaxAge = nodesWatchWait + 5*time.Second
+	// relayMinNodes is the number of other nodes in the zone from which its owner
+	// reads the targets for all of them. It then watches for ownerWatchRatio of
+	// Options.Drain, so that its list is recent enough for nodes that rely on it for
+	// relayedAgeRatio of that time.
+	relayMinNodes   = 4
+	ownerWatchRatio = 0.3
+	relayedAgeRatio = 0.6
 	// outageGrace is how long targets that disappeared during an outage of the
 	// store are kept after its end. Targets whose entries expired during the outage
 	// have registered again by then.
@@ -73,7 +73,10 @@
 	// OwnsZone reports whether this node chooses targets for other nodes, which then
 	// call the store less often; nil if no node does.
 	OwnsZone func() bool
-	Logger   *log.Logger
+	// ZoneNodes returns the number of other nodes in this node's zone; nil if there
+	// are none.
+	ZoneNodes func() int
+	Logger    *log.Logger
 	// Now reads the clock; nil means the VM's clock.
 	Now func() clock.Instant
 	// OnTargets is called with the targets that may be used and the services
@@ -90,8 +93,6 @@
 	// proven is the latest clock.Instant at which the configuration was known to be
 	// the newest.
 	proven atomic.Int64
-	// peerProven is the latest clock.Instant of another node's proof.
-	peerProven atomic.Int64
 	// revocation is a time.Duration.
 	revocation atomic.Int64
 	ready      atomic.Bool
@@ -99,6 +100,9 @@
 	nodesListed atomic.Bool
 	// targetsByID are the current targets and those that left recently, by id.
 	targetsByID   atomic.Pointer[map[string]*catalog.Target]
+	configs       *Follower[*catalog.Config]
+	targets       *Follower[*catalog.Target]
+	nodes         *Follower[Node]
 	mutations     chan func(*state)
 	relayedProofs chan relayedProof
 	done          chan struct{}
@@ -141,34 +145,38 @@
 	}
 	m.targetsByID.Store(&map[string]*catalog.Target{})
 	m.SetRevocation(options.Revocation)
+	m.addFollowers()
 	return m
 }
 
+func (m *Manager) addFollowers() {
+	sources := m.options.Sources
+	m.configs = NewFollower(sources.Configurations, "configuration", m.options.Logger, m.options.Now)
+	m.configs.Wait, m.configs.RelayMaxAge = m.configWatchWait, m.relayedProofMaxAge
+	m.configs.Apply = func(u Update[*catalog.Config]) { m.submit(func(s *state) { s.applyConfig(u) }) }
+
+	m.targets = NewFollower(sources.Targets, "targets", m.options.Logger, m.options.Now)
+	m.targets.Wait, m.targets.Pause, m.targets.RelayMaxAge = m.targetsWatchWait, m.targetsPause, m.relayedTargetsMaxAge
+	m.targets.Apply = func(u Update[*catalog.Target]) { m.submit(func(s *state) { s.applyTargets(u) }) }
+
+	m.nodes = NewFollower(sources.Nodes, "nodes", m.options.Logger, m.options.Now)
+	m.nodes.Wait, m.nodes.Pause, m.nodes.RelayMaxAge = constant(nodesWatchWait), constant(nodesPause), m.relayedNodesMaxAge
+	m.nodes.Apply = func(u Update[Node]) {
+		if u.Changed {
+			m.nodesListed.Store(true)
+			m.submit(func(s *state) { s.nodes = u.Items })
+			m.options.OnNodes(u.Items)
+		}
+	}
+}
+
 // Run follows the store until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	var followers sync.WaitGroup
-	config := &Follower[*catalog.Config]{
-		Source: m.options.Sources.Configurations, Kind: "configuration", Wait: m.configWatchWait, Logger: m.options.Logger, Now: m.options.Now,
-		Apply: func(u Update[*catalog.Config]) { m.submit(func(s *state) { s.applyConfig(u) }) },
-	}
-	targets := &Follower[*catalog.Target]{
-		Source: m.options.Sources.Targets, Kind: "targets", Wait: constant(targetsWatchWait), Pause: m.targetsPause, Logger: m.options.Logger, Now: m.options.Now,
-		Apply: func(u Update[*catalog.Target]) { m.submit(func(s *state) { s.applyTargets(u) }) },
-	}
-	nodes := &Follower[Node]{
-		Source: m.options.Sources.Nodes, Kind: "nodes", Wait: constant(nodesWatchWait), Pause: constant(nodesPause), Logger: m.options.Logger, Now: m.options.Now,
-		Apply: func(u Update[Node]) {
-			if u.Changed {
-				m.nodesListed.Store(true)
-				m.submit(func(s *state) { s.nodes = u.Items })
-				m.options.OnNodes(u.Items)
-			}
-		},
-	}
-	for _, run := range []func(context.Context){config.Run, targets.Run, nodes.Run} {
+	for _, run := range []func(context.Context){m.configs.Run, m.targets.Run, m.nodes.Run} {
 		followers.Go(func() { run(ctx) })
 	}
-	m.runLoop(ctx, config)
+	m.runLoop(ctx)
 	close(m.done)
 	followers.Wait()
 }
@@ -190,14 +198,46 @@
 	return max(targetsPause, time.Duration(drainPauseRatio*float64(m.options.Drain)))
 }
 
+// targetsWatchWait returns how long the next watch of the targets waits.
+func (m *Manager) targetsWatchWait() time.Duration {
+	if m.owns() && m.options.ZoneNodes != nil && m.options.ZoneNodes() >= relayMinNodes {
+		return min(targetsWatchWait, time.Duration(ownerWatchRatio*float64(m.options.Drain)))
+	}
+	return targetsWatchWait
+}
+
+// relayedTargetsMaxAge returns how old a list of targets from the owner of the zone
+// may be.
+func (m *Manager) relayedTargetsMaxAge() time.Duration {
+	if m.owns() {
+		return 0
+	}
+	return time.Duration(relayedAgeRatio * float64(m.options.Drain))
+}
+
+// relayedNodesMaxAge returns how old a list of nodes from the owner of the zone may
+// be.
+func (m *Manager) relayedNodesMaxAge() time.Duration {
+	if m.owns() {
+		return 0
+	}
+	return nodesRelayMaxAge
+}
+
+// relayedProofMaxAge returns how old another node's proof of the configuration may
+// be to stand in for a watch.
+func (m *Manager) relayedProofMaxAge() time.Duration {
+	if m.owns() || m.table.Load() == nil {
+		return 0
+	}
+	return staleProofAge
+}
+
 // configWatchWait returns how long the next watch of the configuration waits.
 func (m *Manager) configWatchWait() time.Duration {
-	if m.table.Load() != nil && m.ProofAge() > staleProofAge {
+	if m.table.Load() != nil && m.ProofAge() >= staleProofAge {
 		return staleProofWait
 	}
-	if !m.owns() && m.options.Now().Sub(clock.Instant(m.peerProven.Load())) < peerProofMaxAge {
-		return time.Duration(float64(peerProofWait) * (1 - waitJitter*rand.Float64()))
-	}
 	return configWatchWait
 }
 
@@ -212,7 +252,7 @@
 
 // runLoop owns the state until ctx ends. It also shortens the watch of the
 // configuration when the proof is stale.
-func (m *Manager) runLoop(ctx context.Context, config *Follower[*catalog.Config]) {
+func (m *Manager) runLoop(ctx context.Context) {
 	s := &state{manager: m, departed: make(map[string]departedTarget)}
 	tick := time.NewTicker(outageGrace / 4)
 	defer tick.Stop()
@@ -225,7 +265,7 @@
 		case now := <-tick.C:
 			s.dropRetained(now)
 			if m.ProofAge() > staleProofAge {
-				config.ShortenWatch(configWatchWait)
+				m.configs.ShortenWatch(configWatchWait)
 			}
 		case <-ctx.Done():
 			return
--- a/datastore/relay.go
+++ b/datastore/relay.go
@@ -57,6 +57,40 @@
 	}
 }
 
+// unlistedRevision asks for all objects: it is older than any revision of the store.
+const unlistedRevision = 1
+
+// Revision returns the store's revision of this node's items of a kind, as another
+// node needs it to tell what changed since.
+func (m *Manager) Revision(k Kind) uint64 {
+	return max(m.history(k).currentRevision(), unlistedRevision)
+}
+
+// Changes returns what changed after a revision, and how long ago it was known to
+// lead to the newest state; ok is false if this node has not read the items.
+func (m *Manager) Changes(k Kind, revision uint64) (d Delta, age time.Duration, ok bool) {
+	d, proven, ok := m.history(k).since(revision)
+	return d, m.options.Now().Sub(proven), ok
+}
+
+// ApplyChanges applies what another node has read, which led to the newest state at
+// an instant.
+func (m *Manager) ApplyChanges(k Kind, d Delta, proven clock.Instant) {
+	switch k {
+	case KindTargets:
+		m.targets.Relay(d, proven)
+	case KindNodes:
+		m.nodes.Relay(d, proven)
+	}
+}
+
+func (m *Manager) history(k Kind) *history {
+	if k == KindNodes {
+		return &m.nodes.history
+	}
+	return &m.targets.history
+}
+
 // relayedProof holds the arguments of a call of ApplyProof.
 type relayedProof struct {
 	version uint64
@@ -70,7 +104,7 @@
 	m := s.manager
 	table := m.table.Load()
 	if table != nil && table.Config.Version == r.version {
-		m.peerProven.Store(max(m.peerProven.Load(), int64(r.proven)))
+		m.configs.StandIn(r.proven)
 		m.recordProof(r.proven)
 		return
 	}
--- a/datastore/source.go
+++ b/datastore/source.go
@@ -20,10 +20,14 @@
 	Removed bool
 	// Err is why the item cannot be used; Value is then zero.
 	Err error
+	// Raw is the item as encoded in the store.
+	Raw []byte
 }
 
 // Source reads items of one kind and waits for their changes.
 type Source[T any] interface {
+	// Decode decodes an item that another node has read.
+	Decode(name string, raw []byte) (T, error)
 	// List returns all items and the revision they were read at.
 	List(ctx context.Context) (items []Change[T], revision uint64, err error)
 	// Watch waits until an item changes after the revision, or until wait has
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -79,6 +79,6 @@
 
 func retryLimits(b *schema.GatewayBounds) quota.RetryLimits {
 	return quota.RetryLimits{
-		Ratio: b.GetRetryRatio(), Extra: float64(b.GetRetryExtra()), Window: b.GetRetryWindow().AsDuration(),
+		Ratio: b.GetRetryRatio(), Extra: b.GetRetryExtra(), Window: b.GetRetryWindow().AsDuration(),
 	}
 }
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -34,7 +34,7 @@
 	return datastore.Node{
 		Name: node.GetName(), Address: s.GetListen().GetPeers(),
 		Zone: node.GetAvailabilityZone(), Region: node.GetRegion(), Started: time.Now(),
-		Cores: s.GetResources().GetProcessorShare() * float64(s.GetResources().GetCores()),
+		Cores: s.GetResources().GetProcessorShare() * s.GetResources().GetCores(),
 	}
 }
 
@@ -100,9 +100,22 @@
 	f.datastore.ApplyProof(version, proven, address)
 }
 
+// Revision implements mesh.ObjectRelay.
+func (f *forwarder) Revision(k datastore.Kind) uint64 { return f.datastore.Revision(k) }
+
+// Changes implements mesh.ObjectRelay.
+func (f *forwarder) Changes(k datastore.Kind, revision uint64) (datastore.Delta, time.Duration, bool) {
+	return f.datastore.Changes(k, revision)
+}
+
+// ApplyChanges implements mesh.ObjectRelay.
+func (f *forwarder) ApplyChanges(k datastore.Kind, d datastore.Delta, proven clock.Instant) {
+	f.datastore.ApplyChanges(k, d, proven)
+}
+
 func newMesh(f *forwarder, self datastore.Node, pool *peer.Pool, server *peer.Server, logger *log.Logger) *mesh.Manager {
 	f.mesh = mesh.New(mesh.Options{
-		Self: self, Pool: pool, Listener: f, ProofRelay: f, Logger: logger,
+		Self: self, Pool: pool, Listener: f, ProofRelay: f, ObjectRelay: f, Logger: logger,
 	})
 	server.HandleStream(schema.Method_METHOD_MESH, f.mesh.Serve)
 	return f.mesh
@@ -155,6 +168,7 @@
 		Revocation: s.GetBounds().GetRevocation().AsDuration(),
 		Drain:      s.GetBounds().GetDrain().AsDuration(),
 		OwnsZone:   func() bool { return f.mesh.Owner().Name == self.Name },
+		ZoneNodes:  func() int { return f.mesh.ZoneNodes() },
 		Logger:     logger,
 		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
 			f.balancer.ApplyTargets(targets, services)
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -230,7 +230,7 @@
 	if !l.sameZone() {
 		return interZoneInterval
 	}
-	return zoneUpdateInterval + time.Duration(max(0, l.manager.zonePeerCount()-baseLinks))*extraLinkInterval
+	return zoneUpdateInterval + time.Duration(max(0, l.manager.ZoneNodes()-baseLinks))*extraLinkInterval
 }
 
 func (l *link) sameZone() bool { return l.peer.Zone == l.manager.options.Self.Zone }
@@ -244,6 +244,7 @@
 		l.sentForwarded = make(map[string]uint64)
 		u.Address, u.Cores = m.options.Self.Address, m.options.Self.Cores
 	}
+	l.requestObjects(u)
 	m.mu.Lock()
 	u.Leaving, u.Able = m.leaving, m.ready
 	forwarded := make(map[string]*source)
@@ -285,14 +286,14 @@
 		case acked <- struct{}{}:
 		default:
 		}
-		if ack.GetVersion() == 0 {
-			continue
-		}
-		// The acknowledgement was sent after the update, and the proof had the stated
-		// age then. Counting the age from when the update was sent never makes the
+		// The acknowledgement was sent after the update, and what it proves had the
+		// stated age then. Counting the age from when the update was sent never makes a
 		// proof younger than it is.
-		age := time.Duration(ack.GetProofAgeMicros()) * time.Microsecond
-		proven := clock.Instant(ack.GetEcho()).Add(-age)
-		l.manager.options.ProofRelay.ApplyProof(ack.GetVersion(), proven, l.peer.Address)
+		sent := clock.Instant(ack.GetEcho())
+		l.applyObjects(ack, sent)
+		if ack.GetVersion() != 0 {
+			age := time.Duration(ack.GetProofAgeMicros()) * time.Microsecond
+			l.manager.options.ProofRelay.ApplyProof(ack.GetVersion(), sent.Add(-age), l.peer.Address)
+		}
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -73,13 +73,28 @@
 	ApplyProof(version uint64, proven clock.Instant, address string)
 }
 
+// ObjectRelay passes on what this node has read from the store, and accepts what the
+// owner of its zone has read.
+type ObjectRelay interface {
+	// Revision returns the store's revision of this node's items of a kind.
+	Revision(k datastore.Kind) uint64
+	// Changes returns what changed after a revision, and how long ago it was known to
+	// lead to the newest state; ok is false if this node has not read the items.
+	Changes(k datastore.Kind, revision uint64) (d datastore.Delta, age time.Duration, ok bool)
+	// ApplyChanges applies what a peer has read, which led to the newest state at the
+	// given instant.
+	ApplyChanges(k datastore.Kind, d datastore.Delta, proven clock.Instant)
+}
+
 // Options configures a Manager.
 type Options struct {
 	Self       datastore.Node
 	Pool       *peer.Pool
 	Listener   Listener
 	ProofRelay ProofRelay
-	Logger     *log.Logger
+	// ObjectRelay is nil if objects are not passed on.
+	ObjectRelay ObjectRelay
+	Logger      *log.Logger
 }
 
 // Manager maintains the links to other nodes. Its methods may be called by any
@@ -250,8 +265,8 @@
 	return m.zones[n.Zone]
 }
 
-// zonePeerCount returns the number of other nodes in this zone.
-func (m *Manager) zonePeerCount() int {
+// ZoneNodes returns the number of other nodes in this zone.
+func (m *Manager) ZoneNodes() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.nodes)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -123,8 +123,8 @@
 			c.report(key, d.String(), "set a time above zero")
 		}
 	}
-	if b.GetRetryRatio() < 0 || b.GetLimitOvershoot() < 0 || b.GetLimitSlack() < 0 {
-		c.report("bounds", "a negative share", "set retry_ratio, limit_overshoot and limit_slack to zero or more")
+	if b.GetRetryRatio() < 0 || b.GetRetryExtra() < 0 || b.GetLimitOvershoot() < 0 || b.GetLimitSlack() < 0 {
+		c.report("bounds", "a negative share", "set retry_ratio, retry_extra, limit_overshoot and limit_slack to zero or more")
 	}
 	if d := b.GetRevocation().AsDuration(); d < 0 {
 		c.report("bounds.revocation", d.String(), "set a time above zero, or leave it out if none is promised")
@@ -132,6 +132,9 @@
 	if share := c.settings.GetResources().GetProcessorShare(); share < 0 || share > 1 {
 		c.report("resources.processor_share", fmt.Sprint(share), "set a share above zero, 1 at most")
 	}
+	if r := c.settings.GetResources(); r.GetCores() < 0 || r.GetMemoryMebibytes() < 0 {
+		c.report("resources", "a negative amount", "set cores and memory_mebibytes to zero or more")
+	}
 	if r := c.settings.GetResources(); r.GetFileDescriptors() < minFileDescriptors {
 		c.report("resources.file_descriptors", fmt.Sprint(r.GetFileDescriptors()), fmt.Sprintf("set it to %d or more", minFileDescriptors))
 	}
--- a/tomlproto/walk.go
+++ b/tomlproto/walk.go
@@ -106,7 +106,7 @@
 }
 
 func (c *converter) convertInteger(path string, value any, low, high int64) any {
-	v, ok := value.(int64)
+	v, ok := wholeNumber(value)
 	if !ok {
 		return c.wrongType(path, value, "a whole number")
 	}
@@ -116,6 +116,21 @@
 	return v
 }
 
+// maxExactFloat bounds the whole numbers that a float64 represents exactly.
+const maxExactFloat = 1 << 53
+
+// wholeNumber returns the value of an integer, or of a float without a fraction.
+func wholeNumber(value any) (int64, bool) {
+	switch v := value.(type) {
+	case int64:
+		return v, true
+	case float64:
+		return int64(v), v == math.Trunc(v) && math.Abs(v) <= maxExactFloat
+	default:
+		return 0, false
+	}
+}
+
 func (c *converter) convertDuration(path string, value any) any {
 	text, ok := value.(string)
 	if !ok {
