datastore: watch the targets more often at an owner that others rely on

A watch that a change ends proves only its start, so the age that others see is two waits and a pause. Fails with the relay off and with an age bound beyond drain.

--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -46,8 +46,8 @@
 	// Options.Drain, so that its list is recent enough for nodes that rely on it for
 	// relayedAgeRatio of that time.
 	relayMinNodes   = 4
-	ownerWatchRatio = 0.3
-	relayedAgeRatio = 0.6
+	ownerWatchRatio = 0.2
+	relayedAgeRatio = 0.7
 	// outageGrace is how long targets that disappeared during an outage of the
 	// store are kept after its end. Targets whose entries expired during the outage
 	// have registered again by then.
