quota: share limits among hundreds of nodes

Ruled out: no raising at all (late starters would stay low). The mutant with either change taken out fails at 300 nodes.

--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -88,7 +88,7 @@
 
 // SilentShare implements mesh.Listener.
 func (f *forwarder) SilentShare(share float64, nodes int) {
-	f.allowance.SetSilentShare(share)
+	f.allowance.SetNodes(nodes, share)
 	f.retries.SetNodes(nodes)
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,6 +36,8 @@
 	buckets map[string]*bucket
 	// unreachableShare is the fraction of the nodes that are unreachable.
 	unreachableShare float64
+	// nodes is the number of nodes that share the limits, 0 until it is known.
+	nodes int
 }
 
 // bucket is the known usage of one team.
@@ -52,9 +54,6 @@
 }
 
 const (
-	// assumedNodes is the assumed number of nodes that share the limits while the
-	// list of nodes is not known.
-	assumedNodes = 8
 	// limitSlackShare is the fraction of the slack that is added to the limit, so
 	// that no request within the limit is refused because the replicas differ. The
 	// rest covers bookings of other nodes that are not reported yet, and bookings
@@ -63,11 +62,13 @@
 	// minRetryAfter and maxRetryAfter bound the wait that a refused caller is given.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
-	// syncRate is the fraction, per second, by which a level moves towards the
-	// levels that other nodes report. A reported level does not include this node's
-	// latest bookings, which had not reached the reporting node, so that a higher
-	// rate would give a team more than its limit.
-	syncRate = 0.5
+	// lowerRate and raiseRate are the fractions, per second, by which a level moves
+	// towards a lower or higher level that another node reports. Nodes with a high
+	// level admit and report more than others, and a reported level does not include
+	// this node's latest bookings, so that raising levels as fast as lowering them
+	// would give a team more than its limit, the more the more nodes there are.
+	lowerRate = 0.5
+	raiseRate = 0.1
 	// startSlackShare is the fraction of the slack that all nodes together may use
 	// at their start, before they have received each other's reports.
 	startSlackShare = 0.1
@@ -76,11 +77,12 @@
 	warmUpTime = 3 * time.Second
 )
 
-// NewAllowance returns an Allowance whose buckets hold a fraction of the slack and
-// refill from now on, because bookings from before the start are not known.
+// NewAllowance returns an Allowance whose buckets are empty until SetNodes has set
+// how many nodes there are. They then hold this node's share of a fraction of the
+// slack and refill, because bookings from before the start are not known.
 func NewAllowance(slack Slack, publish func(team string, amount float64, level *int64)) *Allowance {
 	return &Allowance{
-		slack: slack, publish: publish, started: time.Now(), buckets: make(map[string]*bucket), unreachableShare: 1 - 1.0/assumedNodes,
+		slack: slack, publish: publish, started: time.Now(), buckets: make(map[string]*bucket), unreachableShare: 1,
 	}
 }
 
@@ -117,9 +119,9 @@
 	}
 	rate *= reachableShare
 	b := a.bucket(team.Name)
-	if !b.initialized {
+	if !b.initialized && a.nodes > 0 {
 		b.initialized = true
-		b.level += startSlackShare * a.slackAmount(team) / assumedNodes
+		b.level += startSlackShare * a.slackAmount(team) / float64(a.nodes)
 	}
 	b.level = min(team.Burst*reachableShare, b.level+now.Sub(b.refilledAt).Seconds()*rate)
 	b.refilledAt = now
@@ -179,7 +181,11 @@
 	if level == nil {
 		return
 	}
-	share := min(1, syncRate*now.Sub(b.syncedAt).Seconds())
+	rate := lowerRate
+	if float64(*level) > b.level {
+		rate = raiseRate
+	}
+	share := min(1, rate*now.Sub(b.syncedAt).Seconds())
 	if now.Sub(a.started) < warmUpTime {
 		share = 1
 	}
@@ -187,11 +193,12 @@
 	b.syncedAt = now
 }
 
-// SetSilentShare sets the fraction of the nodes that are unreachable.
-func (a *Allowance) SetSilentShare(share float64) {
+// SetNodes sets how many nodes share the limits, and the fraction of them that is
+// unreachable.
+func (a *Allowance) SetNodes(nodes int, unreachableShare float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unreachableShare = share
+	a.nodes, a.unreachableShare = nodes, unreachableShare
 }
 
 // SetSlack sets the slack. Counted usage is kept if the window is unchanged.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -54,12 +55,18 @@
 	return c
 }
 
-// restart replaces a node's allowance by a new one without any state.
+// restart replaces a node's allowance by a new one without any state, which knows the
+// other nodes.
 func (c *cluster) restart(i int) {
+	c.start(i)
+	c.updateUnreachableShares()
+}
+
+// start replaces a node's allowance by a new one without any state.
+func (c *cluster) start(i int) {
 	c.nodes[i] = NewAllowance(slack, func(_ string, amount float64, level *int64) {
 		c.pending = append(c.pending, report{time.Now().Add(c.delay), i, amount, level})
 	})
-	c.updateUnreachableShares()
 }
 
 // setPartitioned cuts or restores a node's links. Reports that fall due while the
@@ -84,7 +91,7 @@
 		if c.partitioned[i] {
 			reachable = 1
 		}
-		n.SetSilentShare(1 - float64(reachable)/float64(len(c.nodes)))
+		n.SetNodes(len(c.nodes), 1-float64(reachable)/float64(len(c.nodes)))
 	}
 }
 
@@ -194,6 +201,47 @@
 	})
 }
 
+// Hundreds of nodes that restart together know at first neither each other nor what
+// was used before. What they admit until they do stays within the slack. Guards
+// against an assumed number of nodes.
+func TestManyNodesThatRestartTogetherStayWithinTheLimit(t *testing.T) {
+	for _, nodes := range []int{8, 60, 300} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				team := &catalog.Team{Name: "t", Rate: 350_000, Burst: 350_000, ByTokens: true}
+				c := newCluster(nodes, 100*time.Millisecond)
+				r := rand.New(rand.NewPCG(4, uint64(nodes)))
+				load := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						c.deliver()
+						for requested := 0.0; requested < 5*team.Rate*0.02; {
+							amount := randomTokens(r)
+							requested += amount
+							c.take(r.IntN(nodes), team, amount)
+						}
+					}
+				}
+				load(20 * time.Second)
+				c.pending = nil
+				for i := range c.nodes {
+					c.start(i)
+				}
+				load(300 * time.Millisecond) // The list of nodes is not known yet.
+				for _, n := range c.nodes {
+					n.SetNodes(nodes, 1-1/float64(nodes))
+				}
+				load(300 * time.Millisecond) // No other node is heard yet.
+				c.updateUnreachableShares()
+				admitted := len(c.booked)
+				load(10 * time.Second)
+				is.True(c.maxInWindow() <= maxPerWindow(team))
+				is.True(len(c.booked) > admitted)
+			})
+		})
+	}
+}
+
 // Fails if nodes book only their own requests and ignore those of other nodes.
 func TestNodesShareOneLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
