balance: avoid targets that fail, and those that stand still

Now a target's failures beyond those of the route everywhere make it suspect (used last), then failing (backoff, one request at a time until it answers). A target with a request that is long overdue gets no more until it moves on; if most targets look so, this node stood still itself. Ruled out: a plain share of failures (lookups that fail in 14 of 100 runs everywhere would exclude every target in turn).

--- a/balance/engine_test.go
+++ b/balance/engine_test.go
@@ -108,7 +108,7 @@
 	now := time.Unix(0, 0)
 	e, target := newTestEngine(), newTestTarget("i", now)
 	w := &Work{PromptTokens: 10_000}
-	target.addRequest(w, now)
+	target.addRequest(w, now, time.Second)
 	target.advancePrefill(now.Add(time.Hour), e)
 	is.Equal(target.own.PromptTokens, minPendingShare*10_000)
 	target.finishPrefill(w)
--- a/balance/filter.go
+++ b/balance/filter.go
@@ -11,23 +11,31 @@
 	// sameZone and otherZones are the targets with a free slot in this node's
 	// zone and in other zones. All targets of a plain service count as sameZone.
 	sameZone, otherZones []*target
+	// suspects are those that are used only if no others have a free slot.
+	suspects []*target
 	// slots and taken count all slots of the available targets and those in use.
 	slots, taken int
 }
 
 // capacity returns the free slots of the available targets, which are those
-// that are neither draining nor in backoff.
+// that are neither draining nor in backoff. A target with an overdue request may
+// stand still. While more than half of the targets are in such a state, the cause
+// is likely elsewhere, and all of them are used.
 func (p *pool) capacity(now time.Time, here location) capacity {
 	var c capacity
+	ignoreOverdue := p.mostlyOverdue(now)
 	for _, t := range p.targets {
 		if t.Draining || t.health.inBackoff(now) {
 			continue
 		}
 		requests := t.load().Requests
-		c.slots += t.Slots
-		c.taken += min(requests, t.Slots)
+		slots := t.usableSlots()
+		c.slots += slots
+		c.taken += min(requests, slots)
 		switch {
-		case requests >= t.Slots:
+		case requests >= slots || !ignoreOverdue && t.overdue(now):
+		case t.health.suspect(now):
+			c.suspects = append(c.suspects, t)
 		case t.Zone == here.zone || p.engine == nil:
 			c.sameZone = append(c.sameZone, t)
 		default:
@@ -41,14 +49,24 @@
 // it.
 func (c *capacity) addRequest(t *target) {
 	c.taken++
-	if t.load().Requests < t.Slots {
+	if t.load().Requests < t.usableSlots() {
 		return
 	}
 	isTarget := func(other *target) bool { return other == t }
+	c.suspects = slices.DeleteFunc(c.suspects, isTarget)
 	c.sameZone = slices.DeleteFunc(c.sameZone, isTarget)
 	c.otherZones = slices.DeleteFunc(c.otherZones, isTarget)
 }
 
+// usableSlots returns how many requests the target may have: one if it failed and
+// has not answered since.
+func (t *target) usableSlots() int {
+	if t.health.onTrial() {
+		return min(1, t.Slots)
+	}
+	return t.Slots
+}
+
 // candidates returns the targets to compare for a request: all of this zone,
 // and a few random ones of other zones. Load reports from other zones are
 // delayed, and nodes of all zones that compare the same targets on the same
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -167,6 +167,7 @@
 	}
 	p := m.pool(e.request.work.Service)
 	t.own.Requests--
+	overdue := t.isOverdue(e.request.work, now)
 	t.finishPrefill(e.request.work)
 	t.updateFreed(now)
 	if p.engine != nil {
@@ -180,8 +181,15 @@
 	switch e.result {
 	case Answered:
 		t.health.recordSuccess()
+		p.recordOutcome(t, e.request.work.Route, false, now)
+	case Failed:
+		p.recordOutcome(t, e.request.work.Route, true, now)
 	case Unreachable, Broken:
 		t.health.recordFailure(now)
+	case Abandoned:
+		if overdue {
+			t.health.recordFailure(now)
+		}
 	}
 	m.publish(t)
 	m.markChanged(p)
@@ -209,7 +217,11 @@
 		return
 	}
 	e.request.target, e.request.load = t, t.load()
-	t.addRequest(e.request.work, now)
+	expected := time.Duration(0)
+	if p.engine != nil {
+		expected = p.engine.timeToFirstEvent(t, e.request.load.PromptTokens, e.request.work.PromptTokens)
+	}
+	t.addRequest(e.request.work, now, expected)
 	if e.firstEventSeen {
 		t.finishPrefill(e.request.work)
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -1,19 +1,38 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// initialBackoff is how long no requests are sent to a target that could not
-	// be reached or sent a broken response. It doubles with each further failure
-	// up to maxBackoff.
+	// be reached, sent a broken response or fails nearly all requests. It doubles
+	// with each further failure up to maxBackoff.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 4 * time.Second
+	// excessWeight is the weight of one outcome in the excess of a target's
+	// failures, and excessHalfLife the time in which the excess halves without
+	// outcomes, so that a target that has recovered is used again.
+	excessWeight   = 0.25
+	excessHalfLife = 4 * time.Second
+	// suspectExcess is the excess above which a target is used only if no other has
+	// a free slot, failingExcess that above which it counts as failing.
+	suspectExcess = 0.3
+	failingExcess = 0.55
+	// routeFailureWeight is the weight of one outcome in the failure share of a
+	// route over all targets of a service.
+	routeFailureWeight = 0.01
 )
 
 // health is the failure record of a target.
 type health struct {
 	failures     int
 	backoffUntil time.Time
+	// excess estimates the share of requests that fail here beyond those that fail
+	// at any target, as of updatedAt.
+	excess    float64
+	updatedAt time.Time
 }
 
 // inBackoff reports whether no requests are to be sent to the target for now.
@@ -21,6 +40,13 @@
 	return now.Before(h.backoffUntil)
 }
 
+// onTrial reports whether the target has failed and not answered since. It gets one
+// request at a time.
+func (h *health) onTrial() bool { return h.failures > 0 }
+
+// suspect reports whether the target fails more requests than others do.
+func (h *health) suspect(now time.Time) bool { return h.currentExcess(now) > suspectExcess }
+
 func (h *health) recordFailure(now time.Time) {
 	backoff := min(initialBackoff<<min(h.failures, 8), maxBackoff)
 	h.failures++
@@ -31,3 +57,40 @@
 	h.failures = 0
 	h.backoffUntil = time.Time{}
 }
+
+// recordOutcome updates the excess of failures; expected is the share of such
+// requests that fail at any target.
+func (h *health) recordOutcome(now time.Time, failed bool, expected float64) {
+	sample := -expected
+	if failed {
+		sample = 1 - expected
+	}
+	excess := h.currentExcess(now)
+	h.excess = max(0, excess+excessWeight*(sample-excess))
+	h.updatedAt = now
+	if failed && h.excess > failingExcess {
+		h.recordFailure(now)
+	}
+}
+
+// currentExcess returns the excess, which decays while no outcomes arrive.
+func (h *health) currentExcess(now time.Time) float64 {
+	if h.excess == 0 {
+		return 0
+	}
+	return h.excess * math.Exp2(-now.Sub(h.updatedAt).Seconds()/excessHalfLife.Seconds())
+}
+
+// recordOutcome records whether the target of a request reported a failure.
+func (p *pool) recordOutcome(t *target, route string, failed bool, now time.Time) {
+	if p.routeFailures == nil {
+		p.routeFailures = make(map[string]float64)
+	}
+	expected := p.routeFailures[route]
+	t.health.recordOutcome(now, failed, expected)
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	p.routeFailures[route] = expected + routeFailureWeight*(sample-expected)
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -20,9 +20,17 @@
 // pick returns the best target of those with a free slot, or false if none may
 // take the request.
 func (p *pool) pick(w *Work, now time.Time, here location, c *capacity, reserve time.Duration) (choice, bool) {
+	if best, ok := p.best(c.candidates(), w, now, here, c, reserve); ok {
+		return best, true
+	}
+	return p.best(c.suspects, w, now, here, c, reserve)
+}
+
+// best returns the best of some targets, or false if none may take the request.
+func (p *pool) best(candidates []*target, w *Work, now time.Time, here location, c *capacity, reserve time.Duration) (choice, bool) {
 	var best choice
 	squaredUtilization := c.squaredUtilization()
-	for _, t := range c.candidates() {
+	for _, t := range candidates {
 		if !eligible(t, w, now, p.slotReserveTime(t, here, reserve)) {
 			continue
 		}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -17,6 +17,8 @@
 	// publishedWaiting is the last published number of waiting requests of each
 	// tier.
 	publishedWaiting map[int]int
+	// routeFailures is the share of requests that fail, by route, over all targets.
+	routeFailures map[string]float64
 }
 
 // setTargets replaces the targets of the service and returns the new ones. A
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -109,7 +109,7 @@
 		c, ok := p.pick(w.work, now, here, &free, reserve)
 		switch {
 		case ok && (c.onTime || w.late):
-			c.target.addRequest(w.work, now)
+			c.target.addRequest(w.work, now, c.expected)
 			free.addRequest(c.target)
 			onAssign(w, c)
 		case !now.Before(w.work.Patience) || w.late && onTimeWaiting:
--- a/balance/target.go
+++ b/balance/target.go
@@ -93,9 +93,54 @@
 	t.full = full
 }
 
-// pendingPrompt is a prompt that is being prefilled.
+// pendingPrompt is a prompt that is being prefilled, or a request that has not been
+// answered yet.
 type pendingPrompt struct {
 	tokens, remaining float64
+	// dueAt is when the first event or the answer should have come, with time to
+	// spare.
+	dueAt time.Time
+}
+
+const (
+	// overdueFactor scales the predicted time to the first event, and overdueMargin
+	// is added to it, to give the time after which a request is overdue.
+	overdueFactor = 3
+	overdueMargin = 700 * time.Millisecond
+)
+
+// overdue reports whether a request of this node is waiting for longer than it
+// should: the target may stand still.
+func (t *target) overdue(now time.Time) bool {
+	for w := range t.prefilling {
+		if t.isOverdue(w, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOverdue reports whether a request of this node is waiting for longer than it
+// should.
+func (t *target) isOverdue(w *Work, now time.Time) bool {
+	p := t.prefilling[w]
+	return p != nil && now.After(p.dueAt)
+}
+
+// mostlyOverdue reports whether more than half of the targets have an overdue
+// request.
+func (p *pool) mostlyOverdue(now time.Time) bool {
+	overdue, all := 0, 0
+	for _, t := range p.targets {
+		if t.Draining {
+			continue
+		}
+		all++
+		if t.overdue(now) {
+			overdue++
+		}
+	}
+	return 2*overdue > all
 }
 
 // minPendingShare is the share of a prompt that counts as pending until its
@@ -103,10 +148,12 @@
 // time are too short as often as too long.
 const minPendingShare = 0.25
 
-// addRequest adds a request of this node.
-func (t *target) addRequest(w *Work, now time.Time) {
+// addRequest adds a request of this node, whose first event or answer is expected
+// after a time.
+func (t *target) addRequest(w *Work, now time.Time, expected time.Duration) {
 	t.own.Requests++
-	t.prefilling[w] = &pendingPrompt{w.PromptTokens, w.PromptTokens}
+	dueAt := now.Add(overdueFactor*expected + overdueMargin)
+	t.prefilling[w] = &pendingPrompt{tokens: w.PromptTokens, remaining: w.PromptTokens, dueAt: dueAt}
 	t.updatePromptTokens()
 	t.updateFreed(now)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -55,11 +55,24 @@
 		grant.Done(balance.Abandoned)
 		x.abort("answer_cut", resp.StatusCode)
 	}
-	grant.Done(balance.Answered)
+	grant.Done(resultOf(resp.StatusCode))
 	x.logEnded("answered", resp.StatusCode)
 	return true
 }
 
+// resultOf returns what a complete response says of its target. A timeout at the
+// target is no failure of it, since the request's time limit may have been short.
+func resultOf(status int) balance.Result {
+	switch {
+	case status == http.StatusGatewayTimeout:
+		return balance.Abandoned
+	case status >= http.StatusInternalServerError:
+		return balance.Failed
+	default:
+		return balance.Answered
+	}
+}
+
 // handleBrokenResponse handles a response that failed before any of it was
 // relayed. It reports whether the request has ended.
 func (x *exchange) handleBrokenResponse(ctx context.Context, grant *balance.Grant) bool {
