mesh: let the nodes of a large zone report to its hubs

Cause, by reading and counting: every node of a zone had a link to each other, 4 heartbeats a second and acknowledgements on each (48 x 47 links in a zone of the large deployment), and the pause between two updates grew with the zone, to 0.46 s at 49 nodes, in which a team may book beyond its limit. Now the nodes of a zone of 8 or more report to three hubs, the first by processor time and name that work; the hub that owns the zone sends each of them the sums of the zone without its own contribution, and how many nodes it does not hear of. Ruled out: rarer heartbeats on all links (bookings later still), forwarding each node's report (as many entries as before). Also mended: a counter that was reported late no longer counts twice, and a feed that comes back does not count what another has reported.

--- a/mesh/link.go
+++ b/mesh/link.go
@@ -12,6 +12,10 @@
 )
 
 const (
+	// memberUpdateInterval is the minimum time between two updates of a member to the
+	// owner of its zone, restUpdateInterval that of the owner to a member.
+	memberUpdateInterval = 50 * time.Millisecond
+	restUpdateInterval   = 150 * time.Millisecond
 	// connectTimeout bounds the opening of a link: two round trips between regions
 	// and one retransmission of a lost packet.
 	connectTimeout = 700 * time.Millisecond
@@ -51,12 +55,8 @@
 func (m *Manager) reconcileLinks(ctx context.Context, running *sync.WaitGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	wanted := make(map[string]datastore.Node)
-	for _, n := range m.peers {
-		if n.Zone == m.options.Self.Zone {
-			wanted[n.Name] = n
-		}
-	}
+	m.updateHubs()
+	wanted := m.wantedInZone()
 	if m.ownsZone() {
 		for zone := range m.zones {
 			if n, ok := m.chooseRemotePeer(zone); ok {
@@ -230,6 +230,17 @@
 	if !l.sameZone() {
 		return interZoneInterval
 	}
+	l.manager.mu.Lock()
+	member, toMember := l.manager.member, l.manager.isMember(l.peer.Name)
+	l.manager.mu.Unlock()
+	switch {
+	case member && l.manager.Owner().Name == l.peer.Name:
+		return memberUpdateInterval
+	case member:
+		return heartbeatInterval
+	case toMember:
+		return restUpdateInterval
+	}
 	return zoneUpdateInterval + time.Duration(max(0, l.manager.ZoneNodes()-baseLinks))*extraLinkInterval
 }
 
@@ -247,6 +258,7 @@
 	l.requestObjects(u)
 	m.mu.Lock()
 	u.Leaving, u.Able = m.leaving, m.ready
+	toMember, owns, silent := m.isMember(l.peer.Name), m.ownsZone(), uint32(m.silentInZone())
 	forwarded := make(map[string]*source)
 	for name, s := range m.zones {
 		if l.sameZone() && s.active != nil && time.Since(s.lastDirect) < silenceTimeout {
@@ -254,21 +266,27 @@
 		}
 	}
 	m.mu.Unlock()
-	if l.sameZone() {
+	switch {
+	case l.sameZone() && !toMember:
 		c := m.nodeSums.since(l.sentOwn)
 		u.Own, l.sentOwn = l.encoder.use(c), c.version
 		hasChanges = hasChanges || !c.empty()
-	} else {
-		c := m.zoneSums.since(l.sentZone)
+	case !l.sameZone() || owns:
+		var c changes
+		if l.sameZone() {
+			c = m.restSince(l.sentZone, l.peer.Name)
+		} else {
+			c = m.zoneSums.since(l.sentZone)
+		}
 		l.sentZone = c.version
 		hasChanges = hasChanges || !c.empty()
-		u.Zones = append(u.Zones, &schema.MeshZone{Zone: m.options.Self.Zone, Use: l.encoder.use(c)})
+		u.Zones = append(u.Zones, &schema.MeshZone{Zone: m.options.Self.Zone, Use: l.encoder.use(c), Silent: silent})
 	}
 	for name, s := range forwarded {
 		c := s.forwarded.since(l.sentForwarded[name])
 		l.sentForwarded[name] = c.version
 		hasChanges = hasChanges || !c.empty()
-		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c)})
+		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: uint32(max(s.silentNodes, 0))})
 	}
 	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady
 	l.sentLeaving, l.sentReady = u.GetLeaving(), u.GetAble()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -109,6 +109,13 @@
 	// nodes are the other nodes of this zone and zones the other zones, by name.
 	nodes map[string]*source
 	zones map[string]*source
+	// hubs are the hubs of this zone, and the nodes that would be if they had not
+	// failed; empty in a small zone. member is set if this node reports to them.
+	hubs   []string
+	member bool
+	// rest holds what the other nodes of this zone use, as the zone's owner reports
+	// it to a member.
+	rest *source
 	// peers are the other nodes of all zones by name, from the store or announced.
 	peers map[string]datastore.Node
 	// announced are nodes that announced themselves over a link before the store
@@ -148,6 +155,10 @@
 	// reported the zone's sums to this node directly; directPeer is that node.
 	lastDirect time.Time
 	directPeer string
+	// contributed is what a node of this zone has added to the zone's bookings.
+	contributed map[string]uint64
+	// silentNodes is how many nodes of a zone its reporting node does not hear of.
+	silentNodes int
 }
 
 // New returns a manager without links.
@@ -163,6 +174,7 @@
 		links:    make(map[string]*link),
 
 		announced:   make(map[string]datastore.Node),
+		rest:        &source{name: options.Self.Zone},
 		silentShare: -1,
 		wake:        make(chan struct{}, 1),
 	}
@@ -257,12 +269,17 @@
 }
 
 // source returns the source that covers a node: the node itself if it is in this
-// zone, or else its zone; nil if there is none. The lock must be held.
+// zone, or the rest of the zone if this node is a member of it; else the node's zone.
+// It returns nil if there is none. The lock must be held.
 func (m *Manager) source(n datastore.Node) *source {
-	if n.Zone == m.options.Self.Zone {
+	switch {
+	case n.Zone != m.options.Self.Zone:
+		return m.zones[n.Zone]
+	case m.member && !slices.Contains(m.hubs, n.Name):
+		return m.rest
+	default:
 		return m.nodes[n.Name]
 	}
-	return m.zones[n.Zone]
 }
 
 // ZoneNodes returns the number of other nodes in this zone.
@@ -272,6 +289,25 @@
 	return len(m.nodes)
 }
 
+// Links returns the number of links to other nodes that this node keeps open.
+func (m *Manager) Links() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
+// silentInZone returns how many other nodes of this zone are silent. The lock must
+// be held.
+func (m *Manager) silentInZone() int {
+	silent := 0
+	for name, s := range m.nodes {
+		if _, known := m.peers[name]; known && s.active == nil && !s.leaving {
+			silent++
+		}
+	}
+	return silent
+}
+
 // getOrAddSource returns a source, adding it if it is new; a new source counts as
 // silent.
 func (m *Manager) getOrAddSource(sources map[string]*source, name string) *source {
@@ -335,7 +371,7 @@
 	total := m.nodeSums.targets[id].value
 	m.nodeSums.mu.Unlock()
 	for _, s := range m.nodes {
-		if s.active == nil {
+		if s.active == nil || m.member {
 			continue
 		}
 		u := s.active.targets[id]
@@ -352,7 +388,7 @@
 	total := m.nodeSums.queues[q].value
 	m.nodeSums.mu.Unlock()
 	for _, s := range m.nodes {
-		if s.active != nil {
+		if s.active != nil && !m.member {
 			total += s.active.queues[q]
 		}
 	}
@@ -364,7 +400,7 @@
 func (m *Manager) checkSilence(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, sources := range []map[string]*source{m.nodes, m.zones} {
+	for _, sources := range []map[string]*source{m.nodes, m.zones, {m.rest.name: m.rest}} {
 		for _, s := range sources {
 			if s.active != nil && now.Sub(s.lastUpdate) > silenceTimeout {
 				m.markSilent(s)
@@ -387,9 +423,14 @@
 	s.active = nil
 	m.options.Logger.Info().Str("event", "peer_lost").Str("source", s.name).Bool("leaving", s.leaving).Msg("")
 	m.notify(func(l Listener) { l.SourceSilent(s.name) })
-	if s.forwarded != nil {
-		return
+	if s.forwarded == nil && s != m.rest {
+		m.sumAgain(old)
 	}
+}
+
+// sumAgain sums what a feed of a node of this zone has reported, which no longer
+// counts. The lock must be held.
+func (m *Manager) sumAgain(old *feed) {
 	for id := range old.targets {
 		m.sumTarget(id)
 	}
@@ -402,6 +443,7 @@
 // number of nodes changed. Nodes that are leaving count in neither.
 func (m *Manager) notifySilentShare() {
 	silent, all := 0, 1
+	covering := make(map[*source]int)
 	for _, n := range m.peers {
 		s := m.source(n)
 		if s != nil && s.leaving {
@@ -410,7 +452,13 @@
 		all++
 		if s == nil || s.active == nil {
 			silent++
+			continue
 		}
+		covering[s]++
+	}
+	// A node that reports for others knows which of them are silent.
+	for s, nodes := range covering {
+		silent += min(s.silentNodes, nodes)
 	}
 	share := float64(silent) / float64(all)
 	if share != m.silentShare || all != m.nodeCount {
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -18,6 +18,8 @@
 	*report
 	// hasBaseline is set once the stream's first, complete report has been merged.
 	hasBaseline bool
+	// lastUpdate is when the last report was merged.
+	lastUpdate time.Time
 }
 
 // inbound is the state of the stream from one other node.
@@ -51,20 +53,36 @@
 	}
 	if in.from.AvailabilityZone == m.options.Self.Zone {
 		s := m.getOrAddSource(m.nodes, in.from.Node)
+		changed := s.active == nil || s.leaving != u.GetLeaving() || s.ready != u.GetAble()
 		s.leaving, s.ready = u.GetLeaving(), u.GetAble()
-		m.applyReport(s, in.feed(in.from.Node), now, in.decoder.use(u.GetOwn()))
-		m.elect()
+		own := in.decoder.use(u.GetOwn())
+		if m.member {
+			m.storeReport(s, in.feed(in.from.Node), now, own)
+		} else {
+			m.applyReport(s, in.feed(in.from.Node), now, own)
+		}
+		if changed {
+			m.elect()
+		}
 	}
 	for _, z := range u.GetZones() {
+		use := in.decoder.use(z.GetUse())
 		if z.GetZone() == m.options.Self.Zone {
+			if f := in.feed(z.GetZone()); m.member {
+				m.rest.silentNodes = int(z.GetSilent())
+				m.applyReport(m.rest, f, now, use)
+			} else {
+				f.merge(use)
+			}
 			continue
 		}
 		s := m.getOrAddSource(m.zones, z.GetZone())
 		s.ensureForwarded()
+		s.silentNodes = int(z.GetSilent())
 		if in.from.AvailabilityZone != m.options.Self.Zone {
 			s.lastDirect, s.directPeer = now, in.from.Node
 		}
-		m.applyReport(s, in.feed(z.GetZone()), now, in.decoder.use(z.GetUse()))
+		m.applyReport(s, in.feed(z.GetZone()), now, use)
 	}
 }
 
@@ -82,10 +100,12 @@
 // the source is still active. The lock must be held.
 func (m *Manager) applyReport(s *source, f *feed, now time.Time, c changes) {
 	booked := f.merge(c)
-	if !f.hasBaseline {
-		// The counters are older than the stream. What the source booked while it was
-		// silent is covered by the share reserved for it, so only later bookings
-		// count.
+	resumed := s.active != f && now.Sub(f.lastUpdate) > feedTakeoverDelay
+	f.lastUpdate = now
+	if !f.hasBaseline || resumed {
+		// The counters are older than the stream, or include what another feed has
+		// reported. What the source booked while it was silent is covered by the share
+		// reserved for it, so only later bookings count.
 		f.hasBaseline, booked = true, nil
 	}
 	if s.active != nil && s.active != f && now.Sub(s.lastUpdate) < feedTakeoverDelay {
@@ -97,19 +117,20 @@
 	}
 	s.lastUpdate = now
 	m.recordBookings(s, booked, c.teams)
+	m.notifyReport(s, c.targets, c.queues)
 	for id, use := range c.targets {
-		m.notify(func(l Listener) { l.TargetLoad(s.name, id, use) })
-		if s.forwarded != nil {
+		switch {
+		case s.forwarded != nil:
 			s.forwarded.setTarget(id, use)
-		} else {
+		case s != m.rest:
 			m.sumTarget(id)
 		}
 	}
 	for q, waiting := range c.queues {
-		m.notify(func(l Listener) { l.QueueLength(s.name, q, waiting) })
-		if s.forwarded != nil {
+		switch {
+		case s.forwarded != nil:
 			s.forwarded.setQueue(q, waiting)
-		} else {
+		case s != m.rest:
 			m.sumQueue(q)
 		}
 	}
@@ -118,6 +139,17 @@
 	}
 }
 
+// notifyReport notifies the listener of loads and queue lengths of a source. The lock
+// must be held.
+func (m *Manager) notifyReport(s *source, targets map[string]TargetUse, queues map[Queue]int) {
+	for id, use := range targets {
+		m.notify(func(l Listener) { l.TargetLoad(s.name, id, use) })
+	}
+	for q, waiting := range queues {
+		m.notify(func(l Listener) { l.QueueLength(s.name, q, waiting) })
+	}
+}
+
 // activateFeed makes a feed the active one of its source.
 func (m *Manager) activateFeed(s *source, f *feed) {
 	if s.active == nil {
@@ -134,10 +166,15 @@
 	for team, amount := range booked {
 		level := teams[team].Level
 		m.notify(func(l Listener) { l.Booked(team, float64(amount), level) })
-		if s.forwarded != nil {
+		switch {
+		case s.forwarded != nil:
 			s.forwarded.addTeam(team, amount, level)
-		} else {
+		case s != m.rest:
 			m.zoneSums.addTeam(team, amount, level)
+			if s.contributed == nil {
+				s.contributed = make(map[string]uint64)
+			}
+			s.contributed[team] += amount
 		}
 	}
 }
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -144,8 +144,8 @@
 	for name, total := range c.teams {
 		if before := r.teams[name]; total.Booked > before {
 			booked[name] = total.Booked - before
+			r.teams[name] = total.Booked
 		}
-		r.teams[name] = total.Booked
 	}
 	maps.Copy(r.targets, c.targets)
 	maps.Copy(r.queues, c.queues)
