Let one node read the store for the whole deployment

The owner of the first zone that is heard reads; owners take from it what changed and the proof of the configuration, and pass both on. A node that does not hear of it in time reads for itself, as before. From 12 nodes on; below that the zones' owners read. Test: what one node reads reaches all, also after its zone is lost.

--- a/datastore/follow_relay_test.go
+++ b/datastore/follow_relay_test.go
@@ -61,7 +61,8 @@
 		return func(o *datastore.Options) {
 			o.Drain = drain
 			o.OwnsZone = func() bool { return owns }
-			o.ZoneNodes = func() int { return 10 }
+			o.ReadsForAll = o.OwnsZone
+			o.Nodes = func() int { return 20 }
 			if !owns {
 				o.Sources.Configurations = countingSource[*catalog.Config]{o.Sources.Configurations, &z.memberCalls}
 				o.Sources.Targets = countingSource[*catalog.Target]{o.Sources.Targets, &z.memberCalls}
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -15,8 +15,10 @@
 const (
 	// configWatchWait is how long a watch of the configuration waits. Its answer
 	// proves that no key was revoked, so it must arrive several times within the
-	// time in which a revocation takes effect.
-	configWatchWait = 1500 * time.Millisecond
+	// time in which a revocation takes effect. relayedConfigWatchWait applies if the
+	// proof is passed on by two nodes.
+	configWatchWait        = 1500 * time.Millisecond
+	relayedConfigWatchWait = time.Second
 	// staleProofAge is the age of the proof after which a node no longer relies on
 	// others and watches the configuration itself: half the shortest revocation time
 	// in use. That watch waits for staleProofWait only, since its answer is the
@@ -38,14 +40,14 @@
 	// nodesWatchWait is how long a watch of the nodes waits. A missed change only
 	// loses the load reports of one node.
 	nodesWatchWait = 15 * time.Second
-	// nodesRelayMaxAge is how old a list of nodes from the owner of the zone may be:
-	// the owner's watch and some time to spare.
+	// nodesRelayMaxAge is how old a list of nodes from another node may be: that
+	// node's watch and some time to spare.
 	nodesRelayMaxAge = nodesWatchWait + 5*time.Second
-	// relayMinNodes is the number of other nodes in the zone from which its owner
-	// reads the targets for all of them. It then watches for ownerWatchRatio of
-	// Options.Drain, so that its list is recent enough for nodes that rely on it for
-	// relayedAgeRatio of that time.
-	relayMinNodes   = 4
+	// relayMinNodes is the number of nodes from which one of them reads the store for
+	// all. It and the owners of zones, which pass on what it reads, then watch the
+	// targets for ownerWatchRatio of Options.Drain, so that their list is recent
+	// enough for nodes that rely on it for relayedAgeRatio of that time.
+	relayMinNodes   = 12
 	ownerWatchRatio = 0.2
 	relayedAgeRatio = 0.7
 	// outageGrace is how long targets that disappeared during an outage of the
@@ -73,10 +75,12 @@
 	// OwnsZone reports whether this node chooses targets for other nodes, which then
 	// call the store less often; nil if no node does.
 	OwnsZone func() bool
-	// ZoneNodes returns the number of other nodes in this node's zone; nil if there
-	// are none.
-	ZoneNodes func() int
-	Logger    *log.Logger
+	// ReadsForAll reports whether this node reads the store for all nodes of a
+	// deployment of relayMinNodes or more; nil if no node does.
+	ReadsForAll func() bool
+	// Nodes returns the number of nodes of the deployment; nil if it is one.
+	Nodes  func() int
+	Logger *log.Logger
 	// Now reads the clock; nil means the VM's clock.
 	Now func() clock.Instant
 	// OnTargets is called with the targets that may be used and the services
@@ -186,9 +190,17 @@
 	return func() time.Duration { return d }
 }
 
-// owns reports whether other nodes rely on this one.
+// owns reports whether other nodes of the zone rely on this one.
 func (m *Manager) owns() bool { return m.options.OwnsZone != nil && m.options.OwnsZone() }
 
+// relayed reports whether one node reads the store for all.
+func (m *Manager) relayed() bool {
+	return m.options.Nodes != nil && m.options.ReadsForAll != nil && m.options.Nodes() >= relayMinNodes
+}
+
+// relies reports whether this node takes what changed in the store from another one.
+func (m *Manager) relies() bool { return m.relayed() && !m.options.ReadsForAll() }
+
 // targetsPause returns how long changes of the targets are batched before the next
 // watch.
 func (m *Manager) targetsPause() time.Duration {
@@ -200,25 +212,23 @@
 
 // targetsWatchWait returns how long the next watch of the targets waits.
 func (m *Manager) targetsWatchWait() time.Duration {
-	if m.owns() && m.options.ZoneNodes != nil && m.options.ZoneNodes() >= relayMinNodes {
+	if m.owns() && m.relayed() {
 		return min(targetsWatchWait, time.Duration(ownerWatchRatio*float64(m.options.Drain)))
 	}
 	return targetsWatchWait
 }
 
-// relayedTargetsMaxAge returns how old a list of targets from the owner of the zone
-// may be.
+// relayedTargetsMaxAge returns how old a list of targets from another node may be.
 func (m *Manager) relayedTargetsMaxAge() time.Duration {
-	if m.owns() {
+	if !m.relies() {
 		return 0
 	}
 	return time.Duration(relayedAgeRatio * float64(m.options.Drain))
 }
 
-// relayedNodesMaxAge returns how old a list of nodes from the owner of the zone may
-// be.
+// relayedNodesMaxAge returns how old a list of nodes from another node may be.
 func (m *Manager) relayedNodesMaxAge() time.Duration {
-	if m.owns() {
+	if !m.relies() {
 		return 0
 	}
 	return nodesRelayMaxAge
@@ -227,7 +237,7 @@
 // relayedProofMaxAge returns how old another node's proof of the configuration may
 // be to stand in for a watch.
 func (m *Manager) relayedProofMaxAge() time.Duration {
-	if m.owns() || m.table.Load() == nil {
+	if m.table.Load() == nil || m.owns() && !m.relies() {
 		return 0
 	}
 	return staleProofAge
@@ -238,6 +248,9 @@
 	if m.table.Load() != nil && m.ProofAge() >= staleProofAge {
 		return staleProofWait
 	}
+	if m.relayed() {
+		return relayedConfigWatchWait
+	}
 	return configWatchWait
 }
 
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -241,7 +241,7 @@
 	case toMember:
 		return restUpdateInterval
 	}
-	return zoneUpdateInterval + time.Duration(max(0, l.manager.ZoneNodes()-baseLinks))*extraLinkInterval
+	return zoneUpdateInterval + time.Duration(max(0, l.manager.zoneNodes()-baseLinks))*extraLinkInterval
 }
 
 func (l *link) sameZone() bool { return l.peer.Zone == l.manager.options.Self.Zone }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -73,8 +73,8 @@
 	ApplyProof(version uint64, proven clock.Instant, address string)
 }
 
-// ObjectRelay passes on what this node has read from the store, and accepts what the
-// owner of its zone has read.
+// ObjectRelay passes on what this node has read from the store, and accepts what
+// another node has read.
 type ObjectRelay interface {
 	// Revision returns the store's revision of this node's items of a kind.
 	Revision(k datastore.Kind) uint64
@@ -282,8 +282,8 @@
 	}
 }
 
-// ZoneNodes returns the number of other nodes in this zone.
-func (m *Manager) ZoneNodes() int {
+// zoneNodes returns the number of other nodes in this zone.
+func (m *Manager) zoneNodes() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.nodes)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -38,6 +38,24 @@
 	// version and age are the proof that this node sends to others.
 	version uint64
 	age     time.Duration
+	// read is the revision that this node has read, or was told of.
+	read uint64
+}
+
+func (n *node) Revision(datastore.Kind) uint64 {
+	return locked(n, func() uint64 { return max(n.read, 1) })
+}
+
+func (n *node) Changes(_ datastore.Kind, since uint64) (datastore.Delta, time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return datastore.Delta{Revision: n.read, Complete: since < n.read}, n.age, n.read > 0
+}
+
+func (n *node) ApplyChanges(_ datastore.Kind, d datastore.Delta, _ clock.Instant) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.read = max(n.read, d.Revision)
 }
 
 func (n *node) TargetLoad(source, target string, use mesh.TargetUse) {
@@ -116,7 +134,7 @@
 	id := peer.Identity{Cluster: "test", Node: name, AvailabilityZone: zone, Incarnation: uint64(time.Now().UnixNano())}
 	n.pool = peer.NewPool(peer.PoolOptions{Identity: id, Meter: peer.NopMeter{}, DialTimeout: time.Second, CallTimeout: time.Second})
 	n.server = peer.NewServer(id, peer.NopMeter{}, nil)
-	n.manager = mesh.New(mesh.Options{Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, Logger: logging.Discard()})
+	n.manager = mesh.New(mesh.Options{Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, ObjectRelay: n, Logger: logging.Discard()})
 	n.server.HandleStream(schema.Method_METHOD_MESH, n.manager.Serve)
 	go n.server.Serve(l)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mesh/objects.go
+++ b/mesh/objects.go
@@ -8,11 +8,46 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// requestObjects asks the owner of the zone for what changed in the store, so that
-// the other nodes of the zone need not watch it.
+// ReadsForAll reports whether this node reads the store for the whole deployment: it
+// owns the first of the zones that are heard, by name.
+func (m *Manager) ReadsForAll() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reader() == m.options.Self.Name
+}
+
+// Nodes returns the number of nodes of all zones, including this one.
+func (m *Manager) Nodes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + 1
+}
+
+// reader returns the name of the node from which this node takes what changed in the
+// store: the owner of its zone or, if it owns the zone, the owner of the first zone;
+// its own name if it reads for all. The lock must be held.
+func (m *Manager) reader() string {
+	owner := m.owner.Load().Name
+	if owner != m.options.Self.Name {
+		return owner
+	}
+	first, reader := m.options.Self.Zone, owner
+	for name, s := range m.zones {
+		if name < first && s.active != nil && time.Since(s.lastDirect) < silenceTimeout {
+			first, reader = name, s.directPeer
+		}
+	}
+	return reader
+}
+
+// requestObjects asks the reader for what changed in the store, so that this node
+// need not watch it.
 func (l *link) requestObjects(u *schema.MeshUpdate) {
 	m := l.manager
-	if m.options.ObjectRelay == nil || m.Owner().Name != l.peer.Name {
+	m.mu.Lock()
+	reader := m.reader()
+	m.mu.Unlock()
+	if m.options.ObjectRelay == nil || reader != l.peer.Name {
 		return
 	}
 	u.TargetsRevision = m.options.ObjectRelay.Revision(datastore.KindTargets)
@@ -25,7 +60,7 @@
 	ack.Nodes = m.encodeChanges(datastore.KindNodes, u.GetNodesRevision())
 }
 
-// applyObjects applies what the owner of the zone has read, which had the stated age
+// applyObjects applies what the reader has read, which had the stated age
 // when the update was sent, or later.
 func (l *link) applyObjects(ack *schema.MeshAck, sent clock.Instant) {
 	for kind, c := range map[datastore.Kind]*schema.MeshChanges{
