--- a/mesh/link.go
+++ b/mesh/link.go
@@ -59,7 +59,7 @@
 	wanted := m.wantedInZone()
 	if m.ownsZone() {
 		for zone := range m.zones {
-			if n, ok := m.chooseRemotePeer(zone); ok {
+			for _, n := range m.remotePeers(zone) {
 				wanted[n.Name] = n
 			}
 		}
@@ -81,31 +81,23 @@
 	}
 }
 
-// chooseRemotePeer returns the node of another zone to which this zone's sums are
-// sent: the one that reports for its zone directly, or else one with a working
-// link, or else the next in order after the last one that failed.
-func (m *Manager) chooseRemotePeer(zone string) (datastore.Node, bool) {
-	list := m.candidatesInZone(zone)
+// remotePeers returns the nodes of another zone to which this node has links: the one
+// that reports for its zone directly or, if there is none, the first in order whose
+// link has not failed, and those before it, so that they are used again when they are
+// back. The lock must be held.
+func (m *Manager) remotePeers(zone string) []datastore.Node {
 	if s := m.zones[zone]; s != nil && time.Since(s.lastDirect) < silenceTimeout {
 		if n, ok := m.peers[s.directPeer]; ok && (m.links[n.Name] == nil || !m.links[n.Name].failed) {
-			return n, true
-		}
-	}
-	for _, n := range list {
-		if l := m.links[n.Name]; l != nil && !l.failed {
-			return n, true
+			return []datastore.Node{n}
 		}
 	}
-	failed := -1
+	list := m.candidatesInZone(zone)
 	for i, n := range list {
-		if l := m.links[n.Name]; l != nil && l.failed {
-			failed = i
+		if l := m.links[n.Name]; l == nil || !l.failed {
+			return list[:i+1]
 		}
 	}
-	if len(list) == 0 {
-		return datastore.Node{}, false
-	}
-	return list[(failed+1)%len(list)], true
+	return list
 }
 
 // run keeps the link open, reconnecting after failures, until ctx ends.
