--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -91,15 +91,17 @@
 	return strings.ToLower(host)
 }
 
+// defaultMaxBodyBytes bounds the body of a request if the configuration does not.
+const defaultMaxBodyBytes = 16 << 20
+
 // readBody buffers the whole body, so that the request can be sent as soon as a
 // target is assigned, and again if a retry is allowed.
 func (x *exchange) readBody(limit int64) *errorResponse {
-	body := io.Reader(x.request.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(x.writer, x.request.Body, limit)
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
 	}
 	var err error
-	x.body, err = io.ReadAll(body)
+	x.body, err = io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -258,6 +259,42 @@
 	is.Equal(len(g.sender.sent()), 0)
 }
 
+// endlessReader returns bytes without end and counts them.
+type endlessReader struct{ read atomic.Int64 }
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	r.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// A body that a caller sends without end is refused after a bounded number of bytes,
+// also if the configuration sets no limit.
+func TestABodyWithoutEndIsRefused(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, newRoute(catalog.Idempotent))
+	g.config.table.Config.Bounds.BodyBytes = 0
+	body := &endlessReader{}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	got := g.send(t, ctx, func(r *http.Request) { r.Body, r.ContentLength = io.NopCloser(body), -1 })
+	is.True(got.status == 413 || got.err != nil)
+	is.NoErr(ctx.Err())
+	is.True(body.read.Load() < 64<<20)
+	is.Equal(len(g.sender.sent()), 0)
+}
+
+// A stream that never ends an event, and a response that is none in place of a stream,
+// end after a bounded number of bytes, and not as complete ones.
+func TestAResponseWithoutEndIsCutOff(t *testing.T) {
+	is := is.New(t)
+	route := newRoute(catalog.Streaming)
+	script := signedOK("data: " + strings.Repeat("0123456789", 1_000_000))
+	g := newTestGateway(t, route, script)
+	got := g.send(t, t.Context(), nil)
+	is.True(got.err != nil || got.status == 502)
+	is.Equal(len(g.sender.sent()), 1)
+}
+
 func TestALargeResponseIsRelayedWhole(t *testing.T) {
 	is := is.New(t)
 	body := strings.Repeat("0123456789", 100_000)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,6 +22,8 @@
 	net.Conn
 	pool   *pool
 	reader *bufio.Reader
+	// head bounds the bytes that are read while a head is expected.
+	head *headLimiter
 	// responses counts the responses read so far.
 	responses int
 	// idleSince is when the connection became idle, maxIdle how long it may stay
@@ -37,7 +39,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, pool: p, reader: bufio.NewReaderSize(c, readBufferBytes), maxIdle: defaultMaxIdle}, nil
+	head := &headLimiter{source: c}
+	return &conn{Conn: c, pool: p, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, maxIdle: defaultMaxIdle}, nil
+}
+
+// headLimiter reads from a connection. While a limit is set, it returns errHeadTooLarge
+// once that many bytes were read.
+type headLimiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+func (h *headLimiter) setLimit(n int) { h.limited, h.remaining = true, n }
+func (h *headLimiter) unsetLimit()    { h.limited = false }
+
+// Read implements io.Reader.
+func (h *headLimiter) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.source.Read(p)
+	}
+	if h.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.source.Read(p[:min(len(p), h.remaining)])
+	h.remaining -= n
+	return n, err
 }
 
 // newDialer returns a dialer whose connections detect a network path that has
@@ -99,7 +126,9 @@
 // responses, and responses to earlier requests; mismatched reports the latter.
 func (c *conn) read(r *Request, httpReq *http.Request) (resp *http.Response, mismatched bool, err error) {
 	for range maxMismatched {
+		c.head.setLimit(maxHeadBytes)
 		resp, err = http.ReadResponse(c.reader, httpReq)
+		c.head.unsetLimit()
 		if err != nil {
 			return nil, mismatched, err
 		}
@@ -110,7 +139,10 @@
 			return resp, mismatched, nil
 		}
 		mismatched = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes)); err != nil {
+		switch _, err := io.CopyN(io.Discard, resp.Body, maxMismatchedBytes); {
+		case err == nil:
+			return nil, mismatched, errMismatched
+		case !errors.Is(err, io.EOF):
 			return nil, mismatched, err
 		}
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -41,6 +41,8 @@
 	writeBufferBytes = 4 << 10
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // Address identifies an instance of a target and its host and port.
@@ -88,7 +90,8 @@
 func (e *SendError) Unwrap() error { return e.Err }
 
 var (
-	errMismatched = errors.New("upstream: too many responses that do not match the request")
+	errMismatched   = errors.New("upstream: too many responses that do not match the request")
+	errHeadTooLarge = errors.New("upstream: the head of the response exceeds the size limit")
 	// ErrTruncated is returned by a response body that ended early.
 	ErrTruncated = errors.New("upstream: response was truncated")
 )
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -434,3 +434,51 @@
 	}
 	is.True(target.conns.Load()-before <= 1)
 }
+
+// A target in trouble may send bytes without end that are no response, in place of a
+// head or of the body of an earlier response. The request ends after a bounded number
+// of them, and the connection is closed.
+func TestBytesWithoutEndEndTheRequest(t *testing.T) {
+	block := strings.Repeat("a", 4096)
+	for name, script := range map[string]struct{ start, repeat string }{
+		"one header line":            {"HTTP/1.1 200 OK\r\nId: ", block},
+		"header lines":               {"HTTP/1.1 200 OK\r\n", "X: " + block + "\r\n"},
+		"bytes that are no response": {"", "\x00\x01garbage"},
+		"status line":                {"HTTP/1.1 200 ", block},
+		"earlier response's body":    {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n"},
+		"informational responses":    {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			written := make(chan int, 1)
+			target := startTarget(t, func(conn *targetConn) {
+				if _, _, err := conn.request(); err != nil {
+					return
+				}
+				conn.write(script.start)
+				sum := 0
+				for {
+					n, err := conn.Write([]byte(script.repeat))
+					sum += n
+					if err != nil {
+						written <- sum
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := newClient(t).Send(ctx, target.address, request("1"))
+			var sendErr *upstream.SendError
+			is.True(errors.As(err, &sendErr))
+			is.True(sendErr.Sent)
+			is.NoErr(ctx.Err())
+			select {
+			case sum := <-written:
+				is.True(sum < 16<<20) // What was read, and what the sockets hold.
+			case <-time.After(5 * time.Second):
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
