--- a/mesh/link.go
+++ b/mesh/link.go
@@ -238,6 +238,12 @@
 
 func (l *link) sameZone() bool { return l.peer.Zone == l.manager.options.Self.Zone }
 
+// forwardedZone is what this node forwards of another zone.
+type forwardedZone struct {
+	sums        *sums
+	silentNodes uint32
+}
+
 // update returns the changes since the last update, and reports whether there are
 // any.
 func (l *link) update() (u *schema.MeshUpdate, hasChanges bool) {
@@ -251,10 +257,10 @@
 	m.mu.Lock()
 	u.Leaving, u.Able = m.leaving, m.ready
 	toMember, owns, silent := m.isMember(l.peer.Name), m.ownsZone(), uint32(m.silentInZone())
-	forwarded := make(map[string]*source)
+	forwarded := make(map[string]forwardedZone)
 	for name, s := range m.zones {
 		if l.sameZone() && s.active != nil && time.Since(s.lastDirect) < silenceTimeout {
-			forwarded[name] = s
+			forwarded[name] = forwardedZone{s.forwarded, uint32(s.silentNodes)}
 		}
 	}
 	m.mu.Unlock()
@@ -274,11 +280,11 @@
 		hasChanges = hasChanges || !c.empty()
 		u.Zones = append(u.Zones, &schema.MeshZone{Zone: m.options.Self.Zone, Use: l.encoder.use(c), Silent: silent})
 	}
-	for name, s := range forwarded {
-		c := s.forwarded.since(l.sentForwarded[name])
+	for name, z := range forwarded {
+		c := z.sums.since(l.sentForwarded[name])
 		l.sentForwarded[name] = c.version
 		hasChanges = hasChanges || !c.empty()
-		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: uint32(max(s.silentNodes, 0))})
+		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: z.silentNodes})
 	}
 	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady
 	l.sentLeaving, l.sentReady = u.GetLeaving(), u.GetAble()
