datastore: wait a moment for the reader before the first watch

A node that starts lists the store three times and began three watches at once, which the reader's first acknowledgement then cancelled.

--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -50,6 +50,9 @@
 	// it stands in for a watch of this node; nil or zero if this node reads for
 	// itself.
 	RelayMaxAge func() time.Duration
+	// Hold returns how long a node that has just started waits for another one to
+	// stand in for it after it has listed the items; nil means that it does not.
+	Hold func() time.Duration
 	// Pause returns the minimum time between a change and the next watch, so that
 	// changes close together cost one call. It is called again during the pause; nil
 	// means no pause.
--- a/datastore/follow_relay.go
+++ b/datastore/follow_relay.go
@@ -52,8 +52,14 @@
 	if r := f.relayed.Swap(nil); r != nil && f.applyRelayed(r) {
 		return true
 	}
+	if !f.listed {
+		return false
+	}
 	remaining := f.relayRemaining(clock.Instant(f.relayProven.Load()))
-	if remaining <= 0 || !f.listed {
+	if f.Hold != nil {
+		remaining = max(remaining, f.Hold())
+	}
+	if remaining <= 0 {
 		return false
 	}
 	select {
--- a/datastore/follow_relay_test.go
+++ b/datastore/follow_relay_test.go
@@ -119,6 +119,17 @@
 	})
 }
 
+// A node that starts beside others lists the store once and watches nothing.
+func TestNodeThatStartsBesideOthersOnlyLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t)
+		time.Sleep(500 * time.Millisecond)
+		z.run(20 * time.Second)
+		is.Equal(z.memberCalls.Load(), int64(3))
+	})
+}
+
 // A node that no longer hears from the owner, or whose owner no longer reads the
 // store, learns in time from the store itself that a target drains.
 func TestDrainingIsKnownInTimeWithoutTheOwner(t *testing.T) {
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -50,6 +50,9 @@
 	relayMinNodes   = 12
 	ownerWatchRatio = 0.2
 	relayedAgeRatio = 0.7
+	// startHold is how long a node that has started and listed the store waits for
+	// another node to stand in for its watches.
+	startHold = 900 * time.Millisecond
 	// outageGrace is how long targets that disappeared during an outage of the
 	// store are kept after its end. Targets whose entries expired during the outage
 	// have registered again by then.
@@ -93,6 +96,7 @@
 // Manager follows the store. Its getters may be called by any goroutine.
 type Manager struct {
 	options Options
+	started clock.Instant
 	table   atomic.Pointer[catalog.Table]
 	// proven is the latest clock.Instant at which the configuration was known to be
 	// the newest.
@@ -145,7 +149,7 @@
 		options.Now = clock.Now
 	}
 	m := &Manager{
-		options: options, mutations: make(chan func(*state)), relayedProofs: make(chan relayedProof, 16), done: make(chan struct{}),
+		options: options, started: options.Now(), mutations: make(chan func(*state)), relayedProofs: make(chan relayedProof, 16), done: make(chan struct{}),
 	}
 	m.targetsByID.Store(&map[string]*catalog.Target{})
 	m.SetRevocation(options.Revocation)
@@ -156,15 +160,17 @@
 func (m *Manager) addFollowers() {
 	sources := m.options.Sources
 	m.configs = NewFollower(sources.Configurations, "configuration", m.options.Logger, m.options.Now)
-	m.configs.Wait, m.configs.RelayMaxAge = m.configWatchWait, m.relayedProofMaxAge
+	m.configs.Wait, m.configs.RelayMaxAge, m.configs.Hold = m.configWatchWait, m.relayedProofMaxAge, m.startHold
 	m.configs.Apply = func(u Update[*catalog.Config]) { m.submit(func(s *state) { s.applyConfig(u) }) }
 
 	m.targets = NewFollower(sources.Targets, "targets", m.options.Logger, m.options.Now)
 	m.targets.Wait, m.targets.Pause, m.targets.RelayMaxAge = m.targetsWatchWait, m.targetsPause, m.relayedTargetsMaxAge
+	m.targets.Hold = m.startHold
 	m.targets.Apply = func(u Update[*catalog.Target]) { m.submit(func(s *state) { s.applyTargets(u) }) }
 
 	m.nodes = NewFollower(sources.Nodes, "nodes", m.options.Logger, m.options.Now)
 	m.nodes.Wait, m.nodes.Pause, m.nodes.RelayMaxAge = constant(nodesWatchWait), constant(nodesPause), m.relayedNodesMaxAge
+	m.nodes.Hold = m.startHold
 	m.nodes.Apply = func(u Update[Node]) {
 		if u.Changed {
 			m.nodesListed.Store(true)
@@ -218,6 +224,15 @@
 	return targetsWatchWait
 }
 
+// startHold returns how long this node still waits after its start for another node
+// to stand in for its watches.
+func (m *Manager) startHold() time.Duration {
+	if !m.relayed() {
+		return 0
+	}
+	return startHold - m.options.Now().Sub(m.started)
+}
+
 // relayedTargetsMaxAge returns how old a list of targets from another node may be.
 func (m *Manager) relayedTargetsMaxAge() time.Duration {
 	if !m.relies() {
