--- a/balance/manager.go
+++ b/balance/manager.go
@@ -93,10 +93,15 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
+		// An idle node is not woken by the ticker.
+		var due <-chan time.Time
+		if m.anyWaiting() {
+			due = tick.C
+		}
 		select {
 		case e := <-m.events:
 			m.applyEvents(e)
-		case now := <-tick.C:
+		case now := <-due:
 			m.assignAll(now)
 		case <-ctx.Done():
 			return
@@ -136,6 +141,16 @@
 	}
 }
 
+// anyWaiting reports whether a request waits for a target.
+func (m *Manager) anyWaiting() bool {
+	for _, p := range m.pools {
+		if len(p.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // assignAll refuses requests that have waited too long, and assigns slots whose
 // reserve time has passed.
 func (m *Manager) assignAll(now time.Time) {
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -16,6 +16,8 @@
 type session struct {
 	balancer Balancer
 	replies  *replyBuffer
+	// asked holds a value after requests have arrived.
+	asked chan struct{}
 
 	mu sync.Mutex
 	// pending holds the cancel functions of requests that wait for a target;
@@ -29,7 +31,7 @@
 func (m *Manager) Serve(ctx context.Context, _ peer.Identity, stream *peer.Stream) error {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
-		balancer: m.options.Balancer, replies: newReplyBuffer(),
+		balancer: m.options.Balancer, replies: newReplyBuffer(), asked: make(chan struct{}, 1),
 		pending: make(map[uint64]context.CancelFunc), reporters: make(map[uint64]balance.Reporter),
 	}
 	var running sync.WaitGroup
@@ -55,6 +57,12 @@
 		number, work := a.GetNumber(), decodeWork(a, now)
 		running.Go(func() { s.acquire(ctx, number, work) })
 	}
+	if len(call.GetAsks()) > 0 {
+		select {
+		case s.asked <- struct{}{}:
+		default:
+		}
+	}
 	for _, number := range call.GetWithdrawn() {
 		s.withdraw(number)
 	}
@@ -149,13 +157,17 @@
 	defer heartbeat.Stop()
 	for {
 		var reply *schema.OwnerReply
+		// A session without pending requests is not woken by the ticker.
+		var due <-chan time.Time
+		if s.hasPending() {
+			due = heartbeat.C
+		}
 		select {
+		case <-s.asked:
+			continue
 		case <-s.replies.ready:
 			reply = s.replies.take()
-		case <-heartbeat.C:
-			if !s.hasPending() {
-				continue
-			}
+		case <-due:
 			reply = &schema.OwnerReply{}
 		case <-ctx.Done():
 			return
