--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -41,6 +41,10 @@
 	// hang delays the headers, or the end of the body if there is one, until the
 	// request's context ends.
 	hang bool
+	// drip is the pause before each byte of dripped, which follows the body; pause is
+	// that before each event of the body.
+	drip, pause time.Duration
+	dripped     string
 }
 
 // ran reports whether the target may have run the request.
@@ -131,7 +135,13 @@
 }
 
 func (b *scriptedBody) Read(p []byte) (int, error) {
+	if b.script.pause > 0 {
+		return b.readEvent(p)
+	}
 	n, err := b.reader.Read(p)
+	if errors.Is(err, io.EOF) && n == 0 && b.script.dripped != "" {
+		return b.readDripped(p)
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -145,6 +155,35 @@
 	return n, err
 }
 
+// readEvent returns the next event after a pause.
+func (b *scriptedBody) readEvent(p []byte) (int, error) {
+	event, rest, _ := strings.Cut(b.script.body, "\n\n")
+	if event == "" {
+		return 0, io.EOF
+	}
+	b.script.body = rest
+	return copy(p, event+"\n\n"), b.wait(b.script.pause)
+}
+
+// readDripped returns the next dripped byte after a pause.
+func (b *scriptedBody) readDripped(p []byte) (int, error) {
+	if err := b.wait(b.script.drip); err != nil {
+		return 0, err
+	}
+	n := copy(p, b.script.dripped[:1])
+	b.script.dripped = b.script.dripped[1:]
+	return n, nil
+}
+
+func (b *scriptedBody) wait(d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-b.ctx.Done():
+		return context.Cause(b.ctx)
+	}
+}
+
 func (b *scriptedBody) Close() error { return nil }
 
 // fakeConfig is a fixed configuration.
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -94,6 +94,59 @@
 	is.True(time.Since(began) < 2*time.Second)
 }
 
+// A stream whose events come slowly, but come, is not cut, whether it may be resumed
+// or not.
+func TestASlowStreamIsNotCut(t *testing.T) {
+	for _, resumable := range []bool{true, false} {
+		t.Run(fmt.Sprint("resumable=", resumable), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			route := newRoute(catalog.Streaming)
+			route.Resume, route.Timeout = resumable, 10*time.Second
+			slow := streamScript(streamEvents(1, 4), false)
+			slow.pause = 800 * time.Millisecond // Below the time after which a stream stalls.
+			g := newTestGateway(t, route, slow)
+			got := g.send(t, t.Context(), func(r *http.Request) { r.Header.Set("X-Primrosemoor-Deadline-Ms", "10000") })
+			is.NoErr(got.err)
+			is.Equal(got.body, streamEvents(1, 4))
+			is.Equal(len(g.sender.sent()), 1)
+		})
+	}
+}
+
+// A stream that sends a byte now and then but no whole event goes on at another target
+// if it may, and ends at the route's timeout otherwise; it does not look complete.
+func TestAStreamThatOnlyDripsEnds(t *testing.T) {
+	dripping := func() targetScript {
+		s := streamScript(streamEvents(1, 3), false)
+		s.drip, s.dripped = 100*time.Millisecond, "id: 4\ndata: "+strings.Repeat("x", 1000)
+		return s
+	}
+	t.Run("resumable", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		route := resumableRoute()
+		route.Timeout = 10 * time.Second
+		g := newTestGateway(t, route, dripping(), streamScript(streamEvents(4, 6), false))
+		began := time.Now()
+		got := g.send(t, t.Context(), nil)
+		is.NoErr(got.err)
+		is.Equal(got.body, streamEvents(1, 6))
+		is.True(time.Since(began) < 5*time.Second)
+	})
+	t.Run("not resumable", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		g := newTestGateway(t, newRoute(catalog.Streaming), dripping())
+		began := time.Now()
+		got := g.send(t, t.Context(), nil)
+		is.True(got.err != nil)
+		is.Equal(got.body, streamEvents(1, 3))
+		is.True(time.Since(began) < 3*time.Second)
+		is.Equal(len(g.sender.sent()), 1)
+	})
+}
+
 func TestTheCallersLastEventIDIsPassedToTheTarget(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(t, resumableRoute(), streamScript(streamEvents(8, 9), false))
