--- a/mesh/objects.go
+++ b/mesh/objects.go
@@ -66,7 +66,7 @@
 	for kind, c := range map[datastore.Kind]*schema.MeshChanges{
 		datastore.KindTargets: ack.GetTargets(), datastore.KindNodes: ack.GetNodes(),
 	} {
-		if c != nil {
+		if c != nil && l.manager.options.ObjectRelay != nil {
 			age := time.Duration(c.GetAgeMicros()) * time.Microsecond
 			l.manager.options.ObjectRelay.ApplyChanges(kind, decodeChanges(c), sent.Add(-age))
 		}
