--- a/quota/quota.go
+++ b/quota/quota.go
@@ -38,6 +38,10 @@
 	unreachableShare float64
 	// nodes is the number of nodes that share the limits, 0 until it is known.
 	nodes int
+	// shareSeconds is the reachable share of the nodes, integrated over the time from
+	// the start to sharesAt: what this node may refill for each unit of a rate.
+	shareSeconds float64
+	sharesAt     time.Time
 }
 
 // bucket is the known usage of one team.
@@ -46,11 +50,11 @@
 	// initialized is set once the level includes the amount that a node may use
 	// right after its start.
 	initialized bool
-	// refilledAt is when the level was last refilled, syncedAt when it was last moved
-	// towards another node's level.
-	refilledAt time.Time
-	syncedAt   time.Time
-	used       window
+	// refilled is the Allowance's shareSeconds when the level was last refilled;
+	// syncedAt is when it was last moved towards another node's level.
+	refilled float64
+	syncedAt time.Time
+	used     window
 }
 
 const (
@@ -81,8 +85,9 @@
 // how many nodes there are. They then hold this node's share of a fraction of the
 // slack and refill, because bookings from before the start are not known.
 func NewAllowance(slack Slack, publish func(team string, amount float64, level *int64)) *Allowance {
+	now := time.Now()
 	return &Allowance{
-		slack: slack, publish: publish, started: time.Now(), buckets: make(map[string]*bucket), unreachableShare: 1,
+		slack: slack, publish: publish, started: now, sharesAt: now, buckets: make(map[string]*bucket), unreachableShare: 1,
 	}
 }
 
@@ -110,6 +115,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	reachableShare := 1 - a.unreachableShare
+	a.integrateShare(now)
 	limit := a.windowLimit(team)
 	rate := limit / a.slack.Window.Seconds()
 	// Usage before the start remains unknown for the length of a window.
@@ -117,14 +123,14 @@
 	if usageUnknown {
 		rate = team.Rate
 	}
-	rate *= reachableShare
 	b := a.bucket(team.Name)
 	if !b.initialized && a.nodes > 0 {
 		b.initialized = true
 		b.level += startSlackShare * a.slackAmount(team) / float64(a.nodes)
 	}
-	b.level = min(team.Burst*reachableShare, b.level+now.Sub(b.refilledAt).Seconds()*rate)
-	b.refilledAt = now
+	b.level = min(team.Burst*reachableShare, b.level+(a.shareSeconds-b.refilled)*rate)
+	b.refilled = a.shareSeconds
+	rate *= reachableShare
 	b.used.advance(now)
 	// A bucket that is not empty admits a request of any size and goes into debt:
 	// requiring the whole amount would starve the large requests of a busy team
@@ -198,9 +204,18 @@
 func (a *Allowance) SetNodes(nodes int, unreachableShare float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.integrateShare(time.Now())
 	a.nodes, a.unreachableShare = nodes, unreachableShare
 }
 
+// integrateShare advances shareSeconds. What a team may use for a time in which other
+// nodes were not heard stays this node's share, also once they are: they refilled the
+// rest.
+func (a *Allowance) integrateShare(now time.Time) {
+	a.shareSeconds += now.Sub(a.sharesAt).Seconds() * (1 - a.unreachableShare)
+	a.sharesAt = now
+}
+
 // SetSlack sets the slack. Counted usage is kept if the window is unchanged.
 func (a *Allowance) SetSlack(slack Slack) {
 	a.mu.Lock()
@@ -223,7 +238,7 @@
 func (a *Allowance) bucket(team string) *bucket {
 	b := a.buckets[team]
 	if b == nil {
-		b = &bucket{refilledAt: a.started, syncedAt: a.started, used: newWindow(a.slack.Window, a.started)}
+		b = &bucket{syncedAt: a.started, used: newWindow(a.slack.Window, a.started)}
 		a.buckets[team] = b
 	}
 	return b
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -242,6 +242,28 @@
 	}
 }
 
+// What a team could have used while a node heard nobody does not become the node's
+// own once it hears all. Guards against refilling for the whole time at the share of
+// the last moment.
+func TestTimeAloneRefillsOnlyTheNodesShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		team := &catalog.Team{Name: "t", Rate: 100_000, Burst: 100_000, ByTokens: true}
+		a := NewAllowance(slack, func(string, float64, *int64) {})
+		a.SetNodes(50, 0.98)
+		time.Sleep(time.Second)
+		a.SetNodes(50, 0)
+		admitted := 0.0
+		for {
+			if _, ok := a.Take(team, 1000); !ok {
+				break
+			}
+			admitted += 1000
+		}
+		is.True(admitted <= 0.02*team.Rate+startSlackShare*a.slackAmount(team)/50+1000)
+	})
+}
+
 // Fails if nodes book only their own requests and ignore those of other nodes.
 func TestNodesShareOneLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
