--- a/quota/quota.go
+++ b/quota/quota.go
@@ -79,11 +79,13 @@
 	lowerRate = 0.5
 	raiseRate = 0.1
 	// scarceTime is the time for which a level must last to count as high. Below it,
-	// each node uses at most ownShareFactor times its share, since bookings take up
-	// to a few hundred milliseconds to reach hundreds of nodes, which would all use
-	// the same rest meanwhile.
-	scarceTime     = 500 * time.Millisecond
-	ownShareFactor = 1.25
+	// each of ownShareMinNodes or more nodes uses at most ownShareFactor times its
+	// share, since bookings take up to a few hundred milliseconds to reach hundreds
+	// of nodes, which would all use the same rest meanwhile. Among fewer nodes they
+	// arrive within tens of milliseconds.
+	scarceTime       = 500 * time.Millisecond
+	ownShareFactor   = 1.25
+	ownShareMinNodes = 12
 	// startSlackShare is the fraction of the slack that all nodes together may use
 	// at their start, before they have received each other's reports.
 	startSlackShare = 0.1
@@ -159,7 +161,7 @@
 		return retryAfter(amount, rate), b.level, false
 	}
 	b.refillOwn(now, rate, a.nodes)
-	if b.level < scarceTime.Seconds()*rate && b.ownLevel <= 0 {
+	if a.nodes >= ownShareMinNodes && b.level < scarceTime.Seconds()*rate && b.ownLevel <= 0 {
 		return retryAfter(-b.ownLevel, rate/float64(max(a.nodes, 1))), b.level, false
 	}
 	b.level -= amount
