Send less between nodes that start together, and to members

Now a node asks for all objects only if the store has not answered its list in 3 s, and gets them once in 2 s at most; a newer configuration is fetched without targets; members are told bookings and queues only.

--- a/datastore/relay.go
+++ b/datastore/relay.go
@@ -24,8 +24,9 @@
 // SnapshotReader reads snapshots from other nodes, for a node that cannot reach
 // the store.
 type SnapshotReader struct {
-	// Fetch reads the snapshot of the node at an address.
-	Fetch        func(ctx context.Context, address string) (Snapshot, error)
+	// Fetch reads the snapshot of the node at an address, without the targets and the
+	// nodes if only the configuration is wanted.
+	Fetch        func(ctx context.Context, address string, configOnly bool) (Snapshot, error)
 	DecodeConfig func(raw []byte) (*catalog.Config, error)
 	DecodeTarget func(id string, raw []byte) (*catalog.Target, error)
 }
@@ -57,13 +58,24 @@
 	}
 }
 
-// unlistedRevision asks for all objects: it is older than any revision of the store.
-const unlistedRevision = 1
+const (
+	// unlistedRevision asks for all objects: it is older than any revision of the
+	// store.
+	unlistedRevision = 1
+	// listTime is the time after the start in which the store answers a list. Only a
+	// node that still knows nothing then asks another one for all objects: hundreds
+	// of nodes that start together would ask the same one at once.
+	listTime = 3 * time.Second
+)
 
 // Revision returns the store's revision of this node's items of a kind, as another
-// node needs it to tell what changed since.
+// node needs it to tell what changed since; 0 if this node does not ask yet.
 func (m *Manager) Revision(k Kind) uint64 {
-	return max(m.history(k).currentRevision(), unlistedRevision)
+	revision := m.history(k).currentRevision()
+	if revision == 0 && m.options.Now().Sub(m.started) > listTime {
+		return unlistedRevision
+	}
+	return revision
 }
 
 // Changes returns what changed after a revision, and how long ago it was known to
@@ -112,24 +124,25 @@
 		return
 	}
 	s.fetching = true
-	go func() { m.fetchFrom(ctx, r.address) }()
+	configOnly := s.targetsListed && m.nodesListed.Load()
+	go func() { m.fetchFrom(ctx, r.address, configOnly) }()
 }
 
 // LoadFromPeer fetches and applies the snapshot of the node at an address, for
 // a node that starts while the store is unavailable. It reports whether the
 // configuration and the targets are known afterwards.
 func (m *Manager) LoadFromPeer(ctx context.Context, address string) bool {
-	m.fetchFrom(ctx, address)
+	m.fetchFrom(ctx, address, false)
 	return m.Ready()
 }
 
 // fetchFrom fetches the snapshot of the node at an address and waits until it is
 // applied.
-func (m *Manager) fetchFrom(ctx context.Context, address string) {
+func (m *Manager) fetchFrom(ctx context.Context, address string, configOnly bool) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	requestedAt := m.options.Now()
-	snapshot, err := m.options.SnapshotReader.Fetch(ctx, address)
+	snapshot, err := m.options.SnapshotReader.Fetch(ctx, address, configOnly)
 	applied := make(chan struct{})
 	m.submit(func(s *state) {
 		defer close(applied)
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -159,8 +159,8 @@
 			Nodes:          store.Nodes(),
 		},
 		SnapshotReader: datastore.SnapshotReader{
-			Fetch: func(ctx context.Context, address string) (datastore.Snapshot, error) {
-				return fetchSnapshot(ctx, pool, address)
+			Fetch: func(ctx context.Context, address string, configOnly bool) (datastore.Snapshot, error) {
+				return fetchSnapshot(ctx, pool, address, configOnly)
 			},
 			DecodeConfig: platform.DecodeConfig,
 			DecodeTarget: platform.DecodeTarget,
@@ -184,11 +184,15 @@
 // targets and nodes to other nodes that get no response from the store.
 func serveSnapshot(server *peer.Server, d *datastore.Manager) {
 	peer.Handle(server, schema.Method_METHOD_BELIEFS, func() *schema.BeliefsRequest { return &schema.BeliefsRequest{} },
-		func(ctx context.Context, _ peer.Identity, _ *schema.BeliefsRequest) (*schema.BeliefsReply, error) {
+		func(ctx context.Context, _ peer.Identity, q *schema.BeliefsRequest) (*schema.BeliefsReply, error) {
 			p := d.Snapshot(ctx)
 			reply := &schema.BeliefsReply{
-				Version: p.Version, Configuration: p.Configuration, Targets: p.Targets, ProofAgeMicros: uint64(p.Age.Microseconds()),
+				Version: p.Version, Configuration: p.Configuration, ProofAgeMicros: uint64(p.Age.Microseconds()),
 			}
+			if q.GetConfigurationOnly() {
+				return reply, nil
+			}
+			reply.Targets = p.Targets
 			for _, n := range p.Nodes {
 				reply.Nodes = append(reply.Nodes, &schema.MeshNode{Name: n.Name, Address: n.Address, Zone: n.Zone, Region: n.Region, Cores: n.Cores})
 			}
@@ -196,11 +200,11 @@
 		})
 }
 
-// fetchSnapshot reads the configuration, the targets and the nodes from the node
-// at address.
-func fetchSnapshot(ctx context.Context, pool *peer.Pool, address string) (datastore.Snapshot, error) {
+// fetchSnapshot reads the configuration, and the targets and the nodes unless only
+// that is wanted, from the node at address.
+func fetchSnapshot(ctx context.Context, pool *peer.Pool, address string, configOnly bool) (datastore.Snapshot, error) {
 	reply := &schema.BeliefsReply{}
-	if err := pool.Call(ctx, address, schema.Method_METHOD_BELIEFS, &schema.BeliefsRequest{}, reply); err != nil {
+	if err := pool.Call(ctx, address, schema.Method_METHOD_BELIEFS, &schema.BeliefsRequest{ConfigurationOnly: configOnly}, reply); err != nil {
 		return datastore.Snapshot{}, err
 	}
 	nodes := make(map[string]datastore.Node, len(reply.GetNodes()))
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -245,7 +245,8 @@
 }
 
 // update returns the changes since the last update, and reports whether there are
-// any.
+// any. A member is not told the loads of targets, which the owner of its zone chooses
+// for it.
 func (l *link) update() (u *schema.MeshUpdate, hasChanges bool) {
 	m := l.manager
 	u = &schema.MeshUpdate{SentAt: int64(clock.Now())}
@@ -273,6 +274,7 @@
 		var c changes
 		if l.sameZone() {
 			c = m.restSince(l.sentZone, l.peer.Name)
+			c.targets = nil
 		} else {
 			c = m.zoneSums.since(l.sentZone)
 		}
@@ -282,6 +284,9 @@
 	}
 	for name, z := range forwarded {
 		c := z.sums.since(l.sentForwarded[name])
+		if toMember {
+			c.targets = nil
+		}
 		l.sentForwarded[name] = c.version
 		hasChanges = hasChanges || !c.empty()
 		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: z.silentNodes})
--- a/mesh/objects.go
+++ b/mesh/objects.go
@@ -54,10 +54,14 @@
 	u.NodesRevision = m.options.ObjectRelay.Revision(datastore.KindNodes)
 }
 
+// completeInterval is the minimum time between two acknowledgements that contain all
+// objects, on one stream: the peer needs time to receive and apply them.
+const completeInterval = 2 * time.Second
+
 // addObjects adds what a peer asked for to an acknowledgement.
-func (m *Manager) addObjects(ack *schema.MeshAck, u *schema.MeshUpdate) {
-	ack.Targets = m.encodeChanges(datastore.KindTargets, u.GetTargetsRevision())
-	ack.Nodes = m.encodeChanges(datastore.KindNodes, u.GetNodesRevision())
+func (m *Manager) addObjects(ack *schema.MeshAck, u *schema.MeshUpdate, in *inbound) {
+	ack.Targets = m.encodeChanges(datastore.KindTargets, u.GetTargetsRevision(), in)
+	ack.Nodes = m.encodeChanges(datastore.KindNodes, u.GetNodesRevision(), in)
 }
 
 // applyObjects applies what the reader has read, which had the stated age
@@ -75,14 +79,17 @@
 
 // encodeChanges returns the changes after a revision, nil if none were asked for or
 // nothing is known.
-func (m *Manager) encodeChanges(kind datastore.Kind, revision uint64) *schema.MeshChanges {
+func (m *Manager) encodeChanges(kind datastore.Kind, revision uint64, in *inbound) *schema.MeshChanges {
 	if revision == 0 || m.options.ObjectRelay == nil {
 		return nil
 	}
 	d, age, ok := m.options.ObjectRelay.Changes(kind, revision)
-	if !ok {
+	if !ok || d.Complete && time.Since(in.completeSent[kind]) < completeInterval {
 		return nil
 	}
+	if d.Complete {
+		in.completeSent[kind] = time.Now()
+	}
 	c := &schema.MeshChanges{
 		Revision: d.Revision, Complete: d.Complete, AgeMicros: uint64(max(age.Microseconds(), 0)),
 		Objects: make([]*schema.MeshObject, 0, len(d.Objects)),
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -27,10 +27,12 @@
 	from    peer.Identity
 	decoder *decoder
 	feeds   map[string]*feed
+	// completeSent is when all objects of a kind were last sent to the node.
+	completeSent map[datastore.Kind]time.Time
 }
 
 func newInbound(from peer.Identity) *inbound {
-	return &inbound{from: from, decoder: newDecoder(), feeds: make(map[string]*feed)}
+	return &inbound{from: from, decoder: newDecoder(), feeds: make(map[string]*feed), completeSent: make(map[datastore.Kind]time.Time)}
 }
 
 func (in *inbound) feed(source string) *feed {
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -34,7 +34,7 @@
 		if version, age, ok := m.options.ProofRelay.Proof(); ok {
 			ack.Version, ack.ProofAgeMicros = version, uint64(max(age.Microseconds(), 0))
 		}
-		m.addObjects(ack, u)
+		m.addObjects(ack, u, in)
 		if err := stream.Send(ack); err != nil {
 			return err
 		}
--- a/mesh/star.go
+++ b/mesh/star.go
@@ -112,7 +112,7 @@
 }
 
 // restSince returns the changes after a version of what all nodes of this zone but
-// one use: the sums of the zone without that node's contribution.
+// one have booked and queued: the sums of the zone without that node's contribution.
 func (m *Manager) restSince(version uint64, name string) changes {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -121,16 +121,7 @@
 	if s == nil || s.active == nil {
 		return c
 	}
-	rest := changes{
-		version: c.version, targets: make(map[string]TargetUse, len(c.targets)),
-		teams: make(map[string]TeamUse, len(c.teams)), queues: make(map[Queue]int, len(c.queues)),
-	}
-	for id, use := range c.targets {
-		own := s.active.targets[id]
-		use.Requests = max(0, use.Requests-own.Requests)
-		use.PromptTokens = max(0, use.PromptTokens-own.PromptTokens)
-		rest.targets[id] = use
-	}
+	rest := changes{version: c.version, teams: make(map[string]TeamUse, len(c.teams)), queues: make(map[Queue]int, len(c.queues))}
 	for team, use := range c.teams {
 		use.Booked -= min(use.Booked, s.contributed[team])
 		rest.teams[team] = use
