Do not read everything from each other when hundreds of nodes start

Now only a node that could not list gets all objects; an owner that lists again passes on the difference; a list may take 5 s; seeds are asked after 1.5 to 3.5 s.

--- a/datastore/delta.go
+++ b/datastore/delta.go
@@ -1,6 +1,7 @@
 package datastore
 
 import (
+	"bytes"
 	"sync"
 
 	"github.com/primrosemoor/primrosemoor/clock"
@@ -32,7 +33,7 @@
 }
 
 // maxHistoryChanges bounds the changes that a history keeps. A node that missed
-// more gets all objects instead.
+// more reads for itself.
 const maxHistoryChanges = 2000
 
 // history keeps the objects of one kind and their recent changes, for other nodes.
@@ -59,16 +60,21 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.proven = max(h.proven, proven)
-	if d.Complete || h.contents == nil {
-		h.contents, h.changes, h.base = make(map[string][]byte, len(d.Objects)), nil, d.Revision
+	objects := d.Objects
+	if d.Complete && h.contents != nil {
+		objects = h.differences(objects)
 	}
-	for _, o := range d.Objects {
+	first := h.contents == nil
+	if first {
+		h.contents, h.base = make(map[string][]byte, len(objects)), d.Revision
+	}
+	for _, o := range objects {
 		if o.Removed {
 			delete(h.contents, o.Name)
 		} else {
 			h.contents[o.Name] = o.Content
 		}
-		if !d.Complete {
+		if !first {
 			h.changes = append(h.changes, change{o, d.Revision})
 		}
 	}
@@ -76,6 +82,26 @@
 	h.trim()
 }
 
+// differences returns what changed between the known objects and a new list of all,
+// so that a node that lists the store again does not make others read everything.
+// h.mu must be held.
+func (h *history) differences(all []Object) []Object {
+	var changed []Object
+	listed := make(map[string]bool, len(all))
+	for _, o := range all {
+		listed[o.Name] = true
+		if content, ok := h.contents[o.Name]; !ok || !bytes.Equal(content, o.Content) {
+			changed = append(changed, o)
+		}
+	}
+	for name := range h.contents {
+		if !listed[name] {
+			changed = append(changed, Object{Name: name, Removed: true})
+		}
+	}
+	return changed
+}
+
 // trim drops the oldest changes beyond maxHistoryChanges. h.mu must be held.
 func (h *history) trim() {
 	if len(h.changes) <= maxHistoryChanges {
@@ -90,15 +116,20 @@
 }
 
 // since returns the changes after a revision, and when they were known to lead to
-// the newest state. The delta is empty if the revision is not older than the
-// objects. It returns false if this node knows nothing.
+// the newest state; all objects for unlistedRevision. The delta is empty if the
+// revision is not older than the objects. It returns false if this node knows
+// nothing, or not what changed since: the other node then reads for itself, which
+// costs less than all objects.
 func (h *history) since(revision uint64) (Delta, clock.Instant, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.contents == nil {
 		return Delta{}, 0, false
 	}
-	d := Delta{Revision: h.revision, Complete: revision < h.base}
+	d := Delta{Revision: h.revision, Complete: revision <= unlistedRevision}
+	if !d.Complete && revision < h.base {
+		return Delta{}, 0, false
+	}
 	if d.Complete {
 		for name, content := range h.contents {
 			d.Objects = append(d.Objects, Object{Name: name, Content: content})
--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -17,6 +17,9 @@
 const (
 	// callSlack is how long a call may take beyond its requested wait.
 	callSlack = 1500 * time.Millisecond
+	// listTimeout bounds a list of all objects, which may be of a megabyte and more
+	// and is read by hundreds of nodes at once when all start.
+	listTimeout = 5 * time.Second
 	// initialRetry and maxRetry bound the delay before a failed call is retried. It
 	// is short, because guarantees with limits of a few seconds, such as that for
 	// revoked keys, depend on the calls, and grows as an outage goes on.
@@ -157,7 +160,7 @@
 
 func (f *Follower[T]) list(ctx context.Context) error {
 	start := f.Now()
-	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	items, revision, err := f.Source.List(ctx)
 	if err != nil {
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -189,7 +190,7 @@
 	}
 	for ctx.Err() == nil {
 		select {
-		case <-time.After(seedInterval):
+		case <-time.After(seedInterval + rand.N(seedJitter)):
 		case <-ctx.Done():
 			return
 		}
@@ -206,9 +207,11 @@
 }
 
 const (
-	// seedInterval is the pause before each round of seed requests. It gives the
-	// store time to answer first.
-	seedInterval    = 700 * time.Millisecond
+	// seedInterval is the pause before each round of seed requests, to which up to
+	// seedJitter is added at random. It gives the store time to answer first, also
+	// when hundreds of nodes start together.
+	seedInterval    = 1500 * time.Millisecond
+	seedJitter      = 2 * time.Second
 	announceTimeout = 2 * time.Second
 	announceRetry   = time.Second
 )
