--- /dev/null
+++ b/datastore/pacing.go
@@ -0,0 +1,127 @@
+package datastore
+
+import "time"
+
+// This file decides how often a node reads the store, and how long it relies on what
+// another node has read.
+
+const (
+	// configWatchWait is how long a watch of the configuration waits. Its answer
+	// proves that no key was revoked, so it must arrive several times within the
+	// time in which a revocation takes effect. relayedConfigWatchWait applies if the
+	// proof is passed on by two nodes.
+	configWatchWait        = 1500 * time.Millisecond
+	relayedConfigWatchWait = time.Second
+	// staleProofAge is the age of the proof after which a node no longer relies on
+	// others and watches the configuration itself: half the shortest revocation time
+	// in use. That watch waits for staleProofWait only, since its answer is the
+	// proof.
+	staleProofAge  = 2500 * time.Millisecond
+	staleProofWait = 100 * time.Millisecond
+	// targetsWatchWait is how long a watch of the targets waits. An unresponsive
+	// connection, or an outage of the store, is detected after it.
+	targetsWatchWait = 4 * time.Second
+	// targetsPause and nodesPause are the minimum times between a change and the
+	// next watch. A target that leaves must be known within a few seconds; nodes can
+	// be read later, because a new node announces itself to its peers.
+	targetsPause = 250 * time.Millisecond
+	nodesPause   = 3 * time.Second
+	// drainPauseRatio is the fraction of Options.Drain that a node which does not
+	// choose targets pauses after a change of the targets. Such a node only declines
+	// targets chosen by the owner of its zone, which learns of changes sooner.
+	drainPauseRatio = 0.5
+	// nodesWatchWait is how long a watch of the nodes waits. A missed change only
+	// loses the load reports of one node.
+	nodesWatchWait = 15 * time.Second
+	// nodesRelayMaxAge is how old a list of nodes from another node may be: that
+	// node's watch and some time to spare.
+	nodesRelayMaxAge = nodesWatchWait + 5*time.Second
+	// relayMinNodes is the number of nodes from which one of them reads the store for
+	// all. It and the owners of zones, which pass on what it reads, then watch the
+	// targets for ownerWatchRatio of Options.Drain, so that their list is recent
+	// enough for nodes that rely on it for relayedAgeRatio of that time.
+	relayMinNodes   = 12
+	ownerWatchRatio = 0.2
+	relayedAgeRatio = 0.7
+	// startHold is how long a node that has started and listed the store waits for
+	// another node to stand in for its watches.
+	startHold = 900 * time.Millisecond
+)
+
+// constant returns a function that always returns d.
+func constant(d time.Duration) func() time.Duration {
+	return func() time.Duration { return d }
+}
+
+// owns reports whether other nodes of the zone rely on this one.
+func (m *Manager) owns() bool { return m.options.OwnsZone != nil && m.options.OwnsZone() }
+
+// relayed reports whether one node reads the store for all.
+func (m *Manager) relayed() bool {
+	return m.options.Nodes != nil && m.options.ReadsForAll != nil && m.options.Nodes() >= relayMinNodes
+}
+
+// relies reports whether this node takes what changed in the store from another one.
+func (m *Manager) relies() bool { return m.relayed() && !m.options.ReadsForAll() }
+
+// targetsPause returns how long changes of the targets are batched before the next
+// watch.
+func (m *Manager) targetsPause() time.Duration {
+	if m.owns() {
+		return targetsPause
+	}
+	return max(targetsPause, time.Duration(drainPauseRatio*float64(m.options.Drain)))
+}
+
+// targetsWatchWait returns how long the next watch of the targets waits.
+func (m *Manager) targetsWatchWait() time.Duration {
+	if m.owns() && m.relayed() {
+		return min(targetsWatchWait, time.Duration(ownerWatchRatio*float64(m.options.Drain)))
+	}
+	return targetsWatchWait
+}
+
+// startHold returns how long this node still waits after its start for another node
+// to stand in for its watches.
+func (m *Manager) startHold() time.Duration {
+	if !m.relayed() {
+		return 0
+	}
+	return startHold - m.options.Now().Sub(m.started)
+}
+
+// relayedTargetsMaxAge returns how old a list of targets from another node may be.
+func (m *Manager) relayedTargetsMaxAge() time.Duration {
+	if !m.relies() {
+		return 0
+	}
+	return time.Duration(relayedAgeRatio * float64(m.options.Drain))
+}
+
+// relayedNodesMaxAge returns how old a list of nodes from another node may be.
+func (m *Manager) relayedNodesMaxAge() time.Duration {
+	if !m.relies() {
+		return 0
+	}
+	return nodesRelayMaxAge
+}
+
+// relayedProofMaxAge returns how old another node's proof of the configuration may
+// be to stand in for a watch.
+func (m *Manager) relayedProofMaxAge() time.Duration {
+	if m.table.Load() == nil || m.owns() && !m.relies() {
+		return 0
+	}
+	return staleProofAge
+}
+
+// configWatchWait returns how long the next watch of the configuration waits.
+func (m *Manager) configWatchWait() time.Duration {
+	if m.table.Load() != nil && m.ProofAge() >= staleProofAge {
+		return staleProofWait
+	}
+	if m.relayed() {
+		return relayedConfigWatchWait
+	}
+	return configWatchWait
+}
