quota: count with less after a restart of all nodes

Now its share is that of the nodes until the usage of others is known, and the first window counts with 0.8 of the rate.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -86,6 +86,10 @@
 	scarceTime       = 500 * time.Millisecond
 	ownShareFactor   = 1.25
 	ownShareMinNodes = 12
+	// startRateShare is the fraction of a team's rate that a node counts with in the
+	// first window after its start: if all nodes have restarted, nobody knows what
+	// was used before, and bookings take longer to arrive than usual.
+	startRateShare = 0.8
 	// startSlackShare is the fraction of the slack that all nodes together may use
 	// at their start, before they have received each other's reports.
 	startSlackShare = 0.1
@@ -136,6 +140,9 @@
 	if usageUnknown {
 		rate = team.Rate
 	}
+	if now.Sub(a.started) < a.slack.Window {
+		rate *= startRateShare
+	}
 	b := a.bucket(team.Name)
 	if !b.initialized && a.nodes > 0 {
 		b.initialized = true
@@ -160,7 +167,7 @@
 	if !usageUnknown && b.used.sum > limit {
 		return retryAfter(amount, rate), b.level, false
 	}
-	b.refillOwn(now, rate, a.nodes)
+	b.refillOwn(now, rate, a.nodes, usageUnknown)
 	if a.nodes >= ownShareMinNodes && b.level < scarceTime.Seconds()*rate && b.ownLevel <= 0 {
 		return retryAfter(-b.ownLevel, rate/float64(max(a.nodes, 1))), b.level, false
 	}
@@ -172,11 +179,12 @@
 }
 
 // refillOwn refills what this node may use while the level is low: ownShareFactor
-// times its share of the team's recent usage, or of the nodes if that is more.
-func (b *bucket) refillOwn(now time.Time, rate float64, nodes int) {
+// times its share of the team's recent usage, or of the nodes if that is more or the
+// usage of others is not known.
+func (b *bucket) refillOwn(now time.Time, rate float64, nodes int, usageUnknown bool) {
 	b.ownUsed.advance(now)
 	share := 1 / float64(max(nodes, 1))
-	if b.used.sum > 0 {
+	if b.used.sum > 0 && !usageUnknown {
 		share = max(share, b.ownUsed.sum/b.used.sum)
 	}
 	ownRate := ownShareFactor * share * rate
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -246,6 +246,49 @@
 	}
 }
 
+// A team that uses all it may right before all nodes are killed, its burst included,
+// stays within its limit after their restart, although nobody knows of that use.
+func TestBurstBeforeARestartOfAllNodesStaysWithinTheLimit(t *testing.T) {
+	for _, before := range []time.Duration{3 * time.Second, 5 * time.Second, 7 * time.Second} {
+		t.Run(before.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const nodes = 60
+				team := &catalog.Team{Name: "t", Rate: 350_000, Burst: 350_000, ByTokens: true}
+				c := newCluster(nodes, 250*time.Millisecond)
+				r := rand.New(rand.NewPCG(5, 1))
+				load := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						c.deliver()
+						for requested := 0.0; requested < 5*team.Rate*0.02; {
+							amount := randomTokens(r)
+							requested += amount
+							c.take(r.IntN(nodes), team, amount)
+						}
+					}
+				}
+				time.Sleep(20 * time.Second)
+				load(before)
+				c.pending = nil
+				time.Sleep(500 * time.Millisecond)
+				for i := range c.nodes {
+					c.start(i)
+				}
+				for _, n := range c.nodes {
+					n.SetNodes(nodes, 1-1.0/nodes)
+				}
+				load(500 * time.Millisecond)
+				c.updateUnreachableShares()
+				c.delay = 700 * time.Millisecond // All nodes start at once.
+				load(2 * time.Second)
+				c.delay = 250 * time.Millisecond
+				load(8 * time.Second)
+				is.True(c.maxInWindow() <= maxPerWindow(team))
+			})
+		})
+	}
+}
+
 // What a team could have used while a node heard nobody does not become the node's
 // own once it hears all. Guards against refilling for the whole time at the share of
 // the last moment.
