--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -130,11 +130,12 @@
 }
 
 // handleReadiness answers the readiness probes of the platform's load balancer. It
-// answers 503 while the node is draining, is not ready yet, or has not confirmed
-// within the revocation bound that its configuration is the newest; in that state
-// the gateway refuses all requests that need an API key.
+// answers 503 while the node is draining, is not ready yet, does not know how many
+// nodes share the limits, or has not confirmed within the revocation bound that its
+// configuration is the newest; in the last two states the gateway refuses requests
+// that need an API key.
 func (l *lifecycle) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if l.draining.Load() || !l.Datastore.Ready() || !l.Datastore.KeysProven() {
+	if l.draining.Load() || !l.Datastore.Ready() || !l.Datastore.KeysProven() || !l.Allowance.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -71,6 +71,8 @@
 	// minRetryAfter and maxRetryAfter bound the wait that a refused caller is given.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
+	// unknownNodesRetryAfter is the wait while the number of nodes is not known.
+	unknownNodesRetryAfter = 200 * time.Millisecond
 	// lowerRate and raiseRate are the fractions, per second, by which a level moves
 	// towards a lower or higher level that another node reports. Nodes with a high
 	// level admit and report more than others, and a reported level does not include
@@ -131,6 +133,9 @@
 func (a *Allowance) take(team *catalog.Team, amount float64, now time.Time) (after time.Duration, level float64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.nodes == 0 {
+		return unknownNodesRetryAfter, 0, false
+	}
 	reachableShare := 1 - a.unreachableShare
 	a.integrateShare(now)
 	limit := a.windowLimit(team)
@@ -144,7 +149,7 @@
 		rate *= startRateShare
 	}
 	b := a.bucket(team.Name)
-	if !b.initialized && a.nodes > 0 {
+	if !b.initialized {
 		b.initialized = true
 		b.level += startSlackShare * a.slackAmount(team) / float64(a.nodes)
 	}
@@ -248,6 +253,14 @@
 	a.nodes, a.unreachableShare = nodes, unreachableShare
 }
 
+// Ready reports whether the number of nodes that share the limits is known. Until
+// then nothing is admitted.
+func (a *Allowance) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.nodes > 0
+}
+
 // integrateShare advances shareSeconds. What a team may use for a time in which other
 // nodes were not heard stays this node's share, also once they are: they refilled the
 // rest.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -448,3 +448,19 @@
 		is.True(ok)
 	})
 }
+
+// A node that does not know how many nodes share the limits admits nothing, and asks
+// callers to come back soon: it will know within moments of its start.
+func TestNothingIsAdmittedUntilTheNumberOfNodesIsKnown(t *testing.T) {
+	is := is.New(t)
+	team := &catalog.Team{Name: "t", Rate: 1000, Burst: 1000}
+	a := NewAllowance(slack, func(string, float64, *int64) {})
+	is.True(!a.Ready())
+	after, ok := a.Take(team, 1)
+	is.True(!ok)
+	is.True(after <= time.Second)
+	a.SetNodes(1, 0)
+	is.True(a.Ready())
+	_, ok = a.Take(team, 1)
+	is.True(ok)
+}
