--- a/datastore/source.go
+++ b/datastore/source.go
@@ -1,6 +1,7 @@
 // Package datastore maintains this node's copy of the deployment's state: the
 // configuration, the targets and the other nodes. Each is followed through a
-// source, and the age of the configuration's last proof is tracked.
+// source, or through another node that reads it, and the age of the configuration's
+// last proof is tracked.
 package datastore
 
 import (
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,9 +1,10 @@
 // Package mesh exchanges load reports between nodes: what each node has
 // outstanding at each target, has queued, and has booked against each team's
-// limit. Within an availability zone every node reports directly to every other
-// node; between zones the owner of each zone reports its zone's sums to one node
-// of each other zone, which forwards them within its zone. Reports are hints: a
-// node that receives none decides alone.
+// limit. Within a small availability zone every node reports directly to every
+// other node; within a larger one, to its hubs. Between zones the owner of each
+// zone reports its zone's sums to one node of each other zone, which forwards them
+// within its zone. Changes of the store and proofs of the configuration travel with
+// the acknowledgements. Reports are hints: a node that receives none decides alone.
 package mesh
 
 import (
