gateway: log the parts of prompts, unfinished bytes and who closed

Nothing in the logs told the hypotheses of docs/incidents/prompt-part.md apart: a request's parts were in no line. request_ended, stream_broken and send_failed now name them by their ids; stream_broken says how many bytes of an unfinished event had arrived, send_failed names the target and whether it closed the connection.

--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -18,6 +18,9 @@
 	PromptTokens int
 	OutputTokens int
 	HasTokens    bool
+	// Parts are the ids of the parts of the prompt, in order. Requests share parts; the
+	// last one belongs to the request itself or to its session.
+	Parts []uint64
 	// LengthHint is the caller's estimate of the output tokens, 0 if it has none.
 	LengthHint int
 	// LastEventID is the id of the event after which a stream resumes.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -307,7 +307,7 @@
 		x.endUnanswered(ctx, err)
 		return true
 	}
-	x.gateway.Logger.Warn().Str("event", "send_failed").Str("request", x.call.ID).Bool("sent", sent).Err(err).Msg("")
+	x.logSendFailed(grant, sendErr, err)
 	if !sent {
 		grant.Done(balance.Unreachable)
 		return len(x.tried) >= maxTargets && x.endOutOfTargets(ctx, "targets_unreachable")
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/telemetry"
+	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
 // logPlaced logs the choice of a target with its inputs.
@@ -18,6 +20,34 @@
 		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Str("team", x.teamName()).Msg("")
 }
 
+// logSendFailed logs an attempt that got no response.
+func (x *exchange) logSendFailed(grant *balance.Grant, sendErr *upstream.SendError, err error) {
+	x.gateway.Logger.Warn().Str("event", "send_failed").Str("request", x.call.ID).Str("target", grant.Target.ID).
+		Bool("sent", sendErr == nil || sendErr.Sent).Bool("peer_closed", sendErr != nil && sendErr.PeerClosed).
+		Str("parts", x.promptParts()).Err(err).Msg("")
+}
+
+// logBrokenStream logs a stream that ended early, with the number of bytes of an
+// unfinished event.
+func (x *exchange) logBrokenStream(grant *balance.Grant, unfinishedBytes int, err error) {
+	x.gateway.Logger.Warn().Str("event", "stream_broken").Str("request", x.call.ID).Str("target", grant.Target.ID).
+		Uint64("last_event", x.position.lastID).Int("events", x.eventCount).Int("unfinished_bytes", unfinishedBytes).
+		Str("parts", x.promptParts()).Err(err).Msg("")
+}
+
+// promptParts returns the ids of the parts of the prompt, in hexadecimal and
+// separated by commas.
+func (x *exchange) promptParts() string {
+	var b []byte
+	for i, part := range x.call.Parts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, part, 16)
+	}
+	return string(b)
+}
+
 // teamName returns the caller's team, or an empty string on anonymous routes.
 func (x *exchange) teamName() string {
 	if x.team == nil {
@@ -38,7 +68,7 @@
 	if !x.firstEventAt.IsZero() {
 		entry.Dur("first", x.firstEventAt.Sub(x.arrived)).Dur("longest_pause", x.longestPause).Int("events", x.eventCount)
 	}
-	entry.Str("team", x.teamName()).Msg("")
+	entry.Str("parts", x.promptParts()).Str("team", x.teamName()).Msg("")
 }
 
 func (x *exchange) recordMetrics(cause string, status int) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,6 +64,7 @@
 			x.logEnded("answered", resp.StatusCode)
 			return true
 		default:
+			x.logBrokenStream(grant, len(splitter.pending), err)
 			return x.handleBrokenStream(ctx, grant, resp, err)
 		}
 	}
@@ -92,8 +93,6 @@
 // handleBrokenStream handles a stream that ended early. It reports whether the
 // request has ended.
 func (x *exchange) handleBrokenStream(ctx context.Context, grant *balance.Grant, resp *http.Response, err error) bool {
-	x.gateway.Logger.Warn().Str("event", "stream_broken").Str("request", x.call.ID).Str("target", grant.Target.ID).
-		Uint64("last_event", x.position.lastID).Err(err).Msg("")
 	if ctx.Err() != nil {
 		grant.Done(balance.Abandoned)
 		return x.endCancelled(ctx, resp.StatusCode)
