entrytest: a failing test of a prompt part that crashes targets

Three nodes in two zones before six workers that crash on one part of a prompt, as they begin to answer, and are back after half a second. Bounds from the users' rule: no more than three such requests reach workers later than 4 s after the fifth crash; a refusal with 503 has not run; of the requests that share all other parts at least half are served.

--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -187,6 +187,11 @@
 }
 
 func (n *node) postWith(client *http.Client, route, id string) response {
+	return n.postPrompt(client, route, id, "")
+}
+
+// postPrompt sends a request with the given parts of a prompt.
+func (n *node) postPrompt(client *http.Client, route, id, parts string) response {
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/%s/x", n.ip, callersPort, route), strings.NewReader("body"))
 	if err != nil {
 		return response{err: err}
@@ -195,6 +200,9 @@
 	req.Header.Set("X-Primrosemoor-Attempt-Id", id)
 	req.Header.Set("X-Primrosemoor-Deadline-Ms", "3000")
 	req.Header.Set("Api-Key", apiKey)
+	if parts != "" {
+		req.Header.Set("X-Primrosemoor-Prompt-Prefix", parts)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return response{err: err}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +25,7 @@
 	headerLoad        = "X-Primrosemoor-Server-Load"
 	headerTeam        = "X-Primrosemoor-Tenant"
 	headerLastEventID = "Last-Event-Id"
+	headerPrompt      = "X-Primrosemoor-Prompt-Prefix"
 )
 
 // Faults are the failures that a worker simulates. The zero value is a healthy worker.
@@ -35,6 +38,10 @@
 	// CutAfter is the id of the event after which the connection of a stream is closed;
 	// 0 means never.
 	CutAfter int
+	// CrashOn is a part of a prompt on which the worker crashes as it begins to answer;
+	// it is back after Downtime.
+	CrashOn  string
+	Downtime time.Duration
 }
 
 // Worker is one instance of a service.
@@ -50,13 +57,18 @@
 	// listens on. If it is nil, they are the same.
 	Advertise func(listen string) (string, error)
 
-	server  *http.Server
 	address string
+	// listen is the address on which the worker listens.
+	listen string
 
 	mu        sync.Mutex
+	server    *http.Server
+	stopped   bool
 	faults    Faults
 	running   int
 	runCounts map[string]int
+	// crashedAt lists the times of its crashes.
+	crashedAt []time.Time
 	teamByID  map[string]string
 }
 
@@ -66,7 +78,8 @@
 	if err != nil {
 		return fmt.Errorf("worker %s: %w", w.ID, err)
 	}
-	w.address = l.Addr().String()
+	w.listen = l.Addr().String()
+	w.address = w.listen
 	if w.Advertise != nil {
 		if w.address, err = w.Advertise(w.address); err != nil {
 			l.Close()
@@ -74,11 +87,47 @@
 		}
 	}
 	w.runCounts, w.teamByID = make(map[string]int), make(map[string]string)
-	w.server = &http.Server{Handler: w}
-	go w.server.Serve(l)
+	w.serve(l)
 	return w.Register(s, zone, "ready")
 }
 
+func (w *Worker) serve(l net.Listener) {
+	server := &http.Server{Handler: w}
+	w.mu.Lock()
+	w.server = server
+	w.mu.Unlock()
+	go server.Serve(l)
+}
+
+// crash closes the listener and all connections, and listens again after a time.
+func (w *Worker) crash(downtime time.Duration) {
+	w.mu.Lock()
+	server, listen := w.server, w.listen
+	w.crashedAt = append(w.crashedAt, time.Now())
+	w.mu.Unlock()
+	server.Close()
+	time.AfterFunc(downtime, func() {
+		w.mu.Lock()
+		stopped := w.stopped
+		w.mu.Unlock()
+		l, err := net.Listen("tcp4", listen)
+		switch {
+		case err != nil:
+		case stopped:
+			l.Close()
+		default:
+			w.serve(l)
+		}
+	})
+}
+
+// Crashes returns the times at which the worker crashed.
+func (w *Worker) Crashes() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.crashedAt)
+}
+
 // Register writes the worker's object, with a state, to the store.
 func (w *Worker) Register(s *store.Store, zone, state string) error {
 	return s.Put("servers", w.ID, map[string]any{
@@ -91,7 +140,13 @@
 func (w *Worker) Address() string { return w.address }
 
 // Stop closes the worker's listener and all of its connections at once.
-func (w *Worker) Stop() { w.server.Close() }
+func (w *Worker) Stop() {
+	w.mu.Lock()
+	w.stopped = true
+	server := w.server
+	w.mu.Unlock()
+	server.Close()
+}
 
 // SetFaults replaces the faults, for requests that start from now on.
 func (w *Worker) SetFaults(f Faults) {
@@ -136,6 +191,11 @@
 	rw.Header().Set(headerSeal, "seal-of-"+w.ID)
 	rw.Header().Set(headerLoad, load)
 	switch {
+	case f.CrashOn != "" && hasPart(r, f.CrashOn):
+		rw.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(rw).Flush()
+		w.crash(f.Downtime)
+		panic(http.ErrAbortHandler)
 	case f.Reset:
 		panic(http.ErrAbortHandler)
 	case f.Errors:
@@ -148,6 +208,16 @@
 	}
 }
 
+// hasPart reports whether a part belongs to the prompt of a request.
+func hasPart(r *http.Request, part string) bool {
+	for entry := range strings.SplitSeq(r.Header.Get(headerPrompt), ",") {
+		if id, _, _ := strings.Cut(entry, ":"); id == part {
+			return true
+		}
+	}
+	return false
+}
+
 // startRequest counts a run and returns the value of the load header, or an empty
 // string if the worker is overloaded.
 func (w *Worker) startRequest(id, team string) (Faults, string) {
