culprit: stop sending requests that share what crashed targets

Cause: nothing remembered which requests were there when a target ended. Each node sees only some of the crashes, and no two of the requests are alike, so neither a request's hash nor one node's memory shows what they have in common. Class: a fault that travels with the input (a query of death) and is spread by retries and by the callers.

- A node that loses a connection before the second event asks whether the target refuses connections.
Only then it is a crash: resets, cut answers and stalls of living targets are no evidence.
- Evidence is a set of crashes (instance, features of the request) and survivals.
It is the same on all nodes whatever the order, and travels with the mesh's updates, so that it takes as many messages a node at hundreds of nodes as at 6.
- A request is refused (503, not run) if it has all that three crashed requests share and nothing survived.
So sound requests with the same caller and first part go through, and their answers narrow the suspicion.
Crashes within 100 ms count once.
Requests in flight are cancelled; suspects get no second target.
- Features are the parts of a prompt but the last, and a hash of the whole request, so that one request that is sent again and again is covered too.

--- /dev/null
+++ b/culprit/manager_test.go
@@ -0,0 +1,75 @@
+package culprit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/clock"
+	"github.com/primrosemoor/primrosemoor/logging"
+)
+
+func newManager(onChanged func()) *Manager { return New(onChanged, logging.Discard()) }
+
+// recordCrashes records crashes of different targets, one a second until now.
+func recordCrashes(m *Manager, count int, features ...Feature) {
+	now := clock.Now()
+	for i := range count {
+		own := append([]Feature{own(i)}, features...)
+		m.RecordCrash(Crash{Target: uint64(i), Features: own, At: now.Add(-time.Duration(count-i) * time.Second)})
+	}
+}
+
+func TestWatchedRequestIsCancelledWhenItIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	m := newManager(func() {})
+	cancelled := map[string]bool{}
+	for name, f := range map[string][]Feature{"deadly": {deadly, own(8)}, "sound": {other, own(9)}} {
+		m.Watch(f, func() { cancelled[name] = true })
+	}
+	m.Watch([]Feature{deadly, own(10)}, func() { cancelled["ended"] = true })()
+	recordCrashes(m, quarantineCrashes, deadly)
+	is.Equal(cancelled, map[string]bool{"deadly": true})
+}
+
+func TestEvidenceIsPassedOnOnce(t *testing.T) {
+	is := is.New(t)
+	changes := 0
+	a, b := newManager(func() {}), newManager(func() { changes++ })
+	recordCrashes(a, 3, deadly)
+	crashes, survivals, version := a.Since(0)
+	is.Equal(len(crashes), 3)
+	b.Apply(crashes, survivals)
+	is.Equal(changes, 1)
+	b.Apply(crashes, survivals) // Again, over another link.
+	is.Equal(changes, 1)
+	is.Equal(b.Judge([]Feature{deadly}).State, Quarantined)
+	crashes, survivals, _ = a.Since(version)
+	is.Equal(len(crashes)+len(survivals), 0)
+}
+
+func TestOnlySurvivalsThatClearSomethingArePassedOn(t *testing.T) {
+	is := is.New(t)
+	m := newManager(func() {})
+	m.RecordSurvival([]Feature{shared})
+	recordCrashes(m, 1, shared)
+	m.RecordSurvival([]Feature{shared, other})
+	m.RecordSurvival([]Feature{shared})
+	_, survivals, _ := m.Since(0)
+	is.Equal(len(survivals), 1)
+	is.Equal(survivals[0].Feature, shared)
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := newManager(func() {})
+	for i := range 3 * maxEntries {
+		m.RecordCrash(Crash{Target: uint64(i), Features: []Feature{own(i)}, At: clock.Now()})
+		m.RecordSurvival([]Feature{own(i)})
+	}
+	crashes, survivals, _ := m.Since(0)
+	is.True(len(crashes)+len(survivals) <= maxEntries)
+	is.True(len(m.history.crashes)+len(m.history.survivals) <= maxEntries)
+	is.True(m.evidence.records.Len() <= maxFeatures)
+}
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -9,6 +9,7 @@
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/clock"
+	"github.com/primrosemoor/primrosemoor/culprit"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/mesh"
 	"github.com/primrosemoor/primrosemoor/owner"
@@ -113,9 +114,13 @@
 	f.datastore.ApplyChanges(k, d, proven)
 }
 
-func newMesh(f *forwarder, self datastore.Node, pool *peer.Pool, server *peer.Server, logger *log.Logger) *mesh.Manager {
+func newCulprits(f *forwarder, logger *log.Logger) *culprit.Manager {
+	return culprit.New(func() { f.mesh.CrashesChanged() }, logger)
+}
+
+func newMesh(f *forwarder, self datastore.Node, pool *peer.Pool, server *peer.Server, culprits *culprit.Manager, logger *log.Logger) *mesh.Manager {
 	f.mesh = mesh.New(mesh.Options{
-		Self: self, Pool: pool, Listener: f, ProofRelay: f, ObjectRelay: f, Logger: logger,
+		Self: self, Pool: pool, Listener: f, ProofRelay: f, ObjectRelay: f, CrashRelay: culprits, Logger: logger,
 	})
 	server.HandleStream(schema.Method_METHOD_MESH, f.mesh.Serve)
 	return f.mesh
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/culprit"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -45,6 +47,13 @@
 	// position is that of the last event sent.
 	headersSent bool
 	position    streamPosition
+	// attemptEvents counts the events of the current attempt.
+	attemptEvents int
+	featuresCache []culprit.Feature
+	// stopWatch ends the watch for a quarantine; quarantinedInFlight is set if that has
+	// cancelled an attempt.
+	stopWatch           func()
+	quarantinedInFlight atomic.Bool
 }
 
 // errDeadline is the cause of a request's context when its deadline has passed.
@@ -79,6 +88,9 @@
 	if errResp := x.readBody(table.Config.Bounds.BodyBytes); errResp != nil {
 		return errResp
 	}
+	if errResp := x.quarantined(); errResp != nil {
+		return errResp
+	}
 	return x.takeAllowance()
 }
 
@@ -218,6 +230,10 @@
 func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
 	x.tried = append(x.tried, grant.Target.ID)
 	x.logPlaced(grant)
+	if errResp := x.quarantined(); errResp != nil {
+		grant.Done(balance.Unsent)
+		return x.endQuarantined(errResp)
+	}
 	if !x.countSend() {
 		grant.Done(balance.Unsent)
 		x.endUnanswered(ctx, errRetryBudget)
@@ -225,6 +241,8 @@
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	x.watchQuarantine(cancel)
+	defer x.stopWatch()
 	resetStall := x.watchStall(cancel)
 	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
 	resp, err := x.gateway.Sender.Send(attemptCtx, address, x.targetRequest(grant))
@@ -312,13 +330,14 @@
 		grant.Done(balance.Unreachable)
 		return len(x.tried) >= maxTargets && x.endOutOfTargets(ctx, "targets_unreachable")
 	}
-	return x.handleBrokenAttempt(grant, "no_answer")
+	return x.handleBrokenAttempt(ctx, grant, "no_answer", err)
 }
 
 // handleBrokenAttempt handles a target that returned no complete response. It
 // reports whether the request has ended; if not, it may be sent to another target.
-func (x *exchange) handleBrokenAttempt(grant *balance.Grant, cause string) bool {
-	grant.Done(balance.Broken)
+func (x *exchange) handleBrokenAttempt(ctx context.Context, grant *balance.Grant, cause string, err error) bool {
+	grant.Done(x.brokenResult())
+	x.recordBroken(ctx, grant.Target, err)
 	if x.mayRetry() {
 		return false
 	}
@@ -334,7 +353,10 @@
 
 // mayRetry reports whether the request may be sent to another target although it
 // may have run.
-func (x *exchange) mayRetry() bool { return x.mayRetryAfterRuns(x.possibleRuns) }
+func (x *exchange) mayRetry() bool {
+	_, blocked := x.blocked()
+	return !blocked && x.mayRetryAfterRuns(x.possibleRuns)
+}
 
 // mayRetryAfterRuns reports whether the request may be sent to another target
 // after it may have run the given number of times.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -9,11 +9,13 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/culprit"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/platform"
@@ -77,8 +79,9 @@
 }
 
 var (
-	errReset   = errors.New("connection reset")
-	errRefused = errors.New("connection refused")
+	errReset           = fmt.Errorf("read: %w", syscall.ECONNRESET)
+	errTruncatedByPeer = fmt.Errorf("%w: %w", upstream.ErrTruncated, io.ErrUnexpectedEOF)
+	errRefused         = errors.New("connection refused")
 )
 
 func (s *fakeSender) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
@@ -150,7 +153,7 @@
 		return 0, context.Cause(b.ctx)
 	}
 	if b.script.truncated {
-		return n, upstream.ErrTruncated
+		return n, errTruncatedByPeer
 	}
 	return n, err
 }
@@ -216,6 +219,11 @@
 	return r.left >= 0
 }
 
+// fakeProber reports that targets that closed a connection have crashed.
+type fakeProber struct{ refuses bool }
+
+func (p *fakeProber) Refuses(context.Context, upstream.Address) bool { return p.refuses }
+
 // nopMetrics discards all metrics.
 type nopMetrics struct{}
 
@@ -229,6 +237,8 @@
 	allowance *fakeAllowance
 	retries   *fakeRetryBudget
 	sender    *fakeSender
+	culprits  *culprit.Manager
+	prober    *fakeProber
 	gateway   *gateway.Gateway
 	server    *httptest.Server
 }
@@ -251,6 +261,8 @@
 		allowance: &fakeAllowance{},
 		retries:   &fakeRetryBudget{left: 10},
 		sender:    &fakeSender{scripts: scripts},
+		culprits:  culprit.New(func() {}, logging.Discard()),
+		prober:    &fakeProber{},
 	}
 	balancer := balance.NewManager(balance.Options{
 		Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
@@ -271,7 +283,7 @@
 	balancer.ApplyTargets(list, nil)
 	g.gateway = gateway.New(gateway.Options{
 		Config: g.config, HeaderCodec: platform.HeaderCodec{}, Balancer: balancer, Allowance: g.allowance,
-		Retries: g.retries, Sender: g.sender, Metrics: nopMetrics{}, Logger: logging.Discard(),
+		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Metrics: nopMetrics{}, Logger: logging.Discard(),
 	})
 	g.server = httptest.NewServer(g.gateway)
 	tb.Cleanup(func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	Allowance   Allowance
 	Retries     RetryBudget
 	Sender      Sender
+	Culprits    Culprits
+	Prober      Prober
 	Metrics     Metrics
 	Logger      *log.Logger
 }
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -57,6 +57,11 @@
 	return &errorResponse{http.StatusServiceUnavailable, cause, "no target could run the request; it was not run", retryAfter}
 }
 
+func errQuarantined(retryAfter time.Duration) *errorResponse {
+	return &errorResponse{http.StatusServiceUnavailable, "quarantined",
+		"requests like this one crash their targets; change its prompt or its body; it was not run", retryAfter}
+}
+
 func errUnknownEffect(cause string) *errorResponse {
 	return &errorResponse{status: http.StatusBadGateway, cause: cause, message: "the target gave no whole answer; the request may have run"}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,8 +34,9 @@
 	_, err := io.CopyN(&buffered, resp.Body, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
 	if isTampered(resp, a) || err != nil && !complete {
-		return x.handleBrokenResponse(ctx, grant)
+		return x.handleBrokenResponse(ctx, grant, err)
 	}
+	x.recordSurvival()
 	if x.headersSent || resp.StatusCode >= http.StatusInternalServerError && x.mayRetry() {
 		grant.Done(balance.Failed)
 		return x.headersSent && x.endCancelled(ctx, resp.StatusCode)
@@ -75,13 +76,13 @@
 
 // handleBrokenResponse handles a response that failed before any of it was
 // relayed. It reports whether the request has ended.
-func (x *exchange) handleBrokenResponse(ctx context.Context, grant *balance.Grant) bool {
+func (x *exchange) handleBrokenResponse(ctx context.Context, grant *balance.Grant, err error) bool {
 	if ctx.Err() != nil {
 		grant.Done(balance.Abandoned)
 		x.endUnanswered(ctx, ctx.Err())
 		return true
 	}
-	return x.handleBrokenAttempt(grant, "answer_broken")
+	return x.handleBrokenAttempt(ctx, grant, "answer_broken", err)
 }
 
 // abort closes the caller's connection so that a truncated response does not look
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,7 +32,7 @@
 // request has ended; if not, the stream is to be resumed at another target.
 func (x *exchange) relayStream(ctx context.Context, grant *balance.Grant, resp *http.Response, a ResponseInfo, resetStall func()) bool {
 	if isTampered(resp, a) {
-		return x.handleBrokenResponse(ctx, grant)
+		return x.handleBrokenResponse(ctx, grant, nil)
 	}
 	splitter := eventSplitter{}
 	chunk := make([]byte, streamReadBytes)
@@ -60,6 +60,7 @@
 		case err == nil:
 		case eventErr == nil && errors.Is(err, io.EOF):
 			x.sendStreamHeaders(resp)
+			x.recordSurvival()
 			grant.Done(balance.Answered)
 			x.logEnded("answered", resp.StatusCode)
 			return true
@@ -97,7 +98,8 @@
 		grant.Done(balance.Abandoned)
 		return x.endCancelled(ctx, resp.StatusCode)
 	}
-	grant.Done(balance.Broken)
+	grant.Done(x.brokenResult())
+	x.recordBroken(ctx, grant.Target, err)
 	if x.mayRetry() && !errors.Is(err, errEventTooLarge) {
 		x.position.resuming = true
 		return false
@@ -132,6 +134,11 @@
 	}
 	x.lastEventAt = now
 	x.eventCount += count
+	before := x.attemptEvents
+	x.attemptEvents += count
+	if before < survivedEvents && x.attemptEvents >= survivedEvents {
+		x.recordSurvival()
+	}
 }
 
 // lastEventID returns the id after which another target resumes the stream, or an
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -37,6 +37,8 @@
 	// were last sent.
 	sentOwn  uint64
 	sentZone uint64
+	// sentCrashes is the version of the evidence on crashes that was last sent.
+	sentCrashes uint64
 	// sentForwarded are the versions of the other zones' sums that were last sent;
 	// nil until the first update on a stream.
 	sentForwarded map[string]uint64
@@ -155,7 +157,7 @@
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
 	defer stop()
 	l.encoder = newEncoder()
-	l.sentOwn, l.sentZone, l.sentForwarded = 0, 0, nil
+	l.sentOwn, l.sentZone, l.sentCrashes, l.sentForwarded = 0, 0, 0, nil
 	receiveErr := make(chan error, 1)
 	acked := make(chan struct{}, 1)
 	go func() { receiveErr <- l.receive(stream, acked) }()
@@ -291,6 +293,7 @@
 		hasChanges = hasChanges || !c.empty()
 		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: z.silentNodes})
 	}
+	hasChanges = l.addCrashes(u) || hasChanges
 	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady
 	l.sentLeaving, l.sentReady = u.GetLeaving(), u.GetAble()
 	return u, hasChanges
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -95,7 +95,9 @@
 	ProofRelay ProofRelay
 	// ObjectRelay is nil if objects are not passed on.
 	ObjectRelay ObjectRelay
-	Logger      *log.Logger
+	// CrashRelay is nil if no evidence on crashes is exchanged.
+	CrashRelay CrashRelay
+	Logger     *log.Logger
 }
 
 // Manager maintains the links to other nodes. Its methods may be called by any
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/primrosemoor/primrosemoor/clock"
+	"github.com/primrosemoor/primrosemoor/culprit"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/mesh"
@@ -39,7 +40,8 @@
 	version uint64
 	age     time.Duration
 	// read is the revision that this node has read, or was told of.
-	read uint64
+	read     uint64
+	culprits *culprit.Manager
 }
 
 func (n *node) Revision(datastore.Kind) uint64 {
@@ -134,7 +136,10 @@
 	id := peer.Identity{Cluster: "test", Node: name, AvailabilityZone: zone, Incarnation: uint64(time.Now().UnixNano())}
 	n.pool = peer.NewPool(peer.PoolOptions{Identity: id, Meter: peer.NopMeter{}, DialTimeout: time.Second, CallTimeout: time.Second})
 	n.server = peer.NewServer(id, peer.NopMeter{}, nil)
-	n.manager = mesh.New(mesh.Options{Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, ObjectRelay: n, Logger: logging.Discard()})
+	n.culprits = culprit.New(func() { n.manager.CrashesChanged() }, logging.Discard())
+	n.manager = mesh.New(mesh.Options{
+		Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, ObjectRelay: n, CrashRelay: n.culprits, Logger: logging.Discard(),
+	})
 	n.server.HandleStream(schema.Method_METHOD_MESH, n.manager.Serve)
 	go n.server.Serve(l)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mesh/receive_test.go
+++ b/mesh/receive_test.go
@@ -53,6 +53,12 @@
 			Zone: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "zone"), Use: use(), Silent: rapid.Uint32().Draw(t, "silent"),
 		})
 	}
+	for range rapid.IntRange(0, 3).Draw(t, "crashes") {
+		u.Crashes = append(u.Crashes, nil, &schema.MeshCrash{
+			Target: rapid.Uint64().Draw(t, "target"), Features: rapid.SliceOf(rapid.Uint64()).Draw(t, "features"), AgeMicros: rapid.Uint64().Draw(t, "age"),
+		})
+		u.Survivals = append(u.Survivals, nil, &schema.MeshSurvival{Feature: rapid.Uint64().Draw(t, "feature"), AgeMicros: rapid.Uint64().Draw(t, "age")})
+	}
 	return u
 }
 
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -26,6 +26,7 @@
 			return err
 		}
 		m.handleUpdate(in, u)
+		m.applyCrashes(u)
 		if time.Since(acked) < ackInterval {
 			continue
 		}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -70,7 +72,7 @@
 func (c *Client) Send(ctx context.Context, to Address, r *Request) (*http.Response, error) {
 	cn, err := c.acquire(ctx, to, r.NewConn)
 	if err != nil {
-		return nil, &SendError{Address: to, PeerClosed: isPeerClosed(err), Err: err}
+		return nil, &SendError{Address: to, PeerClosed: IsPeerClosed(err), Err: err}
 	}
 	stopCancel := context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	written := make(chan error, 1)
@@ -86,10 +88,10 @@
 		if cause := context.Cause(ctx); cause != nil {
 			return nil, &SendError{Address: to, Sent: true, Err: cause}
 		}
-		if cn.responses > 0 && isPeerClosed(err) {
+		if cn.responses > 0 && IsPeerClosed(err) {
 			c.reduceMaxIdle(cn)
 		}
-		return nil, &SendError{Address: to, Sent: true, PeerClosed: isPeerClosed(err), Err: err}
+		return nil, &SendError{Address: to, Sent: true, PeerClosed: IsPeerClosed(err), Err: err}
 	}
 	cn.responses++
 	cn.maxIdle = keepAliveTimeout(resp.Header)
@@ -106,6 +108,17 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// Refuses reports whether a target refuses a new connection, so that no process of it
+// listens.
+func (c *Client) Refuses(ctx context.Context, to Address) bool {
+	c.onDial()
+	probe, err := c.dialer.DialContext(ctx, "tcp4", to.Host)
+	if err == nil {
+		probe.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Forget closes the idle connections to a target that has been removed.
 func (c *Client) Forget(to Address) {
 	c.mu.Lock()
@@ -242,7 +255,7 @@
 	switch {
 	case err == io.EOF && b.length >= 0 && b.bytesRead < b.length:
 		b.failed = true
-		return n, ErrTruncated
+		return n, &truncatedError{io.ErrUnexpectedEOF}
 	case err == io.EOF:
 		b.reachedEOF = true
 	case err != nil:
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -165,8 +165,9 @@
 	return defaultMaxIdle
 }
 
-// isPeerClosed reports whether the peer closed or reset the connection.
-func isPeerClosed(err error) bool {
+// IsPeerClosed reports whether an error means that the peer closed or reset the
+// connection.
+func IsPeerClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
