gateway: a stream that ends inside an event has been broken off

Callers could get half an event and a proper end of the answer: an answer with neither length nor chunks ends with its connection, and what was left of an unfinished event was passed on as the last one. So an answer that broke off halfway looked complete, and a stream that may be resumed was not.

Now such a stream counts as closed by its target: it is resumed, or the caller's connection is cut. A body of another type on a streaming route, which has no events, is relayed whole, as before.

TestEventsAreFoundAcrossReads reads the pending bytes instead of the removed remainder(); what it checks is the same.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -27,6 +27,8 @@
 // crashOnHead is a target that crashes as it begins to answer.
 func crashOnHead() targetScript { return streamScript("", true) }
 
+func wholeStream() targetScript { return streamScript(streamEvents(1, 3), false) }
+
 // recordCrashes records the crashes of other nodes' targets with the part 0xdead.
 func (g *testGateway) recordCrashes(count int) {
 	for i := range count {
@@ -38,7 +40,7 @@
 
 func TestRequestsLikeThoseThatCrashedTargetsAreNotSent(t *testing.T) {
 	is := is.New(t)
-	g := newTestGateway(t, newRoute(catalog.Streaming), crashOnHead(), crashOnHead(), crashOnHead())
+	g := newTestGateway(t, newRoute(catalog.Streaming), crashOnHead(), crashOnHead(), crashOnHead(), wholeStream())
 	g.prober.refuses = true
 	for i := range 3 {
 		is.Equal(g.send(t, t.Context(), withPrompt(i, "aa:60,dead:9")).status, http.StatusBadGateway)
@@ -65,7 +67,7 @@
 
 func TestConnectionsThatBreakAtLiveTargetsRaiseNoSuspicion(t *testing.T) {
 	is := is.New(t)
-	g := newTestGateway(t, newRoute(catalog.Streaming), crashOnHead(), crashOnHead(), crashOnHead(), crashOnHead())
+	g := newTestGateway(t, newRoute(catalog.Streaming), crashOnHead(), crashOnHead(), crashOnHead(), crashOnHead(), wholeStream())
 	for i := range 4 {
 		is.Equal(g.send(t, t.Context(), withPrompt(i, "aa:60,dead:9")).status, http.StatusBadGateway)
 		time.Sleep(crashInterval)
@@ -76,7 +78,7 @@
 func TestStreamsThatWereUnderWayAtACrashAreNotSuspected(t *testing.T) {
 	is := is.New(t)
 	underWay := streamScript(streamEvents(1, 2), true)
-	g := newTestGateway(t, newRoute(catalog.Streaming), underWay, underWay, underWay, underWay)
+	g := newTestGateway(t, newRoute(catalog.Streaming), underWay, underWay, underWay, underWay, wholeStream())
 	g.prober.refuses = true
 	for i := range 4 {
 		is.True(g.send(t, t.Context(), withPrompt(i, "aa:60,dead:9")).err != nil)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"io"
 	"strconv"
 )
 
@@ -11,7 +13,9 @@
 
 var (
 	errEventTooLarge = errors.New("gateway: an event exceeds the size limit")
-	errEventGap      = errors.New("gateway: an event is missing after the stream was resumed")
+	// errEventUnfinished counts as a close by the target, which ended the connection.
+	errEventUnfinished = fmt.Errorf("gateway: the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+	errEventGap        = errors.New("gateway: an event is missing after the stream was resumed")
 )
 
 // eventSplitter splits a stream of server-sent events into complete events.
@@ -38,11 +42,9 @@
 	return ready, nil
 }
 
-// remainder returns the incomplete event at the end of a stream.
-func (s *eventSplitter) remainder() []byte {
-	pending := s.pending
-	s.pending = nil
-	return pending
+// insideEvent reports whether an event is unfinished.
+func (s *eventSplitter) insideEvent() bool {
+	return len(bytes.Trim(s.pending, "\r\n")) > 0
 }
 
 var (
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -27,7 +27,7 @@
 		if len(got) > 0 && lastEventEnd(got) != len(got) {
 			rt.Fatalf("%q ends in the middle of an event", got)
 		}
-		remainder := splitter.remainder()
+		remainder := splitter.pending
 		if lastEventEnd(remainder) != 0 {
 			rt.Fatalf("complete events in the remainder %q", remainder)
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -255,7 +255,7 @@
 	switch {
 	case info.NotRun:
 		return x.handleNotRun(ctx, grant, resp)
-	case x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode):
+	case x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode) && isEventStream(resp.Header):
 		x.possibleRuns++
 		return x.relayStream(ctx, grant, resp, info, resetStall)
 	default:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,6 +29,16 @@
 	return max(minStallTimeout, stallGoalFactor*max(x.route.Goal, x.route.GapGoal))
 }
 
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether a response is a stream of events, as it is if it
+// states no type.
+func isEventStream(h http.Header) bool {
+	value := h.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(value)
+	return value == "" || err != nil || mediaType == eventStreamType
+}
+
 // relayStream relays events as they arrive, each one whole. It reports whether the
 // request has ended; if not, the stream is to be resumed at another target.
 func (x *exchange) relayStream(ctx context.Context, grant *balance.Grant, resp *http.Response, a ResponseInfo, resetStall func()) bool {
@@ -39,17 +50,15 @@
 	for {
 		n, err := resp.Body.Read(chunk)
 		ready, eventErr := splitter.add(chunk[:n])
-		if eventErr == nil && errors.Is(err, io.EOF) {
-			ready = append(ready, splitter.remainder()...)
+		if eventErr == nil && errors.Is(err, io.EOF) && splitter.insideEvent() {
+			eventErr = errEventUnfinished
 		}
 		if len(ready) > 0 {
 			resetStall()
 			x.recordEvents(grant, time.Now(), ready)
 		}
-		if eventErr == nil {
-			ready, eventErr = x.position.filter(ready)
-		}
-		if eventErr != nil {
+		ready, gapErr := x.position.filter(ready)
+		if eventErr = errors.Join(eventErr, gapErr); eventErr != nil {
 			err = errors.Join(eventErr, err)
 		}
 		if len(ready) > 0 && !x.writeEvents(resp, ready) {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -191,3 +191,28 @@
 		}
 	})
 }
+
+// An answer without length or chunks ends with its connection, so that only an
+// unfinished event shows that it broke off.
+func TestAStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	for _, unfinished := range []string{"id: 4\ndata: ev", "id: 4\ndata: event 4\n", "id: 4\r\ndata: event 4\r\n\r", "i"} {
+		t.Run(unfinished, func(t *testing.T) {
+			is := is.New(t)
+			cut := streamScript(streamEvents(1, 3)+unfinished, false)
+			got := newTestGateway(t, newRoute(catalog.Streaming), cut).send(t, t.Context(), nil)
+			is.True(got.err != nil)
+			is.Equal(got.body, streamEvents(1, 3))
+			got = newTestGateway(t, resumableRoute(), cut, streamScript(streamEvents(4, 6), false)).send(t, t.Context(), nil)
+			is.NoErr(got.err)
+			is.Equal(got.body, streamEvents(1, 6))
+		})
+	}
+}
+
+func TestAnAnswerOfAnotherTypeOnAStreamingRouteIsRelayedWhole(t *testing.T) {
+	is := is.New(t)
+	whole := targetScript{status: 200, body: `{"answer":"x"}`, header: http.Header{headerSeal: {"s"}, "Content-Type": {"application/json; charset=utf-8"}}}
+	got := newTestGateway(t, newRoute(catalog.Streaming), whole).send(t, t.Context(), nil)
+	is.NoErr(got.err)
+	is.Equal(got.body, `{"answer":"x"}`)
+}
