--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -55,6 +55,10 @@
 	Signed  bool
 	Load    TargetLoad
 	HasLoad bool
+	// Limit is how many requests a second the target takes from all nodes together,
+	// valid if HasLimit is set. A target states it for as long as it holds.
+	Limit    float64
+	HasLimit bool
 }
 
 // HeaderCodec encodes and decodes the headers of one kind of deployment.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,6 +47,9 @@
 	// position is that of the last event sent.
 	headersSent bool
 	position    streamPosition
+	// targetLimit is the limit that the last target stated, if targetLimited is set.
+	targetLimit   float64
+	targetLimited bool
 	// attemptEvents counts the events of the current attempt.
 	attemptEvents int
 	featuresCache []culprit.Feature
@@ -252,6 +255,7 @@
 	defer resp.Body.Close()
 	x.sends++
 	info := x.gateway.HeaderCodec.ParseResponse(resp.StatusCode, resp.Header)
+	x.targetLimit, x.targetLimited = info.Limit, info.HasLimit
 	switch {
 	case info.NotRun:
 		return x.handleNotRun(ctx, grant, resp)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -68,6 +68,9 @@
 	if !x.firstEventAt.IsZero() {
 		entry.Dur("first", x.firstEventAt.Sub(x.arrived)).Dur("longest_pause", x.longestPause).Int("events", x.eventCount)
 	}
+	if x.targetLimited {
+		entry.Float64("target_limit", x.targetLimit)
+	}
 	entry.Str("parts", x.promptParts()).Str("team", x.teamName()).Msg("")
 }
 
