entrytest: a failing test of a target that states its limit

Three nodes in two zones before three workers of which one says that it takes 4 requests a second. Bounds from the users' rule: from 4 s after its first such answer it gets no more than 1.5 times that in any 4 s, and 5. It is still used, and callers lose nothing, since two others are idle.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -26,6 +26,7 @@
 	headerTeam        = "X-Primrosemoor-Tenant"
 	headerLastEventID = "Last-Event-Id"
 	headerPrompt      = "X-Primrosemoor-Prompt-Prefix"
+	headerLimit       = "Server-Limit"
 )
 
 // Faults are the failures that a worker simulates. The zero value is a healthy worker.
@@ -42,6 +43,9 @@
 	// it is back after Downtime.
 	CrashOn  string
 	Downtime time.Duration
+	// Limit is the number of requests a second that the worker says it takes from all
+	// nodes together; 0 is none.
+	Limit float64
 }
 
 // Worker is one instance of a service.
@@ -67,6 +71,8 @@
 	faults    Faults
 	running   int
 	runCounts map[string]int
+	// arrivals lists the times at which requests began.
+	arrivals []time.Time
 	// crashedAt lists the times of its crashes.
 	crashedAt []time.Time
 	teamByID  map[string]string
@@ -190,6 +196,9 @@
 	defer w.endRequest()
 	rw.Header().Set(headerSeal, "seal-of-"+w.ID)
 	rw.Header().Set(headerLoad, load)
+	if f.Limit > 0 {
+		rw.Header().Set(headerLimit, strconv.FormatFloat(f.Limit, 'f', -1, 64))
+	}
 	switch {
 	case f.CrashOn != "" && hasPart(r, f.CrashOn):
 		rw.WriteHeader(http.StatusOK)
@@ -208,6 +217,13 @@
 	}
 }
 
+// Arrivals returns the times at which requests began.
+func (w *Worker) Arrivals() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.arrivals)
+}
+
 // hasPart reports whether a part belongs to the prompt of a request.
 func hasPart(r *http.Request, part string) bool {
 	for entry := range strings.SplitSeq(r.Header.Get(headerPrompt), ",") {
@@ -228,6 +244,7 @@
 	}
 	w.running++
 	w.runCounts[id]++
+	w.arrivals = append(w.arrivals, time.Now())
 	w.teamByID[id] = team
 	return w.faults, fmt.Sprintf("%d,0,%d", w.running, w.Slots)
 }
