balance: no wake-up of idle nodes for limits; names and files in order

The check for limits that have expired woke every node once a second; it runs only while a target has stated one. mesh.lowestLimit moves to the sums that it belongs to.

--- a/balance/limit.go
+++ b/balance/limit.go
@@ -98,17 +98,17 @@
 	l.wait = rand.Float64()
 }
 
-// limitedTargets are the targets with a limit that was stated to this node, so that
-// answers of others need not be reported.
-type limitedTargets struct {
+// targetSet is a set of ids of targets. It is safe for concurrent use, so that an
+// answer of a target without a limit costs no event.
+type targetSet struct {
 	mu  sync.Mutex
 	ids map[string]bool
 }
 
-func (s *limitedTargets) set(id string, limited bool) {
+func (s *targetSet) set(id string, member bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !limited {
+	if !member {
 		delete(s.ids, id)
 		return
 	}
@@ -118,13 +118,19 @@
 	s.ids[id] = true
 }
 
-func (s *limitedTargets) contains(id string) bool {
+func (s *targetSet) contains(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.ids[id]
 }
 
-func (s *limitedTargets) list() []string {
+func (s *targetSet) any() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ids) > 0
+}
+
+func (s *targetSet) list() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]string, 0, len(s.ids))
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -67,7 +67,8 @@
 	// changed holds the pools that changed since their requests were last
 	// assigned.
 	changed map[*pool]bool
-	limited limitedTargets
+	// limited holds the targets with a limit that was stated to this node.
+	limited targetSet
 	// heardShare is the share of the nodes that this node hears, itself included.
 	heardShare float64
 }
@@ -100,17 +101,20 @@
 	limitCheck := time.NewTicker(limitCheckInterval)
 	defer limitCheck.Stop()
 	for {
-		// An idle node is not woken by the ticker.
-		var due <-chan time.Time
+		// An idle node is not woken by the tickers.
+		var due, limitsDue <-chan time.Time
 		if m.anyWaiting() {
 			due = tick.C
 		}
+		if m.limited.any() {
+			limitsDue = limitCheck.C
+		}
 		select {
 		case e := <-m.events:
 			m.applyEvents(e)
 		case now := <-due:
 			m.assignAll(now)
-		case now := <-limitCheck.C:
+		case now := <-limitsDue:
 			m.expireLimits(now)
 		case <-ctx.Done():
 			return
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,6 +52,7 @@
 	targetLimited bool
 	// attemptEvents counts the events of the current attempt.
 	attemptEvents int
+	// featuresCache holds the result of features.
 	featuresCache []culprit.Feature
 	// stopWatch ends the watch for a quarantine; quarantinedInFlight is set if that has
 	// cancelled an attempt.
@@ -260,7 +261,7 @@
 	switch {
 	case info.NotRun:
 		return x.handleNotRun(ctx, grant, resp)
-	case x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode) && isEventStream(resp.Header):
+	case x.isStream(resp):
 		x.possibleRuns++
 		return x.relayStream(ctx, grant, resp, info, resetStall)
 	default:
@@ -293,6 +294,11 @@
 	return func() { timer.Reset(x.stallTimeout()) }
 }
 
+// isStream reports whether a response is to be relayed event by event.
+func (x *exchange) isStream(resp *http.Response) bool {
+	return x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode) && isEventStream(resp.Header)
+}
+
 func isSuccess(status int) bool { return status/100 == 2 }
 
 // targetRequest builds the request for a target.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -374,14 +374,6 @@
 	m.zoneSums.setTarget(id, total)
 }
 
-// lowestLimit returns the lower one of two limits, of which 0 is none.
-func lowestLimit(a, b int) int {
-	if a == 0 || b == 0 {
-		return max(a, b)
-	}
-	return min(a, b)
-}
-
 // sumQueue sums a queue's length over this zone. The lock must be held.
 func (m *Manager) sumQueue(q Queue) {
 	m.nodeSums.mu.Lock()
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -16,6 +16,14 @@
 	LimitMillis int
 }
 
+// lowestLimit returns the lower one of two limits, of which 0 is none.
+func lowestLimit(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // TeamUse is what was booked against a team's limit.
 type TeamUse struct {
 	// Booked is the total since the counter started.
