--- a/culprit/evidence_test.go
+++ b/culprit/evidence_test.go
@@ -15,8 +15,8 @@
 func TestMain(m *testing.M) { rapidtest.Main(m, "1", "300") }
 
 const (
-	shared, deadly, other Feature = 1, 2, 3
-	start                         = clock.Instant(time.Hour)
+	shared, crashing, other Feature = 1, 2, 3
+	start                           = clock.Instant(time.Hour)
 )
 
 // own is the feature of a single request, its hash.
@@ -36,10 +36,10 @@
 
 func TestFeatureOfAllCrashedRequestsIsQuarantined(t *testing.T) {
 	is := is.New(t)
-	e := crashed([]Feature{shared, deadly, own(0)}, []Feature{shared, deadly, own(1)})
-	is.Equal(e.judge([]Feature{shared, deadly, own(8)}, second(2)).State, Suspect)
-	e.addCrash(Crash{Target: 2, Features: []Feature{shared, deadly, own(2)}, At: second(2)})
-	v := e.judge([]Feature{shared, deadly, own(8)}, second(3))
+	e := crashed([]Feature{shared, crashing, own(0)}, []Feature{shared, crashing, own(1)})
+	is.Equal(e.judge([]Feature{shared, crashing, own(8)}, second(2)).State, Suspect)
+	e.addCrash(Crash{Target: 2, Features: []Feature{shared, crashing, own(2)}, At: second(2)})
+	v := e.judge([]Feature{shared, crashing, own(8)}, second(3))
 	is.Equal(v.State, Quarantined)
 	is.Equal(v.Crashes, 3)
 	is.True(v.RetryAfter > 0)
@@ -47,24 +47,24 @@
 
 func TestRequestWithPartOfWhatCrashedRequestsShareIsClear(t *testing.T) {
 	is := is.New(t)
-	e := crashed([]Feature{shared, deadly, own(0)}, []Feature{shared, deadly, own(1)}, []Feature{shared, deadly, own(2)})
+	e := crashed([]Feature{shared, crashing, own(0)}, []Feature{shared, crashing, own(1)}, []Feature{shared, crashing, own(2)})
 	is.Equal(e.judge([]Feature{shared, own(8)}, second(3)).State, Clear)
 	is.Equal(e.judge([]Feature{shared, other, own(8)}, second(3)).State, Clear)
 }
 
 func TestSurvivalOfASharedFeatureLeavesTheOthersSuspected(t *testing.T) {
 	is := is.New(t)
-	e := crashed([]Feature{shared, deadly, own(0)}, []Feature{shared, deadly, own(1)}, []Feature{shared, deadly, own(2)})
-	is.Equal(e.judge([]Feature{other, deadly, own(8)}, second(3)).State, Clear)
+	e := crashed([]Feature{shared, crashing, own(0)}, []Feature{shared, crashing, own(1)}, []Feature{shared, crashing, own(2)})
+	is.Equal(e.judge([]Feature{other, crashing, own(8)}, second(3)).State, Clear)
 	e.addSurvival(Survival{shared, second(3)})
-	is.Equal(e.judge([]Feature{other, deadly, own(8)}, second(4)).State, Quarantined)
+	is.Equal(e.judge([]Feature{other, crashing, own(8)}, second(4)).State, Quarantined)
 	is.Equal(e.judge([]Feature{shared, own(8)}, second(4)).State, Clear)
 }
 
 func TestCrashWithoutASharedFeatureNarrowsTheSuspicion(t *testing.T) {
 	is := is.New(t)
-	e := crashed([]Feature{shared, deadly, own(0)}, []Feature{shared, deadly, own(1)}, []Feature{shared, deadly, own(2)}, []Feature{other, deadly, own(3)})
-	is.Equal(e.judge([]Feature{5, deadly, own(8)}, second(4)).State, Quarantined)
+	e := crashed([]Feature{shared, crashing, own(0)}, []Feature{shared, crashing, own(1)}, []Feature{shared, crashing, own(2)}, []Feature{other, crashing, own(3)})
+	is.Equal(e.judge([]Feature{5, crashing, own(8)}, second(4)).State, Quarantined)
 }
 
 func TestFeatureThatTargetsSurviveIsClear(t *testing.T) {
@@ -104,14 +104,14 @@
 
 func TestQuarantineEndsAndTheNextCrashRenewsItForLonger(t *testing.T) {
 	is := is.New(t)
-	e := crashed([]Feature{deadly}, []Feature{deadly}, []Feature{deadly})
-	first := e.judge([]Feature{deadly}, second(2)).RetryAfter
+	e := crashed([]Feature{crashing}, []Feature{crashing}, []Feature{crashing})
+	first := e.judge([]Feature{crashing}, second(2)).RetryAfter
 	end := second(2).Add(first)
-	is.Equal(e.judge([]Feature{deadly}, end.Add(-time.Second)).State, Quarantined)
-	is.Equal(e.judge([]Feature{deadly}, end.Add(time.Second)).State, Suspect)
-	e.addCrash(Crash{Target: 9, Features: []Feature{deadly}, At: end.Add(2 * time.Second)})
-	is.True(e.judge([]Feature{deadly}, end.Add(2*time.Second)).RetryAfter > first)
-	is.Equal(e.judge([]Feature{deadly}, end.Add(3*evidenceTime)).State, Clear)
+	is.Equal(e.judge([]Feature{crashing}, end.Add(-time.Second)).State, Quarantined)
+	is.Equal(e.judge([]Feature{crashing}, end.Add(time.Second)).State, Suspect)
+	e.addCrash(Crash{Target: 9, Features: []Feature{crashing}, At: end.Add(2 * time.Second)})
+	is.True(e.judge([]Feature{crashing}, end.Add(2*time.Second)).RetryAfter > first)
+	is.Equal(e.judge([]Feature{crashing}, end.Add(3*evidenceTime)).State, Clear)
 }
 
 // All nodes conclude the same, in whatever order the evidence reaches them.
--- a/culprit/manager_test.go
+++ b/culprit/manager_test.go
@@ -25,26 +25,26 @@
 	is := is.New(t)
 	m := newManager(func() {})
 	cancelled := map[string]bool{}
-	for name, f := range map[string][]Feature{"deadly": {deadly, own(8)}, "sound": {other, own(9)}} {
+	for name, f := range map[string][]Feature{"crashing": {crashing, own(8)}, "sound": {other, own(9)}} {
 		m.Watch(f, func() { cancelled[name] = true })
 	}
-	m.Watch([]Feature{deadly, own(10)}, func() { cancelled["ended"] = true })()
-	recordCrashes(m, quarantineCrashes, deadly)
-	is.Equal(cancelled, map[string]bool{"deadly": true})
+	m.Watch([]Feature{crashing, own(10)}, func() { cancelled["ended"] = true })()
+	recordCrashes(m, quarantineCrashes, crashing)
+	is.Equal(cancelled, map[string]bool{"crashing": true})
 }
 
 func TestEvidenceIsPassedOnOnce(t *testing.T) {
 	is := is.New(t)
 	changes := 0
 	a, b := newManager(func() {}), newManager(func() { changes++ })
-	recordCrashes(a, 3, deadly)
+	recordCrashes(a, 3, crashing)
 	crashes, survivals, version := a.Since(0)
 	is.Equal(len(crashes), 3)
 	b.Apply(crashes, survivals)
 	is.Equal(changes, 1)
 	b.Apply(crashes, survivals) // Again, over another link.
 	is.Equal(changes, 1)
-	is.Equal(b.Judge([]Feature{deadly}).State, Quarantined)
+	is.Equal(b.Judge([]Feature{crashing}).State, Quarantined)
 	crashes, survivals, _ = a.Since(version)
 	is.Equal(len(crashes)+len(survivals), 0)
 }
--- a/standin/entrytest/crash_test.go
+++ b/standin/entrytest/crash_test.go
@@ -19,7 +19,7 @@
 	knownAfter     = 4 * time.Second
 	crashes        = 5
 	sentAfterwards = 3
-	deadlyPart     = "dead"
+	crashingPart   = "dead"
 )
 
 // startNodeInZone starts a node in a zone of another region.
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	env := newTestEnv(t)
 	for i := range 6 {
-		env.startWorker(fmt.Sprint("i-", i), "llm", 5).SetFaults(worker.Faults{CrashOn: deadlyPart, Downtime: 500 * time.Millisecond})
+		env.startWorker(fmt.Sprint("i-", i), "llm", 5).SetFaults(worker.Faults{CrashOn: crashingPart, Downtime: 500 * time.Millisecond})
 	}
 	nodes := []*node{env.startNode(1), env.startNode(2), env.startNodeInZone(3, "b")}
 	for _, n := range nodes {
@@ -64,8 +64,8 @@
 	for i, start := 0, time.Now(); time.Since(start) < 2*knownAfter; i++ {
 		times := env.crashTimes()
 		known := len(times) >= crashes && time.Since(times[crashes-1]) > knownAfter
-		id := fmt.Sprint("deadly-", i)
-		got := nodes[i%len(nodes)].postPrompt(client, "chat", id, fmt.Sprintf("shared:60,%s:200,%d:100", deadlyPart, i))
+		id := fmt.Sprint("crashing-", i)
+		got := nodes[i%len(nodes)].postPrompt(client, "chat", id, fmt.Sprintf("shared:60,%s:200,%d:100", crashingPart, i))
 		if runs := env.runs(id); known {
 			late += runs
 		} else if got.status == http.StatusServiceUnavailable {
