--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -84,6 +84,8 @@
 		is.True(g.send(t, t.Context(), withPrompt(i, "aa:60,dead:9")).err != nil)
 		time.Sleep(crashInterval)
 	}
+	crashes, _, _ := g.culprits.Since(0)
+	is.Equal(len(crashes), 0)
 	is.Equal(g.send(t, t.Context(), withPrompt(5, "aa:60,dead:9")).status, http.StatusOK)
 }
 
