upstream: a body that its request's context cut off says why

The line stream_broken read 'use of closed network connection' whether the target was silent, the request was quarantined or its time limit had passed. The failed read now carries the context's cause, as a failed send does already.

TestCancellingTheContextClosesTheConnection asks for the cause; without the change it fails with the bare network error.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -96,7 +96,7 @@
 	cn.responses++
 	cn.maxIdle = keepAliveTimeout(resp.Header)
 	resp.Body = &responseBody{
-		ReadCloser: resp.Body, client: c, conn: cn, stopCancel: stopCancel, written: written,
+		ReadCloser: resp.Body, ctx: ctx, client: c, conn: cn, stopCancel: stopCancel, written: written,
 		reusable: !resp.Close && !mismatched && resp.ContentLength >= -1 && !isCloseDelimited(resp),
 		length:   resp.ContentLength,
 	}
@@ -236,6 +236,8 @@
 // if the response was read to its end and the request was written completely.
 type responseBody struct {
 	io.ReadCloser
+	// ctx is the context of the request; its cause explains a read that it ended.
+	ctx        context.Context
 	client     *Client
 	conn       *conn
 	stopCancel func() bool
@@ -260,6 +262,9 @@
 		b.reachedEOF = true
 	case err != nil:
 		b.failed = true
+		if cause := context.Cause(b.ctx); cause != nil {
+			err = cause
+		}
 		err = &truncatedError{err}
 	}
 	return n, err
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -375,7 +375,7 @@
 		t.Fatal("the connection to the target is still open")
 	}
 	_, err = io.ReadAll(resp.Body)
-	is.True(err != nil)
+	is.True(errors.Is(err, upstream.ErrTruncated) && errors.Is(err, context.Canceled))
 }
 
 func TestTheTargetsKeepAliveTimeoutIsApplied(t *testing.T) {
