gateway: failing tests of a sound target that falls silent for a second

A stream that may be resumed is cancelled at its target after a second of silence, before another target has taken it over. Where none does, the caller's connection is closed in the middle of its answer.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -47,6 +47,10 @@
 	// that before each event of the body.
 	drip, pause time.Duration
 	dripped     string
+	// delay is the time before the headers. silence is that between the body and rest,
+	// which follows it.
+	delay, silence time.Duration
+	rest           string
 }
 
 // ran reports whether the target may have run the request.
@@ -102,6 +106,11 @@
 		<-ctx.Done()
 		return nil, &upstream.SendError{Address: to, Sent: true, Err: context.Cause(ctx)}
 	}
+	select {
+	case <-time.After(script.delay):
+	case <-ctx.Done():
+		return nil, &upstream.SendError{Address: to, Sent: true, Err: context.Cause(ctx)}
+	}
 	h := script.header.Clone()
 	if h == nil {
 		h = http.Header{}
@@ -148,6 +157,13 @@
 	if err == nil {
 		return n, nil
 	}
+	if b.script.rest != "" {
+		if err := b.wait(b.script.silence); err != nil {
+			return 0, err
+		}
+		b.reader, b.script.rest = strings.NewReader(b.script.rest), ""
+		return b.Read(p)
+	}
 	if b.script.hang {
 		<-b.ctx.Done()
 		return 0, context.Cause(b.ctx)
