gateway: a silent target is given up only once another has begun to answer

What callers saw: a stream of a sound target that fell silent for a second or so ended in the middle of its answer (LOST), above all where no other target could take it over at once, as beside a change of the configuration that moves traffic.

Cause: after the stall timeout the attempt was cancelled first and another target was looked for afterwards. With all others busy, refusing, failing or unreachable, or with the share of retries used up, nothing was left to answer the caller.

Now the attempt goes on while a standby asks other targets. Only when one of them has begun a usable answer is the silent one cancelled and the stream continued after the last event that was passed on; if the silent one goes on first, the other is cancelled. While the caller reads slowly, the watch is paused: its target is not silent.

Why it works: a working attempt is released only in exchange for another one that has answered, so that silence alone never costs a caller its answer.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -35,9 +35,12 @@
 	// those that may have run it.
 	sends, possibleRuns int
 	tried               []string
-	// placedAt is when the last target was assigned, firstEventAt when the first
-	// event arrived.
-	placedAt, firstEventAt time.Time
+	// standby looks for another target while that of the current attempt is silent;
+	// successor is the attempt that has taken over from it.
+	standby   *standby
+	successor *begunAttempt
+	// firstEventAt is when the first event arrived.
+	firstEventAt time.Time
 	// lastEventAt is when the last event arrived, longestPause the longest time
 	// between two events.
 	lastEventAt  time.Time
@@ -151,20 +154,24 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithDeadlineCause(x.request.Context(), x.deadline, errDeadline)
 	defer cancel()
-	for {
-		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork())
+	for ended := false; !ended; {
+		if a := x.successor; a != nil {
+			x.successor = nil
+			ended = x.follow(ctx, a)
+			continue
+		}
+		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(x.tried))
 		if err != nil {
 			x.endUnanswered(ctx, err)
 			return
 		}
-		if x.attempt(ctx, grant) {
-			return
-		}
+		ended = x.attempt(ctx, grant)
 	}
 }
 
-// balancerWork describes the request to the balancer.
-func (x *exchange) balancerWork() *balance.Work {
+// balancerWork describes the request, which was sent to some targets before, to the
+// balancer.
+func (x *exchange) balancerWork(tried []string) *balance.Work {
 	w := &balance.Work{
 		ID:                    x.call.ID,
 		Service:               x.service,
@@ -177,7 +184,7 @@
 		Goal:                  x.arrived.Add(x.route.Goal),
 		Patience:              x.deadline,
 		End:                   x.deadline,
-		Tried:                 x.tried,
+		Tried:                 tried,
 	}
 	if x.route.Patience > 0 && x.arrived.Add(x.route.Patience).Before(x.deadline) {
 		w.Patience = x.arrived.Add(x.route.Patience)
@@ -233,7 +240,7 @@
 // ended.
 func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
 	x.tried = append(x.tried, grant.Target.ID)
-	x.logPlaced(grant)
+	x.logPlaced(grant, len(x.tried))
 	if errResp := x.quarantined(); errResp != nil {
 		grant.Done(balance.Unsent)
 		return x.endQuarantined(errResp)
@@ -247,27 +254,47 @@
 	defer cancel(nil)
 	x.watchQuarantine(cancel)
 	defer x.stopWatch()
-	resetStall := x.watchStall(cancel)
+	x.startStandby(ctx, grant.Target.ID, cancel, x.possibleRuns+1)
+	defer x.endStandby()
 	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
-	resp, err := x.gateway.Sender.Send(attemptCtx, address, x.targetRequest(grant))
+	resp, err := x.gateway.Sender.Send(attemptCtx, address, x.targetRequest(grant, x.lastEventID()))
 	if err != nil {
 		return x.handleSendError(ctx, grant, err)
 	}
 	defer resp.Body.Close()
 	x.sends++
 	info := x.gateway.HeaderCodec.ParseResponse(resp.StatusCode, resp.Header)
-	x.targetLimit, x.targetLimited = info.Limit, info.HasLimit
-	x.gateway.Limits.RecordLimit(grant.Target.ID, info.Limit, info.HasLimit)
-	switch {
-	case info.NotRun:
+	x.recordInfo(grant, info)
+	if info.NotRun {
 		return x.handleNotRun(ctx, grant, resp)
-	case x.isStream(resp):
-		x.possibleRuns++
-		return x.relayStream(ctx, grant, resp, info, resetStall)
-	default:
-		x.possibleRuns++
-		return x.relayWhole(ctx, grant, resp, info)
 	}
+	x.possibleRuns++
+	return x.relay(ctx, grant, resp, info)
+}
+
+// follow relays the answer of a target that has taken over from a silent one. It
+// reports whether the request has ended.
+func (x *exchange) follow(ctx context.Context, a *begunAttempt) bool {
+	defer a.close()
+	x.watchQuarantine(a.cancel)
+	defer x.stopWatch()
+	x.startStandby(ctx, a.grant.Target.ID, a.cancel, x.possibleRuns)
+	defer x.endStandby()
+	return x.relay(ctx, a.grant, a.resp, a.info)
+}
+
+// recordInfo records what a target has stated with its response.
+func (x *exchange) recordInfo(grant *balance.Grant, info ResponseInfo) {
+	x.gateway.Limits.RecordLimit(grant.Target.ID, info.Limit, info.HasLimit)
+}
+
+// relay relays a response. It reports whether the request has ended.
+func (x *exchange) relay(ctx context.Context, grant *balance.Grant, resp *http.Response, info ResponseInfo) bool {
+	x.targetLimit, x.targetLimited = info.Limit, info.HasLimit
+	if x.isStream(resp) {
+		return x.relayStream(ctx, grant, resp, info)
+	}
+	return x.relayWhole(ctx, grant, resp, info)
 }
 
 // countSend counts an attempt and reports whether the retry budget allows it.
@@ -284,16 +311,6 @@
 	return true
 }
 
-// watchStall cancels an attempt whose target stalls, if the request may be
-// retried. The returned function restarts the stall timer.
-func (x *exchange) watchStall(cancel context.CancelCauseFunc) (resetStall func()) {
-	if !x.mayRetryAfterRuns(x.possibleRuns + 1) {
-		return func() {}
-	}
-	timer := time.AfterFunc(x.stallTimeout(), func() { cancel(errStalled) })
-	return func() { timer.Reset(x.stallTimeout()) }
-}
-
 // isStream reports whether a response is to be relayed event by event.
 func (x *exchange) isStream(resp *http.Response) bool {
 	return x.route.Kind == catalog.Streaming && isSuccess(resp.StatusCode) && isEventStream(resp.Header)
@@ -301,11 +318,12 @@
 
 func isSuccess(status int) bool { return status/100 == 2 }
 
-// targetRequest builds the request for a target.
-func (x *exchange) targetRequest(grant *balance.Grant) *upstream.Request {
+// targetRequest builds the request for a target, which resumes a stream after an event
+// unless its id is empty.
+func (x *exchange) targetRequest(grant *balance.Grant, lastEventID string) *upstream.Request {
 	h := x.request.Header.Clone()
 	dropHopByHop(h)
-	fields := TargetHeaders{Remaining: time.Until(x.deadline), Instance: grant.Target.ID, LastEventID: x.lastEventID()}
+	fields := TargetHeaders{Remaining: time.Until(x.deadline), Instance: grant.Target.ID, LastEventID: lastEventID}
 	if x.team != nil {
 		fields.Team = x.team.Name
 	}
@@ -339,7 +357,7 @@
 	x.logSendFailed(grant, sendErr, err)
 	if !sent {
 		grant.Done(balance.Unreachable)
-		return len(x.tried) >= maxTargets && x.endOutOfTargets(ctx, "targets_unreachable")
+		return !x.takeOver() && !x.mayTryNext() && x.endOutOfTargets(ctx, "targets_unreachable")
 	}
 	return x.handleBrokenAttempt(ctx, grant, "no_answer", err)
 }
@@ -349,7 +367,7 @@
 func (x *exchange) handleBrokenAttempt(ctx context.Context, grant *balance.Grant, cause string, err error) bool {
 	grant.Done(x.brokenResult())
 	x.recordBroken(ctx, grant.Target, err)
-	if x.mayRetry() {
+	if x.takeOver() || x.mayRetry() {
 		return false
 	}
 	if x.headersSent {
@@ -369,6 +387,12 @@
 	return !blocked && x.mayRetryAfterRuns(x.possibleRuns)
 }
 
+// mayTryNext reports whether the request, which the last target has certainly not run,
+// may be sent to another one.
+func (x *exchange) mayTryNext() bool {
+	return len(x.tried) < maxTargets && (x.possibleRuns == 0 || x.mayRetry())
+}
+
 // mayRetryAfterRuns reports whether the request may be sent to another target
 // after it may have run the given number of times.
 func (x *exchange) mayRetryAfterRuns(runs int) bool {
@@ -380,9 +404,11 @@
 func (x *exchange) handleNotRun(ctx context.Context, grant *balance.Grant, resp *http.Response) bool {
 	grant.Done(balance.Rejected)
 	switch {
-	case resp.StatusCode == http.StatusBadRequest && !x.headersSent:
+	case x.takeOver():
+		return false
+	case resp.StatusCode == http.StatusBadRequest && !x.headersSent && x.possibleRuns == 0:
 		return x.endWithError(errUnreadableBody())
-	case len(x.tried) < maxTargets:
+	case x.mayTryNext():
 		return false
 	default:
 		return x.endOutOfTargets(ctx, "targets_full")
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -9,13 +10,13 @@
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
-// logPlaced logs the choice of a target with its inputs.
-func (x *exchange) logPlaced(grant *balance.Grant) {
-	x.placedAt = time.Now()
-	x.gateway.Metrics.RequestDispatched(x.service, x.tier(), x.placedAt.Sub(x.arrived))
+// logPlaced logs the choice of the target of an attempt with its inputs.
+func (x *exchange) logPlaced(grant *balance.Grant, attempt int) {
+	waited := time.Since(x.arrived)
+	x.gateway.Metrics.RequestDispatched(x.service, x.tier(), waited)
 	x.gateway.Logger.Info().Str("event", "request_placed").Str("request", x.call.ID).Str("route", x.route.Name).
-		Str("target", grant.Target.ID).Str("zone", grant.Target.Zone).Int("attempt", len(x.tried)).
-		Dur("waited", x.placedAt.Sub(x.arrived)).Dur("expected", grant.Prediction.Expected).Dur("step", grant.Prediction.Step).
+		Str("target", grant.Target.ID).Str("zone", grant.Target.Zone).Int("attempt", attempt).
+		Dur("waited", waited).Dur("expected", grant.Prediction.Expected).Dur("step", grant.Prediction.Step).
 		Int("running", grant.Prediction.Load.Requests).Float64("backlog_tokens", grant.Prediction.Load.PromptTokens).
 		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Str("team", x.teamName()).Msg("")
 }
@@ -27,6 +28,27 @@
 		Str("parts", x.promptParts()).Err(err).Msg("")
 }
 
+// logSilent logs that another target is looked for, because that of the attempt is
+// silent.
+func (x *exchange) logSilent(target string, silence time.Duration) {
+	x.gateway.Logger.Info().Str("event", "target_silent").Str("request", x.call.ID).Str("target", target).
+		Dur("silence", silence).Msg("")
+}
+
+// logTakenOver logs that another target answers in place of a silent one.
+func (x *exchange) logTakenOver(target string, by *balance.Grant) {
+	x.gateway.Logger.Info().Str("event", "request_taken_over").Str("request", x.call.ID).Str("target", target).
+		Str("by", by.Target.ID).Uint64("last_event", x.position.lastID).Msg("")
+}
+
+// logNoStandby logs why no other target is asked, unless the silent one goes on or the
+// request has ended.
+func (x *exchange) logNoStandby(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		x.gateway.Logger.Info().Str("event", "no_standby").Str("request", x.call.ID).Err(err).Msg("")
+	}
+}
+
 // logBrokenStream logs a stream that ended early, with the number of bytes of an
 // unfinished event.
 func (x *exchange) logBrokenStream(grant *balance.Grant, unfinishedBytes int, err error) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,25 +22,29 @@
 
 // isTampered reports whether a response cannot be the target's own: a success
 // without a signature, or an encoded body.
-func isTampered(resp *http.Response, a ResponseInfo) bool {
-	return isSuccess(resp.StatusCode) && !a.Signed || resp.Header.Get("Content-Encoding") != ""
+func isTampered(resp *http.Response, info ResponseInfo) bool {
+	return isSuccess(resp.StatusCode) && !info.Signed || resp.Header.Get("Content-Encoding") != ""
 }
 
 // relayWhole relays a response that is not a stream of events. It first buffers up
 // to maxBufferedBytes, so that the request can be retried if they are truncated.
 // It reports whether the request has ended.
-func (x *exchange) relayWhole(ctx context.Context, grant *balance.Grant, resp *http.Response, a ResponseInfo) bool {
+func (x *exchange) relayWhole(ctx context.Context, grant *balance.Grant, resp *http.Response, info ResponseInfo) bool {
 	var buffered bytes.Buffer
 	_, err := io.CopyN(&buffered, resp.Body, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
-	if isTampered(resp, a) || err != nil && !complete {
+	if isTampered(resp, info) || err != nil && !complete {
 		return x.handleBrokenResponse(ctx, grant, err)
 	}
+	if !complete && !x.standby.pause() {
+		return x.handleBrokenResponse(ctx, grant, errStalled)
+	}
 	x.recordSurvival()
-	if x.headersSent || resp.StatusCode >= http.StatusInternalServerError && x.mayRetry() {
+	if x.headersSent || resp.StatusCode >= http.StatusInternalServerError && (x.takeOver() || x.mayRetry()) {
 		grant.Done(balance.Failed)
 		return x.headersSent && x.endCancelled(ctx, resp.StatusCode)
 	}
+	x.endStandby()
 	x.copyHeaders(resp)
 	if complete {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(buffered.Len()))
--- /dev/null
+++ b/gateway/standby.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/culprit"
+	"github.com/primrosemoor/primrosemoor/upstream"
+)
+
+const (
+	// A request that may be retried looks for another target after a silence of
+	// stallGoalFactor times the longer of its route's goals, but not before
+	// minStallTimeout, which the long prompt of another request may take.
+	stallGoalFactor = 3
+	minStallTimeout = time.Second
+)
+
+var errStalled = errors.New("gateway: target stalled")
+
+// stallTimeout returns how long a target may be silent before another one is looked
+// for.
+func (x *exchange) stallTimeout() time.Duration {
+	return max(minStallTimeout, stallGoalFactor*max(x.route.Goal, x.route.GapGoal))
+}
+
+// begunAttempt is an attempt whose target has begun to answer.
+type begunAttempt struct {
+	grant  *balance.Grant
+	cancel context.CancelCauseFunc
+	resp   *http.Response
+	info   ResponseInfo
+}
+
+// drop ends an attempt whose answer is not used.
+func (a *begunAttempt) drop(r balance.Result) {
+	a.grant.Done(r)
+	a.close()
+}
+
+func (a *begunAttempt) close() {
+	a.cancel(nil)
+	// The answer is not read any further.
+	_ = a.resp.Body.Close()
+}
+
+// standby looks for another target while that of an attempt is silent. The attempt goes
+// on until the other target has begun to answer, because a sound target may fall silent
+// for a second, and because another one may refuse or fail. All methods but those of the
+// search are called by the goroutine of the request; a nil standby does nothing.
+type standby struct {
+	exchange *exchange
+	ctx      context.Context
+	// yield cancels the attempt once another target has taken over.
+	yield   context.CancelCauseFunc
+	target  string
+	timeout time.Duration
+	timer   *time.Timer
+	// searches counts the running search, of which there is one at most.
+	searches sync.WaitGroup
+
+	mu sync.Mutex
+	// cancelSearch ends the running search; nil if there is none. closing is set when no
+	// other search may begin.
+	cancelSearch context.CancelFunc
+	closing      bool
+	// lastEventID is where another target would resume the stream; streaming is set once
+	// events were passed on.
+	lastEventID string
+	streaming   bool
+	found       *begunAttempt
+	// tried lists the targets that were asked, those of the exchange included. sends and
+	// runs count those that received the request, and those that may have run it.
+	tried       []string
+	sends, runs int
+	// maxRuns is how many more targets may run the request.
+	maxRuns int
+}
+
+// startStandby watches the attempt at a target, if the request may be sent to another
+// one. The attempt already counts as a possible run here.
+func (x *exchange) startStandby(ctx context.Context, target string, yield context.CancelCauseFunc, runs int) {
+	x.standby = nil
+	if !x.mayRetryAfterRuns(runs) {
+		return
+	}
+	s := &standby{
+		exchange: x, ctx: ctx, yield: yield, target: target, timeout: x.stallTimeout(),
+		lastEventID: x.lastEventID(), streaming: x.headersSent, tried: slices.Clone(x.tried), maxRuns: x.route.MaxAttempts - runs,
+	}
+	s.mu.Lock()
+	s.timer = time.AfterFunc(s.timeout, s.search)
+	s.mu.Unlock()
+	x.standby = s
+}
+
+// pause stops the watch while the answer is passed on, because the target has made
+// progress. It returns false if another target has taken over.
+func (s *standby) pause() bool {
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.found != nil {
+		return false
+	}
+	s.timer.Stop()
+	if s.cancelSearch != nil {
+		s.cancelSearch()
+	}
+	return true
+}
+
+// resume continues the watch after events were passed on.
+func (s *standby) resume(lastEventID string) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastEventID, s.streaming = lastEventID, true
+	s.timer.Reset(s.timeout)
+}
+
+// close lets no other search begin and waits for the running one, which it cancels if
+// its result is not wanted.
+func (s *standby) close(wanted bool) {
+	s.mu.Lock()
+	s.closing = true
+	s.timer.Stop()
+	if s.cancelSearch != nil && !wanted {
+		s.cancelSearch()
+	}
+	s.mu.Unlock()
+	s.searches.Wait()
+}
+
+// takeOver is called when the attempt has failed. It waits for the search for another
+// target, and reports whether one has begun to answer.
+func (x *exchange) takeOver() bool {
+	s := x.standby
+	if s == nil {
+		return false
+	}
+	x.closeStandby(true)
+	if s.found == nil {
+		return false
+	}
+	if _, blocked := x.blocked(); blocked {
+		s.found.drop(balance.Abandoned)
+		return false
+	}
+	x.logTakenOver(s.target, s.found.grant)
+	x.successor = s.found
+	return true
+}
+
+// endStandby ends the watch of an attempt that has ended.
+func (x *exchange) endStandby() {
+	s := x.standby
+	if s == nil {
+		return
+	}
+	x.closeStandby(false)
+	if s.found != nil {
+		s.found.drop(balance.Abandoned)
+	}
+}
+
+func (x *exchange) closeStandby(wanted bool) {
+	s := x.standby
+	x.standby = nil
+	s.close(wanted)
+	x.tried = s.tried
+	x.sends += s.sends
+	x.possibleRuns += s.runs
+}
+
+// search asks one target after the other until one has begun to answer.
+func (s *standby) search() {
+	ctx, ok := s.begin()
+	if !ok {
+		return
+	}
+	defer s.searches.Done()
+	s.exchange.logSilent(s.target, s.timeout)
+	for again := true; again; {
+		var a *begunAttempt
+		if a, again = s.ask(ctx); a != nil {
+			s.offer(ctx, a)
+			return
+		}
+	}
+	s.end()
+}
+
+// begin reports whether a search may begin, and returns its context.
+func (s *standby) begin() (context.Context, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing || s.cancelSearch != nil {
+		return nil, false
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.cancelSearch = cancel
+	s.searches.Add(1)
+	return ctx, true
+}
+
+// end ends a search that found no target. Another one may begin later.
+func (s *standby) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelSearch()
+	s.cancelSearch = nil
+	if !s.closing && s.mayAsk() {
+		s.timer.Reset(s.timeout)
+	}
+}
+
+// mayAsk reports whether another target may be asked.
+func (s *standby) mayAsk() bool { return s.runs < s.maxRuns && len(s.tried) < maxTargets }
+
+// offer passes on an attempt that has begun to answer, unless the first target has made
+// progress in the meantime.
+func (s *standby) offer(ctx context.Context, a *begunAttempt) {
+	s.mu.Lock()
+	if ctx.Err() == nil {
+		s.found = a
+	}
+	s.mu.Unlock()
+	if s.found == nil {
+		a.drop(balance.Abandoned)
+		s.end()
+		return
+	}
+	s.yield(errStalled)
+}
+
+// ask sends the request to another target. It returns the attempt if the target has
+// begun to answer, and whether a further target may be asked.
+func (s *standby) ask(ctx context.Context) (a *begunAttempt, again bool) {
+	x := s.exchange
+	grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(s.tried))
+	if err != nil {
+		x.logNoStandby(ctx, err)
+		return nil, false
+	}
+	s.tried = append(s.tried, grant.Target.ID)
+	x.logPlaced(grant, len(s.tried))
+	if err := s.forbidden(); err != nil {
+		grant.Done(balance.Unsent)
+		x.logNoStandby(ctx, err)
+		return nil, false
+	}
+	x.gateway.Metrics.RequestRetried(x.service)
+	return s.send(ctx, grant)
+}
+
+// forbidden returns why the request must not be sent to another target, or nil.
+func (s *standby) forbidden() error {
+	g := s.exchange.gateway
+	switch {
+	case g.Culprits.Judge(s.exchange.features()).State != culprit.Clear:
+		return errQuarantinedInFlight
+	case !g.Retries.AllowRetry(s.exchange.service):
+		return errRetryBudget
+	}
+	return nil
+}
+
+// send sends the request to a target that was granted.
+func (s *standby) send(ctx context.Context, grant *balance.Grant) (a *begunAttempt, again bool) {
+	x := s.exchange
+	s.mu.Lock()
+	lastEventID, streaming := s.lastEventID, s.streaming
+	s.mu.Unlock()
+	sendCtx, cancel := context.WithCancelCause(s.ctx)
+	stopSearch := context.AfterFunc(ctx, func() { cancel(context.Canceled) })
+	stall := time.AfterFunc(s.timeout, func() { cancel(errStalled) })
+	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
+	resp, err := x.gateway.Sender.Send(sendCtx, address, x.targetRequest(grant, lastEventID))
+	stopSearch()
+	if err != nil {
+		stall.Stop()
+		cancel(nil)
+		return nil, s.recordSendError(ctx, grant, err)
+	}
+	s.sends++
+	a = &begunAttempt{grant: grant, cancel: cancel, resp: resp, info: x.gateway.HeaderCodec.ParseResponse(resp.StatusCode, resp.Header)}
+	x.recordInfo(grant, a.info)
+	switch {
+	case a.info.NotRun:
+		a.drop(balance.Rejected)
+		return nil, s.mayAsk()
+	case !stall.Stop():
+		s.runs++
+		a.drop(balance.Broken)
+		return nil, s.mayAsk()
+	case isTampered(resp, a.info):
+		s.runs++
+		a.drop(balance.Broken)
+		return nil, s.mayAsk()
+	case !isSuccess(resp.StatusCode) || streaming && !x.isStream(resp):
+		s.runs++
+		a.drop(resultOf(resp.StatusCode))
+		return nil, s.mayAsk()
+	}
+	s.runs++
+	return a, false
+}
+
+// recordSendError records a send without a response, and reports whether a further
+// target may be asked.
+func (s *standby) recordSendError(ctx context.Context, grant *balance.Grant, err error) (again bool) {
+	var sendErr *upstream.SendError
+	sent := !errors.As(err, &sendErr) || sendErr.Sent
+	if sent {
+		s.sends++
+		s.runs++
+	}
+	switch {
+	case ctx.Err() != nil:
+		grant.Done(balance.Abandoned)
+		return false
+	case sent:
+		grant.Done(balance.Broken)
+	default:
+		grant.Done(balance.Unreachable)
+	}
+	s.exchange.logSendFailed(grant, sendErr, err)
+	return s.mayAsk()
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,22 +13,6 @@
 	"github.com/primrosemoor/primrosemoor/balance"
 )
 
-const (
-	// A request that may be retried moves to another target after a silence of
-	// stallGoalFactor times the longer of its route's goals, but not before
-	// minStallTimeout, which the long prompt of another request may take.
-	stallGoalFactor = 3
-	minStallTimeout = time.Second
-)
-
-var errStalled = errors.New("gateway: target stalled")
-
-// stallTimeout returns how long a target may be silent before the request moves
-// to another one.
-func (x *exchange) stallTimeout() time.Duration {
-	return max(minStallTimeout, stallGoalFactor*max(x.route.Goal, x.route.GapGoal))
-}
-
 const eventStreamType = "text/event-stream"
 
 // isEventStream reports whether a response is a stream of events, as it is if it
@@ -41,8 +25,8 @@
 
 // relayStream relays events as they arrive, each one whole. It reports whether the
 // request has ended; if not, the stream is to be resumed at another target.
-func (x *exchange) relayStream(ctx context.Context, grant *balance.Grant, resp *http.Response, a ResponseInfo, resetStall func()) bool {
-	if isTampered(resp, a) {
+func (x *exchange) relayStream(ctx context.Context, grant *balance.Grant, resp *http.Response, info ResponseInfo) bool {
+	if isTampered(resp, info) {
 		return x.handleBrokenResponse(ctx, grant, nil)
 	}
 	splitter := eventSplitter{}
@@ -53,10 +37,13 @@
 		if eventErr == nil && errors.Is(err, io.EOF) && splitter.insideEvent() {
 			eventErr = errEventUnfinished
 		}
+		if len(ready) > 0 && !x.standby.pause() {
+			return x.handleBrokenStream(ctx, grant, resp, errStalled)
+		}
 		if len(ready) > 0 {
-			resetStall()
 			x.recordEvents(grant, time.Now(), ready)
 		}
+		passedOn := len(ready) > 0
 		ready, gapErr := x.position.filter(ready)
 		if eventErr = errors.Join(eventErr, gapErr); eventErr != nil {
 			err = errors.Join(eventErr, err)
@@ -65,6 +52,9 @@
 			grant.Done(balance.Abandoned)
 			x.abort("caller_left", resp.StatusCode)
 		}
+		if passedOn {
+			x.standby.resume(x.lastEventID())
+		}
 		switch {
 		case err == nil:
 		case eventErr == nil && errors.Is(err, io.EOF):
@@ -109,7 +99,7 @@
 	}
 	grant.Done(x.brokenResult())
 	x.recordBroken(ctx, grant.Target, err)
-	if x.mayRetry() && !errors.Is(err, errEventTooLarge) {
+	if x.takeOver() || x.mayRetry() && !errors.Is(err, errEventTooLarge) {
 		x.position.resuming = true
 		return false
 	}
