gateway: a test of a caller that reads nothing for a while

While a write to a caller blocked, the target counted as silent, and its stream was cancelled: with the share of retries used up, the caller's answer broke off although only the caller was slow.

Scripted bodies now end with their context, as real ones do; without that the old code passed.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -147,6 +147,9 @@
 }
 
 func (b *scriptedBody) Read(p []byte) (int, error) {
+	if cause := context.Cause(b.ctx); cause != nil {
+		return 0, cause
+	}
 	if b.script.pause > 0 {
 		return b.readEvent(p)
 	}
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -113,3 +114,21 @@
 		return false
 	}
 }
+
+func TestStreamIsNotLostWhileItsCallerReadsNothing(t *testing.T) {
+	is := is.New(t)
+	const events = 200_000 // More than the buffers of the sockets hold.
+	g := newTestGateway(t, patientRoute(catalog.Streaming), streamScript(streamEvents(1, events), false))
+	g.retries.left = 0
+	req, err := http.NewRequest(http.MethodPost, g.server.URL+"/walks/1", nil)
+	is.NoErr(err)
+	req.Host = "farm.example"
+	req.Header.Set("Api-Key", apiKey)
+	resp, err := g.server.Client().Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	time.Sleep(soundSilence)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(len(body), len(streamEvents(1, events)))
+}
