entrytest: silent workers cost no stream beside a change of the configuration

Three engines fall silent for 1.8 s in the middle of all their streams while the configuration changes.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -39,6 +39,10 @@
 	// CutAfter is the id of the event after which the connection of a stream is closed;
 	// 0 means never.
 	CutAfter int
+	// SilentAfter is the id of the event after which a stream is silent for Silence and
+	// then goes on; 0 means never.
+	SilentAfter int
+	Silence     time.Duration
 	// CrashOn is a part of a prompt on which the worker crashes as it begins to answer;
 	// it is back after Downtime.
 	CrashOn  string
@@ -265,8 +269,12 @@
 		if f.CutAfter > 0 && id > f.CutAfter {
 			panic(http.ErrAbortHandler)
 		}
+		pause := w.ServiceTime
+		if f.SilentAfter > 0 && id == f.SilentAfter+1 {
+			pause += f.Silence
+		}
 		select {
-		case <-time.After(w.ServiceTime):
+		case <-time.After(pause):
 		case <-r.Context().Done():
 			return
 		}
