gateway: another target takes over once its answer has really begun

A review of the standby found, each with a test that failed on:

- headers counted as begun: a second target that broke off behind its headers, or whose events did not continue the stream, cost the sound first one ('unexpected EOF', 502).
It now takes over with its first event that continues the stream, or with its whole answer; a stream whose headers are 250 ms old takes over in any case, so that two targets do not work on it side by side for longer.
- each further silence asked one more target: a stream with pauses of 1.3 s ran on 4 targets where its route allows 2.
The attempts are now checked before each search.
- targets that the share of retries kept from being asked were used up by that, so that a stream that broke later was not resumed.
- a quarantine did not cancel the request at the second target, and a crash of it was not recorded as evidence.
- N streams that one silence ended counted as N failures of their target, and a second target whose answer was not needed as failing.
The results Stalled and Superseded say what happened: a silence counts once, an answer that is not needed not at all.

--- a/balance/grant.go
+++ b/balance/grant.go
@@ -25,6 +25,11 @@
 	Unreachable
 	// Broken means that the response ended early or was not a valid response.
 	Broken
+	// Stalled means that the target was silent and another one has taken over.
+	Stalled
+	// Superseded means that the response was not needed, because that of another target
+	// was used.
+	Superseded
 )
 
 // Sample holds the timing of a stream's events, from which the speed of its
@@ -190,6 +195,8 @@
 		if overdue {
 			t.health.recordFailure(now)
 		}
+	case Stalled:
+		t.health.recordSilence(now)
 	}
 	m.publish(t)
 	m.markChanged(p)
--- a/balance/health.go
+++ b/balance/health.go
@@ -53,6 +53,14 @@
 	h.backoffUntil = now.Add(backoff)
 }
 
+// recordSilence records that a target was silent. The streams that one silence ends
+// count once: a sound target may stand still for a second.
+func (h *health) recordSilence(now time.Time) {
+	if !h.inBackoff(now) && !h.onTrial() {
+		h.recordFailure(now)
+	}
+}
+
 func (h *health) recordSuccess() {
 	h.failures = 0
 	h.backoffUntil = time.Time{}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -113,18 +113,21 @@
 
 // brokenResult returns what an attempt that got no complete response says of its
 // target.
-func (x *exchange) brokenResult() balance.Result {
-	if x.quarantinedInFlight.Load() {
+func (x *exchange) brokenResult(err error) balance.Result {
+	switch {
+	case x.quarantinedInFlight.Load():
 		return balance.Abandoned
+	case errors.Is(err, errStalled):
+		return balance.Stalled
 	}
 	return balance.Broken
 }
 
 // recordBroken records the crash of a target if it refuses connections after it closed
-// that of a request which it had begun to answer at the most.
-func (x *exchange) recordBroken(ctx context.Context, target *catalog.Target, err error) {
+// that of a request which it had begun to answer at the most, with some events.
+func (x *exchange) recordBroken(ctx context.Context, target *catalog.Target, events int, err error) {
 	at := clock.Now()
-	if x.attemptEvents >= survivedEvents || !upstream.IsPeerClosed(err) {
+	if events >= survivedEvents || !upstream.IsPeerClosed(err) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -365,8 +365,8 @@
 // handleBrokenAttempt handles a target that returned no complete response. It
 // reports whether the request has ended; if not, it may be sent to another target.
 func (x *exchange) handleBrokenAttempt(ctx context.Context, grant *balance.Grant, cause string, err error) bool {
-	grant.Done(x.brokenResult())
-	x.recordBroken(ctx, grant.Target, err)
+	grant.Done(x.brokenResult(err))
+	x.recordBroken(ctx, grant.Target, x.attemptEvents, err)
 	if x.takeOver() || x.mayRetry() {
 		return false
 	}
@@ -403,12 +403,14 @@
 // reports whether the request has ended.
 func (x *exchange) handleNotRun(ctx context.Context, grant *balance.Grant, resp *http.Response) bool {
 	grant.Done(balance.Rejected)
+	if resp.StatusCode == http.StatusBadRequest && !x.headersSent {
+		x.endStandby()
+		if x.possibleRuns == 0 {
+			return x.endWithError(errUnreadableBody())
+		}
+	}
 	switch {
-	case x.takeOver():
-		return false
-	case resp.StatusCode == http.StatusBadRequest && !x.headersSent && x.possibleRuns == 0:
-		return x.endWithError(errUnreadableBody())
-	case x.mayTryNext():
+	case x.takeOver(), x.mayTryNext():
 		return false
 	default:
 		return x.endOutOfTargets(ctx, "targets_full")
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +18,9 @@
 	// minStallTimeout, which the long prompt of another request may take.
 	stallGoalFactor = 3
 	minStallTimeout = time.Second
+	// handoverLimit is how long two targets may work on a stream side by side, between
+	// the headers of the second and its first event.
+	handoverLimit = 250 * time.Millisecond
 )
 
 var errStalled = errors.New("gateway: target stalled")
@@ -29,26 +31,6 @@
 	return max(minStallTimeout, stallGoalFactor*max(x.route.Goal, x.route.GapGoal))
 }
 
-// begunAttempt is an attempt whose target has begun to answer.
-type begunAttempt struct {
-	grant  *balance.Grant
-	cancel context.CancelCauseFunc
-	resp   *http.Response
-	info   ResponseInfo
-}
-
-// drop ends an attempt whose answer is not used.
-func (a *begunAttempt) drop(r balance.Result) {
-	a.grant.Done(r)
-	a.close()
-}
-
-func (a *begunAttempt) close() {
-	a.cancel(nil)
-	// The answer is not read any further.
-	_ = a.resp.Body.Close()
-}
-
 // standby looks for another target while that of an attempt is silent. The attempt goes
 // on until the other target has begun to answer, because a sound target may fall silent
 // for a second, and because another one may refuse or fail. All methods but those of the
@@ -65,10 +47,11 @@
 	searches sync.WaitGroup
 
 	mu sync.Mutex
-	// cancelSearch ends the running search; nil if there is none. closing is set when no
-	// other search may begin.
-	cancelSearch context.CancelFunc
-	closing      bool
+	// cancelSearch ends the running search; nil if there is none. sending is set once it
+	// sends the request. closing is set when no other search may begin, paused while
+	// events are passed on.
+	cancelSearch             context.CancelFunc
+	sending, closing, paused bool
 	// lastEventID is where another target would resume the stream; streaming is set once
 	// events were passed on.
 	lastEventID string
@@ -110,6 +93,7 @@
 	if s.found != nil {
 		return false
 	}
+	s.paused = true
 	s.timer.Stop()
 	if s.cancelSearch != nil {
 		s.cancelSearch()
@@ -124,17 +108,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastEventID, s.streaming = lastEventID, true
+	s.lastEventID, s.streaming, s.paused = lastEventID, true, false
 	s.timer.Reset(s.timeout)
 }
 
-// close lets no other search begin and waits for the running one, which it cancels if
-// its result is not wanted.
+// close lets no other search begin and waits for the running one. It cancels that if its
+// result is not wanted, or if it still waits for a target.
 func (s *standby) close(wanted bool) {
 	s.mu.Lock()
 	s.closing = true
 	s.timer.Stop()
-	if s.cancelSearch != nil && !wanted {
+	if s.cancelSearch != nil && !(wanted && s.sending) {
 		s.cancelSearch()
 	}
 	s.mu.Unlock()
@@ -148,12 +132,12 @@
 	if s == nil {
 		return false
 	}
-	x.closeStandby(true)
-	if s.found == nil {
+	if _, blocked := x.blocked(); blocked {
+		x.endStandby()
 		return false
 	}
-	if _, blocked := x.blocked(); blocked {
-		s.found.drop(balance.Abandoned)
+	x.closeStandby(true)
+	if s.found == nil {
 		return false
 	}
 	x.logTakenOver(s.target, s.found.grant)
@@ -169,7 +153,7 @@
 	}
 	x.closeStandby(false)
 	if s.found != nil {
-		s.found.drop(balance.Abandoned)
+		s.found.drop(balance.Superseded)
 	}
 }
 
@@ -204,7 +188,7 @@
 func (s *standby) begin() (context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || s.cancelSearch != nil {
+	if s.closing || s.paused || s.cancelSearch != nil || !s.mayAsk() {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -218,8 +202,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cancelSearch()
-	s.cancelSearch = nil
-	if !s.closing && s.mayAsk() {
+	s.cancelSearch, s.sending = nil, false
+	if !s.closing && !s.paused {
 		s.timer.Reset(s.timeout)
 	}
 }
@@ -236,7 +220,7 @@
 	}
 	s.mu.Unlock()
 	if s.found == nil {
-		a.drop(balance.Abandoned)
+		a.drop(balance.Superseded)
 		s.end()
 		return
 	}
@@ -252,14 +236,17 @@
 		x.logNoStandby(ctx, err)
 		return nil, false
 	}
-	s.tried = append(s.tried, grant.Target.ID)
-	x.logPlaced(grant, len(s.tried))
 	if err := s.forbidden(); err != nil {
 		grant.Done(balance.Unsent)
 		x.logNoStandby(ctx, err)
 		return nil, false
 	}
+	s.tried = append(s.tried, grant.Target.ID)
+	x.logPlaced(grant, len(s.tried))
 	x.gateway.Metrics.RequestRetried(x.service)
+	s.mu.Lock()
+	s.sending = true
+	s.mu.Unlock()
 	return s.send(ctx, grant)
 }
 
@@ -275,44 +262,42 @@
 	return nil
 }
 
-// send sends the request to a target that was granted.
+// send sends the request to a target that was granted, and waits until it has begun to
+// answer.
 func (s *standby) send(ctx context.Context, grant *balance.Grant) (a *begunAttempt, again bool) {
 	x := s.exchange
 	s.mu.Lock()
 	lastEventID, streaming := s.lastEventID, s.streaming
 	s.mu.Unlock()
 	sendCtx, cancel := context.WithCancelCause(s.ctx)
-	stopSearch := context.AfterFunc(ctx, func() { cancel(context.Canceled) })
-	stall := time.AfterFunc(s.timeout, func() { cancel(errStalled) })
+	defer context.AfterFunc(ctx, func() { cancel(context.Canceled) })()
+	defer x.gateway.Culprits.Watch(x.features(), func() { cancel(errQuarantinedInFlight) })()
+	defer time.AfterFunc(s.timeout, func() { cancel(errStalled) }).Stop()
 	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
 	resp, err := x.gateway.Sender.Send(sendCtx, address, x.targetRequest(grant, lastEventID))
-	stopSearch()
 	if err != nil {
-		stall.Stop()
 		cancel(nil)
 		return nil, s.recordSendError(ctx, grant, err)
 	}
 	s.sends++
 	a = &begunAttempt{grant: grant, cancel: cancel, resp: resp, info: x.gateway.HeaderCodec.ParseResponse(resp.StatusCode, resp.Header)}
 	x.recordInfo(grant, a.info)
-	switch {
-	case a.info.NotRun:
+	if a.info.NotRun {
 		a.drop(balance.Rejected)
 		return nil, s.mayAsk()
-	case !stall.Stop():
-		s.runs++
-		a.drop(balance.Broken)
-		return nil, s.mayAsk()
-	case isTampered(resp, a.info):
-		s.runs++
-		a.drop(balance.Broken)
-		return nil, s.mayAsk()
-	case !isSuccess(resp.StatusCode) || streaming && !x.isStream(resp):
-		s.runs++
-		a.drop(resultOf(resp.StatusCode))
-		return nil, s.mayAsk()
 	}
 	s.runs++
+	if result, err := x.awaitAnswer(a, streaming, lastEventID); err != nil {
+		x.logNoStandby(ctx, err)
+		if sendCtx.Err() == nil {
+			x.recordBroken(s.ctx, grant.Target, 0, err)
+		}
+		if ctx.Err() != nil {
+			result = balance.Superseded
+		}
+		a.drop(result)
+		return nil, s.mayAsk()
+	}
 	return a, false
 }
 
@@ -325,15 +310,16 @@
 		s.sends++
 		s.runs++
 	}
-	switch {
-	case ctx.Err() != nil:
-		grant.Done(balance.Abandoned)
+	if ctx.Err() != nil {
+		grant.Done(balance.Superseded)
 		return false
-	case sent:
-		grant.Done(balance.Broken)
-	default:
-		grant.Done(balance.Unreachable)
 	}
 	s.exchange.logSendFailed(grant, sendErr, err)
+	if !sent {
+		grant.Done(balance.Unreachable)
+		return s.mayAsk()
+	}
+	grant.Done(balance.Broken)
+	s.exchange.recordBroken(s.ctx, grant.Target, 0, err)
 	return s.mayAsk()
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -97,8 +97,8 @@
 		grant.Done(balance.Abandoned)
 		return x.endCancelled(ctx, resp.StatusCode)
 	}
-	grant.Done(x.brokenResult())
-	x.recordBroken(ctx, grant.Target, err)
+	grant.Done(x.brokenResult(err))
+	x.recordBroken(ctx, grant.Target, x.attemptEvents, err)
 	if x.takeOver() || x.mayRetry() && !errors.Is(err, errEventTooLarge) {
 		x.position.resuming = true
 		return false
