gateway: a resumed stream waits for a target as long as its caller waits for an event

What callers saw: a stream that broke off, or whose target was silent, after it had run for longer than its route's patience (from 2 s) was refused by the balancer at once if no target was free, and its caller's connection closed, although callers wait that long after each event.

Cause: the patience of a stream was counted from the request's arrival, and its goal, of the first event, was long past, so that it counted as late.

TestResumedStreamMayWaitForATarget failed before (its patience was over, 'not true: b.patience[1] > 0') and passes now. A stream in its middle is on time until its caller leaves: broken off it earns nothing.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -160,7 +160,7 @@
 			ended = x.follow(ctx, a)
 			continue
 		}
-		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(x.tried))
+		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(x.tried, x.lastEventAt))
 		if err != nil {
 			x.endUnanswered(ctx, err)
 			return
@@ -170,8 +170,8 @@
 }
 
 // balancerWork describes the request, which was sent to some targets before, to the
-// balancer.
-func (x *exchange) balancerWork(tried []string) *balance.Work {
+// balancer. lastEventAt is when the last event of its stream arrived, if any has.
+func (x *exchange) balancerWork(tried []string, lastEventAt time.Time) *balance.Work {
 	w := &balance.Work{
 		ID:                    x.call.ID,
 		Service:               x.service,
@@ -186,15 +186,30 @@
 		End:                   x.deadline,
 		Tried:                 tried,
 	}
-	if x.route.Patience > 0 && x.arrived.Add(x.route.Patience).Before(x.deadline) {
-		w.Patience = x.arrived.Add(x.route.Patience)
-	}
 	if x.call.HasTimeout {
 		w.Goal = w.Goal.Add(-x.gateway.callerTimeouts.elapsed(x.route.Name, x.call.Timeout))
 	}
+	if x.route.Patience == 0 {
+		return w
+	}
+	if lastEventAt.IsZero() {
+		w.Patience = earlier(x.arrived.Add(x.route.Patience), x.deadline)
+		return w
+	}
+	// A stream that breaks off earns nothing, so that it is on time for as long as its
+	// caller waits for the next event.
+	w.Patience = earlier(lastEventAt.Add(x.route.Patience), x.deadline)
+	w.Goal = w.Patience
 	return w
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // tier returns the request's tier: that of the team takes precedence over the
 // route's.
 func (x *exchange) tier() int {
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -53,8 +53,9 @@
 	cancelSearch             context.CancelFunc
 	sending, closing, paused bool
 	// lastEventID is where another target would resume the stream; streaming is set once
-	// events were passed on.
+	// events were passed on, the last of them at lastEventAt.
 	lastEventID string
+	lastEventAt time.Time
 	streaming   bool
 	found       *begunAttempt
 	// tried lists the targets that were asked, those of the exchange included. sends and
@@ -74,7 +75,7 @@
 	}
 	s := &standby{
 		exchange: x, ctx: ctx, yield: yield, target: target, timeout: x.stallTimeout(),
-		lastEventID: x.lastEventID(), streaming: x.headersSent, tried: slices.Clone(x.tried), maxRuns: x.route.MaxAttempts - runs,
+		lastEventID: x.lastEventID(), lastEventAt: x.lastEventAt, streaming: x.headersSent, tried: slices.Clone(x.tried), maxRuns: x.route.MaxAttempts - runs,
 	}
 	s.mu.Lock()
 	s.timer = time.AfterFunc(s.timeout, s.search)
@@ -102,13 +103,13 @@
 }
 
 // resume continues the watch after events were passed on.
-func (s *standby) resume(lastEventID string) {
+func (s *standby) resume(lastEventID string, lastEventAt time.Time) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastEventID, s.streaming, s.paused = lastEventID, true, false
+	s.lastEventID, s.lastEventAt, s.streaming, s.paused = lastEventID, lastEventAt, true, false
 	s.timer.Reset(s.timeout)
 }
 
@@ -231,7 +232,10 @@
 // begun to answer, and whether a further target may be asked.
 func (s *standby) ask(ctx context.Context) (a *begunAttempt, again bool) {
 	x := s.exchange
-	grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(s.tried))
+	s.mu.Lock()
+	lastEventAt := s.lastEventAt
+	s.mu.Unlock()
+	grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(s.tried, lastEventAt))
 	if err != nil {
 		x.logNoStandby(ctx, err)
 		return nil, false
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,7 +53,7 @@
 			x.abort("caller_left", resp.StatusCode)
 		}
 		if passedOn {
-			x.standby.resume(x.lastEventID())
+			x.standby.resume(x.lastEventID(), x.lastEventAt)
 		}
 		switch {
 		case err == nil:
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -211,6 +211,24 @@
 	}
 }
 
+// Callers leave a stream after a gap since its last event, so that a stream that is
+// resumed late may still wait for a target.
+func TestResumedStreamMayWaitForATarget(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	first := streamScript(streamEvents(1, 3), true)
+	first.silence, first.rest = 2200*time.Millisecond, streamEvents(4, 4)
+	route := patientRoute(catalog.Streaming)
+	route.Patience, route.GapGoal = 2*time.Second, time.Second // no other target is looked for before 3 s
+	g := newTestGateway(t, route, first, streamScript(streamEvents(5, 6), false))
+	b := &recordingBalancer{ends: make(map[string][]balance.Result)}
+	g.gateway.Balancer = b
+	got := g.sendPatiently(t)
+	is.NoErr(got.err)
+	is.Equal(len(b.patience), 2)
+	is.True(b.patience[1] > 0)
+}
+
 // The connection to a target that has taken over is kept after the whole answer.
 func TestConnectionToTheSuccessorIsKept(t *testing.T) {
 	t.Parallel()
