balance: requests that wait are refused when their service loses all targets

A request that arrived at a service without targets was refused at once, one that waited there when the last target left stayed until its patience or its time limit, and was then told 'no_prospect', at the caller's own limit after the caller had left: neither an answer nor a refusal.

TestWaitingRequestIsRefusedWhenItsServiceLosesAllTargets failed before ('no_prospect != no_target') and passes now.

--- a/balance/manager.go
+++ b/balance/manager.go
@@ -294,7 +294,7 @@
 func (e acquireRequested) apply(m *Manager, now time.Time) {
 	p := m.pool(e.waiter.work.Service)
 	if len(p.targets) == 0 {
-		e.waiter.reply <- decision{refusal: &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}}
+		e.waiter.reply <- decision{refusal: noTargetRefusal()}
 		return
 	}
 	if p.engine != nil {
@@ -304,6 +304,10 @@
 	m.markChanged(p)
 }
 
+func noTargetRefusal() *Refusal {
+	return &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}
+}
+
 // stoppingRetryAfter is short because the caller's next attempt can reach
 // another node at once.
 const stoppingRetryAfter = 50 * time.Millisecond
@@ -358,10 +362,24 @@
 		for _, t := range p.setTargets(list, now) {
 			m.restoreRemoteLoads(t)
 		}
+		if len(p.targets) == 0 {
+			p.refuseAll()
+		}
 		m.markChanged(p)
 	}
 }
 
+// refuseAll refuses the waiting requests of a service that has no targets left, as those
+// that arrive now are refused. They can still be served by another service, if a change
+// of the configuration has moved their route.
+func (p *pool) refuseAll() {
+	for _, w := range p.waiting {
+		w.reply <- decision{refusal: noTargetRefusal()}
+	}
+	clear(p.waiting)
+	p.waiting = p.waiting[:0]
+}
+
 // setEngine applies the engine settings of a service; c is nil for a plain
 // service.
 func (p *pool) setEngine(c *catalog.Engine) {
--- a/balance/manager_test.go
+++ b/balance/manager_test.go
@@ -209,3 +209,23 @@
 		is.True(errors.As(err, &refusal))
 	})
 }
+
+// A request that waits is refused as soon as its service has no target left, as one
+// that arrives then is.
+func TestWaitingRequestIsRefusedWhenItsServiceLosesAllTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		for range 2 {
+			_, err := m.Acquire(t.Context(), work())
+			is.NoErr(err)
+		}
+		time.AfterFunc(100*time.Millisecond, func() { m.ApplyTargets(nil, nil) })
+		began := time.Now()
+		_, err := m.Acquire(t.Context(), work())
+		var refusal *balance.Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, balance.ReasonNoTarget)
+		is.True(time.Since(began) < time.Second)
+	})
+}
