catalog: the weights of a route's services may be fractions

A split of 0.75 and 0.25 was cut to whole numbers, so that both weights were zero and all requests went to the last service.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -36,7 +36,8 @@
 // requests.
 type WeightedService struct {
 	Service string
-	Weight  int
+	// Weight is relative to those of the other services.
+	Weight float64
 }
 
 // Route configures how requests of one host and path prefix are handled.
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -62,13 +62,13 @@
 
 // PickService returns a service by weight; random is uniform in [0, 1).
 func (r *Route) PickService(random float64) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Shares {
 		total += s.Weight
 	}
-	remaining := random * float64(total)
+	remaining := random * total
 	for _, s := range r.Shares {
-		remaining -= float64(s.Weight)
+		remaining -= s.Weight
 		if remaining < 0 {
 			return s.Service
 		}
--- a/catalog/table_test.go
+++ b/catalog/table_test.go
@@ -61,6 +61,13 @@
 	is.Equal(r.PickService(0.999999), "b")
 }
 
+func TestSharesBelowOneAreDistributedByWeight(t *testing.T) {
+	is := is.New(t)
+	r := &catalog.Route{Shares: []catalog.WeightedService{{Service: "a", Weight: 0.75}, {Service: "b", Weight: 0.25}}}
+	is.Equal(r.PickService(0.74), "a")
+	is.Equal(r.PickService(0.76), "b")
+}
+
 func TestOnlyIdempotentAndResumableRoutesAreRepeatable(t *testing.T) {
 	is := is.New(t)
 	is.True(!(&catalog.Route{Kind: catalog.NonIdempotent}).Repeatable())
