gateway: a request follows its route to another service

What callers saw: beside a change of the configuration that moves a route, a request that waited for the old service was refused when that lost its last target, and a second attempt of one that had broken was never granted, though the route's new service could run it.

Cause: the service of a request is chosen once, when it is admitted.

A request that is refused, and whose route has left its service, now goes to a service of the route in force, except a stream that has begun.

--- a/catalog/table.go
+++ b/catalog/table.go
@@ -60,6 +60,11 @@
 	return t.Config.Services[name]
 }
 
+// Uses reports whether a service gets requests of the route.
+func (r *Route) Uses(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s WeightedService) bool { return s.Service == service })
+}
+
 // PickService returns a service by weight; random is uniform in [0, 1).
 func (r *Route) PickService(random float64) string {
 	total := 0.0
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -161,11 +161,13 @@
 			continue
 		}
 		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(x.tried, x.lastEventAt))
-		if err != nil {
+		switch {
+		case err == nil:
+			ended = x.attempt(ctx, grant)
+		case !x.followRoute(err):
 			x.endUnanswered(ctx, err)
-			return
+			ended = true
 		}
-		ended = x.attempt(ctx, grant)
 	}
 }
 
@@ -203,6 +205,24 @@
 	return w
 }
 
+// followRoute chooses a service of the route in force for a request that was refused and
+// whose service the route has left, and reports whether it did. A stream that has begun
+// stays with its service.
+func (x *exchange) followRoute(refused error) bool {
+	var refusal *balance.Refusal
+	if x.headersSent || !errors.As(refused, &refusal) {
+		return false
+	}
+	route := x.gateway.Config.Table().Route(hostOf(x.request.Host), x.request.URL.EscapedPath())
+	if route == nil || route.Uses(x.service) {
+		return false
+	}
+	old := x.service
+	x.service = route.PickService(randomFraction())
+	x.logMoved(old)
+	return true
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -208,15 +208,27 @@
 
 func (b *scriptedBody) Close() error { return nil }
 
-// fakeConfig is a fixed configuration.
+// fakeConfig is a configuration that a test may replace.
 type fakeConfig struct {
+	mu         sync.Mutex
 	table      *catalog.Table
 	keysProven bool
 }
 
-func (c *fakeConfig) Table() *catalog.Table { return c.table }
-func (c *fakeConfig) Ready() bool           { return c.table != nil }
-func (c *fakeConfig) KeysProven() bool      { return c.keysProven }
+func (c *fakeConfig) Table() *catalog.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table
+}
+
+func (c *fakeConfig) set(table *catalog.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table = table
+}
+
+func (c *fakeConfig) Ready() bool      { return c.Table() != nil }
+func (c *fakeConfig) KeysProven() bool { return c.keysProven }
 
 // fakeAllowance rejects every charge if retryAfter is not zero.
 type fakeAllowance struct {
@@ -238,6 +250,13 @@
 	return r.left >= 0
 }
 
+// discardReporter discards the progress of a request.
+type discardReporter struct{}
+
+func (discardReporter) FirstEvent(time.Duration)             {}
+func (discardReporter) SpeedSampled(balance.Sample)          {}
+func (discardReporter) Ended(balance.Result, balance.Sample) {}
+
 // fakeProber reports that targets that closed a connection have crashed.
 type fakeProber struct{ refuses bool }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -41,6 +41,13 @@
 		Str("by", by.Target.ID).Uint64("last_event", x.position.lastID).Msg("")
 }
 
+// logMoved logs that a request goes to another service, because its route has left the
+// first one.
+func (x *exchange) logMoved(from string) {
+	x.gateway.Logger.Info().Str("event", "request_moved").Str("request", x.call.ID).Str("route", x.route.Name).
+		Str("from", from).Str("service", x.service).Msg("")
+}
+
 // logNoStandby logs why no other target is asked, unless the silent one goes on or the
 // request has ended.
 func (x *exchange) logNoStandby(ctx context.Context, err error) {
