gateway: a caller that closed its sending side gets no empty success

Callers that close only their sending side after a request and then read got "HTTP/1.1 200 OK, Content-Length: 0", a success that no target gave.

Cause: net/http ends a request's context at the end of the caller's bytes. endUnanswered then returned without a response, and net/http writes an empty 200 for a handler that returns so.

Fix: the connection is aborted, as for a stream that was begun. Callers that have really left notice nothing.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -209,7 +209,8 @@
 	case x.headersSent:
 		x.abort("stream_not_resumed", http.StatusOK)
 	case x.request.Context().Err() != nil:
-		x.logEnded("caller_left", 0)
+		// The caller may still read; a return without a response would be an empty 200.
+		x.abort("caller_left", 0)
 	case x.possibleRuns > 0 && ctx.Err() != nil:
 		x.sendError(errTimeout())
 	case x.possibleRuns > 0:
