gateway: a resumed stream goes on with its next event or breaks off

Callers whose stream had begun and broke off would find an error's text among their events, or an end that looked complete, when the next target answered with something that passes for a stream: a 200 with a text and no type, a 200 with an event without an id, a 200, 204 or 206 without events. Events that were missing after the first of the resumed stream were not noticed.

Cause: an answer without a type counts as a stream, filter passed every event that has no id, and compared ids with the last one only up to the first event; an end counted as complete whatever had come before it.

Fix: once a stream that has begun is resumed, its first event (comments aside) has to be the one after the last, each later id has to follow, and an end counts only after such an event. Everything else is a broken attempt: another target if one is allowed, an aborted connection otherwise. Errors of other kinds (3xx, 4xx, 5xx, refusals, other types, encodings, no seal) already ended so.

A target that has nothing left to send, because only the end of the stream was lost, is not believed either: its answer cannot be told from an error without a text.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -16,6 +16,7 @@
 	// errEventUnfinished counts as a close by the target, which ended the connection.
 	errEventUnfinished = fmt.Errorf("gateway: the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 	errEventGap        = errors.New("gateway: an event is missing after the stream was resumed")
+	errNotContinued    = errors.New("gateway: the response to a resumed stream does not continue it")
 )
 
 // eventSplitter splits a stream of server-sent events into complete events.
@@ -90,32 +91,59 @@
 	return 0, false
 }
 
+// isComment reports whether an event consists of comments only.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if len(bytes.Trim(line, "\r\n")) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // streamPosition tracks the ids of a stream across the targets that resume it.
 type streamPosition struct {
 	lastID    uint64
 	hasLastID bool
-	// resuming is set until the first event of a resumed stream.
+	// resuming is set once another target resumes a stream that has begun. Each event
+	// then has to follow the last one.
 	resuming bool
+	// continued is set once the current target has sent an event that follows.
+	continued bool
 }
 
+// resume prepares for a stream from another target.
+func (p *streamPosition) resume() { p.resuming, p.continued = true, false }
+
 // filter returns the events that follow the position, in order, and advances it.
-// Events that were already sent are dropped; a missing event is an error.
+// Events that were already sent are dropped. A missing event is an error, and so is
+// an event without an id where a resumed stream is to continue.
 func (p *streamPosition) filter(events []byte) ([]byte, error) {
 	kept := events[:0:0]
 	for rest := events; len(rest) > 0; {
 		var event []byte
 		event, rest = nextEvent(rest)
 		id, ok := eventID(event)
-		if ok && p.hasLastID && id <= p.lastID {
+		switch {
+		case !ok && p.resuming && !p.continued && !isComment(event):
+			return kept, errNotContinued
+		case ok && p.hasLastID && id <= p.lastID:
 			continue
-		}
-		if ok && p.hasLastID && p.resuming && id != p.lastID+1 {
+		case ok && p.resuming && id != p.lastID+1:
 			return kept, errEventGap
-		}
-		if ok {
-			p.lastID, p.hasLastID, p.resuming = id, true, false
+		case ok:
+			p.lastID, p.hasLastID, p.continued = id, true, true
 		}
 		kept = append(kept, event...)
 	}
 	return kept, nil
 }
+
+// end returns an error if a stream that ends here did not continue the one that it
+// resumes: an error that looks like a stream has no event that does.
+func (p *streamPosition) end() error {
+	if p.resuming && !p.continued {
+		return errNotContinued
+	}
+	return nil
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -43,6 +43,8 @@
 	// hang delays the headers, or the end of the body if there is one, until the
 	// request's context ends.
 	hang bool
+	// panics makes the read of the body panic.
+	panics bool
 	// drip is the pause before each byte of dripped, which follows the body; pause is
 	// that before each event of the body.
 	drip, pause time.Duration
@@ -138,6 +140,9 @@
 }
 
 func (b *scriptedBody) Read(p []byte) (int, error) {
+	if b.script.panics {
+		panic("scripted")
+	}
 	if b.script.pause > 0 {
 		return b.readEvent(p)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -58,6 +58,9 @@
 			x.recordEvents(grant, time.Now(), ready)
 		}
 		ready, gapErr := x.position.filter(ready)
+		if errors.Is(err, io.EOF) {
+			gapErr = errors.Join(gapErr, x.position.end())
+		}
 		if eventErr = errors.Join(eventErr, gapErr); eventErr != nil {
 			err = errors.Join(eventErr, err)
 		}
@@ -110,7 +113,9 @@
 	grant.Done(x.brokenResult())
 	x.recordBroken(ctx, grant.Target, err)
 	if x.mayRetry() && !errors.Is(err, errEventTooLarge) {
-		x.position.resuming = true
+		if x.headersSent {
+			x.position.resume()
+		}
 		return false
 	}
 	if !x.headersSent {
