gateway: a stream without ids is not resumed

Callers whose stream has no ids and broke off would get the events of another run, from its first one, joined to those that they had.

Cause: without an id there is no Last-Event-Id to send, so that the next target starts anew; an id of 1 then counted as the one that follows.

Fix: a response of which an event was sent, and none with an id, is not sent to another target; its connection is aborted.

Evidence: TestAStreamThatBrokeOffGoesOnOrBreaksOffVisibly, case "first without ids", failed before ("resume_test.go: true != false", a clean end of the joined runs).

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -98,6 +98,8 @@
 		{name: "early end in an event", further: []targetScript{streamScript(streamEvents(4, 5)+"id: 6\nda", true)}, body: streamEvents(1, 5)},
 		{name: "end in an event", further: []targetScript{stream(streamEvents(4, 5) + "id: 6\nda")}, body: streamEvents(1, 5)},
 		{name: "trailers", further: []targetScript{withHeader(streamScript(streamEvents(4, 5), true), "Trailer", headerSeal)}, body: streamEvents(1, 5)},
+		{name: "first without ids", first: &targetScript{status: 200, body: "data: a\n\n", truncated: true, header: stream("").header},
+			further: []targetScript{stream(streamEvents(1, 3))}, body: "data: a\n\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,7 +112,7 @@
 	}
 	grant.Done(x.brokenResult())
 	x.recordBroken(ctx, grant.Target, err)
-	if x.mayRetry() && !errors.Is(err, errEventTooLarge) {
+	if x.mayRetry() && x.resumable() && !errors.Is(err, errEventTooLarge) {
 		if x.headersSent {
 			x.position.resume()
 		}
@@ -125,6 +125,10 @@
 	return true
 }
 
+// resumable reports whether another target can go on with the response: none of it was
+// sent, or an event with an id.
+func (x *exchange) resumable() bool { return !x.headersSent || x.position.hasLastID }
+
 // endCancelled ends a request whose deadline has passed or whose caller has
 // disconnected.
 func (x *exchange) endCancelled(ctx context.Context, status int) bool {
