gateway: another response in the bytes of a stream breaks it off

Callers would find the whole head of a refusal among their events, if a target wrote one more response after those of a stream with neither length nor chunks.

Cause: the end of the connection is the only end of such a stream, and a head ends with a blank line, as an event does, so that it counted as an event without an id.

Fix: a line that begins with "HTTP/1." is no line of an event. The stream counts as broken there: it is resumed if it may be, and aborted otherwise. In chunks such bytes were an error already.

Evidence: TestAStreamThatBrokeOffGoesOnOrBreaksOffVisibly, three cases "response after ...", failed before ("resume_test.go: 2 != 1 // one head") and pass now. Not covered: a target that stops inside a line and goes on with a head at once, and a further response after a body that is no stream and has neither length nor chunks; nothing in their bytes shows where they end.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -16,6 +16,7 @@
 	// errEventUnfinished counts as a close by the target, which ended the connection.
 	errEventUnfinished = fmt.Errorf("gateway: the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 	errEventGap        = errors.New("gateway: an event is missing after the stream was resumed")
+	errForeignResponse = errors.New("gateway: the bytes of another response are in the stream")
 	errNotContinued    = errors.New("gateway: the response to a resumed stream does not continue it")
 )
 
@@ -52,6 +53,7 @@
 	blankLine     = []byte("\n\n")
 	blankLineCRLF = []byte("\r\n\r\n")
 	idField       = []byte("id:")
+	statusLine    = []byte("HTTP/1.")
 )
 
 // lastEventEnd returns the end of the last complete event in p, or 0 if there is none.
@@ -91,6 +93,17 @@
 	return 0, false
 }
 
+// hasStatusLine reports whether a line of an event begins a response. Nothing else shows
+// where a stream with neither length nor chunks ends.
+func hasStatusLine(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, statusLine) {
+			return true
+		}
+	}
+	return false
+}
+
 // isComment reports whether an event consists of comments only.
 func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
@@ -116,8 +129,8 @@
 func (p *streamPosition) resume() { p.resuming, p.continued = true, false }
 
 // filter returns the events that follow the position, in order, and advances it.
-// Events that were already sent are dropped. A missing event is an error, and so is
-// an event without an id where a resumed stream is to continue.
+// Events that were already sent are dropped. A missing event is an error, and so are
+// an event without an id where a resumed stream is to continue, and a further response.
 func (p *streamPosition) filter(events []byte) ([]byte, error) {
 	kept := events[:0:0]
 	for rest := events; len(rest) > 0; {
@@ -125,6 +138,8 @@
 		event, rest = nextEvent(rest)
 		id, ok := eventID(event)
 		switch {
+		case hasStatusLine(event):
+			return kept, errForeignResponse
 		case !ok && p.resuming && !p.continued && !isComment(event):
 			return kept, errNotContinued
 		case ok && p.hasLastID && id <= p.lastID:
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -100,6 +100,10 @@
 		{name: "trailers", further: []targetScript{withHeader(streamScript(streamEvents(4, 5), true), "Trailer", headerSeal)}, body: streamEvents(1, 5)},
 		{name: "first without ids", first: &targetScript{status: 200, body: "data: a\n\n", truncated: true, header: stream("").header},
 			further: []targetScript{stream(streamEvents(1, 3))}, body: "data: a\n\n"},
+		{name: "response after an event", further: []targetScript{stream(streamEvents(4, 4) + foreignHead)}, body: streamEvents(1, 4)},
+		{name: "response after a line of an event", further: []targetScript{stream(streamEvents(4, 4) + "id: 5\n" + foreignHead)}, body: streamEvents(1, 4)},
+		{name: "first with a response after its events", first: &targetScript{status: 200, body: begun + foreignHead, header: stream("").header},
+			further: []targetScript{{resetAfterSend: true}}, body: begun},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
