gateway: an earlier answer without an id answers no request without one

A caller that sends no id could get the answer to another request: a late one without an id, on a connection that had been in use, counted as the answer to it.

Cause: the echoed id is compared with the request's; both are empty.

Fix: such a request gets a connection of its own, on which nothing earlier can come.

Evidence: TestARequestWithoutAnIDIsNotAnsweredByAnEarlierAnswer failed before ("stale_test.go: 200 != 400") and passes now.

Another operator's report, a refusal that a target writes once more on a kept connection, does not come about here; two tests show it, which passed before:

- TestACopyOfARefusalDoesNotAnswerAnotherRequest: 12 places of the copy, with and without an id, before, in and after the answer.
The id does not match, and what stays unclear is a 502.
- TestAConnectionWithARefusalIsNotUsedAgain: a refusal's body is left unread, so its connection is closed, and the same id is never sent on it again.
As a trial, the body was read in handleNotRun: the test then failed ("2 != 0" runs of a request that was refused).
The comment there says so now.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -317,6 +317,8 @@
 		Host:   x.request.Host,
 		Header: h,
 		Body:   x.body,
+		// On a connection in use before, a late response without an id would match.
+		NewConn: x.call.ID == "",
 		Matches: func(h http.Header) bool {
 			return x.gateway.HeaderCodec.ParseResponse(http.StatusOK, h).ID == x.call.ID
 		},
@@ -377,7 +379,8 @@
 }
 
 // handleNotRun handles a response which says that the request was not run. It
-// reports whether the request has ended.
+// reports whether the request has ended. It leaves the body unread, so that the
+// connection, on which a copy of the response may follow, is not reused.
 func (x *exchange) handleNotRun(ctx context.Context, grant *balance.Grant, resp *http.Response) bool {
 	grant.Done(balance.Rejected)
 	switch {
