--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -184,6 +184,11 @@
 			answer := c.run(id)
 			c.write(answer[:30] + refusal("old") + answer[30:])
 		}, false},
+		{"in a line of the answer's head", func(c *rawConn, id string) {
+			c.run(id)
+			c.write("HTTP/1.1 200 OK\r\n" + headerID + ": " + id + "\r\n" + headerSeal + ": s\r\nX-Other: " + refusal("old"))
+			c.Close()
+		}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
