upstream: the answer to a HEAD request is complete without a body

Callers got 502 for each HEAD request whose answer states a length, and it ran again where it may be repeated.

Cause: the stated length was compared with the bytes of the body, and an answer to HEAD has none; relayWhole would also have replaced the length by 0. Found while late answers beside HEAD requests were tried; no report of a caller is known.

Fix: no length is expected of the body of such an answer, and the stated one is passed on.

Evidence: gateway.TestTheAnswerToAHeadRequestIsNotCut failed before ("stale_test.go: 502 != 200") and passes now.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -42,7 +42,7 @@
 		return x.headersSent && x.endCancelled(ctx, resp.StatusCode)
 	}
 	x.copyHeaders(resp)
-	if complete {
+	if complete && x.request.Method != http.MethodHead {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(buffered.Len()))
 	} else if resp.ContentLength >= 0 {
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -273,3 +274,17 @@
 	is.NoErr(got.err)
 	is.Equal(got.status, 400)
 }
+
+// The answer to a HEAD request states the length of a body that does not come.
+func TestTheAnswerToAHeadRequestIsNotCut(t *testing.T) {
+	is := is.New(t)
+	g, target := newRawTarget(t, catalog.Idempotent, func(c *rawConn, r *http.Request) {
+		answer, _, _ := strings.Cut(c.run(r.Header.Get(headerID)), "\r\n\r\n")
+		c.write(answer + "\r\n\r\n")
+	})
+	got := g.send(t, t.Context(), func(r *http.Request) { r.Method = http.MethodHead })
+	is.NoErr(got.err)
+	is.Equal(got.status, 200)
+	is.Equal(got.header.Get("Content-Length"), "8") // as the target stated it
+	is.Equal(target.runCount("id-1"), 1)
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -98,11 +98,20 @@
 	resp.Body = &responseBody{
 		ReadCloser: resp.Body, client: c, conn: cn, stopCancel: stopCancel, written: written,
 		reusable: !resp.Close && !mismatched && resp.ContentLength >= -1 && !isCloseDelimited(resp),
-		length:   resp.ContentLength,
+		length:   bodyLength(r, resp),
 	}
 	return resp, nil
 }
 
+// bodyLength returns the length of the body that a response states, or -1 if it states
+// none. The response to a HEAD request states that of a body that does not follow.
+func bodyLength(r *Request, resp *http.Response) int64 {
+	if r.Method == http.MethodHead {
+		return -1
+	}
+	return resp.ContentLength
+}
+
 // isCloseDelimited reports whether the end of the connection ends the response.
 func isCloseDelimited(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
