upstream: a late answer beside a HEAD request hides no other answer

Callers would be told that a HEAD request was not run, or get another status than the target's, by bytes in the body of a late answer to another request; after a HEAD request, a late copy of its answer swallowed the head of the next answer, and that one's body was read as an answer.

Cause: whether a body follows a head depends on the method of the request that it answers, which is not known of a late answer.

Fix: while a HEAD request waits, an answer that does not match ends the connection, with the outcome unknown; a connection that carried a HEAD request is not reused.

Evidence: TestALateAnswerBesideAHeadRequestHidesNoAnswer failed before in both cases ("upstream_test.go: 503 != 200") and passes now.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -97,7 +97,8 @@
 	cn.maxIdle = keepAliveTimeout(resp.Header)
 	resp.Body = &responseBody{
 		ReadCloser: resp.Body, client: c, conn: cn, stopCancel: stopCancel, written: written,
-		reusable: !resp.Close && !mismatched && resp.ContentLength >= -1 && !isCloseDelimited(resp),
+		// A late copy of a response to HEAD states the length of a body that does not follow.
+		reusable: !resp.Close && !mismatched && resp.ContentLength >= -1 && !isCloseDelimited(resp) && r.Method != http.MethodHead,
 		length:   bodyLength(r, resp),
 	}
 	return resp, nil
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -139,6 +139,10 @@
 			return resp, mismatched, nil
 		}
 		mismatched = true
+		if r.Method == http.MethodHead {
+			// Whether a body follows depends on the request that the response belongs to.
+			return nil, mismatched, errMismatched
+		}
 		switch _, err := io.CopyN(io.Discard, resp.Body, maxMismatchedBytes); {
 		case err == nil:
 			return nil, mismatched, errMismatched
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -482,3 +482,59 @@
 		})
 	}
 }
+
+// Whether a late answer has a body depends on the method of its request, so that beside a
+// HEAD request nothing shows where it ends. No bytes of a body are read as an answer.
+func TestALateAnswerBesideAHeadRequestHidesNoAnswer(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Service Unavailable\r\nId: 2\r\nContent-Length: 0\r\n\r\n"
+	head := func(id string, length int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n", id, length)
+	}
+	ran := response("2", notRun)
+	for _, c := range []struct{ name, first, second, bytes string }{
+		{"late answer to POST, then HEAD", "POST", "HEAD", response("1", notRun) + head("2", 6)},
+		{"late answer to HEAD, then POST", "HEAD", "POST", head("1", len(ran)-len(notRun)) + ran},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			target := startTarget(t, func(conn *targetConn) {
+				for {
+					r, _, err := conn.request()
+					if err != nil {
+						return
+					}
+					switch id := r.Header.Get("Id"); {
+					case id == "2" && conn.number == 1:
+						conn.write(c.bytes)
+					case r.Method == http.MethodHead:
+						conn.write(head(id, 6))
+					default:
+						conn.write(response(id, notRun))
+					}
+				}
+			})
+			client := newClient(t)
+			send := func(id, method string) (*http.Response, error) {
+				r := request(id)
+				r.Method = method
+				if r.Body = nil; method == "POST" {
+					r.Body = []byte("x")
+				}
+				return client.Send(t.Context(), target.address, r)
+			}
+			resp, err := send("1", c.first)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			is.NoErr(err)
+			resp.Body.Close()
+			if resp, err = send("2", c.second); err == nil {
+				resp.Body.Close()
+				is.Equal(resp.StatusCode, 200)
+				return
+			}
+			var failed *upstream.SendError
+			is.True(errors.As(err, &failed))
+			is.True(failed.Sent)
+		})
+	}
+}
