upstream: tests for a late copy at every place of a connection in use

The users' report of a second copy of an answer had a test for a copy before the next head and one for a copy while idle. TestALateCopyOnAConnectionInUseIsNoPartOfAnAnswer adds copies within and after the next answer, and one without an end, and checks that the connection is not used again.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -483,6 +483,59 @@
 	}
 }
 
+// A second copy of an answer may arrive while the connection carries another request. It
+// is neither that request's answer nor a part of it that looks complete.
+func TestALateCopyOnAConnectionInUseIsNoPartOfAnAnswer(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+	late := response("1", "late")
+	for _, c := range []struct {
+		name, bytes string
+		// body is that of the answer; it is empty if there is none or it is cut.
+		body string
+	}{
+		{"before the head", late + response("2", "body-2"), "body-2"},
+		{"in two copies", late + late + response("2", "body-2"), "body-2"},
+		{"before the first chunk", chunked + late + "6\r\nbody-2\r\n0\r\n\r\n", ""},
+		{"between two chunks", chunked + "3\r\nbod\r\n" + late + "3\r\ny-2\r\n0\r\n\r\n", ""},
+		{"after the last chunk", chunked + "6\r\nbody-2\r\n0\r\n\r\n" + late, "body-2"},
+		{"after the answer", response("2", "body-2") + late, "body-2"},
+		{"without an end", strings.Replace(late, "Content-Length: 4\r\n", "", 1) + response("2", "body-2"), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			target := startTarget(t, func(conn *targetConn) {
+				for {
+					r, body, err := conn.request()
+					if err != nil {
+						return
+					}
+					if r.Header.Get("Id") == "2" {
+						conn.write(c.bytes)
+						if c.body == "" {
+							return
+						}
+						continue
+					}
+					conn.write(response(r.Header.Get("Id"), body))
+				}
+			})
+			client := newClient(t)
+			_, err := roundTrip(t, client, target, "1")
+			is.NoErr(err)
+			body, err := roundTrip(t, client, target, "2")
+			is.Equal(target.conns.Load(), int32(1))
+			is.Equal(err == nil, c.body != "")
+			if err == nil {
+				is.Equal(body, c.body)
+			}
+			body, err = roundTrip(t, client, target, "3")
+			is.NoErr(err)
+			is.Equal(body, "body-3")
+			is.Equal(target.conns.Load(), int32(2)) // not the same connection
+		})
+	}
+}
+
 // Whether a late answer has a body depends on the method of its request, so that beside a
 // HEAD request nothing shows where it ends. No bytes of a body are read as an answer.
 func TestALateAnswerBesideAHeadRequestHidesNoAnswer(t *testing.T) {
