gateway: a test for answers without length that are reset, on the raw bytes

This one goes from a target's socket to the caller's, for an answer, a long one of which a part was passed on, a stream and a stream without events.

--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -288,3 +288,37 @@
 	is.Equal(got.header.Get("Content-Length"), "8") // as the target stated it
 	is.Equal(target.runCount("id-1"), 1)
 }
+
+// An answer with neither length nor chunks ends with its connection. If that is reset, the
+// answer does not look complete, also if what came of it does.
+func TestAResetAnswerWithoutLengthDoesNotLookComplete(t *testing.T) {
+	for _, c := range []struct {
+		name, contentType, body string
+		kind                    catalog.Kind
+	}{
+		{"answer", "text/plain", "a part", catalog.NonIdempotent},
+		{"long answer", "text/plain", strings.Repeat("0123456789", 50_000), catalog.NonIdempotent},
+		{"stream", "text/event-stream", streamEvents(1, 3), catalog.Streaming},
+		{"stream without events", "text/event-stream", "", catalog.Streaming},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g, target := newRawTarget(t, c.kind, func(conn *rawConn, r *http.Request) {
+				id := r.Header.Get(headerID)
+				conn.run(id)
+				conn.write("HTTP/1.1 200 OK\r\n" + headerID + ": " + id + "\r\n" + headerSeal + ": s\r\nContent-Type: " + c.contentType + "\r\n\r\n" + c.body)
+				time.Sleep(100 * time.Millisecond) // Lets the bytes arrive before the reset.
+				_ = conn.Conn.(*net.TCPConn).SetLinger(0)
+				conn.Close()
+			})
+			raw := g.exchangeRaw(t, false)
+			is.True(!strings.HasSuffix(raw, "\r\n0\r\n\r\n"))
+			resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+			is.NoErr(err)
+			_, err = io.ReadAll(resp.Body)
+			is.True(err != nil || resp.StatusCode == http.StatusBadGateway)
+			is.Equal(target.runCount("id-1"), 1)
+		})
+	}
+}
