owner: a test that a target which was tried is not granted again

A request that was refused at a target must not meet that target again by way of the owner of its zone.

--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -27,6 +27,19 @@
 	is.Equal(len(c.nodes["n2"].balancer.acquires), 0)
 }
 
+func TestOwnerDoesNotGrantATargetThatWasTried(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2")
+	c.setOwner("n1")
+	c.waitUntilLinked("n2")
+	w := newWork("r1")
+	w.Tried = []string{"n1-target"}
+	grant, err := c.nodes["n2"].manager.Acquire(t.Context(), w)
+	is.NoErr(err)
+	is.Equal(grant.Target.ID, "n2-target") // The owner has only the one that was tried.
+	is.Equal((<-c.nodes["n1"].balancer.acquires).Tried, w.Tried)
+}
+
 func TestReportsOfAGrantedRequestReachTheOwner(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, "n1", "n2")
