gateway: a silent stream without ids is not given up

Callers whose stream has no ids would have it cut after a silence of a second, although its target is sound: another one began to answer, but cannot go on with such a stream.

Cause: the standby did not ask whether an event with an id was passed on.

Fix: its search does not begin in that case.

Evidence: TestSilentStreamWithoutIDsIsNotTakenOver failed before ("standby_test.go: err: unexpected EOF") and passes now.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -200,11 +200,12 @@
 	s.end()
 }
 
-// begin reports whether a search may begin, and returns its context.
+// begin reports whether a search may begin, and returns its context. No other target can
+// go on with events that have no id.
 func (s *standby) begin() (context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || s.cancelSearch != nil {
+	if s.closing || s.cancelSearch != nil || s.streaming && s.lastEventID == "" {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -132,3 +132,16 @@
 	is.NoErr(err)
 	is.Equal(len(body), len(streamEvents(1, events)))
 }
+
+// Another target cannot go on with events that have no ids, so that none is asked for once
+// one of them was passed on.
+func TestSilentStreamWithoutIDsIsNotTakenOver(t *testing.T) {
+	is := is.New(t)
+	silent := streamScript("data: a\n\n", false)
+	silent.silence, silent.rest = soundSilence, "data: b\n\n"
+	g := newTestGateway(t, patientRoute(catalog.Streaming), silent, streamScript(streamEvents(1, 3), false))
+	got := g.sendPatiently(t)
+	is.NoErr(got.err)
+	is.Equal(got.body, "data: a\n\ndata: b\n\n")
+	is.Equal(len(g.sender.sent()), 1)
+}
