gateway: a test of streams that a target takes over without a continuation

TestAStreamThatFellSilentIsNotContinuedByAnError: 7 answers of a target that takes over from a silent one, on the raw bytes; the connection breaks off in each.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/catalog"
 )
 
 func withHeader(s targetScript, name, value string) targetScript {
@@ -131,3 +133,31 @@
 		})
 	}
 }
+
+// A target that takes over from a silent one may turn out to send no continuation.
+func TestAStreamThatFellSilentIsNotContinuedByAnError(t *testing.T) {
+	stream := func(body string) targetScript { return streamScript(body, false) }
+	for name, second := range map[string]targetScript{
+		"200 without a type":       {status: 200, body: foreignText, header: http.Header{headerSeal: {"s"}}},
+		"200 without events":       stream(""),
+		"204":                      withStatus(stream(""), 204),
+		"event without an id":      stream(foreignEvent),
+		"response":                 stream(foreignHead),
+		"missing event":            stream(streamEvents(5, 6)),
+		"events without their end": stream("id: 4\ndata: ev"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			silent := streamScript(streamEvents(1, 3), false)
+			silent.hang = true
+			raw := newTestGateway(t, patientRoute(catalog.Streaming), silent, second).exchangeRaw(t, false)
+			is.True(!strings.HasSuffix(raw, "\r\n0\r\n\r\n"))
+			resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(resp.Body)
+			is.Equal(string(body), streamEvents(1, 3))
+			is.True(err != nil)
+		})
+	}
+}
