--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -122,7 +122,7 @@
 			switch {
 			case eventErr != nil:
 				return data, eventErr
-			case begun, err != nil && !continues:
+			case begun:
 				return data, err
 			case err != nil:
 				return data, errors.Join(errUnusable, err)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -251,7 +251,8 @@
 	case x.headersSent:
 		x.abort("stream_not_resumed", http.StatusOK)
 	case x.request.Context().Err() != nil:
-		x.logEnded("caller_left", 0)
+		// The caller may still read; a return without a response would be an empty 200.
+		x.abort("caller_left", 0)
 	case x.possibleRuns > 0 && ctx.Err() != nil:
 		x.sendError(errTimeout())
 	case x.possibleRuns > 0:
@@ -369,6 +370,8 @@
 		Host:   x.request.Host,
 		Header: h,
 		Body:   x.body,
+		// On a connection in use before, a late response without an id would match.
+		NewConn: x.call.ID == "",
 		Matches: func(h http.Header) bool {
 			return x.gateway.HeaderCodec.ParseResponse(http.StatusOK, h).ID == x.call.ID
 		},
@@ -435,7 +438,8 @@
 }
 
 // handleNotRun handles a response which says that the request was not run. It
-// reports whether the request has ended.
+// reports whether the request has ended. It leaves the body unread, so that the
+// connection, on which a copy of the response may follow, is not reused.
 func (x *exchange) handleNotRun(ctx context.Context, grant *balance.Grant, resp *http.Response) bool {
 	grant.Done(balance.Rejected)
 	if resp.StatusCode == http.StatusBadRequest && !x.headersSent {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -46,7 +46,7 @@
 	}
 	x.endStandby()
 	x.copyHeaders(resp)
-	if complete {
+	if complete && x.request.Method != http.MethodHead {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(buffered.Len()))
 	} else if resp.ContentLength >= 0 {
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -185,11 +185,13 @@
 	s.end()
 }
 
-// begin reports whether a search may begin, and returns its context.
+// begin reports whether a search may begin, and returns its context. No other target can
+// go on with events that have no id.
 func (s *standby) begin() (context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || s.paused || s.cancelSearch != nil || !s.mayAsk() {
+	resumable := !s.streaming || s.lastEventID != ""
+	if s.closing || s.paused || s.cancelSearch != nil || !resumable || !s.mayAsk() {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -45,6 +45,9 @@
 		}
 		passedOn := len(ready) > 0
 		ready, gapErr := x.position.filter(ready)
+		if errors.Is(err, io.EOF) {
+			gapErr = errors.Join(gapErr, x.position.end())
+		}
 		if eventErr = errors.Join(eventErr, gapErr); eventErr != nil {
 			err = errors.Join(eventErr, err)
 		}
@@ -99,8 +102,10 @@
 	}
 	grant.Done(x.brokenResult(err))
 	x.recordBroken(ctx, grant.Target, x.attemptEvents, err)
-	if x.takeOver() || x.mayRetry() && !errors.Is(err, errEventTooLarge) {
-		x.position.resuming = true
+	if x.resumable() && (x.takeOver() || x.mayRetry() && !errors.Is(err, errEventTooLarge)) {
+		if x.headersSent {
+			x.position.resume()
+		}
 		return false
 	}
 	if !x.headersSent {
@@ -110,6 +115,10 @@
 	return true
 }
 
+// resumable reports whether another target can go on with the response: none of it was
+// sent, or an event with an id.
+func (x *exchange) resumable() bool { return !x.headersSent || x.position.hasLastID }
+
 // endCancelled ends a request whose deadline has passed or whose caller has
 // disconnected.
 func (x *exchange) endCancelled(ctx context.Context, status int) bool {
