--- a/Makefile
+++ b/Makefile
@@ -113,6 +113,8 @@
 	go test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime 20000x ./platform
 	go test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime 20000x ./platform
 	go test -run '^$$' -fuzz FuzzHeaders -fuzztime 20000x ./platform
+	go test -run '^$$' -fuzz FuzzOddObject -fuzztime 20000x ./platform
+	go test -run '^$$' -fuzz FuzzOddNumber -fuzztime 20000x ./platform
 
 .PHONY: traces
 
