datastore: an unusable item is logged once and passed on only as a removal

What operators would see: a line object_unusable of up to a megabyte at each heartbeat of another writer, at every node that reads the store, and a message to every other node for an item that none of them ever had.

Cause: each change of an item that could not be decoded was logged, with the whole error and name, and counted as a change to pass on.

The tests failed before: TestAnUnusableItemIsLoggedOnceUntilItIsUsable ("150 != 3" lines), TestAnUnusableItemIsPassedOnOnlyAsARemoval ("1 != 0" objects).

Now a follower drops unusable items that were not in use, logs a name once until it is usable or gone, and bounds the line. All tests of the package pass, also under the race detector.

--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -86,6 +86,8 @@
 	// changed is set if the last watch returned changes. relisted is set if history
 	// was gone and no watch has succeeded since.
 	changed, relisted bool
+	// unusable are the names of the items that cannot be used and were logged.
+	unusable map[string]bool
 }
 
 // NewFollower returns a follower of a source; its other exported fields must be set
@@ -166,6 +168,7 @@
 	if err != nil {
 		return err
 	}
+	items = f.screen(items, true)
 	f.items = make(map[string]T, len(items))
 	f.merge(items)
 	f.revision, f.listed = revision, true
@@ -191,10 +194,10 @@
 	}
 	f.relisted = false
 	f.revision = max(f.revision, next)
-	if len(changes) > 0 {
+	f.changed = len(changes) > 0
+	if changes = f.screen(changes, false); len(changes) > 0 {
 		f.items = maps.Clone(f.items)
 		f.merge(changes)
-		f.changed = true
 		f.history.apply(newDelta(changes, f.revision, false), start)
 		f.publish(start, true)
 		return nil
@@ -202,11 +205,12 @@
 	// An answer without changes after the full wait proves that nothing changed
 	// until the end of the wait. An earlier answer proves it only for the start of
 	// the call.
-	if f.Now().Sub(start) >= wait {
+	if !f.changed && f.Now().Sub(start) >= wait {
 		start = start.Add(wait)
 	}
 	f.history.apply(Delta{Revision: f.revision}, start)
-	f.publish(start, false)
+	// The end of an outage is told with the first change, even one that was dropped.
+	f.publish(start, f.changed && f.failing)
 	return nil
 }
 
@@ -226,12 +230,9 @@
 	}
 }
 
-// merge applies changes to the items; an unusable item is logged and removed.
+// merge applies changes to the items; an unusable item is removed.
 func (f *Follower[T]) merge(changes []Change[T]) {
 	for _, c := range changes {
-		if c.Err != nil {
-			f.Logger.Warn().Str("event", "object_unusable").Str("kind", f.Kind).Str("name", c.Name).Err(c.Err).Msg("")
-		}
 		if c.Removed || c.Err != nil {
 			delete(f.items, c.Name)
 			continue
--- a/datastore/follow_relay.go
+++ b/datastore/follow_relay.go
@@ -89,6 +89,7 @@
 		}
 		changes = append(changes, c)
 	}
+	changes = f.screen(changes, r.Complete)
 	if r.Complete {
 		f.items = make(map[string]T, len(changes))
 	} else {
--- a/datastore/relay.go
+++ b/datastore/relay.go
@@ -185,7 +185,7 @@
 	for id, raw := range p.Targets {
 		t, err := m.options.SnapshotReader.DecodeTarget(id, raw)
 		if err != nil {
-			m.options.Logger.Warn().Str("event", "object_unusable").Str("kind", "targets").Str("name", id).Err(err).Msg("")
+			logUnusable(m.options.Logger, "targets", id, err)
 			continue
 		}
 		targets[id] = t
