mesh: changes too large for a message do not end the link

What callers would see: if what a node has read of the store did not fit into one message of 4 MiB, the link that took it ended, and each one after it: no acknowledgement ever arrived, so that no proof of the configuration did, and the nodes of a zone that rely on its owner read the store for themselves.

Cause: the size of an acknowledgement was not looked at; the receiver ends a stream with a larger message.

The test failed before: TestChangesTooLargeForAMessageDoNotEndTheLink ("not within 10s: a02 receives proofs").

Now changes of a kind beyond a third of a message are left out, which tells the other node to read for itself, and a line changes_too_large says so.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -40,7 +40,9 @@
 	version uint64
 	age     time.Duration
 	// read is the revision that this node has read, or was told of.
-	read     uint64
+	read uint64
+	// content is an object that this node has read.
+	content  []byte
 	culprits *culprit.Manager
 }
 
@@ -51,7 +53,11 @@
 func (n *node) Changes(_ datastore.Kind, since uint64) (datastore.Delta, time.Duration, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return datastore.Delta{Revision: n.read, Complete: since < n.read}, n.age, n.read > 0
+	d := datastore.Delta{Revision: n.read, Complete: since < n.read}
+	if n.content != nil {
+		d.Objects = []datastore.Object{{Name: "object", Content: n.content}}
+	}
+	return d, n.age, n.read > 0
 }
 
 func (n *node) ApplyChanges(_ datastore.Kind, d datastore.Delta, _ clock.Instant) {
--- a/mesh/objects.go
+++ b/mesh/objects.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/primrosemoor/primrosemoor/clock"
 	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -58,6 +61,10 @@
 // objects, on one stream: the peer needs time to receive and apply them.
 const completeInterval = 2 * time.Second
 
+// maxChangesBytes bounds the changes of one kind in an acknowledgement, which holds
+// those of two kinds and little else.
+const maxChangesBytes = peer.MaxMessageBytes / 3
+
 // addObjects adds what a peer asked for to an acknowledgement.
 func (m *Manager) addObjects(ack *schema.MeshAck, u *schema.MeshUpdate, in *inbound) {
 	ack.Targets = m.encodeChanges(datastore.KindTargets, u.GetTargetsRevision(), in)
@@ -87,9 +94,6 @@
 	if !ok || d.Complete && time.Since(in.completeSent[kind]) < completeInterval {
 		return nil
 	}
-	if d.Complete {
-		in.completeSent[kind] = time.Now()
-	}
 	c := &schema.MeshChanges{
 		Revision: d.Revision, Complete: d.Complete, AgeMicros: uint64(max(age.Microseconds(), 0)),
 		Objects: make([]*schema.MeshObject, 0, len(d.Objects)),
@@ -97,9 +101,28 @@
 	for _, o := range d.Objects {
 		c.Objects = append(c.Objects, &schema.MeshObject{Name: o.Name, Content: o.Content, Removed: o.Removed})
 	}
+	if !m.fits(c, kind, in) {
+		return nil
+	}
+	if d.Complete {
+		in.completeSent[kind] = time.Now()
+	}
 	return c
 }
 
+// fits reports whether changes can be sent in an acknowledgement, and logs the first
+// ones of a node that cannot. The node is then told nothing and reads for itself.
+func (m *Manager) fits(c *schema.MeshChanges, kind datastore.Kind, in *inbound) bool {
+	size := proto.Size(c)
+	fits := size <= maxChangesBytes
+	if !fits && !in.tooLarge[kind] {
+		m.options.Logger.Warn().Str("event", "changes_too_large").Str("peer", in.from.Node).Int("kind", int(kind)).
+			Int("objects", len(c.GetObjects())).Int("bytes", size).Msg("")
+	}
+	in.tooLarge[kind] = !fits
+	return fits
+}
+
 func decodeChanges(c *schema.MeshChanges) datastore.Delta {
 	d := datastore.Delta{Revision: c.GetRevision(), Complete: c.GetComplete(), Objects: make([]datastore.Object, 0, len(c.GetObjects()))}
 	for _, o := range c.GetObjects() {
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -31,10 +31,15 @@
 	feeds   map[string]*feed
 	// completeSent is when all objects of a kind were last sent to the node.
 	completeSent map[datastore.Kind]time.Time
+	// tooLarge is whether the last changes of a kind were too large to be sent.
+	tooLarge map[datastore.Kind]bool
 }
 
 func newInbound(from peer.Identity) *inbound {
-	return &inbound{from: from, decoder: newDecoder(), feeds: make(map[string]*feed), completeSent: make(map[datastore.Kind]time.Time)}
+	return &inbound{
+		from: from, decoder: newDecoder(), feeds: make(map[string]*feed),
+		completeSent: make(map[datastore.Kind]time.Time), tooLarge: make(map[datastore.Kind]bool),
+	}
 }
 
 func (in *inbound) feed(source string) *feed {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if size > maxMessageBytes {
+	if size > MaxMessageBytes {
 		return nil, errMessageTooLarge
 	}
 	raw := make([]byte, size)
@@ -34,7 +34,7 @@
 // readMessage reads byte by byte, so that nothing after the message is
 // consumed before yamux reads from the connection.
 func readMessage(conn net.Conn, m proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	options := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
 	return options.UnmarshalFrom(singleByteReader{conn}, m)
 }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// maxMessageBytes is the maximum size of a message; a larger one ends the stream.
-const maxMessageBytes = 4 << 20
+// MaxMessageBytes is the maximum size of a message; a larger one ends the stream.
+const MaxMessageBytes = 4 << 20
 
 // Stream transfers length-delimited protobuf messages in both directions. One
 // goroutine may send while another receives.
@@ -46,7 +46,7 @@
 // Receive reads one message into m. It returns io.EOF if the remote side has
 // closed the stream.
 func (s *Stream) Receive(m proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	options := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
 	return options.UnmarshalFrom(s.reader, m)
 }
 
