standin: odd entries among those of all kinds, in whole nodes

Another writer's entries (nested 30,000 deep, Infinity, 10^18 slots, 1e300 ms, ports 0 and 99999, a state and a service that do not exist, bytes that are no text, 1 MB, null, a text of brackets) lie before, between and after the sound ones of the configuration, the targets and the nodes: in the list at the start, in watches, and at a node that another one loads from.

The stand-in's store returns the bytes of such objects as they are: PutRaw.

--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -48,11 +48,16 @@
 	}
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+func (s *Store) writeJSON(w http.ResponseWriter, status int, body any) {
+	text, err := s.encode(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// An error means that the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(text)
 }
 
 func (s *Store) serveList(w http.ResponseWriter, kind, after string) {
@@ -63,7 +68,7 @@
 	if page == nil {
 		page = []Object{}
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"entries": page, "hasMore": hasMore, "asOf": revision})
+	s.writeJSON(w, http.StatusOK, map[string]any{"entries": page, "hasMore": hasMore, "asOf": revision})
 }
 
 func (s *Store) serveObject(w http.ResponseWriter, kind, name string) {
@@ -74,7 +79,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, o)
+	s.writeJSON(w, http.StatusOK, o)
 }
 
 // serveWatch replies as soon as there is a change, or when the wait times out. A waiting
@@ -93,16 +98,16 @@
 		case f.Down || f.Unresponsive:
 			panic(http.ErrAbortHandler)
 		case compacted:
-			writeJSON(w, http.StatusGone, map[string]any{})
+			s.writeJSON(w, http.StatusGone, map[string]any{})
 			return
 		case len(events) > 0:
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "asOf": revision})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": events, "asOf": revision})
 			return
 		}
 		select {
 		case <-notify:
 		case <-timeout:
-			writeJSON(w, http.StatusOK, map[string]any{"events": []Event{}, "asOf": revision})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": []Event{}, "asOf": revision})
 			return
 		case <-r.Context().Done():
 			return
@@ -128,7 +133,7 @@
 	if f.DropWriteReplies || f.WriteDelay > 0 {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, status, o)
+	s.writeJSON(w, status, o)
 }
 
 // apply applies one write and returns its status and the resulting object. On a
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -58,6 +58,8 @@
 	notify     chan struct{}
 	faults     Faults
 	callCounts map[string]int
+	// raw are the specs that were put as bytes.
+	raw [][]byte
 }
 
 type change struct {
