datastore: an item that a list holds twice is passed on in its last state

What callers would see: a list that holds an entry on one page and its odd successor on a later one (it changed between the pages) left the target out at the node that listed, and in use at those that take the list from it.

Cause: an unusable item of a list was left out of what is passed on, but not taken out again.

--- a/datastore/follow_relay.go
+++ b/datastore/follow_relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/clock"
@@ -108,10 +109,11 @@
 	d := Delta{Revision: revision, Complete: complete, Objects: make([]Object, 0, len(changes))}
 	for _, c := range changes {
 		switch {
+		case complete && (c.Removed || c.Err != nil):
+			// A list may hold an earlier state of the object on another page.
+			d.Objects = slices.DeleteFunc(d.Objects, func(o Object) bool { return o.Name == c.Name })
 		case c.Removed || c.Err != nil:
-			if !complete {
-				d.Objects = append(d.Objects, Object{Name: c.Name, Removed: true})
-			}
+			d.Objects = append(d.Objects, Object{Name: c.Name, Removed: true})
 		default:
 			d.Objects = append(d.Objects, Object{Name: c.Name, Content: c.Raw})
 		}
