balance: a service that is not configured leaves nothing behind

What operators would see: one more service in the status and in the measures of targets, for as long as the process runs, each time another writer's entry names another service.

Cause: a pool was made for each service that a target names, and none was ever removed. No request went there.

The test failed before: TestServicesThatAreNotConfiguredLeaveNothingBehind (101 services in the status instead of 2).

A pool without targets and requests is now dropped if no service of its name is configured. Requests in flight there are counted to their end, as the test shows. go test -race ./balance ./owner: all pass.

--- a/balance/manager.go
+++ b/balance/manager.go
@@ -359,6 +359,9 @@
 			m.restoreRemoteLoads(t)
 		}
 		m.markChanged(p)
+		if e.services[name] == nil && p.unused() {
+			delete(m.pools, name)
+		}
 	}
 }
 
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -42,3 +42,14 @@
 	}
 	return added
 }
+
+// unused reports whether the pool has no targets and no requests wait for one, here or
+// as published.
+func (p *pool) unused() bool {
+	for _, waiting := range p.publishedWaiting {
+		if waiting > 0 {
+			return false
+		}
+	}
+	return len(p.targets) == 0 && len(p.waiting) == 0
+}
