--- a/balance/manager.go
+++ b/balance/manager.go
@@ -366,6 +366,9 @@
 			p.refuseAll()
 		}
 		m.markChanged(p)
+		if e.services[name] == nil && p.unused() {
+			delete(m.pools, name)
+		}
 	}
 }
 
