standin/store: the store can come back from an older copy

The users' rule: in a drill the store comes back from a copy some seconds old, revisions go back and are given out again, a watch from one that it does not have gets 410, and the header Store-Era rises by one. Copy and Restore do so, waiting watches are aborted, and all answers, refusals too, carry the era.

--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -14,6 +14,7 @@
 	pageSize     = 3
 	maxWatchWait = 30 * time.Second
 	pathPrefix   = "/api/objects/"
+	headerEra    = "Store-Era"
 )
 
 // ServeHTTP implements http.Handler.
@@ -26,6 +27,9 @@
 	if f.Delay > 0 {
 		time.Sleep(f.Delay)
 	}
+	s.mu.Lock()
+	s.setEra(w)
+	s.mu.Unlock()
 	switch {
 	case f.Unresponsive:
 		// The server detects that the caller has disconnected only after the body has
@@ -48,6 +52,11 @@
 	}
 }
 
+// setEra sets the header that names the store's era. The lock must be held.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -59,6 +68,7 @@
 	s.mu.Lock()
 	page, hasMore := s.list(kind, after, pageSize)
 	revision := s.revision
+	s.setEra(w)
 	s.mu.Unlock()
 	if page == nil {
 		page = []Object{}
@@ -69,6 +79,7 @@
 func (s *Store) serveObject(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.kinds[kind][name]
+	s.setEra(w)
 	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -78,21 +89,27 @@
 }
 
 // serveWatch replies as soon as there is a change, or when the wait times out. A waiting
-// call is aborted when the store becomes unavailable or unresponsive, and gets status
-// 410 when the changes that it asks for have been compacted.
+// call is aborted when the store becomes unavailable or unresponsive or is restored, and
+// gets status 410 when the changes that it asks for have been compacted or the store does
+// not have their revision.
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, _ := strconv.ParseUint(r.FormValue("watch"), 10, 64)
 	ms, _ := strconv.Atoi(r.FormValue("waitMs"))
 	timeout := time.After(min(time.Duration(ms)*time.Millisecond, maxWatchWait))
+	s.mu.Lock()
+	s.setEra(w)
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		events, revision, compacted := s.eventsSince(kind, after), s.revision, after < s.compacted
+		events, revision, restored := s.eventsSince(kind, after), s.revision, s.era != era
+		gone := after < s.compacted || after > s.revision
 		notify, f := s.notify, s.faults
 		s.mu.Unlock()
 		switch {
-		case f.Down || f.Unresponsive:
+		case f.Down || f.Unresponsive || restored:
 			panic(http.ErrAbortHandler)
-		case compacted:
+		case gone:
 			writeJSON(w, http.StatusGone, map[string]any{})
 			return
 		case len(events) > 0:
@@ -124,6 +141,9 @@
 	status, o := http.StatusOK, Object{}
 	if f.WriteDelay == 0 {
 		status, o = s.apply(r.Method, kind, name, body)
+		s.mu.Lock()
+		s.setEra(w)
+		s.mu.Unlock()
 	}
 	if f.DropWriteReplies || f.WriteDelay > 0 {
 		panic(http.ErrAbortHandler)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -1,11 +1,13 @@
 // Package store is a test double of the platform's metadata store: objects by kind
 // and name with revisions, conditional writes, paged lists and watches. It can
-// simulate outages, throttling, slow and lost replies, late writes and a compacted
-// history.
+// simulate outages, throttling, slow and lost replies, late writes, a compacted history
+// and the return from an older copy.
 package store
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -51,8 +53,10 @@
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
-	kinds    map[string]map[string]Object
-	history  []change
+	// era counts how often the store has come back from an older copy.
+	era     uint64
+	kinds   map[string]map[string]Object
+	history []change
 	// compacted is the last revision whose changes are no longer in the history.
 	compacted  uint64
 	notify     chan struct{}
@@ -69,7 +73,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		revision: 1, kinds: make(map[string]map[string]Object), notify: make(chan struct{}), callCounts: make(map[string]int),
+		revision: 1, era: 1, kinds: make(map[string]map[string]Object), notify: make(chan struct{}), callCounts: make(map[string]int),
 	}
 }
 
@@ -111,6 +115,39 @@
 	s.notifyWatchers()
 }
 
+// Copy is the store's content at a moment.
+type Copy struct {
+	revision, compacted uint64
+	kinds               map[string]map[string]Object
+	history             []change
+}
+
+// Copy returns a copy of the content, for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, s.compacted, cloneKinds(s.kinds), slices.Clone(s.history)}
+}
+
+// Restore replaces the content by a copy and begins a new era. What was written since
+// the copy is lost, and its revisions are given out again. Waiting watches are aborted.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.compacted = c.revision, c.compacted
+	s.kinds, s.history = cloneKinds(c.kinds), slices.Clone(c.history)
+	s.notifyWatchers()
+}
+
+func cloneKinds(kinds map[string]map[string]Object) map[string]map[string]Object {
+	cloned := make(map[string]map[string]Object, len(kinds))
+	for kind, objects := range kinds {
+		cloned[kind] = maps.Clone(objects)
+	}
+	return cloned
+}
+
 // CallCounts returns the number of calls by method and kind, such as "GET config".
 func (s *Store) CallCounts() map[string]int {
 	s.mu.Lock()
