datastore: a watch that was cut off is not waited for at a store of another era

What callers would see: a target that drains, or a change of the configuration, known only 4 s (15 s for nodes) after the store came back from a copy.

Cause: net/http sends a call again by itself when its connection closes before the answer begins. The watch then waits on at the store that came back, from a revision that it has passed already, and learns of the new era only when the wait ends.

Now such a call ends with ErrWatchCut before it is sent again, and the follower watches shortly, once. That is no outage: nothing is logged or retained for it. A second cut in a row is a failure.

--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -106,8 +106,8 @@
 	failing  bool
 	// changed is set if the last watch returned changes. mustList is set if no watch
 	// leads on from position; relisted is set if that happened and no watch has
-	// succeeded since.
-	changed, mustList, relisted bool
+	// succeeded since. cut is set if the last watch was cut off.
+	changed, mustList, relisted, cut bool
 }
 
 // NewFollower returns a follower of a source; its other exported fields must be set
@@ -160,14 +160,21 @@
 	}
 }
 
-// step lists the items or watches for changes. If history is gone, or the store came
+// step lists the items or watches for changes. A watch that was cut off is repeated at
+// once, and fails if it is cut off again. If history is gone, or the store came
 // back from an older copy, the next step lists again; a second such failure without a
 // successful watch in between is returned as an error.
 func (f *Follower[T]) step(ctx context.Context) error {
 	if !f.listed || f.mustList {
 		return f.list(ctx)
 	}
-	err := f.watch(ctx)
+	wasCut := f.cut
+	f.cut = false
+	err := f.watch(ctx, wasCut)
+	if errors.Is(err, ErrWatchCut) && !wasCut {
+		f.cut = true
+		return nil
+	}
 	if errors.Is(err, ErrHistoryGone) || errors.Is(err, errNewEra) {
 		f.mustList = true
 		if f.relisted {
@@ -210,10 +217,10 @@
 	f.position, f.listed, f.mustList = at, true, false
 }
 
-// watch waits for changes, only shortly after a call that failed.
-func (f *Follower[T]) watch(ctx context.Context) error {
+// watch waits for changes, only shortly after a watch that failed or was cut off.
+func (f *Follower[T]) watch(ctx context.Context, wasCut bool) error {
 	start, wait := f.Now(), f.Wait()
-	if f.failing {
+	if f.failing || wasCut {
 		wait = min(wait, recoveryWait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
--- a/datastore/restored_test.go
+++ b/datastore/restored_test.go
@@ -50,6 +50,24 @@
 	})
 }
 
+// A watch that is cut off does not fail, so that the next one must not wait long either.
+func TestTargetThatDrainsAfterAWatchWasCutOffIsKnownInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFixture(t)
+		f.targets.set(func() { f.targets.cut = datastore.ErrWatchCut })
+		time.Sleep(time.Second)
+		older := f.targets.copy()
+		f.targets.put("i-2", &catalog.Target{ID: "i-2", Service: "s"})
+		time.Sleep(time.Second)
+		f.targets.restore(older)
+		f.targets.put("i-1", &catalog.Target{ID: "i-1", Service: "s", Draining: true})
+		f.targets.overtake()
+		time.Sleep(time.Second)
+		is.True(f.has("i-1") && !f.usable("i-1"))
+	})
+}
+
 func TestConfigurationThatTheOlderCopyLacksStaysInForceAndProven(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/datastore/source.go
+++ b/datastore/source.go
@@ -14,6 +14,10 @@
 // no longer available; the caller must List again.
 var ErrHistoryGone = errors.New("datastore: changes since the revision are no longer available, list again")
 
+// ErrWatchCut is returned by Source.Watch when the watch was cut off while it was waiting.
+// The store may have come back from an older copy meanwhile.
+var ErrWatchCut = errors.New("datastore: the watch was cut off")
+
 // Change is an item that was added, changed or removed.
 type Change[T any] struct {
 	Name string
@@ -36,7 +40,8 @@
 	List(ctx context.Context) (items []Change[T], at Position, err error)
 	// Watch waits until an item changes after the revision, or until wait has
 	// passed; then it returns no changes. It returns ErrHistoryGone if the
-	// changes are no longer available. If the returned position is of another era than
+	// changes are no longer available, and ErrWatchCut rather than to wait on at a store
+	// that may be of another era. If the returned position is of another era than
 	// the revision, the changes do not lead from the revision to the position.
 	Watch(ctx context.Context, revision uint64, wait time.Duration) (changes []Change[T], at Position, err error)
 }
