entry: a node whose announcement the store has lost announces itself again

What callers would see: nodes that start after the store came back from an older copy do not know of the lost one, so that each takes more of the teams' limits.

Cause: a node wrote its object once, at its start, and the store never lost anything.

Now the state of the nodes is compared with where the store held the announcement: when a list at that position or later, or of a later era, lacks this node, it announces itself again, after a random part of a second, so that hundreds do not write at once, and not while it drains. Lists from before the announcement, which a node reads at its start, cost no second write (the test counts them).

--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -51,6 +51,7 @@
 	Gateway   *gateway.Gateway
 	Retries   *quota.Retries
 	Recorder  *explain.Recorder
+	Forwarder *forwarder
 	Reload    Reload `optional:"true"`
 }
 
@@ -164,14 +165,37 @@
 	}
 }
 
-// announce registers this node in the store, and retries until a write succeeds.
+// announce registers this node in the store, and again whenever the store has lost it,
+// until ctx ends.
 func (l *lifecycle) announce(ctx context.Context) {
-	for ctx.Err() == nil {
+	for l.announceOnce(ctx) {
+		select {
+		case <-l.Forwarder.unlisted:
+		case <-ctx.Done():
+			return
+		}
+		if l.draining.Load() {
+			return
+		}
+		l.Logger.Warn().Str("event", "announcement_lost").Msg("")
+		select {
+		case <-time.After(rand.N(announceRetry)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// announceOnce registers this node in the store, and retries until a write succeeds. It
+// returns false if ctx ended or the node is draining.
+func (l *lifecycle) announceOnce(ctx context.Context) bool {
+	for ctx.Err() == nil && !l.draining.Load() {
 		callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := l.Store.Announce(callCtx, l.Self)
+		at, err := l.Store.Announce(callCtx, l.Self)
 		cancel()
 		if err == nil {
-			return
+			l.Forwarder.unlisted.clear()
+			l.Datastore.Announced(at)
+			return true
 		}
 		l.Logger.Warn().Str("event", "announce_failed").Err(err).Msg("")
 		select {
@@ -179,6 +203,7 @@
 		case <-ctx.Done():
 		}
 	}
+	return false
 }
 
 // bootstrapFromSeeds fetches from the seed nodes what the store has not returned,
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -71,9 +71,28 @@
 	allowance *quota.Allowance
 	retries   *quota.Retries
 	datastore *datastore.Manager
+	unlisted  unlisted
 }
 
-func newForwarder() *forwarder { return &forwarder{} }
+// unlisted signals that the store has lost this node's announcement.
+type unlisted chan struct{}
+
+func (u unlisted) signal() {
+	select {
+	case u <- struct{}{}:
+	default:
+	}
+}
+
+// clear drops a signal that has not been received.
+func (u unlisted) clear() {
+	select {
+	case <-u:
+	default:
+	}
+}
+
+func newForwarder() *forwarder { return &forwarder{unlisted: make(unlisted, 1)} }
 
 // TargetLoad implements mesh.Listener.
 func (f *forwarder) TargetLoad(source, target string, use mesh.TargetUse) {
@@ -196,7 +215,9 @@
 		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
 			f.balancer.ApplyTargets(targets, services)
 		},
-		OnNodes: func(nodes map[string]datastore.Node) { f.mesh.SetNodes(nodes) },
+		OnNodes:    func(nodes map[string]datastore.Node) { f.mesh.SetNodes(nodes) },
+		Self:       self.Name,
+		OnUnlisted: func() { f.unlisted.signal() },
 	})
 	serveSnapshot(server, f.datastore)
 	return f.datastore
--- a/standin/entrytest/restore_test.go
+++ b/standin/entrytest/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -115,6 +116,31 @@
 	env.waitServed(nodes, "next", inForceLimit)
 }
 
+// A node whose announcement is lost would be unknown to the nodes that start later.
+func TestNodeAnnouncesItselfAgainWhenTheOlderCopyLacksIt(t *testing.T) {
+	env := newTestEnv(t)
+	env.startWorker("i-a", "app", 0)
+	first := env.startNode(1)
+	env.waitReady(first)
+	older := env.store.Copy()
+	env.waitReady(env.startNode(2))
+	announced := func() bool {
+		resp, err := http.Get(env.server.URL + "/api/objects/primrosemoor-nodes/edge-2")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}
+	env.waitFor("edge-2 is announced", announced)
+	env.store.Restore(older)
+	env.writeOther(50)
+	env.waitFor("edge-2 is announced again", announced)
+	if calls := env.store.CallCounts()["POST primrosemoor-nodes"]; calls != 3 {
+		t.Fatalf("%d announcements instead of 3", calls)
+	}
+}
+
 // The older copy shows a worker as ready that was draining: it must get no more requests.
 func TestDrainingWorkerThatTheOlderCopyShowsAsReadyGetsNoRequests(t *testing.T) {
 	is := is.New(t)
