datastore: nodes that rely on the reader do not all list a store that came back

What the store would see: after an outage in which all nodes began to read for themselves, a list of targets and of the configuration from each of hundreds of nodes at once, when it comes back from a copy or has lost its history. One reader's is enough.

Now a node that relies on another one waits 0.7 to 1.2 s for what changed before it lists; the reader lists at once. The bound of a target's leaving is untouched: it begins when the store has been sound for longer.

--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -72,6 +72,9 @@
 	// Hold returns how long a node that has just started waits for another one to
 	// stand in for it after it has listed the items; nil means that it does not.
 	Hold func() time.Duration
+	// RelistHold returns how long a node that must list again waits for another one to
+	// tell it what changed; nil means that it does not.
+	RelistHold func() time.Duration
 	// Pause returns the minimum time between a change and the next watch, so that
 	// changes close together cost one call. It is called again during the pause; nil
 	// means no pause.
@@ -108,6 +111,8 @@
 	// leads on from position; relisted is set if that happened and no watch has
 	// succeeded since. cut is set if the last watch was cut off.
 	changed, mustList, relisted, cut bool
+	// listAt is the earliest instant of the list if mustList is set.
+	listAt clock.Instant
 }
 
 // NewFollower returns a follower of a source; its other exported fields must be set
@@ -177,6 +182,9 @@
 	}
 	if errors.Is(err, ErrHistoryGone) || errors.Is(err, errNewEra) {
 		f.mustList = true
+		if f.RelistHold != nil {
+			f.listAt = f.Now().Add(f.RelistHold())
+		}
 		if f.relisted {
 			return err
 		}
--- a/datastore/follow_relay.go
+++ b/datastore/follow_relay.go
@@ -82,6 +82,9 @@
 	if f.Hold != nil {
 		remaining = max(remaining, f.Hold())
 	}
+	if f.mustList {
+		remaining = max(remaining, f.listAt.Sub(f.Now()))
+	}
 	if remaining <= 0 {
 		return false
 	}
--- a/datastore/follow_relay_test.go
+++ b/datastore/follow_relay_test.go
@@ -41,6 +41,8 @@
 	owner, member *fixture
 	// memberCalls counts the member's calls to the store.
 	memberCalls atomic.Int64
+	// memberFetches counts the snapshots that the member takes from the owner.
+	memberFetches atomic.Int64
 	// cut stops the owner from passing on what it reads.
 	cut bool
 }
@@ -61,7 +63,7 @@
 		targets: newFakeStore[*catalog.Target](),
 		nodes:   newFakeStore[datastore.Node](),
 	}
-	stores.configs.put("main", &catalog.Config{Version: 3})
+	stores.configs.put("main", &catalog.Config{Version: 3, Raw: []byte{3}})
 	stores.targets.put("i-1", &catalog.Target{ID: "i-1", Service: "s"})
 	z := &zone{}
 	options := func(owns bool) func(*datastore.Options) {
@@ -74,6 +76,10 @@
 				o.Sources.Configurations = countingSource[*catalog.Config]{o.Sources.Configurations, &z.memberCalls}
 				o.Sources.Targets = countingSource[*catalog.Target]{o.Sources.Targets, &z.memberCalls}
 				o.Sources.Nodes = countingSource[datastore.Node]{o.Sources.Nodes, &z.memberCalls}
+				o.SnapshotReader.Fetch = func(ctx context.Context, _ string, _ bool) (datastore.Snapshot, error) {
+					z.memberFetches.Add(1)
+					return z.owner.manager.Snapshot(ctx), nil
+				}
 			}
 			edit(o, owns)
 		}
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -146,6 +146,7 @@
 	m.nodes = NewFollower(sources.Nodes, "nodes", m.options.Logger, m.options.Now)
 	m.nodes.Wait, m.nodes.Pause, m.nodes.RelayMaxAge = constant(nodesWatchWait), constant(nodesPause), m.relayedNodesMaxAge
 	m.nodes.Hold, m.nodes.Grace = m.startHold, nodesGrace
+	m.configs.RelistHold, m.targets.RelistHold, m.nodes.RelistHold = m.relistHold, m.relistHold, m.relistHold
 	m.nodes.Apply = func(u Update[Node]) { m.submit(func(s *state) { s.applyNodes(u) }) }
 }
 
--- a/datastore/pacing.go
+++ b/datastore/pacing.go
@@ -1,6 +1,9 @@
 package datastore
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // This file decides how often a node reads the store, and how long it relies on what
 // another node has read.
@@ -46,6 +49,11 @@
 	// startHold is how long a node that has started and listed the store waits for
 	// another node to stand in for its watches.
 	startHold = 900 * time.Millisecond
+	// relistHold is how long a node that relies on another one waits for what changed
+	// before it lists the store again, and relistSpread what is added at random: when
+	// the store has come back from a copy, all nodes would list it at once.
+	relistHold   = 700 * time.Millisecond
+	relistSpread = 500 * time.Millisecond
 )
 
 // constant returns a function that always returns d.
@@ -90,6 +98,14 @@
 	return startHold - m.options.Now().Sub(m.started)
 }
 
+// relistHold returns how long this node waits for another one before it lists again.
+func (m *Manager) relistHold() time.Duration {
+	if !m.relies() {
+		return 0
+	}
+	return relistHold + rand.N(relistSpread)
+}
+
 // relayedTargetsMaxAge returns how old a list of targets from another node may be.
 func (m *Manager) relayedTargetsMaxAge() time.Duration {
 	if !m.relies() {
--- a/datastore/restored_test.go
+++ b/datastore/restored_test.go
@@ -283,6 +283,52 @@
 	})
 }
 
+// listCounter counts the lists of one node.
+type listCounter[T any] struct {
+	datastore.Source[T]
+	lists *atomic.Int64
+}
+
+func (s listCounter[T]) List(ctx context.Context) ([]datastore.Change[T], datastore.Position, error) {
+	s.lists.Add(1)
+	return s.Source.List(ctx)
+}
+
+// After an outage all nodes read for themselves and learn of the new era at once: hundreds
+// of lists, when one is enough.
+func TestNodesThatRelyOnTheReaderDoNotListAfterTheStoreCameBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var lists atomic.Int64
+		z := startZoneWith(t, func(o *datastore.Options, owns bool) {
+			if !owns {
+				o.Sources.Configurations = listCounter[*catalog.Config]{o.Sources.Configurations, &lists}
+				o.Sources.Targets = listCounter[*catalog.Target]{o.Sources.Targets, &lists}
+			}
+		})
+		z.putTarget(1, false)
+		z.run(5 * time.Second)
+		is.Equal(lists.Load(), int64(2))
+		configs, targets := z.owner.configs, z.owner.targets
+		olderConfig, olderTargets := configs.copy(), targets.copy()
+		configs.set(func() { configs.down = true })
+		targets.set(func() { targets.down = true })
+		z.run(10 * time.Second)
+		is.True(!z.member.manager.KeysProven())
+		configs.restore(olderConfig)
+		targets.restore(olderTargets)
+		configs.set(func() { configs.down = false })
+		targets.set(func() { targets.down = false })
+		z.putTarget(2, false)
+		z.run(3 * time.Second)
+		is.True(z.member.usable("t-2"))
+		is.True(z.member.manager.KeysProven())
+		z.run(10 * time.Second)
+		is.Equal(lists.Load(), int64(2))
+		is.Equal(z.memberFetches.Load(), int64(1))
+	})
+}
+
 // The number of nodes divides the teams' limits, so that fewer nodes would each take more
 // until the lost ones have announced themselves again.
 func TestNodesThatTheOlderCopyLacksAreRetainedAndAnnounceThemselvesAgain(t *testing.T) {
