datastore: what a node of an older era proves does not stand in for a watch

What callers would see: while some nodes of a deployment run a release without eras, or the reader has not learned of a new one, nodes that rely on it would learn of no change of the targets: their items count as newer than all that it sends, whose proof then stood in for their own reading.

Failed before: TestProofFromANodeOfAnOlderEraDoesNotStandIn, both cases: not true: !z.member.usable("t-1")

--- a/datastore/follow_relay.go
+++ b/datastore/follow_relay.go
@@ -18,12 +18,14 @@
 // Relay hands over what another node has read, if it leads on from the items of this
 // node; otherwise this node reads for itself. The latest delta replaces one that was
 // not applied yet. Of items that are older than those of this node, only the proof
-// counts.
+// counts, and that not from a node of an older era, or of a release that knows none.
 func (f *Follower[T]) Relay(d Delta, proven clock.Instant) {
 	at := f.history.current()
 	switch {
 	case at.Compare(d.Position) > 0:
-		f.StandIn(proven)
+		if at.Era == d.Position.Era {
+			f.StandIn(proven)
+		}
 	case d.leadsFrom(at):
 		f.relayed.Store(&relayedDelta{d, proven})
 		if f.relayRemaining(proven) > 0 {
--- a/datastore/restored_test.go
+++ b/datastore/restored_test.go
@@ -367,6 +367,30 @@
 	})
 }
 
+// A node of a release that knows no eras, or one that has not learned of the new era,
+// proves nothing about the items of this one.
+func TestProofFromANodeOfAnOlderEraDoesNotStandIn(t *testing.T) {
+	for name, at := range map[string]datastore.Position{
+		"without eras": {Revision: 1 << 40}, "of an older era": {Era: 1, Revision: 1 << 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				z := startZone(t)
+				z.owner.targets.restore(z.owner.targets.copy())
+				z.putTarget(1, false)
+				z.run(5 * time.Second)
+				z.putTarget(1, true)
+				for range int(drain / relayInterval) {
+					z.member.manager.ApplyChanges(datastore.KindTargets, datastore.Delta{Position: at}, virtualNow())
+					time.Sleep(relayInterval)
+				}
+				is.True(!z.member.usable("t-1"))
+			})
+		})
+	}
+}
+
 // The number of nodes divides the teams' limits, so that fewer nodes would each take more
 // until the lost ones have announced themselves again.
 func TestNodesThatTheOlderCopyLacksAreRetainedAndAnnounceThemselvesAgain(t *testing.T) {
