--- a/standin/entrytest/restore_test.go
+++ b/standin/entrytest/restore_test.go
@@ -9,17 +9,29 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 // inForceLimit is the time within which a confirmed configuration must be in force.
 const inForceLimit = 2500 * time.Millisecond
 
-// startNodes starts nodes 1 to count and waits until they are ready.
+// firstZoneNodes is the number of nodes that startNodes puts into the first zone: enough
+// for hubs.
+const firstZoneNodes = 9
+
+// startNodes starts nodes 1 to count and waits until they are ready. Those after
+// firstZoneNodes are in a second zone.
 func (env *testEnv) startNodes(count int) []*node {
 	env.t.Helper()
 	nodes := make([]*node, 0, count)
 	for i := range count {
-		nodes = append(nodes, env.startNode(i+1))
+		s := env.settings(i + 1)
+		if i >= firstZoneNodes {
+			s.Node.AvailabilityZone = "b"
+			s.Zones = append(s.Zones, &schema.GatewayZone{Name: "b", Region: "r"})
+		}
+		nodes = append(nodes, env.startNodeWith(i+1, s))
 	}
 	env.t.Cleanup(func() { stopAll(nodes) })
 	for _, n := range nodes {
