mesh: bookings reported before a feed takes over are counted

Callers of a team could get up to half a second of a zone's traffic beyond the team's limit whenever the zone changed its owner: other zones merged what the new owner reported in the 500 ms before its feed replaced the old one's into the feed's counters, and never counted it or passed it on.

TestBookingsBeforeATakeoverAreCounted failed before: receive_test.go:187: 17 != 117 100 booked in 400 ms were lost, 7 of the last report were counted.

A feed now holds what it reports after the last report of the active feed, and that counts when it takes over. What it reported before that, or in a report that straddles it, the active feed has reported.

--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -18,10 +18,21 @@
 	*report
 	// reporter is the process whose stream it is.
 	reporter peer.Identity
-	// hasBaseline is set once the stream's first, complete report has been merged.
-	hasBaseline bool
-	// lastUpdate is when the last report was merged.
+	// lastUpdate is when the last report was merged, zero before the stream's first,
+	// complete report.
 	lastUpdate time.Time
+	// held is what the source has booked, as this feed reports, since the last report
+	// of its active feed.
+	held map[string]uint64
+}
+
+func (f *feed) hold(booked map[string]uint64) {
+	if f.held == nil {
+		f.held = make(map[string]uint64)
+	}
+	for team, amount := range booked {
+		f.held[team] += amount
+	}
 }
 
 // inbound is the state of the stream from one other node.
@@ -103,21 +114,8 @@
 // applyReport merges a report into its feed, and applies it unless another feed of
 // the source is still active. The lock must be held.
 func (m *Manager) applyReport(s *source, f *feed, now time.Time, c changes) {
-	booked := f.merge(c)
-	resumed := s.active != f && now.Sub(f.lastUpdate) > feedTakeoverDelay
-	reconnected := s.active != nil && s.active != f && s.active.reporter == f.reporter
-	f.lastUpdate = now
-	switch {
-	case reconnected:
-		// The same process reports on a new stream, with the same counters.
-		f.hasBaseline, booked = true, s.active.bookedSince(f.teams)
-	case !f.hasBaseline || resumed:
-		// The counters are older than the stream, or include what another feed has
-		// reported. What the source booked while it was silent is covered by the share
-		// reserved for it, so only later bookings count.
-		f.hasBaseline, booked = true, nil
-	}
-	if s.active != nil && s.active != f && !reconnected && now.Sub(s.lastUpdate) < feedTakeoverDelay {
+	booked, applies := s.newBookings(f, now, c)
+	if !applies {
 		return
 	}
 	if s.active != f {
@@ -148,6 +146,36 @@
 	}
 }
 
+// newBookings merges a report into its feed. It returns what the source has booked
+// that has not been counted yet, and whether the report applies: not while another
+// process's feed of the source is active.
+//
+// Two feeds of a source report the same bookings. What a feed reports after the last
+// report of the active one is held, and counts when the feed replaces it.
+func (s *source) newBookings(f *feed, now time.Time, c changes) (booked map[string]uint64, applies bool) {
+	reported := f.merge(c)
+	previous := f.lastUpdate
+	f.lastUpdate = now
+	switch {
+	case s.active == f:
+		return reported, true
+	case s.active != nil && s.active.reporter == f.reporter:
+		// The same process reports on a new stream, with the same counters.
+		return s.active.bookedSince(f.teams), true
+	case previous.IsZero() || previous.Before(s.lastUpdate):
+		// The counters are older than the stream, or include what another feed has
+		// reported.
+		f.held = nil
+	default:
+		f.hold(reported)
+	}
+	if s.active != nil && now.Sub(s.lastUpdate) < feedTakeoverDelay {
+		return nil, false
+	}
+	booked, f.held = f.held, nil
+	return booked, true
+}
+
 // notifyReport notifies the listener of loads and queue lengths of a source. The lock
 // must be held.
 func (m *Manager) notifyReport(s *source, targets map[string]TargetUse, queues map[Queue]int) {
--- a/mesh/receive_test.go
+++ b/mesh/receive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -102,37 +103,93 @@
 
 func (b *bookings) Booked(_ string, amount float64, _ *int64) { b.sum += amount }
 
+// deliver passes the pending notifications to a listener.
+func deliver(m *Manager, l Listener) {
+	m.mu.Lock()
+	pending := m.pending
+	m.pending = nil
+	m.mu.Unlock()
+	for _, n := range pending {
+		n(l)
+	}
+}
+
+// newNode returns the manager of a node, which knows of those of the same zone and
+// others, all named by their zones.
+func newNode(name string, all ...string) *Manager {
+	nodes := make(map[string]datastore.Node)
+	for _, n := range append(all, name) {
+		nodes[n] = datastore.Node{Name: n, Zone: n[:1]}
+	}
+	m := New(Options{Self: nodes[name], Listener: nopListener{}, Logger: logging.Discard()})
+	m.SetNodes(nodes)
+	return m
+}
+
+func identity(name string, incarnation uint64) peer.Identity {
+	return peer.Identity{Node: name, AvailabilityZone: name[:1], Incarnation: incarnation}
+}
+
+// bookedUse is a report of what team t has booked.
+func bookedUse(booked uint64) *schema.MeshUse {
+	return &schema.MeshUse{Teams: []*schema.MeshTeam{{Ref: 1, Name: "t", Booked: booked}}}
+}
+
 // A node whose link broke and that reports on a new stream loses no bookings and has
 // none counted twice. After its restart its counters are others.
 func TestBookingsSurviveAReconnect(t *testing.T) {
 	is := is.New(t)
 	l := &bookings{}
-	m := New(Options{Self: datastore.Node{Name: "a1", Zone: "a"}, Listener: l, Logger: logging.Discard()})
-	m.SetNodes(map[string]datastore.Node{"a1": {Name: "a1", Zone: "a"}, "a2": {Name: "a2", Zone: "a"}})
+	m := newNode("a1", "a2")
 	report := func(in *inbound, booked uint64) float64 {
-		m.handleUpdate(in, &schema.MeshUpdate{Own: &schema.MeshUse{Teams: []*schema.MeshTeam{{Ref: 1, Name: "t", Booked: booked}}}})
-		m.mu.Lock()
-		pending := m.pending
-		m.pending = nil
-		m.mu.Unlock()
-		for _, n := range pending {
-			n(l)
-		}
+		m.handleUpdate(in, &schema.MeshUpdate{Own: bookedUse(booked)})
+		deliver(m, l)
 		return l.sum
 	}
-	first := peer.Identity{Node: "a2", AvailabilityZone: "a", Incarnation: 1}
-	in := newInbound(first)
+	in := newInbound(identity("a2", 1))
 	is.Equal(report(in, 100), 0.0) // older than the stream
 	is.Equal(report(in, 130), 30.0)
-	in = newInbound(first)
+	in = newInbound(identity("a2", 1))
 	is.Equal(report(in, 180), 80.0) // 50 were booked between the streams
 	is.Equal(report(in, 190), 90.0)
 	time.Sleep(feedTakeoverDelay + 10*time.Millisecond)
-	in = newInbound(peer.Identity{Node: "a2", AvailabilityZone: "a", Incarnation: 2})
+	in = newInbound(identity("a2", 2))
 	is.Equal(report(in, 20), 90.0)
 	is.Equal(report(in, 25), 95.0)
 }
 
+// Bookings that a zone's new owner reports after the last report of the old one, and
+// before its reports count, are counted and passed on. Guards against a loss of half a
+// second of a zone's bookings.
+func TestBookingsBeforeATakeoverAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &bookings{}
+		m := newNode("b1", "b2", "a1", "a2")
+		report := func(in *inbound, booked uint64) float64 {
+			m.handleUpdate(in, &schema.MeshUpdate{Zones: []*schema.MeshZone{{Zone: "a", Use: bookedUse(booked)}}})
+			deliver(m, l)
+			return l.sum
+		}
+		old, next := newInbound(identity("a1", 1)), newInbound(identity("a2", 1))
+		is.Equal(report(old, 1000), 0.0)
+		is.Equal(report(next, 400), 0.0)
+		is.Equal(report(next, 410), 0.0) // The old owner reports these, too.
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(report(old, 1010), 10.0)
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(report(next, 410), 10.0)
+		for range 5 {
+			time.Sleep(80 * time.Millisecond)
+			is.Equal(report(next, next.feeds["a"].teams["t"]+20), 10.0)
+		}
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(report(next, 510+7), 10.0+100+7)
+		is.Equal(m.zones["a"].forwarded.since(0).teams["t"].Booked, uint64(117))
+		is.Equal(report(next, 520), 10.0+110)
+	})
+}
+
 // manyObjects is a node that has read many targets.
 type manyObjects struct{}
 
--- a/mesh/star.go
+++ b/mesh/star.go
@@ -86,7 +86,7 @@
 // the owner's sums of the zone include it. The lock must be held.
 func (m *Manager) storeReport(s *source, f *feed, now time.Time, c changes) {
 	f.merge(c)
-	f.hasBaseline, f.lastUpdate = true, now
+	f.lastUpdate = now
 	if s.active == nil {
 		m.options.Logger.Info().Str("event", "peer_heard").Str("source", s.name).Msg("")
 	}
