mesh: a member that the owner does not hear is not told its own bookings

A team's requests at a member of a large zone would be refused below its limit: while the owner of the zone did not hear the member, its sums for that member included what the member had booked itself, as if others had. Later sums, again without it, were lower and so the others' bookings were lost until they had caught up: a team could then use more than its limit there.

TestMemberThatIsNotHeardIsNotToldItsOwnBookings failed before: receive_test.go:239: 35 != 5

What a node has contributed to the sums is now subtracted whether or not it is heard; only its queue counts while it is heard.

--- a/mesh/receive_test.go
+++ b/mesh/receive_test.go
@@ -23,11 +23,11 @@
 // nopListener ignores all notifications.
 type nopListener struct{}
 
-func (nopListener) TargetLoad(string, string, TargetUse) {}
-func (nopListener) SourceSilent(string)                  {}
+func (nopListener) TargetLoad(string, string, TargetUse)          {}
+func (nopListener) SourceSilent(string)                           {}
 func (nopListener) Booked(string, float64, *int64)       {}
-func (nopListener) QueueLength(string, Queue, int)       {}
-func (nopListener) SilentShare(float64, int)             {}
+func (nopListener) QueueLength(string, Queue, int)                {}
+func (nopListener) SilentShare(float64, int)                      {}
 
 // drawUpdate draws an update with any values, also those that no node sends.
 func drawUpdate(t *rapid.T) *schema.MeshUpdate {
@@ -190,6 +190,27 @@
 	})
 }
 
+// What a member of a large zone has booked itself never comes back to it as bookings
+// of others, also not while the owner does not hear it.
+func TestMemberThatIsNotHeardIsNotToldItsOwnBookings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newNode("a1", "a2", "a3")
+		book := func(name string, booked uint64) *inbound {
+			in := newInbound(identity(name, 1))
+			m.handleUpdate(in, &schema.MeshUpdate{})
+			m.handleUpdate(in, &schema.MeshUpdate{Own: bookedUse(booked)})
+			return in
+		}
+		book("a2", 30)
+		book("a3", 5)
+		is.Equal(m.restSince(0, "a2").teams["t"].Booked, uint64(5))
+		time.Sleep(silenceTimeout + 100*time.Millisecond)
+		m.checkSilence(time.Now())
+		is.Equal(m.restSince(0, "a2").teams["t"].Booked, uint64(5))
+	})
+}
+
 // manyObjects is a node that has read many targets.
 type manyObjects struct{}
 
--- a/mesh/star.go
+++ b/mesh/star.go
@@ -118,7 +118,7 @@
 	defer m.mu.Unlock()
 	c := m.zoneSums.since(version)
 	s := m.nodes[name]
-	if s == nil || s.active == nil {
+	if s == nil {
 		return c
 	}
 	rest := changes{version: c.version, teams: make(map[string]TeamUse, len(c.teams)), queues: make(map[Queue]int, len(c.queues))}
@@ -127,7 +127,10 @@
 		rest.teams[team] = use
 	}
 	for q, waiting := range c.queues {
-		rest.queues[q] = max(0, waiting-s.active.queues[q])
+		if s.active != nil {
+			waiting = max(0, waiting-s.active.queues[q])
+		}
+		rest.queues[q] = waiting
 	}
 	return rest
 }
