mesh, quota: what a silent process booked counts when it is heard again

A team got more than its limit beside nodes that fell silent for a second: what they had booked since their last report was dropped when they were heard again, on the same stream or a new one. It was taken to be covered by the share that is left to silent nodes, but that is left from 0.85 s after the last report on, and a node whose reports are late while it hears the others does not keep to the share.

TestBookingsOfASilentProcessAreCountedWhenItIsHeard failed before: receive_test.go:215: 30 != 80 The same process's counters are the same, whichever stream reports them, so the difference is exact. Another process starts a new baseline, as before.

So that nothing is counted twice, quota offsets such late bookings against what it left to unreachable nodes within the window, and enters them into the window over the time for which the node was silent. With the offset taken out, TestLateBookingsCountAgainstWhatWasLeftToTheirNode fails (-94000 != 1000); with all entered at once, TestLateBookingsLeaveTheWindowWithTheTimeOfTheirBooking.

--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -88,12 +88,12 @@
 func (f *forwarder) SourceSilent(source string) { f.balancer.RemoveSource(source) }
 
 // Booked implements mesh.Listener.
-func (f *forwarder) Booked(team string, amount float64, level *int64) {
+func (f *forwarder) Booked(team string, amount float64, level *int64, over time.Duration) {
 	if target, ok := strings.CutPrefix(team, targetBooking); ok {
 		f.balancer.RecordRemoteSends(target, amount)
 		return
 	}
-	f.allowance.RecordRemote(team, amount, level)
+	f.allowance.RecordRemote(team, amount, level, over)
 }
 
 // QueueLength implements mesh.Listener.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -53,8 +53,9 @@
 	// SourceSilent reports that a source is silent; its loads no longer count.
 	SourceSilent(source string)
 	// Booked reports that another node booked an amount for a team. level is the
-	// remaining amount as that node estimates it, or nil if unknown.
-	Booked(team string, amount float64, level *int64)
+	// remaining amount as that node estimates it, or nil if unknown. over is the time
+	// in which it was booked, if the node was silent for that time, or 0.
+	Booked(team string, amount float64, level *int64, over time.Duration)
 	// QueueLength reports how many requests are queued at a source.
 	QueueLength(source string, q Queue, waiting int)
 	// SilentShare reports the fraction of the deployment's nodes that are silent,
@@ -144,11 +145,11 @@
 // source is a node of this zone, or another zone, that reports its use.
 type source struct {
 	name string
-	// active is the feed whose reports count, nil if the source is silent. What a
-	// silent source books is covered by the share reserved for it.
-	active     *feed
-	lastUpdate time.Time
-	leaving    bool
+	// active is the feed whose reports count, nil if the source is silent. last is the
+	// one that counted last.
+	active, last *feed
+	lastUpdate   time.Time
+	leaving      bool
 	// ready is whether a node reports that it can own its zone.
 	ready bool
 	// forwarded holds another zone's sums, which this node forwards within its own
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -76,7 +76,7 @@
 	delete(n.waiting, source)
 }
 
-func (n *node) Booked(team string, amount float64, _ *int64) {
+func (n *node) Booked(team string, amount float64, _ *int64, _ time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.booked[team] += amount
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -118,12 +118,16 @@
 	if !applies {
 		return
 	}
+	var over time.Duration
+	if s.last != nil && s.active == nil {
+		over = now.Sub(s.lastUpdate)
+	}
 	if s.active != f {
 		m.activateFeed(s, f)
 		c = changes{targets: f.targets, queues: f.queues, teams: c.teams}
 	}
 	s.lastUpdate = now
-	m.recordBookings(s, booked, c.teams)
+	m.recordBookings(s, booked, c.teams, over)
 	m.notifyReport(s, c.targets, c.queues)
 	for id, use := range c.targets {
 		switch {
@@ -148,7 +152,8 @@
 
 // newBookings merges a report into its feed. It returns what the source has booked
 // that has not been counted yet, and whether the report applies: not while another
-// process's feed of the source is active.
+// process's feed of the source is active. What a process booked while it was silent
+// counts when it is heard again.
 //
 // Two feeds of a source report the same bookings. What a feed reports after the last
 // report of the active one is held, and counts when the feed replaces it.
@@ -157,11 +162,13 @@
 	previous := f.lastUpdate
 	f.lastUpdate = now
 	switch {
-	case s.active == f:
+	case s.last == f:
 		return reported, true
-	case s.active != nil && s.active.reporter == f.reporter:
+	case s.last != nil && s.last.reporter == f.reporter:
 		// The same process reports on a new stream, with the same counters.
-		return s.active.bookedSince(f.teams), true
+		booked = s.last.bookedSince(f.teams)
+		f.raise(s.last.teams)
+		return booked, true
 	case previous.IsZero() || previous.Before(s.lastUpdate):
 		// The counters are older than the stream, or include what another feed has
 		// reported.
@@ -194,15 +201,15 @@
 	} else {
 		m.notify(func(l Listener) { l.SourceSilent(s.name) })
 	}
-	s.active = f
+	s.active, s.last = f, f
 }
 
 // recordBookings notifies the listener of a source's new bookings and adds them to
-// the sums that this node sends on.
-func (m *Manager) recordBookings(s *source, booked map[string]uint64, teams map[string]TeamUse) {
+// the sums that this node sends on. over is the time for which the source was silent.
+func (m *Manager) recordBookings(s *source, booked map[string]uint64, teams map[string]TeamUse, over time.Duration) {
 	for team, amount := range booked {
 		level := teams[team].Level
-		m.notify(func(l Listener) { l.Booked(team, float64(amount), level) })
+		m.notify(func(l Listener) { l.Booked(team, float64(amount), level, over) })
 		switch {
 		case s.forwarded != nil:
 			s.forwarded.addTeam(team, amount, level)
--- a/mesh/receive_test.go
+++ b/mesh/receive_test.go
@@ -25,7 +25,7 @@
 
 func (nopListener) TargetLoad(string, string, TargetUse)          {}
 func (nopListener) SourceSilent(string)                           {}
-func (nopListener) Booked(string, float64, *int64)       {}
+func (nopListener) Booked(string, float64, *int64, time.Duration) {}
 func (nopListener) QueueLength(string, Queue, int)                {}
 func (nopListener) SilentShare(float64, int)                      {}
 
@@ -101,7 +101,7 @@
 	sum float64
 }
 
-func (b *bookings) Booked(_ string, amount float64, _ *int64) { b.sum += amount }
+func (b *bookings) Booked(_ string, amount float64, _ *int64, _ time.Duration) { b.sum += amount }
 
 // deliver passes the pending notifications to a listener.
 func deliver(m *Manager, l Listener) {
@@ -190,6 +190,35 @@
 	})
 }
 
+// What a process booked while it was not heard, on the same stream or until it has
+// opened a new one, is counted when it is heard again.
+func TestBookingsOfASilentProcessAreCountedWhenItIsHeard(t *testing.T) {
+	for _, reconnect := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			l := &bookings{}
+			m := newNode("a1", "a2")
+			report := func(in *inbound, booked uint64) float64 {
+				m.handleUpdate(in, &schema.MeshUpdate{Own: bookedUse(booked)})
+				deliver(m, l)
+				return l.sum
+			}
+			in := newInbound(identity("a2", 1))
+			report(in, 100)
+			is.Equal(report(in, 130), 30.0)
+			time.Sleep(silenceTimeout + 100*time.Millisecond)
+			m.checkSilence(time.Now())
+			is.True(m.nodes["a2"].active == nil)
+			if reconnect {
+				in = newInbound(identity("a2", 1))
+			}
+			is.Equal(report(in, 180), 80.0)
+			is.Equal(m.zoneSums.since(0).teams["t"].Booked, uint64(80))
+			is.Equal(report(newInbound(identity("a2", 2)), 500), 80.0) // Another process.
+		})
+	}
+}
+
 // What a member of a large zone has booked itself never comes back to it as bookings
 // of others, also not while the owner does not hear it.
 func TestMemberThatIsNotHeardIsNotToldItsOwnBookings(t *testing.T) {
--- a/mesh/star.go
+++ b/mesh/star.go
@@ -68,9 +68,12 @@
 	m.options.Logger.Info().Str("event", "mesh_role_changed").Bool("member", m.member).Strs("hubs", m.hubs).Msg("")
 	if !m.member {
 		m.markSilent(m.rest)
+		m.rest.last = nil
 	}
 	for _, s := range m.nodes {
 		if s.active == nil {
+			// What it books while this node is a member is part of the zone's sums.
+			s.last = nil
 			continue
 		}
 		if m.member {
@@ -90,7 +93,7 @@
 	if s.active == nil {
 		m.options.Logger.Info().Str("event", "peer_heard").Str("source", s.name).Msg("")
 	}
-	s.active, s.lastUpdate = f, now
+	s.active, s.last, s.lastUpdate = f, f, now
 }
 
 // wantedInZone returns the nodes of this zone to which this node has links. The lock
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -160,6 +160,13 @@
 	return booked
 }
 
+// raise raises the counters to at least the given totals.
+func (r *report) raise(totals map[string]uint64) {
+	for name, total := range totals {
+		r.teams[name] = max(r.teams[name], total)
+	}
+}
+
 // merge applies changes and returns how much each team booked since the previous
 // ones.
 func (r *report) merge(c changes) map[string]uint64 {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -41,7 +41,10 @@
 	// shareSeconds is the reachable share of the nodes, integrated over the time from
 	// the start to sharesAt: what this node may refill for each unit of a rate.
 	shareSeconds float64
-	sharesAt     time.Time
+	// reservedSeconds is the unreachable share of the nodes, integrated likewise: what
+	// was left to them.
+	reservedSeconds float64
+	sharesAt        time.Time
 }
 
 // bucket is the known usage of one team.
@@ -54,7 +57,12 @@
 	// syncedAt is when it was last moved towards another node's level.
 	refilled float64
 	syncedAt time.Time
-	used     window
+	// reserved is what was left to unreachable nodes within a window, less what has been
+	// offset against their bookings; reservedAt is the Allowance's reservedSeconds when it
+	// was last raised.
+	reserved   window
+	reservedAt float64
+	used       window
 	// ownLevel is what this node may use while the level is low, as of ownRefilledAt;
 	// ownUsed is the part of used that this node booked.
 	ownLevel      float64
@@ -155,6 +163,8 @@
 	}
 	b.level = min(team.Burst*reachableShare, b.level+(a.shareSeconds-b.refilled)*rate)
 	b.refilled = a.shareSeconds
+	b.reserved.add(now, (a.reservedSeconds-b.reservedAt)*rate)
+	b.reservedAt = a.reservedSeconds
 	rate *= reachableShare
 	b.used.advance(now)
 	// A bucket that is not empty admits a request of any size and goes into debt:
@@ -221,14 +231,23 @@
 }
 
 // RecordRemote subtracts an amount that was booked on another node. The level
-// is that node's, or nil if it does not publish one yet.
-func (a *Allowance) RecordRemote(team string, amount float64, level *int64) {
+// is that node's, or nil if it does not publish one yet. over is the time in which
+// it was booked, if that node was silent for so long, or 0: such an amount is first
+// offset against what was left to unreachable nodes.
+func (a *Allowance) RecordRemote(team string, amount float64, level *int64, over time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	a.integrateShare(now)
 	b := a.bucket(team)
+	b.used.addOver(now, over, amount)
+	if over > 0 {
+		b.reserved.advance(now)
+		offset := max(0, min(amount, b.reserved.sum))
+		b.reserved.add(now, -offset)
+		amount -= offset
+	}
 	b.level -= amount
-	b.used.add(now, amount)
 	if level == nil {
 		return
 	}
@@ -265,7 +284,9 @@
 // nodes were not heard stays this node's share, also once they are: they refilled the
 // rest.
 func (a *Allowance) integrateShare(now time.Time) {
-	a.shareSeconds += now.Sub(a.sharesAt).Seconds() * (1 - a.unreachableShare)
+	elapsed := now.Sub(a.sharesAt).Seconds()
+	a.shareSeconds += elapsed * (1 - a.unreachableShare)
+	a.reservedSeconds += elapsed * a.unreachableShare
 	a.sharesAt = now
 }
 
@@ -275,7 +296,8 @@
 	defer a.mu.Unlock()
 	if slack.Window != a.slack.Window {
 		for _, b := range a.buckets {
-			b.used, b.ownUsed = newWindow(slack.Window, time.Now()), newWindow(slack.Window, time.Now())
+			now := time.Now()
+			b.used, b.ownUsed, b.reserved = newWindow(slack.Window, now), newWindow(slack.Window, now), newWindow(slack.Window, now)
 		}
 	}
 	a.slack = slack
@@ -294,6 +316,7 @@
 		b = &bucket{
 			syncedAt: a.started, ownRefilledAt: a.started,
 			used: newWindow(a.slack.Window, a.started), ownUsed: newWindow(a.slack.Window, a.started),
+			reserved: newWindow(a.slack.Window, a.started), reservedAt: a.reservedSeconds,
 		}
 		a.buckets[team] = b
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -104,7 +104,7 @@
 		}
 		for i, n := range c.nodes {
 			if i != r.from && !c.partitioned[i] && !c.partitioned[r.from] {
-				n.RecordRemote("t", r.amount, r.level)
+				n.RecordRemote("t", r.amount, r.level, 0)
 			}
 		}
 	}
@@ -311,6 +311,52 @@
 	})
 }
 
+// What a node booked while it was not heard counts when it is heard again: against what
+// was left to it meanwhile, then against the level.
+func TestLateBookingsCountAgainstWhatWasLeftToTheirNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		team := &catalog.Team{Name: "t", Rate: 100_000, Burst: 100_000, ByTokens: true}
+		a := NewAllowance(slack, func(string, float64, *int64) {})
+		a.SetNodes(2, 0)
+		admitAll := func() float64 {
+			admitted := 0.0
+			for {
+				if _, ok := a.Take(team, 1000); !ok {
+					return admitted
+				}
+				admitted += 1000
+			}
+		}
+		time.Sleep(20 * time.Second)
+		admitAll()
+		a.SetNodes(2, 0.5)
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			admitAll()
+		}
+		a.SetNodes(2, 0)
+		before := a.buckets["t"].level
+		a.RecordRemote("t", 95_000, nil, 2*time.Second)
+		is.Equal(a.buckets["t"].level, before) // 100,000 were left to it.
+		a.RecordRemote("t", 35_000, nil, 2*time.Second)
+		is.True(a.buckets["t"].level <= before-29_000)
+	})
+}
+
+// Guards against refusing a team for a whole window after a node was not heard.
+func TestLateBookingsLeaveTheWindowWithTheTimeOfTheirBooking(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	w := newWindow(8*time.Second, start)
+	w.addOver(start.Add(10*time.Second), 4*time.Second, 1000)
+	is.True(w.sum > 999.9 && w.sum < 1000.1)
+	w.advance(start.Add(16 * time.Second))
+	is.True(w.sum > 450 && w.sum < 550)
+	w.advance(start.Add(18*time.Second + 200*time.Millisecond))
+	is.True(w.sum < 0.1)
+}
+
 // Fails if nodes book only their own requests and ignore those of other nodes.
 func TestNodesShareOneLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/quota/window.go
+++ b/quota/window.go
@@ -38,3 +38,14 @@
 	w.slots[w.lastSlot%windowSlots] += amount
 	w.sum += amount
 }
+
+// addOver adds an amount that was booked evenly over the given time before now.
+func (w *window) addOver(now time.Time, over time.Duration, amount float64) {
+	w.advance(now)
+	slots := min(int64(over/(w.width/windowSlots))+1, w.lastSlot+1)
+	share := amount / float64(slots)
+	for i := range min(slots, windowSlots) {
+		w.slots[(w.lastSlot-i)%windowSlots] += share
+		w.sum += share
+	}
+}
