mesh: other nodes learn what a zone booked while its owner changes

Causes, each a report that became the baseline of a new feed, or that kept another feed from counting: - The first report of a stream is its baseline. The first report now states what the other zone was told last: as of the last acknowledgement, or as of when the successor last heard the former owner. The second one states the present. - The same one hop further: a node that begins to forward a zone first states what was known in its own zone before its feed took over. - A node forwarded a zone's sums for 0.75 s after it had stopped hearing them. That kept the direct feeds of others inactive and made them drop what they held. Only reports that are new, and direct, are forwarded, each once. It waits until it is ready, or for silenceTimeout. - A former owner closed its links before those of the new one were open. It goes on for handoverTime. - In a zone with hubs, only the owner told members the sums, so that the next hub's were a baseline; and a member that became a hub counted what it had counted from the sums before again. All hubs tell members, of which one feed counts, and a change of role starts new baselines.

The price: hubs other than the owner send their sums to members with the heartbeats that they sent anyway (within a zone). Nothing more between zones.

--- /dev/null
+++ b/mesh/handover_test.go
@@ -0,0 +1,116 @@
+package mesh
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/quota"
+	"github.com/primrosemoor/primrosemoor/schema"
+)
+
+// forwards reports whether the next update of a link contains a zone.
+func forwards(l *link, zone string) bool {
+	u, _ := l.update(true)
+	for _, z := range u.GetZones() {
+		if z.GetZone() == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// A node forwards what another zone has reported to it directly, each report once.
+// Guards against bookings that two nodes forward to each other, and against old reports
+// that keep those of another node from counting.
+func TestOnlyNewDirectReportsAreForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newNode("a1", "a2", "b1")
+		report := func(in *inbound, booked uint64) {
+			m.handleUpdate(in, &schema.MeshUpdate{Zones: []*schema.MeshZone{{Zone: "b", Use: bookedUse(booked)}}})
+		}
+		l := &link{manager: m, peer: datastore.Node{Name: "a2", Zone: "a"}}
+		l.begin()
+		mate, direct := newInbound(identity("a2", 1)), newInbound(identity("b1", 1))
+		report(mate, 100)
+		report(direct, 50)
+		is.True(!forwards(l, "b")) // a2 has reported it itself.
+		time.Sleep(feedTakeoverDelay)
+		report(direct, 60)
+		is.True(forwards(l, "b"))
+		time.Sleep(heartbeatInterval)
+		is.True(!forwards(l, "b")) // Nothing was heard since.
+		report(direct, 60)
+		is.True(forwards(l, "b"))
+	})
+}
+
+// When owners of zones are killed and come back, every running node is told what the
+// others that kept running have booked. Guards against a second of a zone's bookings that
+// no other zone learns of.
+func TestBookingsReachAllWhileOwnersAreKilled(t *testing.T) {
+	const (
+		// maxLost and maxTwice are the longest times of which a node's bookings may be
+		// lost, or counted twice, when owners change: the age of what the former owner
+		// was heard to say, and the time between two updates. In a zone with hubs, where
+		// each node has a small share, a node that becomes a hub misses what the members
+		// booked between the last sums that it was told and their first reports to it,
+		// each up to a heartbeat old.
+		maxLost  = silenceCheckInterval + interZoneInterval
+		maxTwice = handoverTime
+		starMore = 2 * heartbeatInterval
+	)
+	for _, zones := range [][]int{{2, 2, 2}, {3, 3, 2}, {2, 2, 2, 2}, {12, 3, 2}, {12, 12}} {
+		for _, down := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprint(zones, " down ", down), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					d := newVirtualDeployment(quota.Slack{Window: 8 * time.Second}, zones...)
+					// Each node books a microsecond's worth for each microsecond that it is
+					// ready, for a team of its own.
+					booked := make(map[string]time.Duration)
+					run := func(length time.Duration) {
+						for end := time.Now().Add(length); time.Now().Before(end); d.step() {
+							for _, n := range d.nodes {
+								if n.up && n.manager.ready {
+									n.manager.Book(n.node.Name, float64(virtualStep.Microseconds()), nil)
+									booked[n.node.Name] += virtualStep
+								}
+							}
+						}
+					}
+					run(5 * time.Second)
+					a, b := d.byName("a00"), d.byName("b00")
+					a.kill()
+					b.kill()
+					run(down)
+					a.start()
+					b.start()
+					run(8 * time.Second)
+					for end := time.Now().Add(time.Second); time.Now().Before(end); d.step() {
+					}
+					for _, to := range d.nodes {
+						for _, from := range d.nodes {
+							if from == to || to == a || to == b || from == a || from == b {
+								continue
+							}
+							lost := booked[from.node.Name] - time.Duration(to.heard[from.node.Name])*time.Microsecond
+							more := time.Duration(0)
+							if slices.Max(zones) >= starMinNodes {
+								more = starMore
+							}
+							if lost > maxLost+more || lost < -maxTwice-more {
+								t.Errorf("%s was not told of %v of the bookings of %s", to.node.Name, lost, from.node.Name)
+							}
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -37,13 +37,19 @@
 	// were last sent.
 	sentOwn  uint64
 	sentZone uint64
+	// toMember is whether the other node was a member of this zone at the last update.
+	toMember bool
 	// sentCrashes is the version of the evidence on crashes that was last sent.
 	sentCrashes uint64
 	// sentForwarded are the versions of the other zones' sums that were last sent;
 	// nil until the first update on a stream.
 	sentForwarded map[string]uint64
-	sentLeaving   bool
-	sentReady     bool
+	// forwardedAt is when each other zone had reported to this node what was last sent.
+	// Nothing is forwarded that is no newer, so that it does not keep another node's
+	// reports of that zone from counting.
+	forwardedAt map[string]time.Time
+	sentLeaving bool
+	sentReady   bool
 	// failed is set from a failure until the next acknowledgement.
 	failed bool
 	// connected is set while the stream is open. retryNow cancels an attempt to
@@ -57,15 +63,7 @@
 func (m *Manager) reconcileLinks(ctx context.Context, running *sync.WaitGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.updateHubs()
-	wanted := m.wantedInZone()
-	if m.ownsZone() {
-		for zone := range m.zones {
-			for _, n := range m.remotePeers(zone) {
-				wanted[n.Name] = n
-			}
-		}
-	}
+	wanted := m.wantedLinks()
 	for name, l := range m.links {
 		if n, ok := wanted[name]; !ok || n.Address != l.peer.Address {
 			l.cancel()
@@ -83,6 +81,21 @@
 	}
 }
 
+// wantedLinks determines the hubs of this zone and returns the nodes to which this node
+// has links. The lock must be held.
+func (m *Manager) wantedLinks() map[string]datastore.Node {
+	m.updateHubs()
+	wanted := m.wantedInZone()
+	if m.reportsForZone() {
+		for zone := range m.zones {
+			for _, n := range m.remotePeers(zone) {
+				wanted[n.Name] = n
+			}
+		}
+	}
+	return wanted
+}
+
 // remotePeers returns the nodes of another zone to which this node has links: the one
 // that reports for its zone directly or, if there is none, the first in order whose
 // link has not failed, and those before it, so that they are used again when they are
@@ -156,14 +169,19 @@
 	defer l.setConnected(false)
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
 	defer stop()
-	l.encoder = newEncoder()
-	l.sentOwn, l.sentZone, l.sentCrashes, l.sentForwarded = 0, 0, 0, nil
+	l.begin()
 	receiveErr := make(chan error, 1)
 	acked := make(chan struct{}, 1)
 	go func() { receiveErr <- l.receive(stream, acked) }()
 	return l.send(ctx, stream, receiveErr, acked)
 }
 
+// begin makes the next update the first one of a stream, with the full state.
+func (l *link) begin() {
+	l.encoder = newEncoder()
+	l.sentOwn, l.sentZone, l.sentCrashes, l.sentForwarded, l.toMember = 0, 0, 0, nil, false
+}
+
 // open opens the stream. It fails after connectTimeout or when a retry is
 // requested.
 func (l *link) open(ctx context.Context) (*peer.Stream, error) {
@@ -188,8 +206,8 @@
 	for {
 		interval := l.interval()
 		changed := l.manager.changed.wait()
-		u, hasChanges := l.update()
-		if due := time.Since(sent) >= heartbeatInterval-interval; hasChanges || due {
+		due := time.Since(sent) >= heartbeatInterval-interval
+		if u, hasChanges := l.update(due); hasChanges || due {
 			if err := stream.Send(u); err != nil {
 				return err
 			}
@@ -207,7 +225,7 @@
 				waiting = false
 			case <-acked:
 				ackTimer.Reset(ackTimeout)
-				l.setFailed(false)
+				l.recordAck()
 			case <-ackTimer.C:
 				return errNoAck
 			case err := <-receiveErr:
@@ -232,8 +250,10 @@
 		return memberUpdateInterval
 	case member:
 		return heartbeatInterval
-	case toMember:
+	case toMember && l.manager.Owner().Name == l.manager.options.Self.Name:
 		return restUpdateInterval
+	case toMember:
+		return heartbeatInterval
 	}
 	return zoneUpdateInterval + time.Duration(max(0, l.manager.zoneNodes()-baseLinks))*extraLinkInterval
 }
@@ -244,48 +264,55 @@
 type forwardedZone struct {
 	sums        *sums
 	silentNodes uint32
+	reportedAt  time.Time
+	before      totals
 }
 
 // update returns the changes since the last update, and reports whether there are
-// any. A member is not told the loads of targets, which the owner of its zone chooses
-// for it.
-func (l *link) update() (u *schema.MeshUpdate, hasChanges bool) {
+// any; it is sent if there are, or if it is due. A member is not told the loads of
+// targets, which the owner of its zone chooses for it. All hubs tell it the sums of the
+// zone, so that those of the next owner count without a gap, and what they booked
+// themselves, so that it can become a hub.
+func (l *link) update(due bool) (u *schema.MeshUpdate, hasChanges bool) {
 	m := l.manager
 	u = &schema.MeshUpdate{SentAt: int64(clock.Now())}
 	if l.sentForwarded == nil {
-		l.sentForwarded = make(map[string]uint64)
+		l.sentForwarded, l.forwardedAt = make(map[string]uint64), make(map[string]time.Time)
 		u.Address, u.Cores = m.options.Self.Address, m.options.Self.Cores
 	}
 	l.requestObjects(u)
 	m.mu.Lock()
 	u.Leaving, u.Able = m.leaving, m.ready
-	toMember, owns, silent := m.isMember(l.peer.Name), m.ownsZone(), uint32(m.silentInZone())
+	toMember, silent := l.sameZone() && m.isMember(l.peer.Name), uint32(m.silentInZone())
 	forwarded := make(map[string]forwardedZone)
 	for name, s := range m.zones {
-		if l.sameZone() && s.active != nil && time.Since(s.lastDirect) < silenceTimeout {
-			forwarded[name] = forwardedZone{s.forwarded, uint32(s.silentNodes)}
+		if l.sameZone() && s.active != nil && s.lastDirect.After(l.forwardedAt[name]) {
+			forwarded[name] = forwardedZone{s.forwarded, uint32(s.silentNodes), s.lastDirect, s.before}
 		}
 	}
 	m.mu.Unlock()
-	switch {
-	case l.sameZone() && !toMember:
+	if l.toMember != toMember {
+		l.toMember, l.sentOwn, l.sentZone = toMember, 0, 0
+	}
+	if l.sameZone() {
 		c := m.nodeSums.since(l.sentOwn)
+		if toMember {
+			c.targets, c.queues = nil, nil
+		}
 		u.Own, l.sentOwn = l.encoder.use(c), c.version
 		hasChanges = hasChanges || !c.empty()
-	case !l.sameZone() || owns:
-		var c changes
-		if l.sameZone() {
-			c = m.restSince(l.sentZone, l.peer.Name)
-			c.targets = nil
-		} else {
-			c = m.zoneSums.since(l.sentZone)
-		}
+	}
+	if !l.sameZone() || toMember {
+		c := l.zoneChanges(toMember)
 		l.sentZone = c.version
 		hasChanges = hasChanges || !c.empty()
 		u.Zones = append(u.Zones, &schema.MeshZone{Zone: m.options.Self.Zone, Use: l.encoder.use(c), Silent: silent})
 	}
 	for name, z := range forwarded {
 		c := z.sums.since(l.sentForwarded[name])
+		if before := z.before; l.forwardedAt[name].Before(before.at) && before.isRecent() {
+			c = c.asOf(before)
+		}
 		if toMember {
 			c.targets = nil
 		}
@@ -296,9 +323,45 @@
 	hasChanges = l.addCrashes(u) || hasChanges
 	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady
 	l.sentLeaving, l.sentReady = u.GetLeaving(), u.GetAble()
+	if hasChanges || due {
+		for name, z := range forwarded {
+			l.forwardedAt[name] = z.reportedAt
+		}
+	}
 	return u, hasChanges
 }
 
+// zoneChanges returns the changes of this zone's sums since the last update, for a member
+// without what it has contributed. The first ones of a stream to another zone state what
+// that zone has been told before.
+func (l *link) zoneChanges(toMember bool) changes {
+	if toMember {
+		c := l.manager.restSince(l.sentZone, l.peer.Name)
+		c.targets = nil
+		return c
+	}
+	c := l.manager.zoneSums.since(l.sentZone)
+	if l.sentZone != 0 {
+		return c
+	}
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	if t, ok := l.manager.informedTotals(l.peer.Zone); ok {
+		return c.asOf(t)
+	}
+	return c
+}
+
+// recordAck records that the other node has received what this node sends.
+func (l *link) recordAck() {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	l.failed = false
+	if !l.sameZone() && l.sentZone != 0 {
+		l.manager.recordInformed(l.peer.Zone)
+	}
+}
+
 // receive reads acknowledgements and applies the configuration proofs in them.
 func (l *link) receive(stream *peer.Stream, acked chan<- struct{}) error {
 	ack := &schema.MeshAck{}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -133,7 +133,18 @@
 	leaving, ready bool
 	// owner is the node that owns this zone; it is this node if no better one is
 	// known.
-	owner       atomic.Pointer[datastore.Node]
+	owner atomic.Pointer[datastore.Node]
+	// started is when this node started, and ownedUntil when it last ceased to own its
+	// zone.
+	started, ownedUntil time.Time
+	// informed are the totals of this zone that each other zone was last told by this
+	// node, and informedByOwner by the owner of this zone, the process informant.
+	// succeeded are the latter as of when this node succeeded a process that had ended or
+	// fallen silent.
+	informed                   map[string]totals
+	informedByOwner, succeeded totals
+	informant                  peer.Identity
+
 	silentShare float64
 	nodeCount   int
 	// pending are the notifications that the listener has not received yet, in
@@ -148,13 +159,19 @@
 	// active is the feed whose reports count, nil if the source is silent. last is the
 	// one that counted last.
 	active, last *feed
-	lastUpdate   time.Time
-	leaving      bool
+	// applied is how many reports have counted.
+	applied    uint64
+	lastUpdate time.Time
+	leaving    bool
+	// process is the process of a node of this zone that was last heard.
+	process peer.Identity
 	// ready is whether a node reports that it can own its zone.
 	ready bool
 	// forwarded holds another zone's sums, which this node forwards within its own
 	// zone; nil if the source is a node.
 	forwarded *sums
+	// before are the totals of forwarded when the active feed took over from another one.
+	before totals
 	// lastDirect is when a node of the source's zone, if that is another zone, last
 	// reported the zone's sums to this node directly; directPeer is that node.
 	lastDirect time.Time
@@ -169,6 +186,7 @@
 func New(options Options) *Manager {
 	m := &Manager{
 		options:  options,
+		started:  time.Now(),
 		nodeSums: newSums(),
 		zoneSums: newSums(),
 		changed:  newSignal(),
@@ -177,6 +195,7 @@
 		peers:    make(map[string]datastore.Node),
 		links:    make(map[string]*link),
 
+		informed:    make(map[string]totals),
 		announced:   make(map[string]datastore.Node),
 		rest:        &source{name: options.Self.Zone},
 		silentShare: -1,
--- a/mesh/owner.go
+++ b/mesh/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"strings"
+	"time"
 
 	"github.com/primrosemoor/primrosemoor/datastore"
 )
@@ -76,11 +77,39 @@
 	if old := m.owner.Load(); old.Name == best.Name && old.Address == best.Address {
 		return
 	}
+	m.changeOwner(m.owner.Load().Name, best.Name)
 	m.owner.Store(&best.Node)
 	m.options.Logger.Info().Str("event", "owner_changed").Str("zone", best.Zone).Str("owner", best.Name).
 		Bool("able", best.ready).Float64("cores", best.Cores).Msg("")
 }
 
+// changeOwner prepares this node for becoming the owner, or for ceasing to be it. The
+// lock must be held.
+func (m *Manager) changeOwner(old, next string) {
+	switch self := m.options.Self.Name; {
+	case old == self && m.hasStarted():
+		m.ownedUntil = time.Now()
+	case next == self:
+		// The same process goes on reporting for handoverTime.
+		if s := m.nodes[old]; s == nil || s.active == nil || s.process != m.informant {
+			m.succeeded = m.informedByOwner
+		}
+	}
+}
+
+// reportsForZone reports whether this node reports for its zone to the other zones. The
+// lock must be held.
+func (m *Manager) reportsForZone() bool {
+	return m.ownsZone() && m.hasStarted() || time.Since(m.ownedUntil) < handoverTime
+}
+
+// hasStarted reports whether this node has had time to hear of a better owner. A node
+// that starts owns its zone until then, and would report for it what it does not know.
+// The lock must be held.
+func (m *Manager) hasStarted() bool {
+	return m.ready || time.Since(m.started) > silenceTimeout
+}
+
 // ownsZone reports whether this node owns its zone and is not leaving. The lock
 // must be held.
 func (m *Manager) ownsZone() bool {
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -21,8 +21,9 @@
 	// lastUpdate is when the last report was merged, zero before the stream's first,
 	// complete report.
 	lastUpdate time.Time
-	// held is what the source has booked, as this feed reports, since the last report
-	// of its active feed.
+	// seen is how many reports of the source had been applied at the last report, and held
+	// what the source has booked, as this feed reports, since the last one that was.
+	seen uint64
 	held map[string]uint64
 }
 
@@ -69,7 +70,7 @@
 	if in.from.AvailabilityZone == m.options.Self.Zone {
 		s := m.getOrAddSource(m.nodes, in.from.Node)
 		changed := s.active == nil || s.leaving != u.GetLeaving() || s.ready != u.GetAble()
-		s.leaving, s.ready = u.GetLeaving(), u.GetAble()
+		s.process, s.leaving, s.ready = in.from, u.GetLeaving(), u.GetAble()
 		own := in.decoder.use(u.GetOwn())
 		if m.member {
 			m.storeReport(s, in.feed(in.from.Node), now, own)
@@ -79,13 +80,18 @@
 		if changed {
 			m.elect()
 		}
+		if in.from.Node == m.owner.Load().Name {
+			m.recordInformedByOwner(in.from, now)
+		}
 	}
 	for _, z := range u.GetZones() {
 		use := in.decoder.use(z.GetUse())
 		if z.GetZone() == m.options.Self.Zone {
 			if f := in.feed(z.GetZone()); m.member {
-				m.rest.silentNodes = int(z.GetSilent())
 				m.applyReport(m.rest, f, now, use)
+				if m.rest.active == f {
+					m.rest.silentNodes = int(z.GetSilent())
+				}
 			} else {
 				f.merge(use)
 			}
@@ -94,10 +100,11 @@
 		s := m.getOrAddSource(m.zones, z.GetZone())
 		s.ensureForwarded()
 		s.silentNodes = int(z.GetSilent())
-		if in.from.AvailabilityZone != m.options.Self.Zone {
+		f := in.feed(z.GetZone())
+		m.applyReport(s, f, now, use)
+		if s.active == f && in.from.AvailabilityZone != m.options.Self.Zone {
 			s.lastDirect, s.directPeer = now, in.from.Node
 		}
-		m.applyReport(s, in.feed(z.GetZone()), now, use)
 	}
 }
 
@@ -123,10 +130,15 @@
 		over = now.Sub(s.lastUpdate)
 	}
 	if s.active != f {
+		if s.forwarded != nil {
+			s.before = s.forwarded.totals()
+		}
 		m.activateFeed(s, f)
 		c = changes{targets: f.targets, queues: f.queues, teams: c.teams}
 	}
 	s.lastUpdate = now
+	s.applied++
+	f.seen = s.applied
 	m.recordBookings(s, booked, c.teams, over)
 	m.notifyReport(s, c.targets, c.queues)
 	for id, use := range c.targets {
@@ -159,8 +171,8 @@
 // report of the active one is held, and counts when the feed replaces it.
 func (s *source) newBookings(f *feed, now time.Time, c changes) (booked map[string]uint64, applies bool) {
 	reported := f.merge(c)
-	previous := f.lastUpdate
-	f.lastUpdate = now
+	first, outdated := f.lastUpdate.IsZero(), f.seen != s.applied
+	f.lastUpdate, f.seen = now, s.applied
 	switch {
 	case s.last == f:
 		return reported, true
@@ -169,7 +181,7 @@
 		booked = s.last.bookedSince(f.teams)
 		f.raise(s.last.teams)
 		return booked, true
-	case previous.IsZero() || previous.Before(s.lastUpdate):
+	case first || outdated:
 		// The counters are older than the stream, or include what another feed has
 		// reported.
 		f.held = nil
--- a/mesh/star.go
+++ b/mesh/star.go
@@ -15,6 +15,9 @@
 	// hubCount is the number of hubs of a zone. One of them owns the zone; the others
 	// know all its nodes and can take over at once.
 	hubCount = 3
+	// memberReportAge is the age from which the last report of a node to a member shows
+	// that it has stopped reporting to it.
+	memberReportAge = heartbeatInterval + silenceCheckInterval
 )
 
 // hubs returns the hubs of a zone among its nodes, and the nodes that would be hubs
@@ -68,12 +71,12 @@
 	m.options.Logger.Info().Str("event", "mesh_role_changed").Bool("member", m.member).Strs("hubs", m.hubs).Msg("")
 	if !m.member {
 		m.markSilent(m.rest)
-		m.rest.last = nil
+		m.rest.forget()
 	}
 	for _, s := range m.nodes {
-		if s.active == nil {
-			// What it books while this node is a member is part of the zone's sums.
-			s.last = nil
+		if s.active == nil || !m.member && time.Since(s.lastUpdate) > memberReportAge {
+			// What it booked while this node was a member was part of the zone's sums.
+			s.forget()
 			continue
 		}
 		if m.member {
@@ -85,6 +88,12 @@
 	}
 }
 
+// forget makes the next report of any feed of the source its baseline.
+func (s *source) forget() {
+	s.active, s.last = nil, nil
+	s.applied++
+}
+
 // storeReport stores the report of a node of this zone that does not count, because
 // the owner's sums of the zone include it. The lock must be held.
 func (m *Manager) storeReport(s *source, f *feed, now time.Time, c changes) {
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 )
 
 // TargetUse is the outstanding work at a target, and its measured step time.
@@ -108,6 +109,36 @@
 	s.teams[name] = versioned[TeamUse]{TeamUse{s.teams[name].value.Booked + amount, level}, s.version}
 }
 
+// totals returns what each team has booked, at the present version.
+func (s *sums) totals() totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := totals{at: time.Now(), version: s.version, teams: make(map[string]uint64, len(s.teams))}
+	for name, v := range s.teams {
+		t.teams[name] = v.value.Booked
+	}
+	return t
+}
+
+// totals are what each team had booked at an instant, and the version of the sums then.
+type totals struct {
+	at      time.Time
+	version uint64
+	teams   map[string]uint64
+}
+
+// asOf returns the changes with the teams' counters as they were at earlier totals.
+func (c changes) asOf(t totals) changes {
+	teams := make(map[string]TeamUse)
+	for name := range c.teams {
+		if booked, ok := t.teams[name]; ok {
+			teams[name] = TeamUse{Booked: booked}
+		}
+	}
+	c.teams, c.version = teams, t.version
+	return c
+}
+
 // since returns the sums that changed after a version.
 func (s *sums) since(version uint64) changes {
 	s.mu.Lock()
