--- a/mesh/star.go
+++ b/mesh/star.go
@@ -15,6 +15,9 @@
 	// hubCount is the number of hubs of a zone. One of them owns the zone; the others
 	// know all its nodes and can take over at once.
 	hubCount = 3
+	// memberReportAge is the age from which the last report of a node to a member shows
+	// that it has stopped reporting to it.
+	memberReportAge = heartbeatInterval + silenceCheckInterval
 )
 
 // hubs returns the hubs of a zone among its nodes, and the nodes that would be hubs
@@ -68,9 +71,12 @@
 	m.options.Logger.Info().Str("event", "mesh_role_changed").Bool("member", m.member).Strs("hubs", m.hubs).Msg("")
 	if !m.member {
 		m.markSilent(m.rest)
+		m.rest.forget()
 	}
 	for _, s := range m.nodes {
-		if s.active == nil {
+		if s.active == nil || !m.member && time.Since(s.lastUpdate) > memberReportAge {
+			// What it booked while this node was a member was part of the zone's sums.
+			s.forget()
 			continue
 		}
 		if m.member {
@@ -82,15 +88,21 @@
 	}
 }
 
+// forget makes the next report of any feed of the source its baseline.
+func (s *source) forget() {
+	s.active, s.last = nil, nil
+	s.applied++
+}
+
 // storeReport stores the report of a node of this zone that does not count, because
 // the owner's sums of the zone include it. The lock must be held.
 func (m *Manager) storeReport(s *source, f *feed, now time.Time, c changes) {
 	f.merge(c)
-	f.hasBaseline, f.lastUpdate = true, now
+	f.lastUpdate = now
 	if s.active == nil {
 		m.options.Logger.Info().Str("event", "peer_heard").Str("source", s.name).Msg("")
 	}
-	s.active, s.lastUpdate = f, now
+	s.active, s.last, s.lastUpdate = f, f, now
 }
 
 // wantedInZone returns the nodes of this zone to which this node has links. The lock
@@ -118,7 +130,7 @@
 	defer m.mu.Unlock()
 	c := m.zoneSums.since(version)
 	s := m.nodes[name]
-	if s == nil || s.active == nil {
+	if s == nil {
 		return c
 	}
 	rest := changes{version: c.version, teams: make(map[string]TeamUse, len(c.teams)), queues: make(map[Queue]int, len(c.queues))}
@@ -127,7 +139,10 @@
 		rest.teams[team] = use
 	}
 	for q, waiting := range c.queues {
-		rest.queues[q] = max(0, waiting-s.active.queues[q])
+		if s.active != nil {
+			waiting = max(0, waiting-s.active.queues[q])
+		}
+		rest.queues[q] = waiting
 	}
 	return rest
 }
