gateway, balance: a target that says it leaves gets nothing more

A target may say in its answers (Server-Leaving: 1) that it leaves while the store still lists it as ready. It was sent requests for as long as the store said so.

The node that sends checks it before each send and before it accepts a grant of its zone's owner, and tells the owner once, which then chooses the target for nobody; a new owner gets the list when the link opens. A target that says nothing costs no event.

While all targets of a service say so, they serve requests that arrived within half of the drain bound after; nobody else would.

The stand-in lists refused requests too, so limit_test.go asks it for those that it ran, which is what it counted before.

--- a/balance/filter.go
+++ b/balance/filter.go
@@ -13,6 +13,9 @@
 	sameZone, otherZones []*target
 	// suspects are those that are used only if no others have a free slot.
 	suspects []*target
+	// leaving are those that have said that they leave, if all targets leave or cannot be
+	// reached.
+	leaving []*target
 	// slots and taken count all slots of the available targets and those in use.
 	slots, taken int
 	// exhausted reports whether the limit of a target allows no request now.
@@ -20,17 +23,27 @@
 }
 
 // capacity returns the free slots of the available targets, which are those
-// that are neither draining nor in backoff. A target whose limit is exhausted has
+// that neither leave nor are in backoff. While there are none, those that only said so
+// themselves are used for requests that arrived soon enough (load: all targets of a
+// service are replaced at once). A target whose limit is exhausted has
 // none. A target with an overdue request may
 // stand still. While more than half of the targets are in such a state, the cause
 // is likely elsewhere, and all of them are used.
 func (p *pool) capacity(now time.Time, here location, limitShare float64) capacity {
 	c := capacity{exhausted: func(t *target) bool { return t.exhausted(now, limitShare) }}
 	ignoreOverdue := p.mostlyOverdue(now)
+	available := false
 	for _, t := range p.targets {
 		if t.Draining || t.health.inBackoff(now) {
 			continue
 		}
+		if t.leaving {
+			if t.load().Requests < t.usableSlots() && !c.exhausted(t) {
+				c.leaving = append(c.leaving, t)
+			}
+			continue
+		}
+		available = true
 		requests := t.load().Requests
 		slots := t.usableSlots()
 		if c.exhausted(t) {
@@ -48,6 +61,9 @@
 			c.otherZones = append(c.otherZones, t)
 		}
 	}
+	if available {
+		c.leaving = nil
+	}
 	return c
 }
 
@@ -60,6 +76,7 @@
 	}
 	isTarget := func(other *target) bool { return other == t }
 	c.suspects = slices.DeleteFunc(c.suspects, isTarget)
+	c.leaving = slices.DeleteFunc(c.leaving, isTarget)
 	c.sameZone = slices.DeleteFunc(c.sameZone, isTarget)
 	c.otherZones = slices.DeleteFunc(c.otherZones, isTarget)
 }
@@ -101,8 +118,9 @@
 }
 
 // eligible reports whether a target with a free slot may take a request now:
-// the slot has been free for the reserve time, and the request has not been
-// sent to the target before.
+// the slot has been free for the reserve time, the request has not been sent to the
+// target before, and the target does not leave or said so only lately.
 func eligible(t *target, w *Work, now time.Time, reserve time.Duration) bool {
-	return now.Sub(t.freedAt) >= reserve && !slices.Contains(w.Tried, t.ID)
+	return now.Sub(t.freedAt) >= reserve && !slices.Contains(w.Tried, t.ID) &&
+		(!t.leaving || w.Arrived.Before(t.lastArrival))
 }
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -42,7 +42,9 @@
 	Zone string
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
-	Logger  *log.Logger
+	// Drain is the time after which a target that leaves must get no requests.
+	Drain  time.Duration
+	Logger *log.Logger
 	// Publish is called on each change of this node's use of a target.
 	Publish func(target string, own Use)
 	// PublishSend is called for each request that is sent to a target with a limit.
@@ -69,6 +71,8 @@
 	changed map[*pool]bool
 	// limited holds the targets with a limit that was stated to this node.
 	limited targetSet
+	// signals holds what targets have asked of this node.
+	signals signalRecords
 	// heardShare is the share of the nodes that this node hears, itself included.
 	heardShare float64
 }
@@ -274,8 +278,8 @@
 	for _, p := range m.pools {
 		s := PoolStatus{Service: p.name, Waiting: make(map[int]int)}
 		for _, t := range p.targets {
-			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Draining: t.Draining, Load: t.load()})
-			if !t.Draining && !t.health.inBackoff(now) {
+			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Draining: t.leaves(), Load: t.load()})
+			if !t.leaves() && !t.health.inBackoff(now) {
 				s.Slots += t.Slots
 				s.InUse += t.load().Requests
 			}
@@ -357,9 +361,11 @@
 		}
 		for _, t := range p.setTargets(list, now) {
 			m.restoreRemoteLoads(t)
+			m.restoreSignals(t)
 		}
 		m.markChanged(p)
 	}
+	m.forgetSignals(now)
 }
 
 // setEngine applies the engine settings of a service; c is nil for a plain
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -17,13 +17,16 @@
 	}
 }
 
-// pick returns the best target of those with a free slot, or false if none may
-// take the request.
+// pick returns the best target of those with a free slot, suspect and leaving ones last,
+// or false if none may take the request.
 func (p *pool) pick(w *Work, now time.Time, here location, c *capacity, reserve time.Duration) (choice, bool) {
 	if best, ok := p.best(c.candidates(), w, now, here, c, reserve); ok {
 		return best, true
 	}
-	return p.best(c.suspects, w, now, here, c, reserve)
+	if best, ok := p.best(c.suspects, w, now, here, c, reserve); ok {
+		return best, true
+	}
+	return p.best(c.leaving, w, now, here, c, reserve)
 }
 
 // best returns the best of some targets, or false if none may take the request.
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -150,7 +150,7 @@
 	}
 	p.fastestStep = 0
 	for _, t := range p.targets {
-		if t.Draining || t.health.inBackoff(now) {
+		if t.leaves() || t.health.inBackoff(now) {
 			continue
 		}
 		if step := p.engine.stepSeconds(t); p.fastestStep == 0 || step < p.fastestStep {
--- a/balance/target.go
+++ b/balance/target.go
@@ -66,8 +66,15 @@
 	speed   engineSpeed
 	health  health
 	rate    rateLimit
+	// leaving is set once the target has said that it leaves, and lastArrival is when the
+	// last request arrived that it may get nevertheless.
+	leaving     bool
+	lastArrival time.Time
 }
 
+// leaves reports whether the target leaves, as the store lists it or as it has said.
+func (t *target) leaves() bool { return t.Draining || t.leaving }
+
 // load returns the load from all nodes.
 func (t *target) load() Load {
 	total := t.own
@@ -135,7 +142,7 @@
 func (p *pool) mostlyOverdue(now time.Time) bool {
 	overdue, all := 0, 0
 	for _, t := range p.targets {
-		if t.Draining {
+		if t.leaves() {
 			continue
 		}
 		all++
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,7 +78,7 @@
 func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: u,
-		Culprits: c, Prober: u, Limits: l, Metrics: t, Logger: logger,
+		Culprits: c, Prober: u, Limits: l, Signals: b, Metrics: t, Logger: logger,
 	})
 }
 
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -147,7 +147,7 @@
 		regions[z.GetName()] = z.GetRegion()
 	}
 	f.balancer = balance.NewManager(balance.Options{
-		Node: s.GetNode().GetName(), Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Logger: logger,
+		Node: s.GetNode().GetName(), Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Drain: s.GetBounds().GetDrain().AsDuration(), Logger: logger,
 		Publish: func(target string, own balance.Use) {
 			m.SetTarget(target, mesh.TargetUse{
 				Requests: own.Requests, PromptTokens: int(own.PromptTokens), StepMicros: int(own.Step.Microseconds()),
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -59,6 +59,8 @@
 	// valid if HasLimit is set. A target states it for as long as it holds.
 	Limit    float64
 	HasLimit bool
+	// Leaving reports that the target leaves and takes no more requests.
+	Leaving bool
 }
 
 // HeaderCodec encodes and decodes the headers of one kind of deployment.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,9 +47,8 @@
 	// position is that of the last event sent.
 	headersSent bool
 	position    streamPosition
-	// targetLimit is the limit that the last target stated, if targetLimited is set.
-	targetLimit   float64
-	targetLimited bool
+	// targetInfo is what the last target said in the headers of its response.
+	targetInfo ResponseInfo
 	// attemptEvents counts the events of the current attempt.
 	attemptEvents int
 	// featuresCache holds the result of features.
@@ -232,6 +231,11 @@
 // attempt sends the request to one target. It reports whether the request has
 // ended.
 func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
+	if !x.gateway.Signals.MaySend(grant.Target, x.arrived) {
+		// The target has asked for it since it was granted.
+		grant.Done(balance.Unsent)
+		return false
+	}
 	x.tried = append(x.tried, grant.Target.ID)
 	x.logPlaced(grant)
 	if errResp := x.quarantined(); errResp != nil {
@@ -256,8 +260,7 @@
 	defer resp.Body.Close()
 	x.sends++
 	info := x.gateway.HeaderCodec.ParseResponse(resp.StatusCode, resp.Header)
-	x.targetLimit, x.targetLimited = info.Limit, info.HasLimit
-	x.gateway.Limits.RecordLimit(grant.Target.ID, info.Limit, info.HasLimit)
+	x.recordTargetInfo(grant.Target, info)
 	switch {
 	case info.NotRun:
 		return x.handleNotRun(ctx, grant, resp)
@@ -270,6 +273,17 @@
 	}
 }
 
+// recordTargetInfo records what a target stated and asked for in its response.
+func (x *exchange) recordTargetInfo(target *catalog.Target, info ResponseInfo) {
+	x.targetInfo = info
+	x.gateway.Limits.RecordLimit(target.ID, info.Limit, info.HasLimit)
+	if info.Leaving {
+		x.gateway.Signals.RecordSignal(balance.Signal{
+			Target: target.ID, Started: target.Started, Leaving: info.Leaving,
+		})
+	}
+}
+
 // countSend counts an attempt and reports whether the retry budget allows it.
 func (x *exchange) countSend() bool {
 	g := x.gateway
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -224,6 +224,11 @@
 
 func (p *fakeProber) Refuses(context.Context, upstream.Address) bool { return p.refuses }
 
+// signals records what targets ask of this node in its balancer only.
+type signals struct{ *balance.Manager }
+
+func (s signals) RecordSignal(signal balance.Signal) { s.Manager.RecordSignal(signal) }
+
 // nopMetrics discards all metrics.
 type nopMetrics struct{}
 
@@ -283,7 +288,7 @@
 	balancer.ApplyTargets(list, nil)
 	g.gateway = gateway.New(gateway.Options{
 		Config: g.config, HeaderCodec: platform.HeaderCodec{}, Balancer: balancer, Allowance: g.allowance,
-		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Metrics: nopMetrics{}, Logger: logging.Discard(),
+		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Signals: signals{balancer}, Metrics: nopMetrics{}, Logger: logging.Discard(),
 	})
 	g.server = httptest.NewServer(g.gateway)
 	tb.Cleanup(func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,15 @@
 	RecordLimit(target string, perSecond float64, stated bool)
 }
 
+// TargetSignals learns what targets ask of this node in their responses.
+type TargetSignals interface {
+	// RecordSignal records what a target asked of this node.
+	RecordSignal(s balance.Signal)
+	// MaySend reports whether a target has not asked this node to send it no request
+	// that arrived at a time.
+	MaySend(t *catalog.Target, arrived time.Time) bool
+}
+
 // Metrics records the outcome of requests.
 type Metrics interface {
 	RequestDispatched(service string, tier int, waited time.Duration)
@@ -80,6 +89,7 @@
 	Culprits    Culprits
 	Prober      Prober
 	Limits      TargetLimits
+	Signals     TargetSignals
 	Metrics     Metrics
 	Logger      *log.Logger
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
@@ -68,12 +70,20 @@
 	if !x.firstEventAt.IsZero() {
 		entry.Dur("first", x.firstEventAt.Sub(x.arrived)).Dur("longest_pause", x.longestPause).Int("events", x.eventCount)
 	}
-	if x.targetLimited {
-		entry.Float64("target_limit", x.targetLimit)
-	}
+	x.logTargetInfo(entry)
 	entry.Str("parts", x.promptParts()).Str("team", x.teamName()).Msg("")
 }
 
+// logTargetInfo adds what the last target stated and asked for.
+func (x *exchange) logTargetInfo(entry *log.Entry) {
+	if x.targetInfo.HasLimit {
+		entry.Float64("target_limit", x.targetInfo.Limit)
+	}
+	if x.targetInfo.Leaving {
+		entry.Bool("target_leaving", true)
+	}
+}
+
 func (x *exchange) recordMetrics(cause string, status int) {
 	e := telemetry.EndedRequest{Service: x.service, Cause: cause, Tier: x.tier(), Status: status}
 	if x.route != nil {
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// nextRemoteSignal returns the next signal of another node that reaches a node.
+func (c *cluster) nextRemoteSignal(name string) balance.Signal {
+	c.t.Helper()
+	select {
+	case s := <-c.nodes[name].balancer.remoteSignals:
+		return s
+	case <-time.After(eventuallyTimeout):
+		c.t.Fatalf("%s got no signal", name)
+		return balance.Signal{}
+	}
+}
+
 // fakeBalancer always grants the same target. It refuses all requests if refusal
 // is set, and lets them wait until they are cancelled if full is set.
 type fakeBalancer struct {
@@ -154,12 +166,17 @@
 	adopted   chan string
 	reports   chan report
 	withdrawn atomic.Int32
+	// remoteSignals holds what targets asked of other nodes.
+	remoteSignals chan balance.Signal
 
 	mu      sync.Mutex
 	target  string
 	started int64
 	refusal *balance.Refusal
 	full    bool
+	// unwanted targets have asked to get no request, signals are what they asked for.
+	unwanted map[string]bool
+	signals  []balance.Signal
 }
 
 // report records one call of a balance.Reporter method.
@@ -172,6 +189,7 @@
 func newFakeBalancer(target string) *fakeBalancer {
 	return &fakeBalancer{
 		acquires: make(chan *balance.Work, 16), adopted: make(chan string, 16), reports: make(chan report, 16), target: target,
+		remoteSignals: make(chan balance.Signal, 16),
 	}
 }
 
@@ -209,6 +227,31 @@
 	return b
 }
 
+// RecordSignal implements owner.Balancer.
+func (b *fakeBalancer) RecordSignal(s balance.Signal) bool {
+	b.configure(func(b *fakeBalancer) { b.signals = append(b.signals, s) })
+	return true
+}
+
+// RecordRemoteSignal implements owner.Balancer.
+func (b *fakeBalancer) RecordRemoteSignal(s balance.Signal) {
+	b.remoteSignals <- s
+}
+
+// Signals implements owner.Balancer.
+func (b *fakeBalancer) Signals() []balance.Signal {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.signals
+}
+
+// MaySend implements owner.Balancer.
+func (b *fakeBalancer) MaySend(t *catalog.Target, _ time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.unwanted[t.ID]
+}
+
 // FirstEvent implements balance.Reporter.
 func (b *fakeBalancer) FirstEvent(time.Duration) { b.reports <- report{method: "first"} }
 
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -21,6 +21,7 @@
 	acquires  []queuedAcquire
 	withdrawn []uint64
 	reports   []*schema.OwnerReport
+	signals   []*schema.OwnerSignal
 }
 
 // queuedAcquire is a request for a target that has not been sent yet.
@@ -53,13 +54,24 @@
 	o.update(func() { o.reports = append(o.reports, r) })
 }
 
+func (o *outbox) addSignals(signals ...balance.Signal) {
+	if len(signals) == 0 {
+		return
+	}
+	o.update(func() {
+		for _, s := range signals {
+			o.signals = append(o.signals, encodeSignal(s))
+		}
+	})
+}
+
 // take empties the outbox and returns its contents as one message. Times are
 // encoded relative to the time of the call.
 func (o *outbox) take() *schema.OwnerCall {
 	o.mu.Lock()
 	acquires := o.acquires
-	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports}
-	o.acquires, o.withdrawn, o.reports = nil, nil, nil
+	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports, Signals: o.signals}
+	o.acquires, o.withdrawn, o.reports, o.signals = nil, nil, nil, nil
 	o.mu.Unlock()
 	now := time.Now()
 	for _, a := range acquires {
@@ -88,6 +100,14 @@
 	}
 }
 
+func encodeSignal(s balance.Signal) *schema.OwnerSignal {
+	return &schema.OwnerSignal{Target: s.Target, Started: s.Started, Leaving: s.Leaving}
+}
+
+func decodeSignal(s *schema.OwnerSignal) balance.Signal {
+	return balance.Signal{Target: s.GetTarget(), Started: s.GetStarted(), Leaving: s.GetLeaving()}
+}
+
 func encodeSample(s balance.Sample) *schema.OwnerReport {
 	return &schema.OwnerReport{
 		Pauses: uint32(s.Gaps), ShortestMicros: s.ShortestSpan.Microseconds(), TotalMicros: s.Total.Microseconds(),
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -34,7 +34,7 @@
 	// connectTimeout bounds an attempt to open a link; owners are in the same zone.
 	connectTimeout = 400 * time.Millisecond
 	// maxDeclined is how many grants a node declines for one request because the
-	// granted target is draining. The node then chooses a target itself.
+	// granted target leaves. The node then chooses a target itself.
 	maxDeclined = 3
 )
 
@@ -42,6 +42,16 @@
 type Balancer interface {
 	Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error)
 	Adopt(w *balance.Work, target string, prefillDone bool) balance.Reporter
+	// RecordSignal records what a target asked of this node, and reports whether the
+	// owner has to be told.
+	RecordSignal(s balance.Signal) (isNew bool)
+	// RecordRemoteSignal records what a target asked of another node.
+	RecordRemoteSignal(s balance.Signal)
+	// Signals returns what targets have asked of this node and what still holds.
+	Signals() []balance.Signal
+	// MaySend reports whether a target has not asked this node to send it no request
+	// that arrived at a time.
+	MaySend(t *catalog.Target, arrived time.Time) bool
 }
 
 // Members is this node's view of the cluster membership.
@@ -153,6 +163,10 @@
 		m.link = l
 	}
 	m.mu.Unlock()
+	if err == nil {
+		// Signals that are recorded from now on are sent over the link.
+		l.outbox.addSignals(m.options.Balancer.Signals()...)
+	}
 	if err != nil {
 		m.options.Logger.Debug().Str("event", "owner_unreachable").Str("owner", owner.Name).Err(err).Msg("")
 		return
@@ -207,7 +221,7 @@
 		if grant == nil {
 			break
 		}
-		if target := m.confirmTarget(grant.target); target != nil {
+		if target := m.confirmTarget(grant.target, w); target != nil {
 			return balance.NewGrant(target, grant.prediction, grant), nil
 		}
 		grant.Ended(balance.Unsent, balance.Sample{})
@@ -217,19 +231,35 @@
 	return m.options.Balancer.Acquire(ctx, w)
 }
 
+// RecordSignal records what a target asked of this node, here and at the owner.
+func (m *Manager) RecordSignal(s balance.Signal) {
+	isNew := m.options.Balancer.RecordSignal(s)
+	if l := m.currentLink(); isNew && l != nil {
+		l.outbox.addSignals(s)
+	}
+}
+
+// MaySend reports whether a target has not asked this node to send it no request that
+// arrived at a time.
+func (m *Manager) MaySend(t *catalog.Target, arrived time.Time) bool {
+	return m.options.Balancer.MaySend(t, arrived)
+}
+
 // confirmTarget returns the target that the owner chose, or nil if this node knows
-// that it is draining. A target with the same ID and a later start time is a new
+// that it leaves. A target with the same ID and a later start time is a new
 // target, which this node does not know yet.
-func (m *Manager) confirmTarget(chosen *catalog.Target) *catalog.Target {
+func (m *Manager) confirmTarget(chosen *catalog.Target, w *balance.Work) *catalog.Target {
 	known := m.options.Targets.Target(chosen.ID)
 	switch {
 	case known == nil || known.Started < chosen.Started:
-		return chosen
+		known = chosen
 	case known.Draining:
 		return nil
-	default:
-		return known
 	}
+	if !m.options.Balancer.MaySend(known, w.Arrived) {
+		return nil
+	}
+	return known
 }
 
 // excludeTarget returns a copy of the work that must not go to the target.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -170,6 +170,37 @@
 	is.Equal(grant.Target.ID, "n1-target")
 }
 
+func TestNodeDeclinesATargetThatWantsNoRequestFromIt(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2")
+	c.setOwner("n1")
+	c.waitUntilLinked("n2")
+	c.nodes["n2"].balancer.configure(func(b *fakeBalancer) { b.unwanted = map[string]bool{"n1-target": true} })
+	grant, err := c.nodes["n2"].manager.Acquire(t.Context(), newWork("r1"))
+	is.NoErr(err)
+	is.Equal(grant.Target.ID, "n2-target")
+	is.Equal((<-c.nodes["n1"].balancer.reports).result, balance.Unsent)
+}
+
+// An owner that does not know what targets ask of a node would grant them to it again
+// and again.
+func TestOwnerLearnsWhatTargetsAskOfItsNodes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2", "n3")
+	before := balance.Signal{Target: "i-1", Started: 7, Leaving: true}
+	c.nodes["n3"].manager.RecordSignal(before)
+	c.setOwner("n1")
+	c.waitUntilLinked("n3")
+	is.Equal(c.nextRemoteSignal("n1"), before)
+	later := balance.Signal{Target: "i-2", Started: 8, Leaving: true}
+	c.nodes["n3"].manager.RecordSignal(later)
+	is.Equal(c.nextRemoteSignal("n1"), later)
+	c.setOwner("n2")
+	c.eventually(c.nodes["n3"].manager.Linked)
+	got := []balance.Signal{c.nextRemoteSignal("n2"), c.nextRemoteSignal("n2")}
+	is.Equal(got, []balance.Signal{before, later})
+}
+
 // When another node becomes the owner, waiting requests must be sent to it even
 // though the former owner still answers.
 func TestWaitingRequestsMoveToTheNewOwner(t *testing.T) {
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -49,6 +49,9 @@
 
 func (s *session) handleCall(ctx context.Context, running *sync.WaitGroup, call *schema.OwnerCall) {
 	now := time.Now()
+	for _, signal := range call.GetSignals() {
+		s.balancer.RecordRemoteSignal(decodeSignal(signal))
+	}
 	for _, a := range call.GetAsks() {
 		ctx, cancel := context.WithCancel(ctx)
 		s.mu.Lock()
--- a/standin/entrytest/limit_test.go
+++ b/standin/entrytest/limit_test.go
@@ -80,7 +80,7 @@
 				env.startWorker(fmt.Sprint("i-", i), service, events)
 			}
 			answered := callAll(nodes, route, 6, 2*limitKnownAfter+limitWindow)
-			arrivals := limited.Arrivals()
+			arrivals := limited.RunTimes()
 			most := maxInWindow(arrivals, arrivals[0].Add(limitKnownAfter), limitWindow)
 			last := 0
 			for _, at := range arrivals {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -27,6 +27,8 @@
 	headerLastEventID = "Last-Event-Id"
 	headerPrompt      = "X-Primrosemoor-Prompt-Prefix"
 	headerLimit       = "Server-Limit"
+	headerLeaving     = "Server-Leaving"
+	headerRetryAfter  = "Retry-After"
 )
 
 // Faults are the failures that a worker simulates. The zero value is a healthy worker.
@@ -46,6 +48,20 @@
 	// Limit is the number of requests a second that the worker says it takes from all
 	// nodes together; 0 is none.
 	Limit float64
+	// Leaving makes the worker say in all its answers that it leaves.
+	Leaving bool
+	// RetryAfter is the time, in seconds, that an overloaded worker states in
+	// Retry-After; 0 is none.
+	RetryAfter float64
+}
+
+// Arrival is one request that reached the worker.
+type Arrival struct {
+	// ID is the request's id.
+	ID string
+	At time.Time
+	// Refused means that the worker was overloaded and did not run it.
+	Refused bool
 }
 
 // Worker is one instance of a service.
@@ -71,8 +87,7 @@
 	faults    Faults
 	running   int
 	runCounts map[string]int
-	// arrivals lists the times at which requests began.
-	arrivals []time.Time
+	arrivals  []Arrival
 	// crashedAt lists the times of its crashes.
 	crashedAt []time.Time
 	teamByID  map[string]string
@@ -188,8 +203,14 @@
 		return
 	}
 	f, load := w.startRequest(id, r.Header.Get(headerTeam))
+	if f.Leaving {
+		rw.Header().Set(headerLeaving, "1")
+	}
 	if load == "" {
 		rw.Header().Set(headerNotExecuted, "1")
+		if f.RetryAfter > 0 {
+			rw.Header().Set(headerRetryAfter, strconv.FormatFloat(f.RetryAfter, 'f', -1, 64))
+		}
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -217,13 +238,24 @@
 	}
 }
 
-// Arrivals returns the times at which requests began.
-func (w *Worker) Arrivals() []time.Time {
+// Arrivals returns the requests that reached the worker, in order.
+func (w *Worker) Arrivals() []Arrival {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.arrivals)
 }
 
+// RunTimes returns the times at which the requests that the worker ran arrived.
+func (w *Worker) RunTimes() []time.Time {
+	var times []time.Time
+	for _, a := range w.Arrivals() {
+		if !a.Refused {
+			times = append(times, a.At)
+		}
+	}
+	return times
+}
+
 // hasPart reports whether a part belongs to the prompt of a request.
 func hasPart(r *http.Request, part string) bool {
 	for entry := range strings.SplitSeq(r.Header.Get(headerPrompt), ",") {
@@ -239,12 +271,12 @@
 func (w *Worker) startRequest(id, team string) (Faults, string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.arrivals = append(w.arrivals, Arrival{ID: id, At: time.Now(), Refused: w.faults.Overloaded})
 	if w.faults.Overloaded {
 		return w.faults, ""
 	}
 	w.running++
 	w.runCounts[id]++
-	w.arrivals = append(w.arrivals, time.Now())
 	w.teamByID[id] = team
 	return w.faults, fmt.Sprintf("%d,0,%d", w.running, w.Slots)
 }
