gateway, balance: a target that asks for a pause gets nothing meanwhile

A target that refuses a request with 503 may say with Retry-After for how long it wants none from that node. It was sent requests at the same rate all the while, and callers got the refusals of its neighbours' queues in return.

The node that sends keeps it and checks it before each send, so that what was granted before goes elsewhere; it tells the owner of its zone, which keeps it by node and chooses no such target for that node. Afterwards one request at a time tries the target until it takes one (load: requests that have waited for its end at every node). If all targets ask a node for a pause, a request waits for one that ends before its goal, and is refused at once otherwise, with the earliest end, a third of the caller's time at most.

--- a/balance/filter.go
+++ b/balance/filter.go
@@ -119,8 +119,8 @@
 
 // eligible reports whether a target with a free slot may take a request now:
 // the slot has been free for the reserve time, the request has not been sent to the
-// target before, and the target does not leave or said so only lately.
+// target before, and the target has not asked the request's node to send none.
 func eligible(t *target, w *Work, now time.Time, reserve time.Duration) bool {
-	return now.Sub(t.freedAt) >= reserve && !slices.Contains(w.Tried, t.ID) &&
+	return now.Sub(t.freedAt) >= reserve && !slices.Contains(w.Tried, t.ID) && t.wants(w.Node, now) &&
 		(!t.leaving || w.Arrived.Before(t.lastArrival))
 }
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -133,6 +133,7 @@
 	t.finishPrefill(e.request.work)
 	p.engine.learnPrefill(t, e.request.load.PromptTokens, e.request.work.PromptTokens, e.after)
 	t.health.recordSuccess()
+	t.endTrial(e.request.work, true, now)
 	m.publish(t)
 	m.markChanged(p)
 }
@@ -170,6 +171,7 @@
 	overdue := t.isOverdue(e.request.work, now)
 	t.finishPrefill(e.request.work)
 	t.updateFreed(now)
+	t.endTrial(e.request.work, e.result == Answered || e.result == Failed, now)
 	if p.engine != nil {
 		t.advancePrefill(now, p.engine)
 		p.engine.learnStep(t, e.sample)
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -361,7 +361,7 @@
 		}
 		for _, t := range p.setTargets(list, now) {
 			m.restoreRemoteLoads(t)
-			m.restoreSignals(t)
+			m.restoreSignals(t, now)
 		}
 		m.markChanged(p)
 	}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -90,8 +90,8 @@
 const fixedValueShare = 0.3
 
 // assign assigns targets to the waiting requests in order. It refuses those
-// whose patience has ended, and late ones while others wait that can be on
-// time.
+// whose patience has ended, late ones while others wait that can be on time, and those
+// for which all targets ask for a pause beyond their goal.
 func (p *pool) assign(now time.Time, here location, limitShare float64, queues *remoteQueues, onAssign func(*waiter, choice)) {
 	if len(p.waiting) == 0 {
 		return
@@ -106,28 +106,42 @@
 	free := p.capacity(now, here, limitShare)
 	kept := p.waiting[:0]
 	onTimeWaiting := false
+	paused := pausedNodes{pool: p, now: now}
 	for _, w := range p.waiting {
 		reserve := time.Duration(0)
 		if p.engine != nil {
 			reserve = queues.reserveTime(p.name, w.work.Tier, counts[w.work.Tier])
 		}
 		c, ok := p.pick(w.work, now, here, &free, reserve)
-		switch {
-		case ok && (c.onTime || w.late):
+		if ok && (c.onTime || w.late) {
 			c.target.addRequest(w.work, now, c.expected)
 			free.addRequest(c.target)
 			onAssign(w, c)
-		case !now.Before(w.work.Patience) || w.late && onTimeWaiting:
-			w.reply <- decision{refusal: p.refusal(w.work, now)}
-		default:
-			onTimeWaiting = onTimeWaiting || !w.late
-			kept = append(kept, w)
+			continue
+		}
+		if r := p.refuse(w, now, onTimeWaiting, &paused); r != nil {
+			w.reply <- decision{refusal: r}
+			continue
 		}
+		onTimeWaiting = onTimeWaiting || !w.late
+		kept = append(kept, w)
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
 }
 
+// refuse returns the refusal of a request that got no target now, or nil if it may wait.
+func (p *pool) refuse(w *waiter, now time.Time, onTimeWaiting bool, paused *pausedNodes) *Refusal {
+	switch {
+	case !now.Before(w.work.Patience) || w.late && onTimeWaiting:
+		return p.refusal(w.work, now)
+	case paused.contains(w.work.Node):
+		return p.pauseRefusal(w.work, now)
+	default:
+		return nil
+	}
+}
+
 // countOnTime returns how many requests of each tier wait and can be on time.
 // Tiers that were published before are included when they are empty now.
 func (p *pool) countOnTime(now time.Time) map[int]int {
@@ -162,10 +176,12 @@
 // refusal returns a refusal whose retry delay is a third of the time that the
 // caller has left, which spreads the retries after a burst.
 func (p *pool) refusal(w *Work, now time.Time) *Refusal {
-	retryAfter := max(w.End.Sub(now)/retryDivisor, noTargetRetryAfter/4)
-	return &Refusal{Reason: "no_prospect", RetryAfter: retryAfter}
+	return &Refusal{Reason: "no_prospect", RetryAfter: max(w.End.Sub(now)/retryDivisor, minRetryAfter)}
 }
 
+// minRetryAfter is the shortest delay that a refused caller is told.
+const minRetryAfter = noTargetRetryAfter / 4
+
 // retryDivisor divides the time that the caller has left to give the retry
 // delay.
 const retryDivisor = 3
--- a/balance/signal.go
+++ b/balance/signal.go
@@ -16,6 +16,9 @@
 	// leavingRetention is how long a target that is not listed stays known as leaving. A
 	// process that leaves has ended by then.
 	leavingRetention = 10 * time.Minute
+	// pauseRetention is how long a pause that has ended is kept for the request that tries
+	// the target.
+	pauseRetention = time.Minute
 )
 
 // Signal is what an instance of a target has asked of a node.
@@ -25,6 +28,8 @@
 	Started int64
 	// Leaving says that it leaves and takes no more requests from any node.
 	Leaving bool
+	// Pause is how much longer it wants no request from the node; 0 if it asks for none.
+	Pause time.Duration
 }
 
 // signalRecord holds what the newest known instance of a target has asked of this node.
@@ -34,8 +39,12 @@
 	// lastArrival is when the last request arrived that may be sent although the target
 	// leaves.
 	lastArrival time.Time
+	pausedUntil time.Time
 }
 
+// holds reports whether a record still matters: the target leaves, or its pause lasts.
+func (r signalRecord) holds(now time.Time) bool { return r.leaving || now.Before(r.pausedUntil) }
+
 // signalRecords holds what targets have asked of this node, whether they are listed or
 // not. It is safe for concurrent use, so that a request is checked as it is sent, and an
 // answer of a target that asks for nothing costs no event.
@@ -78,11 +87,13 @@
 }
 
 // list returns the signals that still hold.
-func (s *signalRecords) list() (signals []Signal) {
+func (s *signalRecords) list(now time.Time) (signals []Signal) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for target, r := range s.byTarget {
-		signals = append(signals, Signal{Target: target, Started: r.started, Leaving: r.leaving})
+		if r.holds(now) {
+			signals = append(signals, Signal{Target: target, Started: r.started, Leaving: r.leaving, Pause: max(0, r.pausedUntil.Sub(now))})
+		}
 	}
 	return signals
 }
@@ -92,19 +103,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.byTarget, func(target string, r signalRecord) bool {
-		return now.Sub(r.lastArrival) > leavingRetention && !listed(target)
+		gone := now.Sub(r.lastArrival) > leavingRetention && !listed(target)
+		return !now.Before(r.pausedUntil) && (!r.leaving || gone)
 	})
 }
 
 // RecordSignal records what an answer of a target asked of this node. It reports whether
 // other nodes that choose targets for this one have to be told.
 func (m *Manager) RecordSignal(s Signal) (isNew bool) {
-	return s.Leaving && m.recordLeaving(s)
+	if s.Pause > 0 {
+		until := time.Now().Add(s.Pause)
+		// In this order a request that MaySend holds back is not granted the target again.
+		m.submit(pauseAsked{"", s, until})
+		isNew = m.signals.update(s.Target, s.Started, func(r *signalRecord) bool {
+			if !until.After(r.pausedUntil) {
+				return false
+			}
+			r.pausedUntil = until
+			return true
+		})
+	}
+	return s.Leaving && m.recordLeaving(s) || isNew
 }
 
 // RecordRemoteSignal records what a target asked of another node, for which this one
 // chooses targets.
-func (m *Manager) RecordRemoteSignal(s Signal) {
+func (m *Manager) RecordRemoteSignal(node string, s Signal) {
+	if s.Pause > 0 {
+		m.submit(pauseAsked{node, s, time.Now().Add(s.Pause)})
+	}
 	if s.Leaving {
 		m.recordLeaving(s)
 	}
@@ -127,13 +154,13 @@
 }
 
 // Signals returns what targets have asked of this node and what still holds.
-func (m *Manager) Signals() []Signal { return m.signals.list() }
+func (m *Manager) Signals() []Signal { return m.signals.list(time.Now()) }
 
 // MaySend reports whether this node may send a request to a target now, as far as the
 // target has asked for anything. The request arrived at a time.
 func (m *Manager) MaySend(t *catalog.Target, arrived time.Time) bool {
 	r := m.signals.of(t)
-	return !r.leaving || arrived.Before(r.lastArrival)
+	return !time.Now().Before(r.pausedUntil) && (!r.leaving || arrived.Before(r.lastArrival))
 }
 
 // leavingSaid means that a target said that it leaves.
@@ -150,10 +177,34 @@
 	}
 }
 
+// pauseAsked means that a target wants no request from a node until a time. The empty
+// name stands for this node.
+type pauseAsked struct {
+	node   string
+	signal Signal
+	until  time.Time
+}
+
+func (e pauseAsked) apply(m *Manager, now time.Time) {
+	t, p := m.target(e.signal.Target)
+	if t == nil || t.Started > e.signal.Started {
+		return
+	}
+	if !t.paused(e.node, now) {
+		m.options.Logger.Info().Str("event", "target_asks_pause").Str("target", t.ID).Str("service", p.name).
+			Str("of_node", e.node).Dur("for", e.until.Sub(now)).Msg("")
+	}
+	t.pause(e.node, now, e.until)
+	m.markChanged(p)
+}
+
 // restoreSignals applies to a target that is new to its pool what it asked for before.
-func (m *Manager) restoreSignals(t *target) {
+func (m *Manager) restoreSignals(t *target, now time.Time) {
 	r := m.signals.of(t.Target)
 	t.leaving, t.lastArrival = r.leaving, r.lastArrival
+	if now.Before(r.pausedUntil) {
+		t.pause("", now, r.pausedUntil)
+	}
 }
 
 // forgetSignals drops signals that no longer matter.
@@ -162,4 +213,9 @@
 		t, _ := m.target(id)
 		return t != nil
 	})
+	for _, p := range m.pools {
+		for _, t := range p.targets {
+			t.dropOldPauses(now)
+		}
+	}
 }
--- a/balance/target.go
+++ b/balance/target.go
@@ -37,6 +37,8 @@
 	Patience time.Time
 	// Tried lists the targets that the request was sent to before.
 	Tried []string
+	// Node is the node that sends the request; empty for this node.
+	Node string
 }
 
 // Load is the number of requests and prompt tokens in flight at a target.
@@ -70,6 +72,8 @@
 	// last request arrived that it may get nevertheless.
 	leaving     bool
 	lastArrival time.Time
+	// pauses holds the pauses that the target asked for, by node.
+	pauses map[string]*pause
 }
 
 // leaves reports whether the target leaves, as the store lists it or as it has said.
@@ -163,6 +167,7 @@
 func (t *target) addRequest(w *Work, now time.Time, expected time.Duration) {
 	t.own.Requests++
 	t.rate.spend(1)
+	t.beginTrial(w)
 	dueAt := now.Add(overdueFactor*expected + overdueMargin)
 	t.prefilling[w] = &pendingPrompt{tokens: w.PromptTokens, remaining: w.PromptTokens, dueAt: dueAt}
 	t.updatePromptTokens()
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -61,6 +61,9 @@
 	HasLimit bool
 	// Leaving reports that the target leaves and takes no more requests.
 	Leaving bool
+	// Pause is for how long the target wants no request from this node; 0 if it asks for
+	// no pause.
+	Pause time.Duration
 }
 
 // HeaderCodec encodes and decodes the headers of one kind of deployment.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -277,9 +277,9 @@
 func (x *exchange) recordTargetInfo(target *catalog.Target, info ResponseInfo) {
 	x.targetInfo = info
 	x.gateway.Limits.RecordLimit(target.ID, info.Limit, info.HasLimit)
-	if info.Leaving {
+	if info.Leaving || info.Pause > 0 {
 		x.gateway.Signals.RecordSignal(balance.Signal{
-			Target: target.ID, Started: target.Started, Leaving: info.Leaving,
+			Target: target.ID, Started: target.Started, Leaving: info.Leaving, Pause: info.Pause,
 		})
 	}
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -82,6 +82,9 @@
 	if x.targetInfo.Leaving {
 		entry.Bool("target_leaving", true)
 	}
+	if x.targetInfo.Pause > 0 {
+		entry.Dur("target_pause", x.targetInfo.Pause)
+	}
 }
 
 func (x *exchange) recordMetrics(cause string, status int) {
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -148,14 +148,14 @@
 }
 
 // nextRemoteSignal returns the next signal of another node that reaches a node.
-func (c *cluster) nextRemoteSignal(name string) balance.Signal {
+func (c *cluster) nextRemoteSignal(name string) remoteSignal {
 	c.t.Helper()
 	select {
 	case s := <-c.nodes[name].balancer.remoteSignals:
 		return s
 	case <-time.After(eventuallyTimeout):
 		c.t.Fatalf("%s got no signal", name)
-		return balance.Signal{}
+		return remoteSignal{}
 	}
 }
 
@@ -167,7 +167,7 @@
 	reports   chan report
 	withdrawn atomic.Int32
 	// remoteSignals holds what targets asked of other nodes.
-	remoteSignals chan balance.Signal
+	remoteSignals chan remoteSignal
 
 	mu      sync.Mutex
 	target  string
@@ -189,7 +189,7 @@
 func newFakeBalancer(target string) *fakeBalancer {
 	return &fakeBalancer{
 		acquires: make(chan *balance.Work, 16), adopted: make(chan string, 16), reports: make(chan report, 16), target: target,
-		remoteSignals: make(chan balance.Signal, 16),
+		remoteSignals: make(chan remoteSignal, 16),
 	}
 }
 
@@ -227,6 +227,12 @@
 	return b
 }
 
+// remoteSignal is what a target asked of another node.
+type remoteSignal struct {
+	node   string
+	signal balance.Signal
+}
+
 // RecordSignal implements owner.Balancer.
 func (b *fakeBalancer) RecordSignal(s balance.Signal) bool {
 	b.configure(func(b *fakeBalancer) { b.signals = append(b.signals, s) })
@@ -234,8 +240,8 @@
 }
 
 // RecordRemoteSignal implements owner.Balancer.
-func (b *fakeBalancer) RecordRemoteSignal(s balance.Signal) {
-	b.remoteSignals <- s
+func (b *fakeBalancer) RecordRemoteSignal(node string, s balance.Signal) {
+	b.remoteSignals <- remoteSignal{node, s}
 }
 
 // Signals implements owner.Balancer.
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -90,9 +90,11 @@
 	}
 }
 
-func decodeWork(a *schema.OwnerAsk, now time.Time) *balance.Work {
+// decodeWork returns the request that a node asks a target for.
+func decodeWork(a *schema.OwnerAsk, node string, now time.Time) *balance.Work {
 	return &balance.Work{
-		ID: a.GetRequest(), Service: a.GetService(), Tier: int(a.GetTier()), Rank: int(a.GetRank()), Route: a.GetRoute(),
+		Node: node,
+		ID:   a.GetRequest(), Service: a.GetService(), Tier: int(a.GetTier()), Rank: int(a.GetRank()), Route: a.GetRoute(),
 		PromptTokens: a.GetPromptTokens(), EstimatedOutputTokens: a.GetHintTokens(),
 		Arrived: now.Add(micros(a.GetArrivedMicros())), Goal: now.Add(micros(a.GetGoalMicros())),
 		Patience: now.Add(micros(a.GetPatienceMicros())), End: now.Add(micros(a.GetEndMicros())),
@@ -101,11 +103,11 @@
 }
 
 func encodeSignal(s balance.Signal) *schema.OwnerSignal {
-	return &schema.OwnerSignal{Target: s.Target, Started: s.Started, Leaving: s.Leaving}
+	return &schema.OwnerSignal{Target: s.Target, Started: s.Started, Leaving: s.Leaving, PauseMicros: s.Pause.Microseconds()}
 }
 
 func decodeSignal(s *schema.OwnerSignal) balance.Signal {
-	return balance.Signal{Target: s.GetTarget(), Started: s.GetStarted(), Leaving: s.GetLeaving()}
+	return balance.Signal{Target: s.GetTarget(), Started: s.GetStarted(), Leaving: s.GetLeaving(), Pause: micros(s.GetPauseMicros())}
 }
 
 func encodeSample(s balance.Sample) *schema.OwnerReport {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -34,7 +34,7 @@
 	// connectTimeout bounds an attempt to open a link; owners are in the same zone.
 	connectTimeout = 400 * time.Millisecond
 	// maxDeclined is how many grants a node declines for one request because the
-	// granted target leaves. The node then chooses a target itself.
+	// granted target leaves or asks for a pause. The node then chooses a target itself.
 	maxDeclined = 3
 )
 
@@ -46,7 +46,7 @@
 	// owner has to be told.
 	RecordSignal(s balance.Signal) (isNew bool)
 	// RecordRemoteSignal records what a target asked of another node.
-	RecordRemoteSignal(s balance.Signal)
+	RecordRemoteSignal(node string, s balance.Signal)
 	// Signals returns what targets have asked of this node and what still holds.
 	Signals() []balance.Signal
 	// MaySend reports whether a target has not asked this node to send it no request
@@ -246,7 +246,7 @@
 }
 
 // confirmTarget returns the target that the owner chose, or nil if this node knows
-// that it leaves. A target with the same ID and a later start time is a new
+// that it is draining, or that it wants no request from this node. A target with the same ID and a later start time is a new
 // target, which this node does not know yet.
 func (m *Manager) confirmTarget(chosen *catalog.Target, w *balance.Work) *catalog.Target {
 	known := m.options.Targets.Target(chosen.ID)
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -191,14 +191,17 @@
 	c.nodes["n3"].manager.RecordSignal(before)
 	c.setOwner("n1")
 	c.waitUntilLinked("n3")
-	is.Equal(c.nextRemoteSignal("n1"), before)
-	later := balance.Signal{Target: "i-2", Started: 8, Leaving: true}
+	is.Equal(c.nextRemoteSignal("n1"), remoteSignal{"n3", before})
+	later := balance.Signal{Target: "i-2", Started: 8, Pause: 2 * time.Second}
 	c.nodes["n3"].manager.RecordSignal(later)
-	is.Equal(c.nextRemoteSignal("n1"), later)
+	is.Equal(c.nextRemoteSignal("n1"), remoteSignal{"n3", later})
+	_, err := c.nodes["n3"].manager.Acquire(t.Context(), newWork("r1"))
+	is.NoErr(err)
+	is.Equal((<-c.nodes["n1"].balancer.acquires).Node, "n3")
 	c.setOwner("n2")
 	c.eventually(c.nodes["n3"].manager.Linked)
-	got := []balance.Signal{c.nextRemoteSignal("n2"), c.nextRemoteSignal("n2")}
-	is.Equal(got, []balance.Signal{before, later})
+	got := []remoteSignal{c.nextRemoteSignal("n2"), c.nextRemoteSignal("n2")}
+	is.Equal(got, []remoteSignal{{"n3", before}, {"n3", later}})
 }
 
 // When another node becomes the owner, waiting requests must be sent to it even
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -14,6 +14,7 @@
 // session serves one other node. It does so even if this node does not consider
 // itself the owner, because the other node's view may be newer.
 type session struct {
+	node     string
 	balancer Balancer
 	replies  *replyBuffer
 	// asked holds a value after requests have arrived.
@@ -28,10 +29,10 @@
 }
 
 // Serve grants targets to one other node until its stream ends.
-func (m *Manager) Serve(ctx context.Context, _ peer.Identity, stream *peer.Stream) error {
+func (m *Manager) Serve(ctx context.Context, id peer.Identity, stream *peer.Stream) error {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
-		balancer: m.options.Balancer, replies: newReplyBuffer(), asked: make(chan struct{}, 1),
+		node: id.Node, balancer: m.options.Balancer, replies: newReplyBuffer(), asked: make(chan struct{}, 1),
 		pending: make(map[uint64]context.CancelFunc), reporters: make(map[uint64]balance.Reporter),
 	}
 	var running sync.WaitGroup
@@ -50,14 +51,14 @@
 func (s *session) handleCall(ctx context.Context, running *sync.WaitGroup, call *schema.OwnerCall) {
 	now := time.Now()
 	for _, signal := range call.GetSignals() {
-		s.balancer.RecordRemoteSignal(decodeSignal(signal))
+		s.balancer.RecordRemoteSignal(s.node, decodeSignal(signal))
 	}
 	for _, a := range call.GetAsks() {
 		ctx, cancel := context.WithCancel(ctx)
 		s.mu.Lock()
 		s.pending[a.GetNumber()] = cancel
 		s.mu.Unlock()
-		number, work := a.GetNumber(), decodeWork(a, now)
+		number, work := a.GetNumber(), decodeWork(a, s.node, now)
 		running.Go(func() { s.acquire(ctx, number, work) })
 	}
 	if len(call.GetAsks()) > 0 {
--- a/standin/entrytest/signal_test.go
+++ b/standin/entrytest/signal_test.go
@@ -14,6 +14,14 @@
 	"github.com/primrosemoor/primrosemoor/standin/worker"
 )
 
+const (
+	// From refusalSlack after a worker refused a request of a node with Retry-After to the
+	// end of that time, no more than sentWhilePaused requests of the node may reach it.
+	refusalSlack    = 500 * time.Millisecond
+	sentWhilePaused = 2
+	statedPause     = 3 * time.Second
+)
+
 // drainBound is the time after a node's first answer of a worker that leaves after which
 // nothing from that node may reach the worker.
 func drainBound() time.Duration { return settings.DefaultGateway().Bounds.Drain.AsDuration() }
@@ -149,3 +157,77 @@
 	time.Sleep(time.Second) // The nodes learn of it.
 	is.Equal(servedShare(callEach(nodes, "look", 2, time.Second)), 1.0)
 }
+
+func TestWorkerThatAsksForAPauseGetsNothingMeanwhile(t *testing.T) {
+	for service, route := range map[string]string{"app": "look", "llm": "chat"} {
+		t.Run(service, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(t)
+			pausing := env.startWorker("i-pausing", service, events(service))
+			nodes := startSignalNodes(is, env, route)
+			for i := range 2 {
+				env.startWorker(fmt.Sprint("i-", i), service, events(service))
+			}
+			pausing.SetFaults(worker.Faults{Overloaded: true, RetryAfter: statedPause.Seconds()})
+			all := callEach(nodes, route, 4, 2*statedPause+time.Second)
+			most, refusals := 0, 0
+			for i := range nodes {
+				refused := refusedOnly(arrivalsFrom(i, pausing))
+				refusals += len(refused)
+				most = max(most, mostWhilePaused(refused))
+			}
+			t.Logf("%d refusals, at most %d requests of a node during a pause; %.3f served", refusals, most, servedShare(all))
+			is.True(refusals > 0)
+			is.True(most <= sentWhilePaused)
+			is.True(servedShare(all) > 0.99)
+			pausing.SetFaults(worker.Faults{})
+			before := len(pausing.RunTimes())
+			callEach(nodes, route, 4, statedPause+time.Second)
+			is.True(len(pausing.RunTimes()) > before) // It is used again.
+		})
+	}
+}
+
+// refusedOnly returns the arrivals that the worker refused.
+func refusedOnly(arrivals []worker.Arrival) (refused []worker.Arrival) {
+	for _, a := range arrivals {
+		if a.Refused {
+			refused = append(refused, a)
+		}
+	}
+	return refused
+}
+
+// mostWhilePaused returns the largest number of arrivals during the pause that one of
+// them was answered with.
+func mostWhilePaused(refused []worker.Arrival) int {
+	most := 0
+	for _, first := range refused {
+		n := 0
+		for _, a := range refused {
+			if after := a.At.Sub(first.At); after > refusalSlack && after < statedPause {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Requests that a worker has refused do not end while a pause that they can wait for
+// lasts, and the others are refused at once, with the time after which a place is likely.
+func TestCallersAreToldThePauseThatAllWorkersAskFor(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	pausing := env.startWorker("i-pausing", "app", 0)
+	nodes := startSignalNodes(is, env, "look")
+	pausing.SetFaults(worker.Faults{Overloaded: true, RetryAfter: 0.8})
+	for i := range 4 {
+		began := time.Now()
+		got := nodes[1].post("look", fmt.Sprint("1-", i))
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(time.Since(began) < 400*time.Millisecond)
+		is.True(strings.HasPrefix(got.header.Get("Retry-After"), "0.")) // Not longer than the pause.
+	}
+	is.True(len(refusedOnly(arrivalsFrom(1, pausing))) <= sentWhilePaused)
+}
