entrytest: nodes know all workers before one of them leaves or asks for a pause

In a play of the pause test on a scratch copy, with log lines (a trial), the four requests of node 3 that were not served came within 5 ms of the start of the other workers, which that node did not know yet: refused as targets_paused, as they should be. On a slower machine more would.

--- a/standin/entrytest/signal_test.go
+++ b/standin/entrytest/signal_test.go
@@ -125,6 +125,7 @@
 			for i := range 2 {
 				env.startWorker(fmt.Sprint("i-", i), service, events(service))
 			}
+			time.Sleep(time.Second) // The nodes learn of them.
 			leaving.SetFaults(worker.Faults{Leaving: true})
 			all := callEach(nodes, route, 4, drainBound()+2*time.Second)
 			told, late := arrivalsAfterDrain(all, leaving)
@@ -137,8 +138,7 @@
 	}
 }
 
-// Callers are served as long as the drain bound allows if all workers leave at once, and
-// by the next one from its registration on.
+// If all workers leave at once, callers are served for as long as the drain bound allows.
 func TestCallersAreServedWhileAllWorkersLeave(t *testing.T) {
 	is := is.New(t)
 	env := newTestEnv(t)
@@ -168,6 +168,7 @@
 			for i := range 2 {
 				env.startWorker(fmt.Sprint("i-", i), service, events(service))
 			}
+			time.Sleep(time.Second) // The nodes learn of them.
 			pausing.SetFaults(worker.Faults{Overloaded: true, RetryAfter: statedPause.Seconds()})
 			all := callEach(nodes, route, 4, 2*statedPause+time.Second)
 			most, refusals := 0, 0
@@ -214,8 +215,7 @@
 	return most
 }
 
-// Requests that a worker has refused do not end while a pause that they can wait for
-// lasts, and the others are refused at once, with the time after which a place is likely.
+// Callers whose goal passes before the pause ends must not be held.
 func TestCallersAreToldThePauseThatAllWorkersAskFor(t *testing.T) {
 	is := is.New(t)
 	env := newTestEnv(t)
