--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -59,6 +59,11 @@
 	// valid if HasLimit is set. A target states it for as long as it holds.
 	Limit    float64
 	HasLimit bool
+	// Leaving reports that the target leaves and takes no more requests.
+	Leaving bool
+	// Pause is for how long the target wants no request from this node; 0 if it asks for
+	// no pause.
+	Pause time.Duration
 }
 
 // HeaderCodec encodes and decodes the headers of one kind of deployment.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -50,9 +50,8 @@
 	// position is that of the last event sent.
 	headersSent bool
 	position    streamPosition
-	// targetLimit is the limit that the last target stated, if targetLimited is set.
-	targetLimit   float64
-	targetLimited bool
+	// targetInfo is what the last target said in the headers of its response.
+	targetInfo ResponseInfo
 	// attemptEvents counts the events of the current attempt.
 	attemptEvents int
 	// featuresCache holds the result of features.
@@ -275,6 +274,11 @@
 // attempt sends the request to one target. It reports whether the request has
 // ended.
 func (x *exchange) attempt(ctx context.Context, grant *balance.Grant) bool {
+	if !x.gateway.Signals.MaySend(grant.Target, x.arrived) {
+		// The target has asked for it since it was granted.
+		grant.Done(balance.Unsent)
+		return false
+	}
 	x.tried = append(x.tried, grant.Target.ID)
 	x.logPlaced(grant, len(x.tried))
 	if errResp := x.quarantined(); errResp != nil {
@@ -300,7 +304,8 @@
 	defer resp.Body.Close()
 	x.sends++
 	info := x.gateway.HeaderCodec.ParseResponse(resp.StatusCode, resp.Header)
-	x.recordInfo(grant, info)
+	x.recordInfo(grant.Target, info)
+	x.targetInfo = info
 	if info.NotRun {
 		return x.handleNotRun(ctx, grant, resp)
 	}
@@ -319,20 +324,25 @@
 	return x.relay(ctx, a.grant, a.resp, a.info)
 }
 
-// recordInfo records what a target has stated with its response.
-func (x *exchange) recordInfo(grant *balance.Grant, info ResponseInfo) {
-	x.gateway.Limits.RecordLimit(grant.Target.ID, info.Limit, info.HasLimit)
-}
-
 // relay relays a response. It reports whether the request has ended.
 func (x *exchange) relay(ctx context.Context, grant *balance.Grant, resp *http.Response, info ResponseInfo) bool {
-	x.targetLimit, x.targetLimited = info.Limit, info.HasLimit
+	x.targetInfo = info
 	if x.isStream(resp) {
 		return x.relayStream(ctx, grant, resp, info)
 	}
 	return x.relayWhole(ctx, grant, resp, info)
 }
 
+// recordInfo records what a target stated and asked for in its response.
+func (x *exchange) recordInfo(target *catalog.Target, info ResponseInfo) {
+	x.gateway.Limits.RecordLimit(target.ID, info.Limit, info.HasLimit)
+	if info.Leaving || info.Pause > 0 {
+		x.gateway.Signals.RecordSignal(balance.Signal{
+			Target: target.ID, Started: target.Started, Leaving: info.Leaving, Pause: info.Pause,
+		})
+	}
+}
+
 // countSend counts an attempt and reports whether the retry budget allows it.
 func (x *exchange) countSend() bool {
 	g := x.gateway
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/culprit"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
@@ -23,7 +24,10 @@
 	handoverLimit = 250 * time.Millisecond
 )
 
-var errStalled = errors.New("gateway: target stalled")
+var (
+	errStalled   = errors.New("gateway: target stalled")
+	errNotWanted = errors.New("gateway: the target has asked for no request")
+)
 
 // stallTimeout returns how long a target may be silent before another one is looked
 // for.
@@ -242,7 +246,7 @@
 		x.logNoStandby(ctx, err)
 		return nil, false
 	}
-	if err := s.forbidden(); err != nil {
+	if err := s.forbidden(grant.Target); err != nil {
 		grant.Done(balance.Unsent)
 		x.logNoStandby(ctx, err)
 		return nil, false
@@ -257,9 +261,11 @@
 }
 
 // forbidden returns why the request must not be sent to another target, or nil.
-func (s *standby) forbidden() error {
+func (s *standby) forbidden(target *catalog.Target) error {
 	g := s.exchange.gateway
 	switch {
+	case !g.Signals.MaySend(target, s.exchange.arrived):
+		return errNotWanted
 	case g.Culprits.Judge(s.exchange.features()).State != culprit.Clear:
 		return errQuarantinedInFlight
 	case !g.Retries.AllowRetry(s.exchange.service):
@@ -287,7 +293,7 @@
 	}
 	s.sends++
 	a = &begunAttempt{grant: grant, cancel: cancel, resp: resp, info: x.gateway.HeaderCodec.ParseResponse(resp.StatusCode, resp.Header)}
-	x.recordInfo(grant, a.info)
+	x.recordInfo(grant.Target, a.info)
 	if a.info.NotRun {
 		a.drop(balance.Rejected)
 		return nil, s.mayAsk()
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -21,6 +21,7 @@
 	acquires  []queuedAcquire
 	withdrawn []uint64
 	reports   []*schema.OwnerReport
+	signals   []*schema.OwnerSignal
 }
 
 // queuedAcquire is a request for a target that has not been sent yet.
@@ -53,13 +54,24 @@
 	o.update(func() { o.reports = append(o.reports, r) })
 }
 
+func (o *outbox) addSignals(signals ...balance.Signal) {
+	if len(signals) == 0 {
+		return
+	}
+	o.update(func() {
+		for _, s := range signals {
+			o.signals = append(o.signals, encodeSignal(s))
+		}
+	})
+}
+
 // take empties the outbox and returns its contents as one message. Times are
 // encoded relative to the time of the call.
 func (o *outbox) take() *schema.OwnerCall {
 	o.mu.Lock()
 	acquires := o.acquires
-	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports}
-	o.acquires, o.withdrawn, o.reports = nil, nil, nil
+	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports, Signals: o.signals}
+	o.acquires, o.withdrawn, o.reports, o.signals = nil, nil, nil, nil
 	o.mu.Unlock()
 	now := time.Now()
 	for _, a := range acquires {
@@ -78,9 +90,11 @@
 	}
 }
 
-func decodeWork(a *schema.OwnerAsk, now time.Time) *balance.Work {
+// decodeWork returns the request that a node asks a target for.
+func decodeWork(a *schema.OwnerAsk, node string, now time.Time) *balance.Work {
 	return &balance.Work{
-		ID: a.GetRequest(), Service: a.GetService(), Tier: int(a.GetTier()), Rank: int(a.GetRank()), Route: a.GetRoute(),
+		Node: node,
+		ID:   a.GetRequest(), Service: a.GetService(), Tier: int(a.GetTier()), Rank: int(a.GetRank()), Route: a.GetRoute(),
 		PromptTokens: a.GetPromptTokens(), EstimatedOutputTokens: a.GetHintTokens(),
 		Arrived: now.Add(micros(a.GetArrivedMicros())), Goal: now.Add(micros(a.GetGoalMicros())),
 		Patience: now.Add(micros(a.GetPatienceMicros())), End: now.Add(micros(a.GetEndMicros())),
@@ -88,6 +102,14 @@
 	}
 }
 
+func encodeSignal(s balance.Signal) *schema.OwnerSignal {
+	return &schema.OwnerSignal{Target: s.Target, Started: s.Started, Leaving: s.Leaving, PauseMicros: s.Pause.Microseconds()}
+}
+
+func decodeSignal(s *schema.OwnerSignal) balance.Signal {
+	return balance.Signal{Target: s.GetTarget(), Started: s.GetStarted(), Leaving: s.GetLeaving(), Pause: micros(s.GetPauseMicros())}
+}
+
 func encodeSample(s balance.Sample) *schema.OwnerReport {
 	return &schema.OwnerReport{
 		Pauses: uint32(s.Gaps), ShortestMicros: s.ShortestSpan.Microseconds(), TotalMicros: s.Total.Microseconds(),
