entrytest: runs at the same time do not share addresses

Two runs of these tests at once failed with 'listen tcp4 127.0.3.1:18221: bind: address already in use', since the addresses of the nodes were the same in each process. The second byte now follows the process id.

--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -121,8 +122,14 @@
 	ip  string
 }
 
+// processNetwork is the second byte of the loopback addresses, so that two runs of these
+// tests at the same time hardly ever share one.
+var processNetwork = 10 + os.Getpid()%240
+
 // address returns the loopback address of a node.
-func (env *testEnv) address(i int) string { return fmt.Sprintf("127.0.%d.%d", env.network, i) }
+func (env *testEnv) address(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", processNetwork, env.network, i)
+}
 
 // startNode runs a node with the default settings on its loopback address.
 func (env *testEnv) startNode(i int, options ...fx.Option) *node {
