datastore: what another node read before an outage does not end it

In a small deployment each node reads the store itself and also gets what the owner of its zone has read.

TestWhatAnotherNodeReadBeforeAnOutageDoesNotEndIt failed before ('12 != 1' lines of store_lost) and passes now: only an answer of the store after this node has lost it, its own or another node's, ends the outage.

--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -111,7 +111,10 @@
 	removed  map[string]T
 	position Position
 	listed   bool
+	// failing is set from the first failed call of an outage, at failedAt, until the store
+	// is known to have answered this node or the one that it takes changes from.
 	failing  bool
+	failedAt clock.Instant
 	// changed is set if the last watch returned changes. mustList is set if no watch
 	// leads on from position; relisted is set if that happened and no watch has
 	// succeeded since. cut is set if the last watch was cut off.
@@ -371,6 +374,6 @@
 	if ctx.Err() != nil || f.failing {
 		return
 	}
-	f.failing = true
+	f.failing, f.failedAt = true, f.Now()
 	f.Logger.Warn().Str("event", "store_lost").Str("kind", f.Kind).Err(err).Msg("")
 }
--- a/datastore/follow_relay.go
+++ b/datastore/follow_relay.go
@@ -106,7 +106,9 @@
 		return false
 	}
 	f.recordStandIn(r.proven)
-	f.recordRecovery(false)
+	if r.proven > f.failedAt {
+		f.recordRecovery(false)
+	}
 	f.history.extendGrace(f.Now().Add(r.Grace))
 	if r.Position == f.position && f.listed {
 		f.history.apply(Delta{From: r.Position, Position: r.Position}, r.proven)
--- a/datastore/follow_relay_test.go
+++ b/datastore/follow_relay_test.go
@@ -238,3 +238,27 @@
 		is.Equal(z.memberCalls.Load(), calls)
 	})
 }
+
+func TestWhatAnotherNodeReadBeforeAnOutageDoesNotEndIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logged := &lines{}
+		z := startZoneWith(t, func(o *datastore.Options, owns bool) {
+			o.Nodes = func() int { return 6 }
+			if !owns {
+				logged.log(o)
+			}
+		})
+		z.putTarget(2, false)
+		z.run(2 * time.Second)
+		z.owner.targets.set(func() { z.owner.targets.down = true })
+		z.run(8 * time.Second)
+		is.Equal(logged.count("store_lost"), 1)
+		is.Equal(logged.count("store_regained"), 0)
+		z.owner.targets.remove("t-2") // Its entry lapses.
+		z.owner.targets.set(func() { z.owner.targets.down = false })
+		z.run(1500 * time.Millisecond)
+		is.Equal(logged.count("store_regained"), 1)
+		is.True(z.member.has("t-2"))
+	})
+}
