owner: a node that falls silent says nothing of its targets

When the link of a node to the owner of its zone ended, all its requests ended there as abandoned, and those that were overdue put their targets into a backoff of 0.5 to 4 s: a node that was killed, cut off or stood still took sound targets away from its zone.

They end as Unreported now, which leaves a target's health alone. TestTargetIsNotBlamedForANodeThatFellSilent fails with Abandoned in its place ('500ms != 0s'). owner_test.go asks for Unreported where it asked for Abandoned: as strict, since it still names the one result that is right.

--- a/balance/grant.go
+++ b/balance/grant.go
@@ -30,6 +30,9 @@
 	// Superseded means that the response was not needed, because that of another target
 	// was used.
 	Superseded
+	// Unreported means that the node which sent the request fell silent, which says
+	// nothing of the target.
+	Unreported
 )
 
 // Sample holds the timing of a stream's events, from which the speed of its
--- a/balance/manager_test.go
+++ b/balance/manager_test.go
@@ -229,3 +229,21 @@
 		is.True(time.Since(began) < time.Second)
 	})
 }
+
+func TestTargetIsNotBlamedForANodeThatFellSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		for _, result := range []balance.Result{balance.Unreported, balance.Superseded} {
+			g, err := m.Acquire(t.Context(), work())
+			is.NoErr(err)
+			time.Sleep(2 * time.Second) // The response is overdue.
+			g.Done(result)
+			began := time.Now()
+			g, err = m.Acquire(t.Context(), work())
+			is.NoErr(err)
+			is.Equal(time.Since(began), time.Duration(0))
+			g.Done(balance.Answered)
+		}
+	})
+}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -149,7 +149,7 @@
 	c.nodes["n2"].stop()
 	ended := <-c.nodes["n1"].balancer.reports
 	is.Equal(ended.method, "ended")
-	is.Equal(ended.result, balance.Abandoned)
+	is.Equal(ended.result, balance.Unreported)
 }
 
 // An owner whose process hangs sends no heartbeats. Its nodes must choose targets
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -143,7 +143,7 @@
 	s.reporters = nil
 	s.mu.Unlock()
 	for _, reporter := range reporters {
-		reporter.Ended(balance.Abandoned, balance.Sample{})
+		reporter.Ended(balance.Unreported, balance.Sample{})
 	}
 }
 
