datastore: an older copy brings back no earlier life of a target, and a count hides none

Entries are weighed against what is known for 30 s after a return only. An earlier start predates, too, and a target whose last state is not known stays away for that time.

--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -93,10 +93,12 @@
 type state struct {
 	manager *Manager
 	targets map[string]*catalog.Target
-	// shown are the targets as the store shows them. heldUntil is when one of them that
-	// is held to have left is considered again; zero if there is none.
-	shown     map[string]*catalog.Target
-	heldUntil time.Time
+	// shown are the targets as the store shows them at shownAt. Until doubtUntil they may
+	// be those of an older copy; held is set if one of them is taken for that.
+	shown      map[string]*catalog.Target
+	shownAt    Position
+	doubtUntil time.Time
+	held       bool
 	// retained are targets that disappeared during an outage.
 	retained retention[*catalog.Target]
 	// departed are targets that were removed recently.
@@ -314,23 +316,29 @@
 	if !u.Changed {
 		return
 	}
-	s.shown, s.targetsListed = u.Items, true
+	if s.targetsListed && u.At.Era != s.shownAt.Era {
+		s.doubtUntil = now.Add(departedRetention)
+	}
+	s.shown, s.shownAt, s.targetsListed = u.Items, u.At, true
 	s.replaceTargets(s.currentEntries(now), u.Removed, now)
 }
 
 // currentEntries returns the entries that hold for the targets that the store shows.
 func (s *state) currentEntries(now time.Time) map[string]*catalog.Target {
-	s.heldUntil = time.Time{}
+	s.held = false
+	if !now.Before(s.doubtUntil) {
+		return s.shown
+	}
 	entries := make(map[string]*catalog.Target, len(s.shown))
 	for id, shown := range s.shown {
 		var departed *departedTarget
 		if d, ok := s.departed[id]; ok && !d.expired(now) {
 			departed = &d
 		}
-		if e := currentEntry(shown, s.targets[id], departed); e != nil {
+		e := currentEntry(shown, s.targets[id], departed)
+		s.held = s.held || e != shown
+		if e != nil {
 			entries[id] = e
-		} else if end := departed.at.Add(departedRetention); s.heldUntil.IsZero() || end.Before(s.heldUntil) {
-			s.heldUntil = end
 		}
 	}
 	return entries
@@ -362,12 +370,14 @@
 			continue
 		}
 		marked := *t
-		if last := removed[id]; last != nil && !predates(last, t) {
+		last := removed[id]
+		stateKnown := last != nil && !predates(last, t)
+		if stateKnown {
 			marked.Started, marked.Sequence = last.Started, last.Sequence
 		}
 		left := t.Draining || !s.retained.lasts(now)
 		marked.Draining = true
-		s.departed[id] = departedTarget{&marked, now, left}
+		s.departed[id] = departedTarget{target: &marked, stateKnown: stateKnown, at: now, left: left}
 	}
 }
 
@@ -377,7 +387,7 @@
 	if s.retained.dropExpired(now) {
 		s.publish()
 	}
-	if !s.heldUntil.IsZero() && now.After(s.heldUntil) {
+	if s.held && !now.Before(s.doubtUntil) {
 		s.replaceTargets(s.currentEntries(now), nil, now)
 	}
 	if s.retainedNodes.dropExpired(now) {
--- a/datastore/restored.go
+++ b/datastore/restored.go
@@ -54,9 +54,11 @@
 
 // departedTarget is a target that was removed.
 type departedTarget struct {
-	// target is its last known state, marked as draining.
-	target *catalog.Target
-	at     time.Time
+	// target is its last known state, marked as draining. stateKnown is set if that is
+	// the state in which it was removed.
+	target     *catalog.Target
+	stateKnown bool
+	at         time.Time
 	// left is set if it was removed by a change, and not just missing after an outage.
 	left bool
 }
@@ -64,23 +66,26 @@
 // expired reports whether the target left so long ago that nobody uses it.
 func (d departedTarget) expired(now time.Time) bool { return now.Sub(d.at) > departedRetention }
 
-// predates reports whether an entry of a target was written before another one by the
-// same instance.
+// predates reports whether an entry of a target was written before another one, by the
+// same instance or an earlier one.
 func predates(entry, other *catalog.Target) bool {
-	return entry.Started == other.Started && entry.Sequence < other.Sequence
+	return entry.Started < other.Started || entry.Started == other.Started && entry.Sequence < other.Sequence
 }
 
-// currentEntry returns the entry that holds for a target that the store shows, nil if
-// none does: an older copy must not take back that a target drains or has left. known is
-// the entry that this node has, departed the target if it was removed; both may be nil.
-// It is called for each target at each change of the targets.
+// currentEntry returns the entry that holds for a target that the store shows within
+// departedRetention of its return, nil if none does: an older copy must not take back that a
+// target drains or has left. known is the entry that this node has, departed the target
+// if it was removed; both may be nil. It is called for each target at each change of the
+// targets in that time.
 func currentEntry(shown, known *catalog.Target, departed *departedTarget) *catalog.Target {
 	switch {
 	case known != nil && predates(shown, known):
 		return known
-	case known != nil || departed == nil || !departed.left || departed.target.Sequence == 0:
+	case known != nil || departed == nil || !departed.left:
 		return shown
-	case shown.Started == departed.target.Started && shown.Sequence <= departed.target.Sequence:
+	case predates(shown, departed.target):
+		return nil
+	case shown.Started == departed.target.Started && (!departed.stateKnown || shown.Sequence <= departed.target.Sequence):
 		return nil
 	default:
 		return shown
