datastore: one wrong era stops a node for no longer than it lasts

Lists that name the same older era for 10 s are believed, a peer's era is a hint that this node's own list corrects, and the era of the configuration in force follows the store's.

--- a/datastore/delta.go
+++ b/datastore/delta.go
@@ -38,7 +38,7 @@
 	// which changed and changed back in between is missing. The delta then leads from
 	// From only, and from no state between From and Position.
 	Compared bool
-	Objects []Object
+	Objects  []Object
 }
 
 // leadsFrom reports whether the delta leads from a state of the store to its Position.
@@ -115,6 +115,13 @@
 	h.trim()
 }
 
+// reset forgets the objects, whose era was wrong.
+func (h *history) reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.position, h.base, h.contents, h.changes, h.gaps = Position{}, Position{}, nil, nil, nil
+}
+
 // differences returns what changed between the known objects and a new list of all,
 // so that a node that lists the store again does not make others read everything.
 // h.mu must be held.
--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -92,6 +92,9 @@
 	OnEra func(era uint64)
 
 	mu sync.Mutex
+	// OnListed is called with the era of each list, and whether the items now have it
+	// though it is older; nil means that nobody is told.
+	OnListed func(era uint64, fell bool)
 	// cancelWatch cancels the current watch, which waits for at most watchWait; nil
 	// if there is none.
 	cancelWatch context.CancelCauseFunc
@@ -121,6 +124,10 @@
 	changed, mustList, relisted, cut bool
 	// listAt is the earliest instant of the list if mustList is set.
 	listAt clock.Instant
+	// olderEra is the era of the last lists, since olderSince, if that was older than the
+	// items, else nil.
+	olderEra   *uint64
+	olderSince clock.Instant
 	// unusable are the names of the items that cannot be used and were logged.
 	unusable map[string]bool
 }
@@ -243,12 +250,19 @@
 	f.knownEra.CompareAndSwap(knownEra, at.Era)
 	f.reportEra(at.Era)
 	if at.Era < f.position.Era {
+	err = f.checkEra(at.Era)
+	if f.OnListed != nil {
+		f.OnListed(at.Era, err == nil && at.Era < f.position.Era)
+	}
 		return errOlderEra
 	}
 	items = f.screen(items, true)
 	f.items = make(map[string]T, len(items))
 	f.merge(items)
-	f.recordRecovery(f.listed && at.Era > f.position.Era)
+	f.recordRecovery(f.listed && at.Era != f.position.Era)
+	if at.Era < f.position.Era {
+		f.history.reset()
+	}
 	f.moveTo(at)
 	f.history.apply(newDelta(items, at, true), start)
 	f.publish(start, true)
@@ -257,7 +271,28 @@
 
 // moveTo records the position of the items, and logs the store's return from a copy.
 func (f *Follower[T]) moveTo(at Position) {
-	if f.listed && at.Era > f.position.Era {
+// eraFallTime is how long lists must name the same older era until the era of the items
+// is taken for wrong.
+const eraFallTime = 10 * time.Second
+
+// checkEra returns an error for a list of an older era than the items, unless that of the
+// items was wrong.
+func (f *Follower[T]) checkEra(era uint64) error {
+	switch {
+	case era >= f.position.Era:
+		f.olderEra = nil
+		return nil
+	case f.olderEra == nil || *f.olderEra != era:
+		f.olderEra, f.olderSince = &era, f.Now()
+		return errOlderEra
+	case f.Now().Sub(f.olderSince) < eraFallTime:
+		return errOlderEra
+	}
+	f.olderEra = nil
+	return nil
+}
+
+	if f.listed && at.Era != f.position.Era {
 		f.Logger.Warn().Str("event", "store_restored").Str("kind", f.Kind).Uint64("era_before", f.position.Era).
 			Uint64("revision_before", f.position.Revision).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("")
 	}
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -85,8 +85,10 @@
 	relayedProofs chan relayedProof
 	done          chan struct{}
 	eraMu         sync.Mutex
-	// era is the latest era of the store that this node knows.
-	era uint64
+	// era is the latest era of the store that this node knows; eraByPeer is set if only
+	// another node has named it.
+	era       uint64
+	eraByPeer bool
 }
 
 // state is owned by the manager's goroutine; others change it through submit.
@@ -152,7 +154,10 @@
 	m.nodes.Wait, m.nodes.Pause, m.nodes.RelayMaxAge = constant(nodesWatchWait), constant(nodesPause), m.relayedNodesMaxAge
 	m.nodes.Hold, m.nodes.Grace = m.startHold, nodesGrace
 	m.configs.RelistHold, m.targets.RelistHold, m.nodes.RelistHold = m.relistHold, m.relistHold, m.relistHold
-	m.configs.OnEra, m.targets.OnEra, m.nodes.OnEra = m.ApplyEra, m.ApplyEra, m.ApplyEra
+	m.configs.RetryLimit, m.targets.RetryLimit, m.nodes.RetryLimit = m.retryLimit, m.retryLimit, m.retryLimit
+	noticeEra := func(era uint64) { m.raiseEra(era, false) }
+	m.configs.OnEra, m.targets.OnEra, m.nodes.OnEra = noticeEra, noticeEra, noticeEra
+	m.configs.OnListed, m.targets.OnListed, m.nodes.OnListed = m.correctEra, m.correctEra, m.correctEra
 	m.nodes.Apply = func(u Update[Node]) { m.submit(func(s *state) { s.applyNodes(u) }) }
 }
 
@@ -214,21 +219,38 @@
 	return m.era
 }
 
-// ApplyEra applies an era of the store that an answer to this node, or to another one,
-// named.
-func (m *Manager) ApplyEra(era uint64) {
+// ApplyEra applies an era of the store that an answer to another node named. It ends the
+// watches of the kinds that are of an older one.
+func (m *Manager) ApplyEra(era uint64) { m.raiseEra(era, true) }
+
+// raiseEra applies an era that the store named to this node, or to a peer.
+func (m *Manager) raiseEra(era uint64, byPeer bool) {
 	m.eraMu.Lock()
 	defer m.eraMu.Unlock()
-	if era <= m.era {
+	switch {
+	case era < m.era:
+		return
+	case era == m.era:
+		m.eraByPeer = m.eraByPeer && byPeer
 		return
 	}
-	m.era = era
+	m.era, m.eraByPeer = era, byPeer
 	m.configs.NoticeEra(era)
 	m.targets.NoticeEra(era)
 	m.nodes.NoticeEra(era)
 }
 
 // Announced records where the store holds this node's announcement. OnUnlisted is called
+// correctEra takes back an era that only a peer has named, or that was wrong, for the
+// lower one of a list of the store.
+func (m *Manager) correctEra(era uint64, fell bool) {
+	m.eraMu.Lock()
+	defer m.eraMu.Unlock()
+	if era < m.era && (m.eraByPeer || fell) {
+		m.era, m.eraByPeer = era, false
+	}
+}
+
 // when a later list of the nodes lacks it.
 func (m *Manager) Announced(at Position) {
 	m.submit(func(s *state) {
@@ -284,6 +306,10 @@
 	switch verdict {
 	case configAdopted:
 		m.inForce.Store(&inForce{catalog.NewTable(config), era})
+	if current := s.manager.inForce.Load(); current != nil && u.At.Era < current.era {
+		// The store itself decides, also against an era that another node named.
+		s.manager.inForce.Store(&inForce{current.table, u.At.Era})
+	}
 		m.options.Logger.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).
 			Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Msg("")
 		s.publish()
