--- a/datastore/retention.go
+++ b/datastore/retention.go
@@ -22,8 +22,13 @@
 // lasts reports whether missing items are kept.
 func (r *retention[T]) lasts(now time.Time) bool { return now.Before(r.until) }
 
-// keep keeps the known items that a list lacks and that may be kept.
+// keep keeps the known items that a list lacks and that may be kept, and no longer those
+// that it holds.
 func (r *retention[T]) keep(known, listed map[string]T, mayKeep func(T) bool) {
+	maps.DeleteFunc(r.items, func(name string, _ T) bool {
+		_, ok := listed[name]
+		return ok
+	})
 	for name, item := range known {
 		if _, ok := listed[name]; ok || !mayKeep(item) {
 			continue
