standin/entrysoak: a worker falls silent and goes on

Streams of a worker fall silent for 1 to 2 s in their middle. It is no disturbance: a caller still gets its whole answer, also around planned work.

--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -28,6 +28,7 @@
 	{"store-cut", (*environment).cutStoreLink},
 	{"store-reset", (*environment).resetStoreLink},
 	{"worker-fault", (*environment).failWorker},
+	{"worker-silent", (*environment).silenceWorker},
 	{"worker-slow-link", (*environment).delayWorkerLink},
 	{"worker-reset", (*environment).resetWorkerLink},
 	{"worker-leaves", (*environment).drainWorker},
@@ -144,6 +145,22 @@
 	return nil
 }
 
+// silenceWorker makes a worker's streams fall silent in their middle and go on. No
+// promise may be broken beside it.
+func (env *environment) silenceWorker(random *rand.Rand) error {
+	wk := env.randomWorker(random)
+	for wk.Service != "llm" {
+		wk = env.randomWorker(random)
+	}
+	defer env.history.beginDisturbance("worker-silent", wk.ID, true)()
+	silence := randomDuration(random, time.Second, 2*time.Second)
+	wk.SetFaults(worker.Faults{SilentAfter: 1 + random.IntN(eventsPerStream-1), Silence: silence})
+	time.Sleep(randomDuration(random, 200*time.Millisecond, 2*time.Second))
+	wk.SetFaults(worker.Faults{})
+	time.Sleep(silence) // Streams that began before may still be silent.
+	return nil
+}
+
 func (env *environment) delayWorkerLink(random *rand.Rand) error {
 	wk := env.randomWorker(random)
 	defer env.history.beginDisturbance("worker-slow-link", wk.ID, false)()
