--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -27,6 +27,7 @@
 	{"store-forgets", (*environment).compactStore},
 	{"store-cut", (*environment).cutStoreLink},
 	{"store-reset", (*environment).resetStoreLink},
+	{"store-restored", (*environment).restoreStore},
 	{"worker-fault", (*environment).failWorker},
 	{"worker-silent", (*environment).silenceWorker},
 	{"worker-slow-link", (*environment).delayWorkerLink},
@@ -189,12 +190,12 @@
 	if err := env.addWorker(wk.Service); err != nil {
 		return err
 	}
-	if err := wk.Register(env.store, "a", "draining"); err != nil {
+	if err := env.register(wk, "draining"); err != nil {
 		return err
 	}
 	env.history.ack(ackedChange{drainingWorker: wk.ID})
 	time.Sleep(drain + randomDuration(random, time.Second, 4*time.Second))
-	env.store.Remove("servers", wk.ID)
+	env.unregister(wk)
 	return nil
 }
 
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -68,10 +68,13 @@
 	config        map[string]any
 	keys          []string
 	workers       []*worker.Worker
+	// states are the states that the workers last reported, by id; a removed worker has
+	// none.
+	states map[string]string
 }
 
 func newEnvironment(ctx context.Context, options Options) (*environment, error) {
-	env := &environment{options: options, ctx: ctx, store: store.New(), relay: relay.New(), history: &history{}, keys: []string{"steady"}}
+	env := &environment{options: options, ctx: ctx, store: store.New(), relay: relay.New(), history: &history{}, keys: []string{"steady"}, states: make(map[string]string)}
 	if err := env.writeConfig(); err != nil {
 		return nil, err
 	}
@@ -180,11 +183,28 @@
 	if err := wk.Start(env.store, "a"); err != nil {
 		return err
 	}
+	env.states[wk.ID] = "ready"
 	context.AfterFunc(env.ctx, wk.Stop)
 	env.workers = append(env.workers, wk)
 	return nil
 }
 
+// register writes a worker's entry with a state to the store.
+func (env *environment) register(wk *worker.Worker, state string) error {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.states[wk.ID] = state
+	return wk.Register(env.store, "a", state)
+}
+
+// unregister removes a worker's entry from the store.
+func (env *environment) unregister(wk *worker.Worker) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	delete(env.states, wk.ID)
+	env.store.Remove("servers", wk.ID)
+}
+
 // executions returns the workers that ran each request, once per run.
 func (env *environment) executions() map[string][]string {
 	env.mu.Lock()
