standin/entrysoak: odd entries stand among the workers'

Deep nesting, numbers too large, a port out of range, fields of another type and null are written under a name of their own and removed. They disturb nothing: no node may exit, and all have to follow the store. TestOddEntriesAreWrittenWhole guards against an entry that the stand-in of the store cannot write itself.

--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -28,6 +28,7 @@
 	{"store-cut", (*environment).cutStoreLink},
 	{"store-reset", (*environment).resetStoreLink},
 	{"store-restored", (*environment).restoreStore},
+	{"odd-entry", (*environment).writeOddEntry},
 	{"worker-fault", (*environment).failWorker},
 	{"worker-silent", (*environment).silenceWorker},
 	{"worker-slow-link", (*environment).delayWorkerLink},
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -60,8 +60,8 @@
 	// newestVersion is the newest version of the configuration that the store
 	// acknowledged.
 	newestVersion atomic.Int64
-	// issuedKeys counts the keys, for unique names.
-	issuedKeys atomic.Int64
+	// issuedKeys and oddEntries count what was written, for unique names.
+	issuedKeys, oddEntries atomic.Int64
 
 	mu            sync.Mutex
 	configVersion int
