standin/entrysoak: any number of nodes, series of disturbances, cases that are kept

--nodes (NODES=) sets the number of nodes, in zones a and b in turn. A run that violates a promise prints its case, which names its kinds, so that a case stays the same when kinds are added; regressions.txt keeps them with the cause, and make soak-entry-regressions repeats them.

TestCaseIsReadAsItIsWritten and TestUnusableCaseIsReported cover the list.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 SCENARIOS_CI = $(addprefix standin/scenarios/,$(addsuffix .txtar,double-runs not-run entry-kill platform-down graceful-stop tier-order leaving-target))
 SCENARIO = $(BIN)/standin scenario --binaries $(BIN) --seed $(SEED) $(if $(SIZE),--size $(SIZE))
 
-.PHONY: scenario scenario-ci soak soak-entry proof
+.PHONY: scenario scenario-ci soak soak-entry soak-entry-regressions proof
 
 scenario: build ## Run scenario files: make scenario FILES='a.txtar b.txtar' [SEED=N] [SIZE=drumlin].
 	$(SCENARIO) $(or $(FILES),$(SCENARIOS_ALL))
@@ -55,9 +55,15 @@
 
 SEEDS ?= 1
 LENGTH ?= 20s
+NODES ?= 4
+FAULTS ?=
+SOAK_ENTRY = $(BIN)/standin entry-soak --binaries $(BIN)
 
-soak-entry: build ## Disturb processes of entry nodes at random: make soak-entry [SEED=N] [SEEDS=COUNT] [LENGTH=20s].
-	$(BIN)/standin entry-soak --binaries $(BIN) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH)
+soak-entry: build ## Disturb processes of entry nodes at random: make soak-entry [SEED=N] [SEEDS=COUNT] [LENGTH=20s] [NODES=4] [FAULTS=kill,stop].
+	$(SOAK_ENTRY) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH) --nodes $(NODES) $(if $(FAULTS),--faults $(FAULTS))
+
+soak-entry-regressions: build ## Repeat the runs of the soak of entry nodes that once violated a promise.
+	$(SOAK_ENTRY) --regressions
 
 proof: build ## Run all scenarios at both deployments' sizes and write docs/PROOF.md from their results.
 	rm -f $(RESULTS)
--- /dev/null
+++ b/standin/entrysoak/case_test.go
@@ -0,0 +1,30 @@
+package entrysoak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRegressionsCanBeRead(t *testing.T) {
+	is := is.New(t)
+	_, err := Regressions()
+	is.NoErr(err)
+}
+
+func TestCaseIsReadAsItIsWritten(t *testing.T) {
+	is := is.New(t)
+	want := Case{Seed: 7, Nodes: 40, Length: 15 * time.Second, Faults: FaultNames()}
+	got, err := parseCases("# comment\n\n" + want.String() + " | the cause\n")
+	is.NoErr(err)
+	is.Equal(got, []Case{want})
+}
+
+func TestUnusableCaseIsReported(t *testing.T) {
+	for _, line := range []string{"7 4 15s kill", "x 4 15s kill | c", "7 x 15s kill | c", "7 4 x kill | c", "7 4 15s none | c", "7 4 kill | c"} {
+		is := is.New(t)
+		_, err := parseCases(line)
+		is.True(err != nil)
+	}
+}
--- a/standin/entrysoak/soak.go
+++ b/standin/entrysoak/soak.go
@@ -8,19 +8,18 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
 
-// Options configures one run.
+// Options configures one run. New disturbances start for the length of its case.
 type Options struct {
 	// Program is the path of the primrosemoor binary; Directory is the folder for
 	// settings and logs.
 	Program   string
 	Directory string
-	Seed      uint64
-	// Length is the time in which new disturbances start.
-	Length time.Duration
+	Case
 }
 
 // Report holds the results of a run.
@@ -37,6 +36,12 @@
 	// maxFaultInterval is the longest pause before the next disturbance starts. It
 	// is short, so that disturbances overlap and follow each other closely.
 	maxFaultInterval = 1500 * time.Millisecond
+	// One choice in seriesShare is a series of up to maxSeries disturbances of the same
+	// kind that overlap, with pauses up to maxSeriesPause.
+	seriesShare, maxSeries = 4, 5
+	maxSeriesPause         = 400 * time.Millisecond
+	// startTimePerNode is the time that each node adds to the start of all.
+	startTimePerNode = 200 * time.Millisecond
 	// settleTime after the last disturbance, all requests must be served again;
 	// this is checked for verifyTime.
 	settleTime = 8 * time.Second
@@ -48,6 +53,10 @@
 func Run(ctx context.Context, options Options) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	faults, err := selectFaults(options.Faults)
+	if err != nil {
+		return nil, err
+	}
 	env, err := newEnvironment(ctx, options)
 	if err != nil {
 		return nil, err
@@ -70,14 +79,15 @@
 			}
 		})
 	}
-	settledAt := env.runLoad(ctx)
+	settledAt := env.runLoad(ctx, faults)
 	stopSupervisors()
 	supervisors.Wait()
 	return env.report(settledAt), nil
 }
 
 func (env *environment) waitReady(ctx context.Context) error {
-	for deadline := time.Now().Add(startTimeout); ; time.Sleep(20 * time.Millisecond) {
+	timeout := startTimeout + time.Duration(len(env.nodes))*startTimePerNode
+	for deadline := time.Now().Add(timeout); ; time.Sleep(20 * time.Millisecond) {
 		ready := 0
 		for _, n := range env.nodes {
 			if n.ready(ctx) {
@@ -95,16 +105,16 @@
 
 // runLoad runs the callers and injects faults. It returns the time from which all
 // requests had to be served.
-func (env *environment) runLoad(ctx context.Context) time.Time {
+func (env *environment) runLoad(ctx context.Context, faults []fault) time.Time {
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	b := &balancer{failedChecks: make(map[*node]int)}
 	go b.run(callerCtx, env.nodes)
 	var callers sync.WaitGroup
-	for i := range minCallers {
+	for i := range max(minCallers, len(env.nodes)) {
 		c := env.newCaller(b, i)
 		callers.Go(func() { c.run(callerCtx) })
 	}
-	env.injectFaults()
+	env.injectFaults(faults)
 	time.Sleep(settleTime)
 	settledAt := time.Now()
 	if err := env.writeConfig(); err != nil {
@@ -144,15 +154,54 @@
 	}
 }
 
-// injectFaults starts disturbances for the length of the run and waits until all of
-// them have ended.
-func (env *environment) injectFaults() {
+// selectFaults returns the disturbances with the given names, or all.
+func selectFaults(names []string) ([]fault, error) {
+	if len(names) == 0 {
+		return allFaults, nil
+	}
+	var selected []fault
+	for _, name := range names {
+		i := slices.IndexFunc(allFaults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("entrysoak: no disturbance is named %q", name)
+		}
+		selected = append(selected, allFaults[i])
+	}
+	return selected, nil
+}
+
+// injectFaults starts disturbances, and series of them, for the length of the run and
+// waits until all of them have ended.
+func (env *environment) injectFaults(faults []fault) {
 	random := rand.New(rand.NewPCG(env.options.Seed, 0))
 	var running sync.WaitGroup
 	for end := time.Now().Add(env.options.Length); time.Now().Before(end); {
 		time.Sleep(time.Duration(random.Int64N(int64(maxFaultInterval))))
-		f := allFaults[random.IntN(len(allFaults))]
-		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
+		f := faults[random.IntN(len(faults))]
+		repeats := 1
+		if random.IntN(seriesShare) == 0 {
+			repeats = 2 + random.IntN(maxSeries-1)
+		}
+		seriesRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
+		running.Go(func() { env.injectSeries(f, repeats, seriesRandom) })
+	}
+	running.Wait()
+}
+
+// injectSeries injects a disturbance several times. Every second series has the same
+// subject throughout.
+func (env *environment) injectSeries(f fault, repeats int, random *rand.Rand) {
+	sameSubject := random.IntN(2) == 0
+	seed := random.Uint64()
+	var running sync.WaitGroup
+	for i := range repeats {
+		if i > 0 {
+			time.Sleep(time.Duration(random.Int64N(int64(maxSeriesPause))))
+		}
+		if !sameSubject {
+			seed = random.Uint64()
+		}
+		faultRandom := rand.New(rand.NewPCG(seed, 0))
 		running.Go(func() {
 			if err := f.inject(env, faultRandom); err != nil {
 				env.history.addViolation("%s: %v", f.name, err)
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -23,7 +23,6 @@
 )
 
 const (
-	nodeCount = 4
 	// workersPerService is the number at the start; each drained worker is replaced.
 	workersPerService = 3
 	// The ports are the same on all nodes; each node has its own loopback address.
@@ -90,7 +89,7 @@
 	server := &http.Server{Handler: env.store}
 	go server.Serve(listener)
 	context.AfterFunc(ctx, func() { server.Close() })
-	for i := range nodeCount {
+	for i := range options.Nodes {
 		n, err := env.newNode(i, listener.Addr().String())
 		if err != nil {
 			return nil, err
