--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -53,8 +53,9 @@
 	// SourceSilent reports that a source is silent; its loads no longer count.
 	SourceSilent(source string)
 	// Booked reports that another node booked an amount for a team. level is the
-	// remaining amount as that node estimates it, or nil if unknown.
-	Booked(team string, amount float64, level *int64)
+	// remaining amount as that node estimates it, or nil if unknown. over is the time
+	// in which it was booked, if the node was silent for that time, or 0.
+	Booked(team string, amount float64, level *int64, over time.Duration)
 	// QueueLength reports how many requests are queued at a source.
 	QueueLength(source string, q Queue, waiting int)
 	// SilentShare reports the fraction of the deployment's nodes that are silent,
@@ -65,23 +66,27 @@
 // ProofRelay reports how recently the configuration was proven to be the
 // newest, and accepts such proofs from peers.
 type ProofRelay interface {
-	// Proof returns the version in force and the age of its proof; ok is false
+	// Proof returns the configuration in force and the age of its proof; ok is false
 	// if no configuration is known.
-	Proof() (version uint64, age time.Duration, ok bool)
-	// ApplyProof applies a peer's proof that the version was the newest at the given
-	// instant. address is the peer's address, from which the content of the version
-	// can be fetched.
-	ApplyProof(version uint64, proven clock.Instant, address string)
+	Proof() (c datastore.ConfigState, age time.Duration, ok bool)
+	// ApplyProof applies a peer's proof that its configuration was the newest at the
+	// given instant. address is the peer's address, from which its content can be
+	// fetched.
+	ApplyProof(c datastore.ConfigState, proven clock.Instant, address string)
 }
 
 // ObjectRelay passes on what this node has read from the store, and accepts what
 // another node has read.
 type ObjectRelay interface {
-	// Revision returns the store's revision of this node's items of a kind.
-	Revision(k datastore.Kind) uint64
-	// Changes returns what changed after a revision, and how long ago it was known to
-	// lead to the newest state; ok is false if this node has not read the items.
-	Changes(k datastore.Kind, revision uint64) (d datastore.Delta, age time.Duration, ok bool)
+	// Era returns the latest era of the store that this node knows, 0 if none.
+	Era() uint64
+	// ApplyEra applies the latest era that a peer knows.
+	ApplyEra(era uint64)
+	// Position returns the position of this node's items of a kind in the store.
+	Position(k datastore.Kind) datastore.Position
+	// Changes returns what changed after a state of the store, and how long ago it was
+	// known to lead to the newest state; ok is false if this node cannot tell.
+	Changes(k datastore.Kind, since datastore.Position) (d datastore.Delta, age time.Duration, ok bool)
 	// ApplyChanges applies what a peer has read, which led to the newest state at the
 	// given instant.
 	ApplyChanges(k datastore.Kind, d datastore.Delta, proven clock.Instant)
@@ -132,7 +137,18 @@
 	leaving, ready bool
 	// owner is the node that owns this zone; it is this node if no better one is
 	// known.
-	owner       atomic.Pointer[datastore.Node]
+	owner atomic.Pointer[datastore.Node]
+	// started is when this node started, and ownedUntil when it last ceased to own its
+	// zone.
+	started, ownedUntil time.Time
+	// informed are the totals of this zone that each other zone was last told by this
+	// node, and informedByOwner by the owner of this zone, the process informant.
+	// succeeded are the latter as of when this node succeeded a process that had ended or
+	// fallen silent.
+	informed                   map[string]totals
+	informedByOwner, succeeded totals
+	informant                  peer.Identity
+
 	silentShare float64
 	nodeCount   int
 	// pending are the notifications that the listener has not received yet, in
@@ -144,16 +160,22 @@
 // source is a node of this zone, or another zone, that reports its use.
 type source struct {
 	name string
-	// active is the feed whose reports count, nil if the source is silent. What a
-	// silent source books is covered by the share reserved for it.
-	active     *feed
+	// active is the feed whose reports count, nil if the source is silent. last is the
+	// one that counted last.
+	active, last *feed
+	// applied is how many reports have counted.
+	applied    uint64
 	lastUpdate time.Time
 	leaving    bool
+	// process is the process of a node of this zone that was last heard.
+	process peer.Identity
 	// ready is whether a node reports that it can own its zone.
 	ready bool
 	// forwarded holds another zone's sums, which this node forwards within its own
 	// zone; nil if the source is a node.
 	forwarded *sums
+	// before are the totals of forwarded when the active feed took over from another one.
+	before totals
 	// lastDirect is when a node of the source's zone, if that is another zone, last
 	// reported the zone's sums to this node directly; directPeer is that node.
 	lastDirect time.Time
@@ -168,6 +190,7 @@
 func New(options Options) *Manager {
 	m := &Manager{
 		options:  options,
+		started:  time.Now(),
 		nodeSums: newSums(),
 		zoneSums: newSums(),
 		changed:  newSignal(),
@@ -176,6 +199,7 @@
 		peers:    make(map[string]datastore.Node),
 		links:    make(map[string]*link),
 
+		informed:    make(map[string]totals),
 		announced:   make(map[string]datastore.Node),
 		rest:        &source{name: options.Self.Zone},
 		silentShare: -1,
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -18,10 +18,22 @@
 	*report
 	// reporter is the process whose stream it is.
 	reporter peer.Identity
-	// hasBaseline is set once the stream's first, complete report has been merged.
-	hasBaseline bool
-	// lastUpdate is when the last report was merged.
+	// lastUpdate is when the last report was merged, zero before the stream's first,
+	// complete report.
 	lastUpdate time.Time
+	// seen is how many reports of the source had been applied at the last report, and held
+	// what the source has booked, as this feed reports, since the last one that was.
+	seen uint64
+	held map[string]uint64
+}
+
+func (f *feed) hold(booked map[string]uint64) {
+	if f.held == nil {
+		f.held = make(map[string]uint64)
+	}
+	for team, amount := range booked {
+		f.held[team] += amount
+	}
 }
 
 // inbound is the state of the stream from one other node.
@@ -31,10 +43,15 @@
 	feeds   map[string]*feed
 	// completeSent is when all objects of a kind were last sent to the node.
 	completeSent map[datastore.Kind]time.Time
+	// tooLarge is whether the last changes of a kind were too large to be sent.
+	tooLarge map[datastore.Kind]bool
 }
 
 func newInbound(from peer.Identity) *inbound {
-	return &inbound{from: from, decoder: newDecoder(), feeds: make(map[string]*feed), completeSent: make(map[datastore.Kind]time.Time)}
+	return &inbound{
+		from: from, decoder: newDecoder(), feeds: make(map[string]*feed),
+		completeSent: make(map[datastore.Kind]time.Time), tooLarge: make(map[datastore.Kind]bool),
+	}
 }
 
 func (in *inbound) feed(source string) *feed {
@@ -58,7 +75,7 @@
 	if in.from.AvailabilityZone == m.options.Self.Zone {
 		s := m.getOrAddSource(m.nodes, in.from.Node)
 		changed := s.active == nil || s.leaving != u.GetLeaving() || s.ready != u.GetAble()
-		s.leaving, s.ready = u.GetLeaving(), u.GetAble()
+		s.process, s.leaving, s.ready = in.from, u.GetLeaving(), u.GetAble()
 		own := in.decoder.use(u.GetOwn())
 		if m.member {
 			m.storeReport(s, in.feed(in.from.Node), now, own)
@@ -68,13 +85,18 @@
 		if changed {
 			m.elect()
 		}
+		if in.from.Node == m.owner.Load().Name {
+			m.recordInformedByOwner(in.from, now)
+		}
 	}
 	for _, z := range u.GetZones() {
 		use := in.decoder.use(z.GetUse())
 		if z.GetZone() == m.options.Self.Zone {
 			if f := in.feed(z.GetZone()); m.member {
-				m.rest.silentNodes = int(z.GetSilent())
 				m.applyReport(m.rest, f, now, use)
+				if m.rest.active == f {
+					m.rest.silentNodes = int(z.GetSilent())
+				}
 			} else {
 				f.merge(use)
 			}
@@ -83,10 +105,11 @@
 		s := m.getOrAddSource(m.zones, z.GetZone())
 		s.ensureForwarded()
 		s.silentNodes = int(z.GetSilent())
-		if in.from.AvailabilityZone != m.options.Self.Zone {
+		f := in.feed(z.GetZone())
+		m.applyReport(s, f, now, use)
+		if s.active == f && in.from.AvailabilityZone != m.options.Self.Zone {
 			s.lastDirect, s.directPeer = now, in.from.Node
 		}
-		m.applyReport(s, in.feed(z.GetZone()), now, use)
 	}
 }
 
@@ -103,29 +126,25 @@
 // applyReport merges a report into its feed, and applies it unless another feed of
 // the source is still active. The lock must be held.
 func (m *Manager) applyReport(s *source, f *feed, now time.Time, c changes) {
-	booked := f.merge(c)
-	resumed := s.active != f && now.Sub(f.lastUpdate) > feedTakeoverDelay
-	reconnected := s.active != nil && s.active != f && s.active.reporter == f.reporter
-	f.lastUpdate = now
-	switch {
-	case reconnected:
-		// The same process reports on a new stream, with the same counters.
-		f.hasBaseline, booked = true, s.active.bookedSince(f.teams)
-	case !f.hasBaseline || resumed:
-		// The counters are older than the stream, or include what another feed has
-		// reported. What the source booked while it was silent is covered by the share
-		// reserved for it, so only later bookings count.
-		f.hasBaseline, booked = true, nil
-	}
-	if s.active != nil && s.active != f && !reconnected && now.Sub(s.lastUpdate) < feedTakeoverDelay {
+	booked, applies := s.newBookings(f, now, c)
+	if !applies {
 		return
 	}
+	var over time.Duration
+	if s.last != nil && s.active == nil {
+		over = now.Sub(s.lastUpdate)
+	}
 	if s.active != f {
+		if s.forwarded != nil {
+			s.before = s.forwarded.totals()
+		}
 		m.activateFeed(s, f)
 		c = changes{targets: f.targets, queues: f.queues, teams: c.teams}
 	}
 	s.lastUpdate = now
-	m.recordBookings(s, booked, c.teams)
+	s.applied++
+	f.seen = s.applied
+	m.recordBookings(s, booked, c.teams, over)
 	m.notifyReport(s, c.targets, c.queues)
 	for id, use := range c.targets {
 		switch {
@@ -148,6 +167,39 @@
 	}
 }
 
+// newBookings merges a report into its feed. It returns what the source has booked
+// that has not been counted yet, and whether the report applies: not while another
+// process's feed of the source is active. What a process booked while it was silent
+// counts when it is heard again.
+//
+// Two feeds of a source report the same bookings. What a feed reports after the last
+// report of the active one is held, and counts when the feed replaces it.
+func (s *source) newBookings(f *feed, now time.Time, c changes) (booked map[string]uint64, applies bool) {
+	reported := f.merge(c)
+	first, outdated := f.lastUpdate.IsZero(), f.seen != s.applied
+	f.lastUpdate, f.seen = now, s.applied
+	switch {
+	case s.last == f:
+		return reported, true
+	case s.last != nil && s.last.reporter == f.reporter:
+		// The same process reports on a new stream, with the same counters.
+		booked = s.last.bookedSince(f.teams)
+		f.raise(s.last.teams)
+		return booked, true
+	case first || outdated:
+		// The counters are older than the stream, or include what another feed has
+		// reported.
+		f.held = nil
+	default:
+		f.hold(reported)
+	}
+	if s.active != nil && now.Sub(s.lastUpdate) < feedTakeoverDelay {
+		return nil, false
+	}
+	booked, f.held = f.held, nil
+	return booked, true
+}
+
 // notifyReport notifies the listener of loads and queue lengths of a source. The lock
 // must be held.
 func (m *Manager) notifyReport(s *source, targets map[string]TargetUse, queues map[Queue]int) {
@@ -166,15 +218,15 @@
 	} else {
 		m.notify(func(l Listener) { l.SourceSilent(s.name) })
 	}
-	s.active = f
+	s.active, s.last = f, f
 }
 
 // recordBookings notifies the listener of a source's new bookings and adds them to
-// the sums that this node sends on.
-func (m *Manager) recordBookings(s *source, booked map[string]uint64, teams map[string]TeamUse) {
+// the sums that this node sends on. over is the time for which the source was silent.
+func (m *Manager) recordBookings(s *source, booked map[string]uint64, teams map[string]TeamUse, over time.Duration) {
 	for team, amount := range booked {
 		level := teams[team].Level
-		m.notify(func(l Listener) { l.Booked(team, float64(amount), level) })
+		m.notify(func(l Listener) { l.Booked(team, float64(amount), level, over) })
 		switch {
 		case s.forwarded != nil:
 			s.forwarded.addTeam(team, amount, level)
--- a/mesh/receive_test.go
+++ b/mesh/receive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -22,11 +23,11 @@
 // nopListener ignores all notifications.
 type nopListener struct{}
 
-func (nopListener) TargetLoad(string, string, TargetUse) {}
-func (nopListener) SourceSilent(string)                  {}
-func (nopListener) Booked(string, float64, *int64)       {}
-func (nopListener) QueueLength(string, Queue, int)       {}
-func (nopListener) SilentShare(float64, int)             {}
+func (nopListener) TargetLoad(string, string, TargetUse)          {}
+func (nopListener) SourceSilent(string)                           {}
+func (nopListener) Booked(string, float64, *int64, time.Duration) {}
+func (nopListener) QueueLength(string, Queue, int)                {}
+func (nopListener) SilentShare(float64, int)                      {}
 
 // drawUpdate draws an update with any values, also those that no node sends.
 func drawUpdate(t *rapid.T) *schema.MeshUpdate {
@@ -100,45 +101,155 @@
 	sum float64
 }
 
-func (b *bookings) Booked(_ string, amount float64, _ *int64) { b.sum += amount }
+func (b *bookings) Booked(_ string, amount float64, _ *int64, _ time.Duration) { b.sum += amount }
+
+// deliver passes the pending notifications to a listener.
+func deliver(m *Manager, l Listener) {
+	m.mu.Lock()
+	pending := m.pending
+	m.pending = nil
+	m.mu.Unlock()
+	for _, n := range pending {
+		n(l)
+	}
+}
+
+// newNode returns the manager of a node, which knows of those of the same zone and
+// others, all named by their zones.
+func newNode(name string, all ...string) *Manager {
+	nodes := make(map[string]datastore.Node)
+	for _, n := range append(all, name) {
+		nodes[n] = datastore.Node{Name: n, Zone: n[:1]}
+	}
+	m := New(Options{Self: nodes[name], Listener: nopListener{}, Logger: logging.Discard()})
+	m.SetNodes(nodes)
+	return m
+}
+
+func identity(name string, incarnation uint64) peer.Identity {
+	return peer.Identity{Node: name, AvailabilityZone: name[:1], Incarnation: incarnation}
+}
+
+// bookedUse is a report of what team t has booked.
+func bookedUse(booked uint64) *schema.MeshUse {
+	return &schema.MeshUse{Teams: []*schema.MeshTeam{{Ref: 1, Name: "t", Booked: booked}}}
+}
 
 // A node whose link broke and that reports on a new stream loses no bookings and has
 // none counted twice. After its restart its counters are others.
 func TestBookingsSurviveAReconnect(t *testing.T) {
 	is := is.New(t)
 	l := &bookings{}
-	m := New(Options{Self: datastore.Node{Name: "a1", Zone: "a"}, Listener: l, Logger: logging.Discard()})
-	m.SetNodes(map[string]datastore.Node{"a1": {Name: "a1", Zone: "a"}, "a2": {Name: "a2", Zone: "a"}})
+	m := newNode("a1", "a2")
 	report := func(in *inbound, booked uint64) float64 {
-		m.handleUpdate(in, &schema.MeshUpdate{Own: &schema.MeshUse{Teams: []*schema.MeshTeam{{Ref: 1, Name: "t", Booked: booked}}}})
-		m.mu.Lock()
-		pending := m.pending
-		m.pending = nil
-		m.mu.Unlock()
-		for _, n := range pending {
-			n(l)
-		}
+		m.handleUpdate(in, &schema.MeshUpdate{Own: bookedUse(booked)})
+		deliver(m, l)
 		return l.sum
 	}
-	first := peer.Identity{Node: "a2", AvailabilityZone: "a", Incarnation: 1}
-	in := newInbound(first)
+	in := newInbound(identity("a2", 1))
 	is.Equal(report(in, 100), 0.0) // older than the stream
 	is.Equal(report(in, 130), 30.0)
-	in = newInbound(first)
+	in = newInbound(identity("a2", 1))
 	is.Equal(report(in, 180), 80.0) // 50 were booked between the streams
 	is.Equal(report(in, 190), 90.0)
 	time.Sleep(feedTakeoverDelay + 10*time.Millisecond)
-	in = newInbound(peer.Identity{Node: "a2", AvailabilityZone: "a", Incarnation: 2})
+	in = newInbound(identity("a2", 2))
 	is.Equal(report(in, 20), 90.0)
 	is.Equal(report(in, 25), 95.0)
 }
 
+// Bookings that a zone's new owner reports after the last report of the old one, and
+// before its reports count, are counted and passed on. Guards against a loss of half a
+// second of a zone's bookings.
+func TestBookingsBeforeATakeoverAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &bookings{}
+		m := newNode("b1", "b2", "a1", "a2")
+		report := func(in *inbound, booked uint64) float64 {
+			m.handleUpdate(in, &schema.MeshUpdate{Zones: []*schema.MeshZone{{Zone: "a", Use: bookedUse(booked)}}})
+			deliver(m, l)
+			return l.sum
+		}
+		old, next := newInbound(identity("a1", 1)), newInbound(identity("a2", 1))
+		is.Equal(report(old, 1000), 0.0)
+		is.Equal(report(next, 400), 0.0)
+		is.Equal(report(next, 410), 0.0) // The old owner reports these, too.
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(report(old, 1010), 10.0)
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(report(next, 410), 10.0)
+		for range 5 {
+			time.Sleep(80 * time.Millisecond)
+			is.Equal(report(next, next.feeds["a"].teams["t"]+20), 10.0)
+		}
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(report(next, 510+7), 10.0+100+7)
+		is.Equal(m.zones["a"].forwarded.since(0).teams["t"].Booked, uint64(117))
+		is.Equal(report(next, 520), 10.0+110)
+	})
+}
+
+// What a process booked while it was not heard, on the same stream or until it has
+// opened a new one, is counted when it is heard again.
+func TestBookingsOfASilentProcessAreCountedWhenItIsHeard(t *testing.T) {
+	for _, reconnect := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			l := &bookings{}
+			m := newNode("a1", "a2")
+			report := func(in *inbound, booked uint64) float64 {
+				m.handleUpdate(in, &schema.MeshUpdate{Own: bookedUse(booked)})
+				deliver(m, l)
+				return l.sum
+			}
+			in := newInbound(identity("a2", 1))
+			report(in, 100)
+			is.Equal(report(in, 130), 30.0)
+			time.Sleep(silenceTimeout + 100*time.Millisecond)
+			m.checkSilence(time.Now())
+			is.True(m.nodes["a2"].active == nil)
+			if reconnect {
+				in = newInbound(identity("a2", 1))
+			}
+			is.Equal(report(in, 180), 80.0)
+			is.Equal(m.zoneSums.since(0).teams["t"].Booked, uint64(80))
+			is.Equal(report(newInbound(identity("a2", 2)), 500), 80.0) // Another process.
+		})
+	}
+}
+
+// What a member of a large zone has booked itself never comes back to it as bookings
+// of others, also not while the owner does not hear it.
+func TestMemberThatIsNotHeardIsNotToldItsOwnBookings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newNode("a1", "a2", "a3")
+		book := func(name string, booked uint64) *inbound {
+			in := newInbound(identity(name, 1))
+			m.handleUpdate(in, &schema.MeshUpdate{})
+			m.handleUpdate(in, &schema.MeshUpdate{Own: bookedUse(booked)})
+			return in
+		}
+		book("a2", 30)
+		book("a3", 5)
+		is.Equal(m.restSince(0, "a2").teams["t"].Booked, uint64(5))
+		time.Sleep(silenceTimeout + 100*time.Millisecond)
+		m.checkSilence(time.Now())
+		is.Equal(m.restSince(0, "a2").teams["t"].Booked, uint64(5))
+	})
+}
+
 // manyObjects is a node that has read many targets.
 type manyObjects struct{}
 
-func (manyObjects) Revision(datastore.Kind) uint64 { return 9 }
-func (manyObjects) Changes(_ datastore.Kind, since uint64) (datastore.Delta, time.Duration, bool) {
-	return datastore.Delta{Revision: 9, Complete: since < 5, Objects: make([]datastore.Object, 3000)}, 0, true
+func (manyObjects) Era() uint64     { return 0 }
+func (manyObjects) ApplyEra(uint64) {}
+func (manyObjects) Position(datastore.Kind) datastore.Position {
+	return datastore.Position{Revision: 9}
+}
+func (manyObjects) Changes(_ datastore.Kind, since datastore.Position) (datastore.Delta, time.Duration, bool) {
+	return datastore.Delta{Position: datastore.Position{Revision: 9}, Complete: since.Revision < 5, Objects: make([]datastore.Object, 3000)}, 0, true
 }
 func (manyObjects) ApplyChanges(datastore.Kind, datastore.Delta, clock.Instant) {}
 
