standin/entrysoak: odd entries are those of the tests of whole nodes

The list of such entries moves from entrytest to standin/store, one copy for both, without a change. The soak writes one of them before, among or after the workers' entries.

TestOddEntriesAreWrittenWhole guarded against entries that the stand-in itself could not write.

--- a/standin/entrysoak/history_test.go
+++ b/standin/entrysoak/history_test.go
@@ -1,17 +1,12 @@
 package entrysoak
 
 import (
-	"encoding/json"
 	"errors"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/primrosemoor/primrosemoor/standin/store"
 )
 
 var testStart = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
@@ -159,15 +154,3 @@
 	is.True(h.undisturbedNode("edge-1", start))
 	is.True(!h.undisturbedNode("edge-2", start))
 }
-
-func TestOddEntriesAreWrittenWhole(t *testing.T) {
-	is := is.New(t)
-	for _, spec := range oddSpecs() {
-		s := store.New()
-		is.NoErr(s.Put("servers", "i-odd", json.RawMessage(spec)))
-		recorder := httptest.NewRecorder()
-		s.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/api/objects/servers", nil))
-		is.True(json.Valid(recorder.Body.Bytes()))
-		is.True(strings.Contains(recorder.Body.String(), spec))
-	}
-}
--- a/standin/entrysoak/storefaults.go
+++ b/standin/entrysoak/storefaults.go
@@ -1,10 +1,10 @@
 package entrysoak
 
 import (
-	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +17,6 @@
 	// rewriteTime is the time within which the operator and the workers write again what
 	// the store has lost.
 	rewriteTime = 2 * time.Second
-	// nestingDepth is the nesting of an odd entry; the store itself reads a little more.
-	nestingDepth = 5000
 )
 
 // restoreStore takes the store away for a moment and brings it back from a copy that
@@ -86,31 +84,16 @@
 	return wk.Register(env.store, "a", state)
 }
 
-// oddSpecs returns entries that name no worker.
-func oddSpecs() []string {
-	entry := func(address, slots string) string {
-		return fmt.Sprintf(`{"service":"app","address":%s,"zone":"a","version":"v1","slots":%s,"state":"ready","coldRemainingMs":0,"sequence":1}`, address, slots)
-	}
-	return []string{
-		strings.Repeat("[", nestingDepth) + strings.Repeat("]", nestingDepth),
-		entry(`"127.0.0.1:9"`, "1e400"),
-		entry(`"127.0.0.1:9"`, strings.Repeat("9", 400)),
-		entry(`"127.0.0.1:99999"`, "8"),
-		entry(`["127.0.0.1:9"]`, "8"),
-		entry(`"127.0.0.1:9"`, "-1"),
-		"null",
-	}
-}
-
-// writeOddEntry writes an entry among the workers' entries that names no worker, and
-// removes it. The nodes must bear it.
+// writeOddEntry writes an entry that names no worker before, among or after the workers'
+// entries, and removes it. The nodes must bear it.
 func (env *environment) writeOddEntry(random *rand.Rand) error {
-	specs := oddSpecs()
-	name := fmt.Sprintf("i-odd-%d", env.oddEntries.Add(1))
+	specs := store.OddSpecs()
+	kinds := slices.Sorted(maps.Keys(specs))
+	kind := kinds[random.IntN(len(kinds))]
+	order := []string{"a", "i", "zz"}[random.IntN(3)]
+	name := fmt.Sprintf("%s-odd-%s-%d", order, kind, env.oddEntries.Add(1))
 	defer env.history.beginDisturbance("odd-entry", name, true)()
-	if err := env.store.Put("servers", name, json.RawMessage(specs[random.IntN(len(specs))])); err != nil {
-		return err
-	}
+	env.store.PutRaw("servers", name, []byte(specs[kind]))
 	time.Sleep(randomDuration(random, 100*time.Millisecond, 5*time.Second))
 	env.store.Remove("servers", name)
 	return nil
--- a/standin/entrytest/odd_test.go
+++ b/standin/entrytest/odd_test.go
@@ -13,38 +13,11 @@
 	"github.com/primrosemoor/primrosemoor/standin/store"
 )
 
-// oddSpecs are entries of another writer, each of which names no usable target.
-func oddSpecs() map[string]string {
-	entry := func(field, value string) string {
-		fields := map[string]string{"service": `"app"`, "address": `"127.0.0.1:9"`, "zone": `"a"`, "slots": "8", "state": `"ready"`, "coldRemainingMs": "0"}
-		fields[field] = value
-		var members []string
-		for name, v := range fields {
-			members = append(members, fmt.Sprintf("%q:%s", name, v))
-		}
-		return "{" + strings.Join(members, ",") + "}"
-	}
-	return map[string]string{
-		"nested":   strings.Repeat("[", 30000) + strings.Repeat("]", 30000),
-		"infinite": entry("slots", "Infinity"),
-		"slots":    entry("slots", "1000000000000000000"),
-		"cold":     entry("coldRemainingMs", "1e300"),
-		"port":     entry("address", `"127.0.0.1:99999"`),
-		"port-0":   entry("address", `"127.0.0.1:0"`),
-		"state":    entry("state", `"dozing"`),
-		"service":  entry("service", `"nowhere"`),
-		"bytes":    entry("zone", "\"\xff\xfe\x00\""),
-		"large":    entry("more", `"`+strings.Repeat("x", 1<<20)+`"`),
-		"null":     "null",
-		"text":     `"]}],{["`,
-	}
-}
-
 // putOddEntries puts the odd entries among those of all kinds. They come first, in
 // between and last in the order of their names.
 func (env *testEnv) putOddEntries() {
 	for _, kind := range []string{"config", "servers", "primrosemoor-nodes"} {
-		for name, spec := range oddSpecs() {
+		for name, spec := range store.OddSpecs() {
 			for _, order := range []string{"a-", "i-", "zz-"} {
 				env.store.PutRaw(kind, order+name, []byte(spec))
 			}
@@ -103,7 +76,7 @@
 		is.Equal(n.post("look", fmt.Sprint("id-", i)).status, 200)
 	}
 	second := env.startWorker("i-b", "app", 0)
-	env.store.PutRaw("servers", "i-a", []byte(oddSpecs()["nested"]))
+	env.store.PutRaw("servers", "i-a", []byte(store.OddSpecs()["nested"]))
 	time.Sleep(2 * time.Second) // Well within the time that a target continues to serve.
 	before := len(first.RunCounts())
 	for i := range 20 {
--- a/standin/store/odd.go
+++ b/standin/store/odd.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 )
 
 // PutRaw creates or replaces an object whose spec is any bytes, which the store returns
@@ -37,3 +38,31 @@
 		return placeholder
 	}), nil
 }
+
+// OddSpecs returns entries of another writer by name, each of which names no usable
+// worker. Some cannot be decoded.
+func OddSpecs() map[string]string {
+	entry := func(field, value string) string {
+		fields := map[string]string{"service": `"app"`, "address": `"127.0.0.1:9"`, "zone": `"a"`, "slots": "8", "state": `"ready"`, "coldRemainingMs": "0"}
+		fields[field] = value
+		var members []string
+		for name, v := range fields {
+			members = append(members, fmt.Sprintf("%q:%s", name, v))
+		}
+		return "{" + strings.Join(members, ",") + "}"
+	}
+	return map[string]string{
+		"nested":   strings.Repeat("[", 30000) + strings.Repeat("]", 30000),
+		"infinite": entry("slots", "Infinity"),
+		"slots":    entry("slots", "1000000000000000000"),
+		"cold":     entry("coldRemainingMs", "1e300"),
+		"port":     entry("address", `"127.0.0.1:99999"`),
+		"port-0":   entry("address", `"127.0.0.1:0"`),
+		"state":    entry("state", `"dozing"`),
+		"service":  entry("service", `"nowhere"`),
+		"bytes":    entry("zone", "\"\xff\xfe\x00\""),
+		"large":    entry("more", `"`+strings.Repeat("x", 1<<20)+`"`),
+		"null":     "null",
+		"text":     `"]}],{["`,
+	}
+}
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -97,3 +97,17 @@
 	_, era, _ = get(t, url)
 	is.Equal(era, "2")
 }
+
+func TestOddSpecsComeBackAsTheyAre(t *testing.T) {
+	for name, spec := range store.OddSpecs() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := store.New()
+			s.PutRaw("servers", "i-odd", []byte(spec))
+			recorder := httptest.NewRecorder()
+			s.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/api/objects/servers", nil))
+			is.Equal(recorder.Code, http.StatusOK)
+			is.True(strings.Contains(recorder.Body.String(), spec))
+		})
+	}
+}
