standin/entrysoak: all streams fall silent at once, and a restored store overtakes the nodes

Half of the silences are of all workers with streams, so that none can take over from another. Half of the restores go on with a new version and all writes before the nodes reach the store again, so that its revisions have passed theirs.

--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -147,22 +147,38 @@
 	return nil
 }
 
-// silenceWorker makes a worker's streams fall silent in their middle and go on. No
-// promise may be broken beside it.
+// silenceWorker makes the streams of one worker, or of all, fall silent in their middle
+// and go on. No promise may be broken beside it.
 func (env *environment) silenceWorker(random *rand.Rand) error {
-	wk := env.randomWorker(random)
-	for wk.Service != "llm" {
-		wk = env.randomWorker(random)
+	silenced := env.streamWorkers()
+	if random.IntN(2) == 0 {
+		silenced = silenced[random.IntN(len(silenced)):][:1]
+	}
+	f := worker.Faults{SilentAfter: 1 + random.IntN(eventsPerStream-1), Silence: randomDuration(random, time.Second, 2*time.Second)}
+	for _, wk := range silenced {
+		defer env.history.beginDisturbance("worker-silent", wk.ID, true)()
+		wk.SetFaults(f)
 	}
-	defer env.history.beginDisturbance("worker-silent", wk.ID, true)()
-	silence := randomDuration(random, time.Second, 2*time.Second)
-	wk.SetFaults(worker.Faults{SilentAfter: 1 + random.IntN(eventsPerStream-1), Silence: silence})
 	time.Sleep(randomDuration(random, 200*time.Millisecond, 2*time.Second))
-	wk.SetFaults(worker.Faults{})
-	time.Sleep(silence) // Streams that began before may still be silent.
+	for _, wk := range silenced {
+		wk.SetFaults(worker.Faults{})
+	}
+	time.Sleep(f.Silence) // Streams that began before may still be silent.
 	return nil
 }
 
+func (env *environment) streamWorkers() []*worker.Worker {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	var workers []*worker.Worker
+	for _, wk := range env.workers {
+		if wk.Events > 0 {
+			workers = append(workers, wk)
+		}
+	}
+	return workers
+}
+
 func (env *environment) delayWorkerLink(random *rand.Rand) error {
 	wk := env.randomWorker(random)
 	defer env.history.beginDisturbance("worker-slow-link", wk.ID, false)()
--- a/standin/entrysoak/storefaults.go
+++ b/standin/entrysoak/storefaults.go
@@ -17,10 +17,13 @@
 	// rewriteTime is the time within which the operator and the workers write again what
 	// the store has lost.
 	rewriteTime = 2 * time.Second
+	// quickRewriteTime is that time if they write before the nodes reach the store.
+	quickRewriteTime = 300 * time.Millisecond
 )
 
 // restoreStore takes the store away for a moment and brings it back from a copy that
-// lacks at least one version of the configuration.
+// lacks at least one version of the configuration. Half of the time new versions follow
+// before the nodes reach the store again, so that its revision has passed theirs.
 func (env *environment) restoreStore(random *rand.Rand) error {
 	copied := env.store.Copy()
 	time.Sleep(randomDuration(random, 500*time.Millisecond, maxCopyAge))
@@ -32,20 +35,27 @@
 	env.store.SetFaults(store.Faults{Down: true})
 	time.Sleep(randomDuration(random, 100*time.Millisecond, time.Second))
 	env.store.Restore(copied)
-	env.store.SetFaults(store.Faults{})
-	return env.rewrite(random)
+	if random.IntN(2) == 0 {
+		env.store.SetFaults(store.Faults{})
+		return env.rewrite(random, rewriteTime)
+	}
+	defer env.store.SetFaults(store.Faults{})
+	if err := env.writeConfig(); err != nil {
+		return err
+	}
+	return env.rewrite(random, quickRewriteTime)
 }
 
 // rewrite lets the operator and each worker write their newest objects again, each after
 // a time of its own.
-func (env *environment) rewrite(random *rand.Rand) error {
+func (env *environment) rewrite(random *rand.Rand, within time.Duration) error {
 	env.mu.Lock()
 	workers := len(env.workers)
 	env.mu.Unlock()
 	errs := make(chan error, workers+1)
 	var writers sync.WaitGroup
 	write := func(again func() error) {
-		pause := time.Duration(random.Int64N(int64(rewriteTime)))
+		pause := time.Duration(random.Int64N(int64(within)))
 		writers.Go(func() {
 			time.Sleep(pause)
 			if err := again(); err != nil {
