standin/entrysoak: streams have a time limit that outlasts a silence

With 3 s for all requests, a stream that a node cancelled at a silent worker and sent to another silent one ended at its time limit, which excuses it. Streams have 6 s now, of callers and of routes; the cases of the time limit move with it.

--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -24,10 +24,11 @@
 	knownVersions = 3
 	// maxRequestPause is the longest pause between two requests of a caller.
 	maxRequestPause = 40 * time.Millisecond
-	// requestDeadline is the deadline that callers send. They disconnect after
-	// clientTimeout, a little later.
+	// requestDeadline is the deadline that callers send, streamDeadline that of streams;
+	// the routes have the same time limits. Callers disconnect patience later.
 	requestDeadline = 3 * time.Second
-	clientTimeout   = requestDeadline + time.Second
+	streamDeadline  = 6 * time.Second
+	patience        = time.Second
 	// The load balancer checks each node at readinessInterval and removes it after
 	// maxFailedChecks in a row.
 	readinessInterval = 300 * time.Millisecond
@@ -121,11 +122,21 @@
 	c.sendRequest(client, n, id, route, key)
 }
 
+// deadline returns the time limit of a route.
+func deadline(route string) time.Duration {
+	if isStream(route) {
+		return streamDeadline
+	}
+	return requestDeadline
+}
+
+func isStream(route string) bool { return route == "chat" || route == "draft" }
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1,
-	}, Timeout: clientTimeout}
+	}}
 }
 
 // sendRequest sends a request and records it.
@@ -152,14 +163,16 @@
 			writtenAt.Store(time.Now().UnixNano())
 		}
 	}}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.Background(), trace), http.MethodPost, url, io.MultiReader(strings.NewReader("body")))
+	ctx, cancel := context.WithTimeout(context.Background(), deadline(r.route)+patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, io.MultiReader(strings.NewReader("body")))
 	if err != nil {
 		r.err = err
 		return
 	}
 	req.Host, req.ContentLength = host, int64(len("body"))
 	req.Header.Set("X-Primrosemoor-Attempt-Id", r.id)
-	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
+	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(deadline(r.route).Milliseconds()))
 	req.Header.Set("Api-Key", r.key)
 	resp, err := client.Do(req)
 	if err != nil {
--- a/standin/entrysoak/check.go
+++ b/standin/entrysoak/check.go
@@ -133,7 +133,7 @@
 		}
 	}
 	want := "answer to " + r.id
-	if r.route == "chat" || r.route == "draft" {
+	if isStream(r.route) {
 		want = completeStream()
 	}
 	if r.status == 200 && r.err == nil && r.body != want {
@@ -198,7 +198,7 @@
 // worker was silent.
 func (h *history) endedByTimeLimit(r request, ranOn []string) bool {
 	took := r.endedAt.Sub(r.sentAt)
-	return took >= requestDeadline && took < clientTimeout && h.disturbed(r.sentAt, r.endedAt, func(d *disturbance) bool {
+	return took >= deadline(r.route) && took < deadline(r.route)+patience && h.disturbed(r.sentAt, r.endedAt, func(d *disturbance) bool {
 		return d.kind == "worker-silent" && slices.Contains(ranOn, d.subject)
 	})
 }
--- a/standin/entrysoak/history_test.go
+++ b/standin/entrysoak/history_test.go
@@ -36,7 +36,7 @@
 	during := func(kind, subject string, start, end float64) *disturbance {
 		return &disturbance{kind: kind, subject: subject, start: atSeconds(start), end: atSeconds(end)}
 	}
-	silent := &disturbance{kind: "worker-silent", subject: "i-1", planned: true, start: atSeconds(1), end: atSeconds(5)}
+	silent := &disturbance{kind: "worker-silent", subject: "i-1", planned: true, start: atSeconds(1), end: atSeconds(9)}
 	cutAfter := func(route string, seconds float64) request {
 		return modified(okRequest(route, 1.5), func(r *request) {
 			r.body, r.err, r.writtenAt, r.endedAt = "", errCut, r.sentAt, atSeconds(1.5+seconds)
@@ -119,8 +119,8 @@
 		{name: "request that no worker got and that closes at once", request: cutAfter("look", 0.1), disturbances: []*disturbance{stop}},
 		{name: "stream cut off while its worker is silent", request: cutAfter("draft", 1.5), ran: []string{"i-1"},
 			disturbances: []*disturbance{silent}, violation: "without an unplanned disturbance"},
-		{name: "stream ended by its time limit while its worker is silent", request: cutAfter("draft", 3.1), ran: []string{"i-1"}, disturbances: []*disturbance{silent}},
-		{name: "stream held beyond its time limit while its worker is silent", request: cutAfter("draft", 4), ran: []string{"i-1"},
+		{name: "stream ended by its time limit while its worker is silent", request: cutAfter("draft", 6.1), ran: []string{"i-1"}, disturbances: []*disturbance{silent}},
+		{name: "stream held beyond its time limit while its worker is silent", request: cutAfter("draft", 7), ran: []string{"i-1"},
 			disturbances: []*disturbance{silent}, violation: "without an unplanned disturbance"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -120,7 +120,7 @@
 	route := func(name, kind, service string, resume bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeoutMs": 3000, "targetLatencyMs": 500, "priority": 1, "maxAttempts": 2,
+			"timeoutMs": deadline(name).Milliseconds(), "targetLatencyMs": 500, "priority": 1, "maxAttempts": 2,
 			"streamResume": resume, "itlTargetMs": 300,
 		}
 	}
