standin/entrysoak: workers say that they leave, and ask for pauses

A worker says in its answers that it leaves, 0.5 to 4 s before its entry does, and goes on saying so beside other faults. A worker refuses with Retry-After of 1 to 3 s. Checked from what callers and workers saw: nothing reaches a worker from a node later than the drain bound after that node passed on that it leaves, and at most two requests reach it from 0.5 s after a refusal to the end of its pause. A restart or freeze of the node excuses both; a slow or reset link of the worker excuses the pause. Arrival of standin/worker has the pause that was asked for.

--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -182,4 +182,5 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	r.status, r.body, r.err = resp.StatusCode, string(body), err
+	r.saysLeaving = resp.Header.Get("Server-Leaving") != ""
 }
--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -34,6 +34,8 @@
 	{"worker-slow-link", (*environment).delayWorkerLink},
 	{"worker-reset", (*environment).resetWorkerLink},
 	{"worker-leaves", (*environment).drainWorker},
+	{"worker-says-leaving", (*environment).sayLeaving},
+	{"worker-asks-pause", (*environment).askPause},
 	{"revoke", (*environment).issueAndRevokeKey},
 	{"configure", func(env *environment, _ *rand.Rand) error { return env.writeConfig() }},
 }
@@ -141,9 +143,9 @@
 	wk := env.randomWorker(random)
 	defer env.history.beginDisturbance("worker-fault", wk.ID, false)()
 	faults := []worker.Faults{{Overloaded: true}, {Errors: true}, {Reset: true}, {CutAfter: 1 + random.IntN(eventsPerStream-1)}}
-	wk.SetFaults(faults[random.IntN(len(faults))])
+	env.setFaults(wk, faults[random.IntN(len(faults))])
 	time.Sleep(randomDuration(random, 200*time.Millisecond, 4*time.Second))
-	wk.SetFaults(worker.Faults{})
+	env.setFaults(wk, worker.Faults{})
 	return nil
 }
 
@@ -157,11 +159,11 @@
 	f := worker.Faults{SilentAfter: 1 + random.IntN(eventsPerStream-1), Silence: randomDuration(random, time.Second, 2*time.Second)}
 	for _, wk := range silenced {
 		defer env.history.beginDisturbance("worker-silent", wk.ID, true)()
-		wk.SetFaults(f)
+		env.setFaults(wk, f)
 	}
 	time.Sleep(randomDuration(random, 200*time.Millisecond, 2*time.Second))
 	for _, wk := range silenced {
-		wk.SetFaults(worker.Faults{})
+		env.setFaults(wk, worker.Faults{})
 	}
 	time.Sleep(f.Silence) // Streams that began before may still be silent.
 	return nil
@@ -207,6 +209,11 @@
 	if err := env.addWorker(wk.Service); err != nil {
 		return err
 	}
+	return env.drain(wk, random)
+}
+
+// drain reports a worker as draining and removes its entry later.
+func (env *environment) drain(wk *worker.Worker, random *rand.Rand) error {
 	if err := env.register(wk, "draining"); err != nil {
 		return err
 	}
--- a/standin/entrysoak/history.go
+++ b/standin/entrysoak/history.go
@@ -13,9 +13,11 @@
 	sentAt, endedAt time.Time
 	// writtenAt is when the last byte of the request was sent; zero means never.
 	writtenAt time.Time
-	status    int
-	body      string
-	err       error
+	// saysLeaving means that the response says that its worker leaves.
+	saysLeaving bool
+	status      int
+	body        string
+	err         error
 }
 
 // disturbance is the period in which one part of the system, its subject, is
--- a/standin/entrysoak/soak.go
+++ b/standin/entrysoak/soak.go
@@ -212,7 +212,8 @@
 }
 
 func (env *environment) report(settledAt time.Time) *Report {
-	r := &Report{Violations: env.history.check(env.executions())}
+	executions := env.executions()
+	r := &Report{Violations: append(env.history.check(executions), env.history.checkSignals(executions, env.arrivals())...)}
 	for _, t := range env.history.disturbances {
 		r.Disturbances = append(r.Disturbances, t.kind+" "+t.subject)
 	}
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -70,10 +70,12 @@
 	// states are the states that the workers last reported, by id; a removed worker has
 	// none.
 	states map[string]string
+	// leaving are the workers that say in their answers that they leave, by id.
+	leaving map[string]bool
 }
 
 func newEnvironment(ctx context.Context, options Options) (*environment, error) {
-	env := &environment{options: options, ctx: ctx, store: store.New(), relay: relay.New(), history: &history{}, keys: []string{"steady"}, states: make(map[string]string)}
+	env := &environment{options: options, ctx: ctx, store: store.New(), relay: relay.New(), history: &history{}, keys: []string{"steady"}, states: make(map[string]string), leaving: make(map[string]bool)}
 	if err := env.writeConfig(); err != nil {
 		return nil, err
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -65,8 +65,10 @@
 	// ID is the request's id.
 	ID string
 	At time.Time
-	// Refused means that the worker was overloaded and did not run it.
+	// Refused means that the worker was overloaded and did not run it. Pause is the time
+	// that it stated in Retry-After; 0 is none.
 	Refused bool
+	Pause   time.Duration
 }
 
 // Worker is one instance of a service.
@@ -282,7 +284,11 @@
 func (w *Worker) startRequest(id, team string) (Faults, string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.arrivals = append(w.arrivals, Arrival{ID: id, At: time.Now(), Refused: w.faults.Overloaded})
+	arrival := Arrival{ID: id, At: time.Now(), Refused: w.faults.Overloaded}
+	if arrival.Refused {
+		arrival.Pause = time.Duration(w.faults.RetryAfter * float64(time.Second))
+	}
+	w.arrivals = append(w.arrivals, arrival)
 	if w.faults.Overloaded {
 		return w.faults, ""
 	}
