--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -7,19 +7,28 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	callerCount = 12
+	minCallers = 12
+	// versionShare is the share of requests, one in so many, on a route that came with
+	// one of the newest versions of the configuration.
+	versionShare = 5
+	// knownVersions is the number of the newest versions whose routes callers use; the
+	// newest one has dropped the route of the last of them.
+	knownVersions = 3
 	// maxRequestPause is the longest pause between two requests of a caller.
 	maxRequestPause = 40 * time.Millisecond
-	// requestDeadline is the deadline that callers send. They disconnect after
-	// clientTimeout, a little later.
+	// requestDeadline is the deadline that callers send, streamDeadline that of streams;
+	// the routes have the same time limits. Callers disconnect patience later.
 	requestDeadline = 3 * time.Second
-	clientTimeout   = requestDeadline + time.Second
+	streamDeadline  = 6 * time.Second
+	patience        = time.Second
 	// The load balancer checks each node at readinessInterval and removes it after
 	// maxFailedChecks in a row.
 	readinessInterval = 300 * time.Millisecond
@@ -83,20 +92,21 @@
 	nextKey func() string
 }
 
+// nextRoute returns the route of the next request.
+func (c *caller) nextRoute() string {
+	if c.random.IntN(versionShare) > 0 {
+		return routes[c.random.IntN(len(routes))]
+	}
+	version := int(c.env.newestVersion.Load()) - versionStep*c.random.IntN(knownVersions)
+	return versionRoute(max(version, versionStep))
+}
+
 func (c *caller) run(ctx context.Context) {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 1,
-	}, Timeout: clientTimeout}
+	client := newClient()
 	defer client.CloseIdleConnections()
 	n := c.balancer.pick(c.random, c.env.nodes)
 	for i := 0; ctx.Err() == nil; i++ {
-		r := request{
-			id: fmt.Sprintf("%s-%d", c.name, i), route: routes[c.random.IntN(len(routes))], key: c.nextKey(), node: n.name, sentAt: time.Now(),
-		}
-		c.send(client, n, &r)
-		r.endedAt = time.Now()
-		c.env.history.addRequest(r)
+		r := c.sendRequest(client, n, fmt.Sprintf("%s-%d", c.name, i), c.nextRoute(), c.nextKey())
 		if r.err != nil {
 			client.CloseIdleConnections()
 			n = c.balancer.pick(c.random, c.env.nodes)
@@ -105,18 +115,64 @@
 	}
 }
 
+// ask sends one request to a node on a connection of its own.
+func (c *caller) ask(n *node, id, route, key string) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	c.sendRequest(client, n, id, route, key)
+}
+
+// deadline returns the time limit of a route.
+func deadline(route string) time.Duration {
+	if isStream(route) {
+		return streamDeadline
+	}
+	return requestDeadline
+}
+
+func isStream(route string) bool { return route == "chat" || route == "draft" }
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 1,
+	}}
+}
+
+// sendRequest sends a request and records it.
+func (c *caller) sendRequest(client *http.Client, n *node, id, route, key string) request {
+	r := request{id: id, route: route, key: key, node: n.name, sentAt: time.Now()}
+	c.send(client, n, &r)
+	r.endedAt = time.Now()
+	c.env.history.addRequest(r)
+	return r
+}
+
 func (c *caller) send(client *http.Client, n *node, r *request) {
 	url := fmt.Sprintf("http://%s:%d/%s/x", n.ip, callersPort, r.route)
+	var writtenAt atomic.Int64
+	defer func() {
+		if at := writtenAt.Load(); at > 0 {
+			r.writtenAt = time.Unix(0, at)
+		}
+	}()
 	// A body that cannot be rewound prevents the transport from silently retrying
 	// the request on another connection.
-	req, err := http.NewRequest(http.MethodPost, url, io.MultiReader(strings.NewReader("body")))
+	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			writtenAt.Store(time.Now().UnixNano())
+		}
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline(r.route)+patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, io.MultiReader(strings.NewReader("body")))
 	if err != nil {
 		r.err = err
 		return
 	}
 	req.Host, req.ContentLength = host, int64(len("body"))
 	req.Header.Set("X-Primrosemoor-Attempt-Id", r.id)
-	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
+	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(deadline(r.route).Milliseconds()))
 	req.Header.Set("Api-Key", r.key)
 	resp, err := client.Do(req)
 	if err != nil {
@@ -126,4 +182,5 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	r.status, r.body, r.err = resp.StatusCode, string(body), err
+	r.saysLeaving = resp.Header.Get("Server-Leaving") != ""
 }
--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -27,10 +27,15 @@
 	{"store-forgets", (*environment).compactStore},
 	{"store-cut", (*environment).cutStoreLink},
 	{"store-reset", (*environment).resetStoreLink},
+	{"store-restored", (*environment).restoreStore},
+	{"odd-entry", (*environment).writeOddEntry},
 	{"worker-fault", (*environment).failWorker},
+	{"worker-silent", (*environment).silenceWorker},
 	{"worker-slow-link", (*environment).delayWorkerLink},
 	{"worker-reset", (*environment).resetWorkerLink},
 	{"worker-leaves", (*environment).drainWorker},
+	{"worker-says-leaving", (*environment).sayLeaving},
+	{"worker-asks-pause", (*environment).askPause},
 	{"revoke", (*environment).issueAndRevokeKey},
 	{"configure", func(env *environment, _ *rand.Rand) error { return env.writeConfig() }},
 }
@@ -71,7 +76,7 @@
 	select {
 	case <-exited:
 	case <-time.After(grace + time.Second):
-		if env.history.noUnplannedSince(start.Add(-reconnectTime)) {
+		if env.history.undisturbedNode(n.name, start.Add(-reconnectTime)) {
 			env.history.addViolation("%s did not exit within its grace time", n.name)
 		}
 		if err := n.signal(syscall.SIGKILL); err != nil {
@@ -138,12 +143,44 @@
 	wk := env.randomWorker(random)
 	defer env.history.beginDisturbance("worker-fault", wk.ID, false)()
 	faults := []worker.Faults{{Overloaded: true}, {Errors: true}, {Reset: true}, {CutAfter: 1 + random.IntN(eventsPerStream-1)}}
-	wk.SetFaults(faults[random.IntN(len(faults))])
+	env.setFaults(wk, faults[random.IntN(len(faults))])
 	time.Sleep(randomDuration(random, 200*time.Millisecond, 4*time.Second))
-	wk.SetFaults(worker.Faults{})
+	env.setFaults(wk, worker.Faults{})
 	return nil
 }
 
+// silenceWorker makes the streams of one worker, or of all, fall silent in their middle
+// and go on. No promise may be broken beside it.
+func (env *environment) silenceWorker(random *rand.Rand) error {
+	silenced := env.streamWorkers()
+	if random.IntN(2) == 0 {
+		silenced = silenced[random.IntN(len(silenced)):][:1]
+	}
+	f := worker.Faults{SilentAfter: 1 + random.IntN(eventsPerStream-1), Silence: randomDuration(random, time.Second, 2*time.Second)}
+	for _, wk := range silenced {
+		defer env.history.beginDisturbance("worker-silent", wk.ID, true)()
+		env.setFaults(wk, f)
+	}
+	time.Sleep(randomDuration(random, 200*time.Millisecond, 2*time.Second))
+	for _, wk := range silenced {
+		env.setFaults(wk, worker.Faults{})
+	}
+	time.Sleep(f.Silence) // Streams that began before may still be silent.
+	return nil
+}
+
+func (env *environment) streamWorkers() []*worker.Worker {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	var workers []*worker.Worker
+	for _, wk := range env.workers {
+		if wk.Events > 0 {
+			workers = append(workers, wk)
+		}
+	}
+	return workers
+}
+
 func (env *environment) delayWorkerLink(random *rand.Rand) error {
 	wk := env.randomWorker(random)
 	defer env.history.beginDisturbance("worker-slow-link", wk.ID, false)()
@@ -172,18 +209,23 @@
 	if err := env.addWorker(wk.Service); err != nil {
 		return err
 	}
-	if err := wk.Register(env.store, "a", "draining"); err != nil {
+	return env.drain(wk, random)
+}
+
+// drain reports a worker as draining and removes its entry later.
+func (env *environment) drain(wk *worker.Worker, random *rand.Rand) error {
+	if err := env.register(wk, "draining"); err != nil {
 		return err
 	}
 	env.history.ack(ackedChange{drainingWorker: wk.ID})
 	time.Sleep(drain + randomDuration(random, time.Second, 4*time.Second))
-	env.store.Remove("servers", wk.ID)
+	env.unregister(wk)
 	return nil
 }
 
 // issueAndRevokeKey issues an API key and revokes it.
 func (env *environment) issueAndRevokeKey(random *rand.Rand) error {
-	key := fmt.Sprintf("key-%d", random.Uint64())
+	key := fmt.Sprintf("key-%d", env.issuedKeys.Add(1))
 	if err := env.setKeys("steady", key); err != nil {
 		return err
 	}
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,7 +23,6 @@
 )
 
 const (
-	nodeCount = 4
 	// workersPerService is the number at the start; each drained worker is replaced.
 	workersPerService = 3
 	// The ports are the same on all nodes; each node has its own loopback address.
@@ -35,6 +37,8 @@
 	// promise that holds only for connected nodes is checked.
 	reconnectTime = 4 * time.Second
 	grace         = 8 * time.Second
+	// versionStep is the distance between two versions of the configuration.
+	versionStep = 3
 	// restartPause is the time that the platform takes to restart a process.
 	restartPause = 300 * time.Millisecond
 )
@@ -52,14 +56,26 @@
 	// newestKey is the key that was issued last, valid or revoked.
 	newestKey atomic.Pointer[string]
 
+	// newestVersion is the newest version of the configuration that the store
+	// acknowledged.
+	newestVersion atomic.Int64
+	// issuedKeys and oddEntries count what was written, for unique names.
+	issuedKeys, oddEntries atomic.Int64
+
 	mu            sync.Mutex
 	configVersion int
+	config        map[string]any
 	keys          []string
 	workers       []*worker.Worker
+	// states are the states that the workers last reported, by id; a removed worker has
+	// none.
+	states map[string]string
+	// leaving are the workers that say in their answers that they leave, by id.
+	leaving map[string]bool
 }
 
 func newEnvironment(ctx context.Context, options Options) (*environment, error) {
-	env := &environment{options: options, ctx: ctx, store: store.New(), relay: relay.New(), history: &history{}, keys: []string{"steady"}}
+	env := &environment{options: options, ctx: ctx, store: store.New(), relay: relay.New(), history: &history{}, keys: []string{"steady"}, states: make(map[string]string), leaving: make(map[string]bool)}
 	if err := env.writeConfig(); err != nil {
 		return nil, err
 	}
@@ -75,7 +91,7 @@
 	server := &http.Server{Handler: env.store}
 	go server.Serve(listener)
 	context.AfterFunc(ctx, func() { server.Close() })
-	for i := range nodeCount {
+	for i := range options.Nodes {
 		n, err := env.newNode(i, listener.Addr().String())
 		if err != nil {
 			return nil, err
@@ -97,23 +113,26 @@
 	return address, nil
 }
 
-// writeConfig writes the next version of the configuration.
+// writeConfig writes the next version of the configuration. Each version adds a route
+// and drops the one that came two versions before.
 func (env *environment) writeConfig() error {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	env.configVersion += 3
+	env.configVersion += versionStep
 	route := func(name, kind, service string, resume bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeoutMs": 3000, "targetLatencyMs": 500, "priority": 1, "maxAttempts": 2,
+			"timeoutMs": deadline(name).Milliseconds(), "targetLatencyMs": 500, "priority": 1, "maxAttempts": 2,
 			"streamResume": resume, "itlTargetMs": 300,
 		}
 	}
-	return env.store.Put("config", "main", map[string]any{
+	env.config = map[string]any{
 		"version": env.configVersion,
 		"routeTable": []any{
 			route("book", "non_idempotent", "app", false), route("look", "idempotent", "app", false),
 			route("chat", "streaming", "llm", true), route("draft", "streaming", "llm", false),
+			route(versionRoute(env.configVersion), "idempotent", "app", false),
+			route(versionRoute(env.configVersion-versionStep), "idempotent", "app", false),
 		},
 		"services": []any{
 			map[string]any{"name": "app", "healthPath": "/healthz", "maxConnections": 96},
@@ -121,7 +140,28 @@
 		},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "t1", "apiKeys": env.keys, "ratePerS": 1e7, "burst": 1e7, "unit": "tokens", "uncachedTokens": 200}},
-	})
+	}
+	c := configVersion{version: env.configVersion, keys: slices.Clone(env.keys), sentAt: time.Now()}
+	if err := env.store.Put("config", "main", env.config); err != nil {
+		return err
+	}
+	c.ackedAt = time.Now()
+	env.history.addConfig(c)
+	env.newestVersion.Store(int64(c.version))
+	return nil
+}
+
+// versionRoute returns the name of the route that a version of the configuration adds.
+func versionRoute(version int) string { return fmt.Sprintf("v%d", version) }
+
+// versionOf returns the version of the configuration that added a route, or 0 for a
+// route that all versions have.
+func versionOf(route string) int {
+	digits, ok := strings.CutPrefix(route, "v")
+	if version, err := strconv.Atoi(digits); ok && err == nil {
+		return version
+	}
+	return 0
 }
 
 // setKeys replaces the valid API keys.
@@ -144,11 +184,28 @@
 	if err := wk.Start(env.store, "a"); err != nil {
 		return err
 	}
+	env.states[wk.ID] = "ready"
 	context.AfterFunc(env.ctx, wk.Stop)
 	env.workers = append(env.workers, wk)
 	return nil
 }
 
+// register writes a worker's entry with a state to the store.
+func (env *environment) register(wk *worker.Worker, state string) error {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.states[wk.ID] = state
+	return wk.Register(env.store, "a", state)
+}
+
+// unregister removes a worker's entry from the store.
+func (env *environment) unregister(wk *worker.Worker) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	delete(env.states, wk.ID)
+	env.store.Remove("servers", wk.ID)
+}
+
 // executions returns the workers that ran each request, once per run.
 func (env *environment) executions() map[string][]string {
 	env.mu.Lock()
