mesh: a zone's owner goes on until the node that replaces it reports

What teams would see: up to half a second of a zone's bookings that no other zone learns of, when a node that precedes the owner by name or cores starts and does not become ready, as while the store is away, or all nodes are not ready.

Cause: the former owner elected the new node as soon as it heard it and stopped 0.3 s later; the new one reports 0.75 s after its start. As it was its own owner from the beginning, it had never succeeded anyone, and its first report, a baseline, stated the present.

An update states whether its sender has started: is ready, or has had time to hear of a better owner. Among nodes that are not ready, those that have started are preferred. So the former owner goes on, the new node knows it as the owner, and hands over to itself as any other node does. One flag on each update; a node that does not send it is taken for one that starts, unless it is ready.

--- a/mesh/handover_test.go
+++ b/mesh/handover_test.go
@@ -141,3 +141,37 @@
 		})
 	}
 }
+
+// Bookings reach other zones while a node that precedes the owner starts without ever
+// being ready. Guards against a zone that nobody reports for until the new node does.
+func TestBookingsReachAllWhileAnUnreadyNodeStarts(t *testing.T) {
+	const maxLost = 2 * interZoneInterval
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newVirtualDeployment(quota.Slack{Window: 8 * time.Second}, 2, 2)
+		d.neverReady = true
+		first, owner, remote := d.byName("a00"), d.byName("a01"), d.byName("b01")
+		first.kill()
+		all := d.list
+		d.list = map[string]datastore.Node{"a01": all["a01"], "b00": all["b00"], "b01": all["b01"]}
+		booked := time.Duration(0)
+		run := func(length time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); d.step() {
+				owner.manager.Book("t", float64(virtualStep.Microseconds()), nil)
+				booked += virtualStep
+			}
+		}
+		lost := func() time.Duration { return booked - time.Duration(remote.heard["t"])*time.Microsecond }
+		run(3 * time.Second)
+		before := lost()
+		first.start()
+		for _, n := range d.nodes {
+			n.manager.SetNodes(all)
+		}
+		run(3 * time.Second)
+		is.Equal(owner.manager.Owner().Name, "a00")
+		if more := lost() - before; more > maxLost || more < -handoverTime {
+			t.Errorf("%v of the bookings were lost", more)
+		}
+	})
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -50,6 +50,7 @@
 	forwardedAt map[string]time.Time
 	sentLeaving bool
 	sentReady   bool
+	sentStarted bool
 	// failed is set from a failure until the next acknowledgement.
 	failed bool
 	// connected is set while the stream is open. retryNow cancels an attempt to
@@ -282,7 +283,7 @@
 	}
 	l.requestObjects(u)
 	m.mu.Lock()
-	u.Leaving, u.Able = m.leaving, m.ready
+	u.Leaving, u.Able, u.Started = m.leaving, m.ready, m.hasStarted()
 	toMember, silent := l.sameZone() && m.isMember(l.peer.Name), uint32(m.silentInZone())
 	forwarded := make(map[string]forwardedZone)
 	for name, s := range m.zones {
@@ -321,8 +322,8 @@
 		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: z.silentNodes})
 	}
 	hasChanges = l.addCrashes(u) || hasChanges
-	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady
-	l.sentLeaving, l.sentReady = u.GetLeaving(), u.GetAble()
+	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady || u.GetStarted() != l.sentStarted
+	l.sentLeaving, l.sentReady, l.sentStarted = u.GetLeaving(), u.GetAble(), u.GetStarted()
 	if hasChanges || due {
 		for name, z := range forwarded {
 			l.forwardedAt[name] = z.reportedAt
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -169,8 +169,9 @@
 	leaving    bool
 	// process is the process of a node of this zone that was last heard.
 	process peer.Identity
-	// ready is whether a node reports that it can own its zone.
-	ready bool
+	// ready and started are whether a node reports that it can own its zone, and that it
+	// has had time to hear of a better owner.
+	ready, started bool
 	// forwarded holds another zone's sums, which this node forwards within its own
 	// zone; nil if the source is a node.
 	forwarded *sums
--- a/mesh/owner.go
+++ b/mesh/owner.go
@@ -11,11 +11,12 @@
 // candidate is a node that may own its zone.
 type candidate struct {
 	datastore.Node
-	ready, leaving bool
+	ready, started, leaving bool
 }
 
 // compare orders candidates, the better one first: nodes that are not leaving,
-// then nodes that are ready, then by processor time, most first, then by name.
+// then nodes that are ready, then nodes that have started, then by processor time, most
+// first, then by name.
 // Nodes that receive the same reports agree on the first.
 func (c candidate) compare(other candidate) int {
 	if r := falseFirst(c.leaving, other.leaving); r != 0 {
@@ -24,6 +25,9 @@
 	if r := falseFirst(!c.ready, !other.ready); r != 0 {
 		return r
 	}
+	if r := falseFirst(!c.started, !other.started); r != 0 {
+		return r
+	}
 	if r := cmp.Compare(other.Cores, c.Cores); r != 0 {
 		return r
 	}
@@ -64,13 +68,13 @@
 // nodes that receive reports from different nodes have different owners for a
 // while, whose choices are less exact. The lock must be held.
 func (m *Manager) elect() {
-	best := candidate{m.options.Self, m.ready, m.leaving}
+	best := candidate{Node: m.options.Self, ready: m.ready, started: m.hasStarted(), leaving: m.leaving}
 	for name, s := range m.nodes {
 		n, known := m.peers[name]
 		if !known || s.active == nil {
 			continue
 		}
-		if c := (candidate{n, s.ready, s.leaving}); c.compare(best) < 0 {
+		if c := (candidate{Node: n, ready: s.ready, started: s.started, leaving: s.leaving}); c.compare(best) < 0 {
 			best = c
 		}
 	}
@@ -79,6 +83,7 @@
 	}
 	m.changeOwner(m.owner.Load().Name, best.Name)
 	m.owner.Store(&best.Node)
+	m.changed.broadcast()
 	m.options.Logger.Info().Str("event", "owner_changed").Str("zone", best.Zone).Str("owner", best.Name).
 		Bool("able", best.ready).Float64("cores", best.Cores).Msg("")
 }
@@ -103,8 +108,9 @@
 	return m.ownsZone() && m.hasStarted() || time.Since(m.ownedUntil) < handoverTime
 }
 
-// hasStarted reports whether this node has had time to hear of a better owner. A node
-// that starts owns its zone until then, and would report for it what it does not know.
+// hasStarted reports whether this node is ready or has had time to hear of a better owner.
+// Until then it does not report for its zone, of which it knows too little, and nodes that
+// have started are preferred as its owner, so that one of them goes on reporting.
 // The lock must be held.
 func (m *Manager) hasStarted() bool {
 	return m.ready || time.Since(m.started) > silenceTimeout
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -74,8 +74,8 @@
 	}
 	if in.from.AvailabilityZone == m.options.Self.Zone {
 		s := m.getOrAddSource(m.nodes, in.from.Node)
-		changed := s.active == nil || s.leaving != u.GetLeaving() || s.ready != u.GetAble()
-		s.process, s.leaving, s.ready = in.from, u.GetLeaving(), u.GetAble()
+		changed := s.active == nil || s.leaving != u.GetLeaving() || s.ready != u.GetAble() || s.started != u.GetStarted()
+		s.process, s.leaving, s.ready, s.started = in.from, u.GetLeaving(), u.GetAble(), u.GetStarted()
 		own := in.decoder.use(u.GetOwn())
 		if m.member {
 			m.storeReport(s, in.feed(in.from.Node), now, own)
--- a/mesh/virtual_test.go
+++ b/mesh/virtual_test.go
@@ -29,7 +29,9 @@
 type virtualDeployment struct {
 	slack quota.Slack
 	nodes []*virtualNode
-	list  map[string]datastore.Node
+	// neverReady keeps nodes from becoming ready.
+	neverReady bool
+	list       map[string]datastore.Node
 	// inTransit are the updates on their way, in the order in which they were sent.
 	inTransit []transit
 	admitted  []admission
@@ -159,7 +161,7 @@
 func (n *virtualNode) step(now time.Time) {
 	if age := now.Sub(n.started); age >= listDelay && !n.manager.listed {
 		n.manager.SetNodes(n.deployment.list)
-	} else if age >= readyDelay && !n.manager.ready {
+	} else if age >= readyDelay && !n.manager.ready && !n.deployment.neverReady {
 		n.manager.SetReady(true)
 	}
 	if now.Sub(n.checked) >= silenceCheckInterval {
