mesh: counts are checked to be exact once only owners report

TestNodesOfALargeZoneLearnOfEachOther booked one second after the nodes agreed on the owner, "longer than two owners of a zone both report for it". That is not when feeds stop changing. Each of its nodes is ready at once and reports for zone a until it hears a01. Where one of the others is heard first, the owner of zone b, which has not changed, goes on reporting to that one until it has been silent for 0.75 s, and then to a01, whose feed replaces the forwarded one.

The wait of one second is replaced, not the count: the test waits until only the owners report for their zones, to each other, and these reports count at all nodes (OnlyReport), within the usual 10 s, and then expects exactly the same numbers. TestBookingsAreCountedOnce uses the same condition in place of the number of links, which is the same when a1 reports to b1 instead of b0.

--- a/mesh/handover_test.go
+++ b/mesh/handover_test.go
@@ -142,8 +142,7 @@
 	}
 }
 
-// Bookings reach other zones while a node that precedes the owner starts without ever
-// being ready. Guards against a zone that nobody reports for until the new node does.
+// Guards against a zone that nobody reports for until a starting node does.
 func TestBookingsReachAllWhileAnUnreadyNodeStarts(t *testing.T) {
 	const maxLost = 2 * interZoneInterval
 	synctest.Test(t, func(t *testing.T) {
@@ -175,3 +174,48 @@
 		}
 	})
 }
+
+// Guards against lost bookings after a node that was ready first has reported for its zone.
+func TestBookingsAreExactWhenOnlyOwnersReport(t *testing.T) {
+	// settleTime is the time for the former owner to end, the zone's reports to be
+	// missed at it, and those to the new owner to count.
+	const settleTime = handoverTime + silenceTimeout + feedTakeoverDelay + 2*heartbeatInterval
+	synctest.Test(t, func(t *testing.T) {
+		d := newVirtualDeployment(quota.Slack{Window: 8 * time.Second}, 12, 2)
+		var managers []*Manager
+		for _, n := range d.nodes {
+			managers = append(managers, n.manager)
+		}
+		run := func(length time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); d.step() {
+			}
+		}
+		early := []*virtualNode{d.byName("a07"), d.byName("b00"), d.byName("b01")}
+		for _, n := range append(early, d.nodes...) {
+			if n == d.nodes[0] {
+				run(silenceCheckInterval)
+			}
+			n.manager.SetReady(true)
+			n.manager.SetNodes(d.list)
+		}
+		began := time.Now()
+		for !OnlyReport(map[string]string{"a": "a00", "b": "b00"}, managers...) {
+			if time.Since(began) > settleTime {
+				t.Fatalf("others report for their zones after %v", settleTime)
+			}
+			d.step()
+		}
+		for range 20 {
+			for _, n := range d.nodes {
+				n.manager.Book("t", 10, nil)
+			}
+			run(20 * time.Millisecond)
+		}
+		run(time.Second)
+		for _, n := range d.nodes {
+			if got, want := n.heard["t"], float64(200*(len(d.nodes)-1)); got != want {
+				t.Errorf("%s counts %.0f, the others booked %.0f", n.node.Name, got, want)
+			}
+		}
+	})
+}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -281,10 +281,8 @@
 	time.Sleep(time.Second) // Long enough to send all updates and several heartbeats.
 	checkNoneTwice()
 	// Once the new owners alone report for their zones, no booking is lost either.
-	waitUntil(t, "only a1 and b0 report for their zones", func() bool {
-		return a1.manager.Links() == 2 && b0.manager.Links() == 2 && a2.manager.Links() == 1 && b1.manager.Links() == 1
-	})
-	waitUntil(t, "b1 counts what a1 reports", countsNext(a2, b1, "first"))
+	waitUntil(t, "only a1 and b0 report for their zones", onlyReporters(map[string]string{"a": "a1", "b": "b0"}, a1, a2, b0, b1))
+	waitUntil(t, "b1 counts the next booking", countsNext(a2, b1, "first"))
 	waitUntil(t, "b1 has all earlier bookings", countsNext(a2, b1, "second"))
 	before := b1.bookedBy("t")
 	book(a2, 10)
@@ -293,6 +291,15 @@
 	checkNoneTwice()
 }
 
+// onlyReporters returns a condition that the owners of the zones alone report for them.
+func onlyReporters(owners map[string]string, nodes ...*node) func() bool {
+	var managers []*mesh.Manager
+	for _, n := range nodes {
+		managers = append(managers, n.manager)
+	}
+	return func() bool { return mesh.OnlyReport(owners, managers...) }
+}
+
 // countsNext returns a condition that books for a team until another node counts it.
 func countsNext(from, to *node, team string) func() bool {
 	return func() bool {
--- a/mesh/star_test.go
+++ b/mesh/star_test.go
@@ -50,7 +50,7 @@
 	setNodes(all...)
 	waitUntil(t, "a01 owns the zone", agreedOwner("a01", a...))
 	waitForAll(t, all...)
-	time.Sleep(time.Second) // Longer than two owners of a zone both report for it.
+	waitUntil(t, "only a01 and b01 report for their zones", onlyReporters(map[string]string{"a": "a01", "b": "b01"}, all...))
 	for round := range 20 {
 		for _, n := range all {
 			n.manager.Book("t", 10, nil)
