datastore: a node that starts asks another one before it trusts a key

TestNodeThatStartsAfterTheReturnDoesNotServeAKeyThatThe- OthersKnowIsRevoked failed before and passes now.

Keys count as proven once another node has named its configuration, at the latest 1 s after the start, or at once if the store lists no other node.

--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -74,8 +74,9 @@
 	// revocation is a time.Duration.
 	revocation atomic.Int64
 	ready      atomic.Bool
-	// nodesListed is set once the store has listed the nodes.
-	nodesListed atomic.Bool
+	// nodesListed is set once the store has listed the nodes; hasPeers is set while others
+	// are listed, peerHeard once one of them has named its configuration.
+	nodesListed, hasPeers, peerHeard atomic.Bool
 	// targetsByID are the current targets and those that left recently, by id.
 	targetsByID   atomic.Pointer[map[string]*catalog.Target]
 	configs       *Follower[*catalog.Config]
@@ -240,7 +241,6 @@
 	m.nodes.NoticeEra(era)
 }
 
-// Announced records where the store holds this node's announcement. OnUnlisted is called
 // correctEra takes back an era that only a peer has named, or that was wrong, for the
 // lower one of a list of the store.
 func (m *Manager) correctEra(era uint64, fell bool) {
@@ -251,6 +251,7 @@
 	}
 }
 
+// Announced records where the store holds this node's announcement. OnUnlisted is called
 // when a later list of the nodes lacks it.
 func (m *Manager) Announced(at Position) {
 	m.submit(func(s *state) {
@@ -263,11 +264,24 @@
 // means that there is no limit.
 func (m *Manager) SetRevocation(d time.Duration) { m.revocation.Store(int64(d)) }
 
+// peerCheckTime is how long a node that has started waits for another one to name its
+// configuration.
+const peerCheckTime = time.Second
+
 // KeysProven reports whether the proof is recent enough that no key can have been
-// revoked for longer than the revocation time.
+// revoked for longer than the revocation time. A node that has just started may have
+// read an older copy of the store, in which keys are valid that other nodes know to be
+// revoked, so that it asks them first.
 func (m *Manager) KeysProven() bool {
 	limit := time.Duration(m.revocation.Load())
-	return limit == 0 || m.ProofAge() <= limit
+	return limit == 0 || m.ProofAge() <= limit && m.askedPeers()
+}
+
+// askedPeers reports whether another node has named its configuration since the start,
+// if there is one that answers.
+func (m *Manager) askedPeers() bool {
+	alone := m.nodesListed.Load() && !m.hasPeers.Load()
+	return m.peerHeard.Load() || alone || m.options.Now().Sub(m.started) >= peerCheckTime
 }
 
 // ProofAge returns how long ago the configuration was known to be the newest.
@@ -292,6 +306,10 @@
 	for _, c := range u.Items {
 		newest = c
 	}
+	if current := s.manager.inForce.Load(); current != nil && u.At.Era < current.era {
+		// The store itself decides, also against an era that another node named.
+		s.manager.inForce.Store(&inForce{current.table, u.At.Era})
+	}
 	if newest != nil && s.weigh(newest, u.At.Era) != configStale {
 		s.manager.recordProof(u.Proven)
 	}
@@ -306,10 +324,6 @@
 	switch verdict {
 	case configAdopted:
 		m.inForce.Store(&inForce{catalog.NewTable(config), era})
-	if current := s.manager.inForce.Load(); current != nil && u.At.Era < current.era {
-		// The store itself decides, also against an era that another node named.
-		s.manager.inForce.Store(&inForce{current.table, u.At.Era})
-	}
 		m.options.Logger.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).
 			Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Msg("")
 		s.publish()
@@ -429,11 +443,16 @@
 	if !u.Changed {
 		return
 	}
-	s.manager.nodesListed.Store(true)
 	if s.retainedNodes.lasts(now) {
 		s.retainedNodes.keep(s.nodes, u.Items, func(Node) bool { return true })
 	}
 	_, listed := u.Items[s.manager.options.Self]
+	others := len(u.Items)
+	if listed {
+		others--
+	}
+	s.manager.hasPeers.Store(others > 0)
+	s.manager.nodesListed.Store(true)
 	s.nodes, s.nodesAt, s.selfListed = u.Items, u.At, listed
 	s.publishNodes()
 	s.checkListed()
--- a/datastore/relay.go
+++ b/datastore/relay.go
@@ -125,6 +125,9 @@
 	m := s.manager
 	if current := m.inForce.Load(); current != nil {
 		version := current.table.Config.Version
+		if r.config.Version <= version {
+			m.peerHeard.Store(true)
+		}
 		if r.config.Version == version && r.config.Era <= current.era {
 			m.configs.StandIn(r.proven)
 			m.recordProof(r.proven)
@@ -183,6 +186,7 @@
 		m.options.Logger.Warn().Str("event", "relay_unusable").Str("address", address).Err(err).Msg("")
 		return
 	}
+	m.peerHeard.Store(true)
 	m.options.Logger.Info().Str("event", "configuration_relayed").Str("address", address).Uint64("version", config.Version).Msg("")
 	if v := s.weigh(config, p.Era); v == configAdopted || v == configConfirmed {
 		// The other node computed the age after the request was sent, so counting back
