datastore: what concerns the store's era is in one file

The constants of the manager stand together. No change of behaviour, none of tests: go test ./datastore and make lint pass.

--- a/datastore/follow.go
+++ b/datastore/follow.go
@@ -34,13 +34,6 @@
 // errWatchShortened is the cause with which ShortenWatch cancels a watch.
 var errWatchShortened = errors.New("datastore: watch cancelled to start a shorter one")
 
-// errNewEra and errOlderEra are returned by a watch or a list whose answer is of
-// another era than this node's items.
-var (
-	errNewEra   = errors.New("datastore: the store came back from an older copy, list again")
-	errOlderEra = errors.New("datastore: the answer is of an era before the store's last return from a copy")
-)
-
 // Update is a follower's state after a call.
 type Update[T any] struct {
 	// Items holds all items by name; it is not modified afterwards.
@@ -224,22 +217,6 @@
 	return nil
 }
 
-// NoticeEra tells the follower a new era of the store, which another answer named. Its
-// watch ends: it may wait at a store that has passed the revision that it watches from.
-func (f *Follower[T]) NoticeEra(era uint64) {
-	f.knownEra.Store(era)
-	f.interruptWatch()
-}
-
-// isOutdated reports whether the items are of an older era than the latest known one.
-func (f *Follower[T]) isOutdated() bool { return f.knownEra.Load() > f.position.Era }
-
-func (f *Follower[T]) reportEra(era uint64) {
-	if f.OnEra != nil {
-		f.OnEra(era)
-	}
-}
-
 func (f *Follower[T]) list(ctx context.Context) error {
 	start, knownEra := f.Now(), f.knownEra.Load()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -250,7 +227,7 @@
 	}
 	// The store itself decides, also against an era that another node named.
 	f.knownEra.CompareAndSwap(knownEra, at.Era)
-	err = f.checkEra(at.Era)
+	err = f.checkListEra(at.Era)
 	if f.OnListed != nil {
 		f.OnListed(at.Era, err == nil && at.Era < f.position.Era)
 	}
@@ -271,27 +248,6 @@
 	return nil
 }
 
-// eraFallTime is how long lists must name the same older era until the era of the items
-// is taken for wrong.
-const eraFallTime = 10 * time.Second
-
-// checkEra returns an error for a list of an older era than the items, unless that of the
-// items was wrong.
-func (f *Follower[T]) checkEra(era uint64) error {
-	switch {
-	case era >= f.position.Era:
-		f.olderEra = nil
-		return nil
-	case f.olderEra == nil || *f.olderEra != era:
-		f.olderEra, f.olderSince = &era, f.Now()
-		return errOlderEra
-	case f.Now().Sub(f.olderSince) < eraFallTime:
-		return errOlderEra
-	}
-	f.olderEra = nil
-	return nil
-}
-
 // moveTo records the position of the items, and logs the store's return from a copy.
 func (f *Follower[T]) moveTo(at Position) {
 	if f.listed && at.Era != f.position.Era {
@@ -324,12 +280,8 @@
 		return err
 	}
 	f.reportEra(at.Era)
-	switch {
-	case at.Era > f.position.Era:
-		return errNewEra
-	case at.Era < f.position.Era:
-		f.mustList = true
-		return errOlderEra
+	if err := f.checkWatchEra(at.Era); err != nil {
+		return err
 	}
 	f.relisted = false
 	before := f.position
--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -21,6 +21,12 @@
 	// lacks are kept: until they have announced themselves again, and the node that
 	// reads for all has read it after its pause.
 	nodesGrace = 2 * nodesPause
+	// departedRetention is how long a removed target stays known as draining. Only a
+	// node whose list is older than any in use can still choose it after that.
+	departedRetention = 30 * time.Second
+	// peerCheckTime is how long a node that has started waits for another one to name
+	// its configuration.
+	peerCheckTime = time.Second
 )
 
 // Sources are the sources that a Manager reads.
@@ -122,17 +128,14 @@
 	fetching bool
 }
 
-// departedRetention is how long a removed target stays known as draining. Only a
-// node whose list is older than any in use can still choose it after that.
-const departedRetention = 30 * time.Second
-
 // NewManager returns a manager without a configuration, targets or nodes.
 func NewManager(options Options) *Manager {
 	if options.Now == nil {
 		options.Now = clock.Now
 	}
 	m := &Manager{
-		options: options, started: options.Now(), mutations: make(chan func(*state)), relayedProofs: make(chan relayedProof, 16), done: make(chan struct{}),
+		options: options, started: options.Now(), done: make(chan struct{}),
+		mutations: make(chan func(*state)), relayedProofs: make(chan relayedProof, 16),
 	}
 	m.targetsByID.Store(&map[string]*catalog.Target{})
 	m.SetRevocation(options.Revocation)
@@ -213,44 +216,6 @@
 	return nil
 }
 
-// Era returns the latest era of the store that this node knows, 0 if none.
-func (m *Manager) Era() uint64 {
-	m.eraMu.Lock()
-	defer m.eraMu.Unlock()
-	return m.era
-}
-
-// ApplyEra applies an era of the store that an answer to another node named. It ends the
-// watches of the kinds that are of an older one.
-func (m *Manager) ApplyEra(era uint64) { m.raiseEra(era, true) }
-
-// raiseEra applies an era that the store named to this node, or to a peer.
-func (m *Manager) raiseEra(era uint64, byPeer bool) {
-	m.eraMu.Lock()
-	defer m.eraMu.Unlock()
-	switch {
-	case era < m.era:
-		return
-	case era == m.era:
-		m.eraByPeer = m.eraByPeer && byPeer
-		return
-	}
-	m.era, m.eraByPeer = era, byPeer
-	m.configs.NoticeEra(era)
-	m.targets.NoticeEra(era)
-	m.nodes.NoticeEra(era)
-}
-
-// correctEra takes back an era that only a peer has named, or that was wrong, for the
-// lower one of a list of the store.
-func (m *Manager) correctEra(era uint64, fell bool) {
-	m.eraMu.Lock()
-	defer m.eraMu.Unlock()
-	if era < m.era && (m.eraByPeer || fell) {
-		m.era, m.eraByPeer = era, false
-	}
-}
-
 // Announced records where the store holds this node's announcement. OnUnlisted is called
 // when a later list of the nodes lacks it.
 func (m *Manager) Announced(at Position) {
@@ -264,10 +229,6 @@
 // means that there is no limit.
 func (m *Manager) SetRevocation(d time.Duration) { m.revocation.Store(int64(d)) }
 
-// peerCheckTime is how long a node that has started waits for another one to name its
-// configuration.
-const peerCheckTime = time.Second
-
 // KeysProven reports whether the proof is recent enough that no key can have been
 // revoked for longer than the revocation time. A node that has just started may have
 // read an older copy of the store, in which keys are valid that other nodes know to be
--- a/datastore/pacing.go
+++ b/datastore/pacing.go
@@ -50,7 +50,8 @@
 	// another node to stand in for its watches.
 	startHold = 900 * time.Millisecond
 	// readerRetry is the longest delay before the node that reads for all retries a call.
-	// The others are quicker to notice that the store is back as they are many.
+	// It is shorter than relistHold, so that the reader has listed a store that is back
+	// before the others would list it themselves.
 	readerRetry = 300 * time.Millisecond
 	// relistHold is how long a node that relies on another one waits for what changed
 	// before it lists the store again, and relistSpread what is added at random: when
