mesh: one function for each kind of report in an update

handleUpdate had 48 lines with three nested cases: what a node of the zone reports of itself, the rest of the zone, and other zones. Each has a function now, in the same order under the same lock. The comment of a test says restarts, which is the term of this code.

--- a/mesh/killed_test.go
+++ b/mesh/killed_test.go
@@ -12,7 +12,7 @@
 )
 
 // However many nodes are killed and come back while a team asks for six times its limit,
-// no window exceeds the limit and its slack, summed over all nodes and lifetimes.
+// no window exceeds the limit and its slack, summed over all nodes and their restarts.
 func TestTeamStaysWithinItsLimitWhileNodesAreKilled(t *testing.T) {
 	slack := quota.Slack{Window: 8 * time.Second, Overshoot: 0.1, Fixed: 140_000}
 	team := &catalog.Team{Name: "t", Rate: 80_000, Burst: 80_000, ByTokens: true}
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -73,46 +73,64 @@
 		l.requestRetry()
 	}
 	if in.from.AvailabilityZone == m.options.Self.Zone {
-		s := m.getOrAddSource(m.nodes, in.from.Node)
-		changed := s.active == nil || s.leaving != u.GetLeaving() || s.ready != u.GetAble() || s.started != u.GetStarted()
-		s.process, s.leaving, s.ready, s.started = in.from, u.GetLeaving(), u.GetAble(), u.GetStarted()
-		own := in.decoder.use(u.GetOwn())
-		if m.member {
-			m.storeReport(s, in.feed(in.from.Node), now, own)
-		} else {
-			m.applyReport(s, in.feed(in.from.Node), now, own)
-		}
-		if changed {
-			m.elect()
-		}
-		if in.from.Node == m.owner.Load().Name {
-			m.recordInformedByOwner(in.from, now)
-		}
+		m.handleOwn(in, u, now)
 	}
 	for _, z := range u.GetZones() {
-		use := in.decoder.use(z.GetUse())
 		if z.GetZone() == m.options.Self.Zone {
-			if f := in.feed(z.GetZone()); m.member {
-				m.applyReport(m.rest, f, now, use)
-				if m.rest.active == f {
-					m.rest.silentNodes = int(z.GetSilent())
-				}
-			} else {
-				f.merge(use)
-			}
-			continue
-		}
-		s := m.getOrAddSource(m.zones, z.GetZone())
-		s.ensureForwarded()
-		s.silentNodes = int(z.GetSilent())
-		f := in.feed(z.GetZone())
-		m.applyReport(s, f, now, use)
-		if s.active == f && in.from.AvailabilityZone != m.options.Self.Zone {
-			s.lastDirect, s.directPeer = now, in.from.Node
+			m.handleRest(in, z, now)
+		} else {
+			m.handleZone(in, z, now)
 		}
 	}
 }
 
+// handleOwn applies what a node of this zone reports of itself. The lock must be held.
+func (m *Manager) handleOwn(in *inbound, u *schema.MeshUpdate, now time.Time) {
+	s := m.getOrAddSource(m.nodes, in.from.Node)
+	changed := s.active == nil || s.leaving != u.GetLeaving() || s.ready != u.GetAble() || s.started != u.GetStarted()
+	s.process, s.leaving, s.ready, s.started = in.from, u.GetLeaving(), u.GetAble(), u.GetStarted()
+	own := in.decoder.use(u.GetOwn())
+	if m.member {
+		m.storeReport(s, in.feed(in.from.Node), now, own)
+	} else {
+		m.applyReport(s, in.feed(in.from.Node), now, own)
+	}
+	if changed {
+		m.elect()
+	}
+	if in.from.Node == m.owner.Load().Name {
+		m.recordInformedByOwner(in.from, now)
+	}
+}
+
+// handleRest applies what a hub reports of the rest of this zone, which counts at a
+// member only. The lock must be held.
+func (m *Manager) handleRest(in *inbound, z *schema.MeshZone, now time.Time) {
+	use := in.decoder.use(z.GetUse())
+	f := in.feed(z.GetZone())
+	if !m.member {
+		f.merge(use)
+		return
+	}
+	m.applyReport(m.rest, f, now, use)
+	if m.rest.active == f {
+		m.rest.silentNodes = int(z.GetSilent())
+	}
+}
+
+// handleZone applies a report of another zone. The lock must be held.
+func (m *Manager) handleZone(in *inbound, z *schema.MeshZone, now time.Time) {
+	use := in.decoder.use(z.GetUse())
+	s := m.getOrAddSource(m.zones, z.GetZone())
+	s.ensureForwarded()
+	s.silentNodes = int(z.GetSilent())
+	f := in.feed(z.GetZone())
+	m.applyReport(s, f, now, use)
+	if s.active == f && in.from.AvailabilityZone != m.options.Self.Zone {
+		s.lastDirect, s.directPeer = now, in.from.Node
+	}
+}
+
 // addAnnounced adds a node that announces itself and that the store has not listed
 // yet. The lock must be held.
 func (m *Manager) addAnnounced(from peer.Identity, u *schema.MeshUpdate) {
