--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,8 +66,9 @@
 type TargetSignals interface {
 	// RecordSignal records what a target asked of this node.
 	RecordSignal(s balance.Signal)
-	// MaySend reports whether a target has not asked this node to send it no request
-	// that arrived at a time.
+	// MaySend reports whether this node may send a target a request that arrived at the
+	// given time. It may not while a pause that the target asked for lasts, nor, once the
+	// target leaves, if the request arrived too late.
 	MaySend(t *catalog.Target, arrived time.Time) bool
 }
 
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -37,8 +37,9 @@
 
 // standby looks for another target while that of an attempt is silent. The attempt goes
 // on until the other target has begun to answer, because a sound target may fall silent
-// for a second, and because another one may refuse or fail. All methods but those of the
-// search are called by the goroutine of the request; a nil standby does nothing.
+// for a second, and because another one may refuse or fail. The goroutine of the request
+// calls pause, resume and close; the timer's goroutine runs the search. If standby is nil,
+// pause and resume do nothing.
 type standby struct {
 	exchange *exchange
 	ctx      context.Context
@@ -71,7 +72,7 @@
 }
 
 // startStandby watches the attempt at a target, if the request may be sent to another
-// one. The attempt already counts as a possible run here.
+// one. runs counts the attempt itself as a possible run.
 func (x *exchange) startStandby(ctx context.Context, target string, yield context.CancelCauseFunc, runs int) {
 	x.standby = nil
 	if !x.mayRetryAfterRuns(runs) {
@@ -79,7 +80,8 @@
 	}
 	s := &standby{
 		exchange: x, ctx: ctx, yield: yield, target: target, timeout: x.stallTimeout(),
-		lastEventID: x.lastEventID(), lastEventAt: x.lastEventAt, streaming: x.headersSent, tried: slices.Clone(x.tried), maxRuns: x.route.MaxAttempts - runs,
+		lastEventID: x.lastEventID(), lastEventAt: x.lastEventAt, streaming: x.headersSent,
+		tried: slices.Clone(x.tried), maxRuns: x.route.MaxAttempts - runs,
 	}
 	s.mu.Lock()
 	s.timer = time.AfterFunc(s.timeout, s.search)
@@ -162,6 +164,7 @@
 	}
 }
 
+// closeStandby closes the standby and adds what it sent to the counts of the request.
 func (x *exchange) closeStandby(wanted bool) {
 	s := x.standby
 	x.standby = nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,13 +37,13 @@
 		if eventErr == nil && errors.Is(err, io.EOF) && splitter.insideEvent() {
 			eventErr = errEventUnfinished
 		}
-		if len(ready) > 0 && !x.standby.pause() {
-			return x.handleBrokenStream(ctx, grant, resp, errStalled)
-		}
-		if len(ready) > 0 {
+		progress := len(ready) > 0
+		if progress {
+			if !x.standby.pause() {
+				return x.handleBrokenStream(ctx, grant, resp, errStalled)
+			}
 			x.recordEvents(grant, time.Now(), ready)
 		}
-		passedOn := len(ready) > 0
 		ready, gapErr := x.position.filter(ready)
 		if errors.Is(err, io.EOF) {
 			gapErr = errors.Join(gapErr, x.position.end())
@@ -55,16 +55,13 @@
 			grant.Done(balance.Abandoned)
 			x.abort("caller_left", resp.StatusCode)
 		}
-		if passedOn {
+		if progress {
 			x.standby.resume(x.lastEventID(), x.lastEventAt)
 		}
 		switch {
 		case err == nil:
 		case eventErr == nil && errors.Is(err, io.EOF):
-			x.sendStreamHeaders(resp)
-			x.recordSurvival()
-			grant.Done(balance.Answered)
-			x.logEnded("answered", resp.StatusCode)
+			x.endStream(grant, resp)
 			return true
 		default:
 			x.logBrokenStream(grant, len(splitter.pending), err)
@@ -73,6 +70,14 @@
 	}
 }
 
+// endStream ends a request whose stream is complete.
+func (x *exchange) endStream(grant *balance.Grant, resp *http.Response) {
+	x.sendStreamHeaders(resp)
+	x.recordSurvival()
+	grant.Done(balance.Answered)
+	x.logEnded("answered", resp.StatusCode)
+}
+
 // writeEvents sends events to the caller. It reports whether the caller is still
 // connected.
 func (x *exchange) writeEvents(resp *http.Response, events []byte) bool {
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -245,7 +245,7 @@
 		is.NoErr(got.err)
 		is.Equal(got.body, "whole")
 	}
-	is.Equal(dials.Load(), int32(2)) // one to each worker
+	is.Equal(dials.Load(), int32(2)) // one to each target
 }
 
 func newWorker(t *testing.T, before func(*http.Request)) (address string) {
