owner: the comment on MaySend says when a request may be sent

It was a double negation ("has not asked this node to send it no request"). One overlong comment line is broken. Comments only.

Run: go test ./owner passes; make lint passes.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -49,8 +49,9 @@
 	RecordRemoteSignal(node string, s balance.Signal)
 	// Signals returns what targets have asked of this node and what still holds.
 	Signals() []balance.Signal
-	// MaySend reports whether a target has not asked this node to send it no request
-	// that arrived at a time.
+	// MaySend reports whether this node may send a target a request that arrived at the
+	// given time. It may not while a pause that the target asked for lasts, nor, once the
+	// target leaves, if the request arrived too late.
 	MaySend(t *catalog.Target, arrived time.Time) bool
 }
 
@@ -239,15 +240,16 @@
 	}
 }
 
-// MaySend reports whether a target has not asked this node to send it no request that
-// arrived at a time.
+// MaySend reports whether this node may send a target a request that arrived at the given
+// time. It may not while a pause that the target asked for lasts, nor, once the target
+// leaves, if the request arrived too late.
 func (m *Manager) MaySend(t *catalog.Target, arrived time.Time) bool {
 	return m.options.Balancer.MaySend(t, arrived)
 }
 
 // confirmTarget returns the target that the owner chose, or nil if this node knows
-// that it is draining, or that it wants no request from this node. A target with the same ID and a later start time is a new
-// target, which this node does not know yet.
+// that it is draining, or that it wants no request from this node. A target with the same
+// ID and a later start time is a new target, which this node does not know yet.
 func (m *Manager) confirmTarget(chosen *catalog.Target, w *balance.Work) *catalog.Target {
 	known := m.options.Targets.Target(chosen.ID)
 	switch {
