balance: the empty name of this node is a named constant

Pauses by node used "" for this node in two places, explained in a third. It is thisNode now, and the comment on MaySend states the two conditions.

No behaviour changes.

--- a/balance/signal.go
+++ b/balance/signal.go
@@ -21,6 +21,9 @@
 	pauseRetention = time.Minute
 )
 
+// thisNode is the name of this node in Work.Node and among the pauses of a target.
+const thisNode = ""
+
 // Signal is what an instance of a target has asked of a node.
 type Signal struct {
 	Target string
@@ -114,7 +117,7 @@
 	if s.Pause > 0 {
 		until := time.Now().Add(s.Pause)
 		// In this order a request that MaySend holds back is not granted the target again.
-		m.submit(pauseAsked{"", s, until})
+		m.submit(pauseAsked{thisNode, s, until})
 		isNew = m.signals.update(s.Target, s.Started, func(r *signalRecord) bool {
 			if !until.After(r.pausedUntil) {
 				return false
@@ -156,8 +159,9 @@
 // Signals returns what targets have asked of this node and what still holds.
 func (m *Manager) Signals() []Signal { return m.signals.list(time.Now()) }
 
-// MaySend reports whether this node may send a request to a target now, as far as the
-// target has asked for anything. The request arrived at a time.
+// MaySend reports whether this node may send a target a request that arrived at the given
+// time. It may not while a pause that the target asked for lasts, nor, once the target
+// leaves, if the request arrived too late.
 func (m *Manager) MaySend(t *catalog.Target, arrived time.Time) bool {
 	r := m.signals.of(t)
 	return !time.Now().Before(r.pausedUntil) && (!r.leaving || arrived.Before(r.lastArrival))
@@ -177,8 +181,7 @@
 	}
 }
 
-// pauseAsked means that a target wants no request from a node until a time. The empty
-// name stands for this node.
+// pauseAsked means that a target wants no request from a node until a time.
 type pauseAsked struct {
 	node   string
 	signal Signal
@@ -203,7 +206,7 @@
 	r := m.signals.of(t.Target)
 	t.leaving, t.lastArrival = r.leaving, r.lastArrival
 	if now.Before(r.pausedUntil) {
-		t.pause("", now, r.pausedUntil)
+		t.pause(thisNode, now, r.pausedUntil)
 	}
 }
 
