upstream: whether a connection is reusable is a function of its own

Five conditions and a comment on one of them stood in a composite literal. Those that depend on the request and the response are isReusable, next to bodyLength.

No behaviour changes. Run: go test ./upstream passes; make lint passes.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -97,13 +97,18 @@
 	cn.maxIdle = keepAliveTimeout(resp.Header)
 	resp.Body = &responseBody{
 		ReadCloser: resp.Body, ctx: ctx, client: c, conn: cn, stopCancel: stopCancel, written: written,
-		// A late copy of a response to HEAD states the length of a body that does not follow.
-		reusable: !resp.Close && !mismatched && resp.ContentLength >= -1 && !isCloseDelimited(resp) && r.Method != http.MethodHead,
-		length:   bodyLength(r, resp),
+		reusable: !mismatched && isReusable(r, resp), length: bodyLength(r, resp),
 	}
 	return resp, nil
 }
 
+// isReusable reports whether the connection may carry another request after a response.
+// It may not after one to HEAD: a late copy of that states the length of a body that does
+// not follow.
+func isReusable(r *Request, resp *http.Response) bool {
+	return !resp.Close && resp.ContentLength >= -1 && !isCloseDelimited(resp) && r.Method != http.MethodHead
+}
+
 // bodyLength returns the length of the body that a response states, or -1 if it states
 // none. The response to a HEAD request states that of a body that does not follow.
 func bodyLength(r *Request, resp *http.Response) int64 {
