platform, gateway: the version of a target and the stream that a caller takes up again are read and logged

Neither was known to a node, so that the first two hypotheses of the streams with events of two versions could not be told apart.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -144,6 +144,8 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is the version of its software; empty if unknown.
+	Version string
 	Slots   int
 	// Draining targets get no new requests.
 	Draining bool
--- a/datastore/targets.go
+++ b/datastore/targets.go
@@ -87,7 +87,7 @@
 		switch {
 		case old == nil:
 			logger.Info().Str("event", "target_joined").Str("target", id).Str("service", t.Service).
-				Str("address", t.Address).Str("zone", t.Zone).Bool("draining", t.Draining).Msg("")
+				Str("address", t.Address).Str("zone", t.Zone).Str("version", t.Version).Bool("draining", t.Draining).Msg("")
 		case !old.Draining && t.Draining:
 			logger.Info().Str("event", "target_draining").Str("target", id).Msg("")
 		}
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -25,6 +25,9 @@
 	LengthHint int
 	// LastEventID is the id of the event after which a stream resumes.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of the stream which
+	// the caller takes up again; empty for a new stream.
+	Resumes string
 }
 
 // TargetHeaders holds what the gateway adds to the headers of a request to a
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
@@ -16,9 +17,15 @@
 func (x *exchange) logPlaced(grant *balance.Grant, attempt int) {
 	waited := time.Since(x.arrived)
 	x.gateway.Metrics.RequestDispatched(x.service, x.tier(), waited)
-	x.gateway.Logger.Info().Str("event", "request_placed").Str("request", x.call.ID).Str("route", x.route.Name).
-		Str("target", grant.Target.ID).Str("zone", grant.Target.Zone).Int("attempt", attempt).
-		Dur("waited", waited).Dur("expected", grant.Prediction.Expected).Dur("step", grant.Prediction.Step).
+	entry := x.gateway.Logger.Info().Str("event", "request_placed").Str("request", x.call.ID).Str("route", x.route.Name).
+		Str("target", grant.Target.ID).Str("zone", grant.Target.Zone).Int("attempt", attempt)
+	if x.route.Kind == catalog.Streaming {
+		entry.Str("version", grant.Target.Version)
+	}
+	if x.call.Resumes != "" {
+		entry.Str("resumes", x.call.Resumes).Str("after_event", x.call.LastEventID)
+	}
+	entry.Dur("waited", waited).Dur("expected", grant.Prediction.Expected).Dur("step", grant.Prediction.Step).
 		Int("running", grant.Prediction.Load.Requests).Float64("backlog_tokens", grant.Prediction.Load.PromptTokens).
 		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Str("team", x.teamName()).Msg("")
 }
