--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -3,12 +3,15 @@
 package entrytest
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -107,12 +110,18 @@
 
 func (env *testEnv) startWorker(id, service string, events int) *worker.Worker {
 	env.t.Helper()
-	wk := &worker.Worker{ID: id, Service: service, Events: events, ServiceTime: 5 * time.Millisecond, Slots: 8}
+	return env.startWorkerAs(&worker.Worker{ID: id, Service: service, Events: events})
+}
+
+// startWorkerAs starts a worker, with defaults for what is not set.
+func (env *testEnv) startWorkerAs(wk *worker.Worker) *worker.Worker {
+	env.t.Helper()
+	wk.ServiceTime, wk.Slots = cmp.Or(wk.ServiceTime, 5*time.Millisecond), cmp.Or(wk.Slots, 8)
 	if err := wk.Start(env.store, "a"); err != nil {
 		env.t.Fatal(err)
 	}
 	env.t.Cleanup(wk.Stop)
-	env.workers[id] = wk
+	env.workers[wk.ID] = wk
 	return wk
 }
 
@@ -212,6 +221,21 @@
 
 // postPrompt sends a request with the given parts of a prompt.
 func (n *node) postPrompt(client *http.Client, route, id, parts string) response {
+	header := http.Header{}
+	if parts != "" {
+		header.Set("X-Primrosemoor-Prompt-Prefix", parts)
+	}
+	return n.postHeader(client, route, id, header)
+}
+
+// resume takes up a stream after an event, on a new connection.
+func (n *node) resume(route, id, first string, after int) response {
+	header := http.Header{"Resumes": {first}, "Last-Event-Id": {strconv.Itoa(after)}}
+	return n.postHeader(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, route, id, header)
+}
+
+// postHeader sends a request with further headers.
+func (n *node) postHeader(client *http.Client, route, id string, header http.Header) response {
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/%s/x", n.ip, callersPort, route), strings.NewReader("body"))
 	if err != nil {
 		return response{err: err}
@@ -220,9 +244,7 @@
 	req.Header.Set("X-Primrosemoor-Attempt-Id", id)
 	req.Header.Set("X-Primrosemoor-Deadline-Ms", "3000")
 	req.Header.Set("Api-Key", apiKey)
-	if parts != "" {
-		req.Header.Set("X-Primrosemoor-Prompt-Prefix", parts)
-	}
+	maps.Copy(req.Header, header)
 	resp, err := client.Do(req)
 	if err != nil {
 		return response{err: err}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -4,6 +4,7 @@
 package worker
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -75,6 +76,8 @@
 type Worker struct {
 	ID      string
 	Service string
+	// Version is the version of its software; empty for v1.
+	Version string
 	// Events is the number of events of a stream; with 0, responses are plain text.
 	Events int
 	// ServiceTime is the time that a plain response, or each event of a stream, takes.
@@ -165,7 +168,7 @@
 // Register writes the worker's object, with a state, to the store.
 func (w *Worker) Register(s *store.Store, zone, state string) error {
 	return s.Put("servers", w.ID, map[string]any{
-		"service": w.Service, "address": w.address, "zone": zone, "version": "v1", "slots": w.Slots,
+		"service": w.Service, "address": w.address, "zone": zone, "version": cmp.Or(w.Version, "v1"), "slots": w.Slots,
 		"state": state, "coldRemainingMs": 0, "sequence": w.registrations.Add(1), "born": bornAt,
 	})
 }
