balance, gateway: a broken stream goes on only at the version that began it

Callers got events of two software versions in one answer. Cause: nothing in balance told the versions of a service's targets apart, so a broken stream was resumed at any target, by the attempt itself and by the standby of a silent target.

Once events of a target were sent, the request needs that target's version: a property of the work that the filter, the zone's owner and the check of the owner's grant apply. A request whose version has no target left is refused at once, which ends the answer visibly; one that waits for a slot of its version does not have others refused.

--- a/balance/filter.go
+++ b/balance/filter.go
@@ -118,9 +118,10 @@
 }
 
 // eligible reports whether a target with a free slot may take a request now:
-// the slot has been free for the reserve time, the request has not been sent to the
-// target before, and the target has not asked the request's node to send none.
+// the slot has been free for the reserve time, the target has the version that the
+// request needs and was not sent it before, and it has not asked the request's node to
+// send none.
 func eligible(t *target, w *Work, now time.Time, reserve time.Duration) bool {
-	return now.Sub(t.freedAt) >= reserve && !slices.Contains(w.Tried, t.ID) && t.wants(w.Node, now) &&
+	return now.Sub(t.freedAt) >= reserve && w.Allows(t.Target) && t.wants(w.Node, now) &&
 		(!t.leaving || w.Arrived.Before(t.lastArrival))
 }
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -20,8 +21,9 @@
 
 // Reasons of refusals that do not depend on the targets' load.
 const (
-	ReasonNoTarget = "no_target"
-	ReasonStopping = "stopping"
+	ReasonNoTarget  = "no_target"
+	ReasonNoVersion = "no_target_of_version"
+	ReasonStopping  = "stopping"
 )
 
 // Refusal is the error for a request that gets no target.
@@ -241,8 +243,8 @@
 
 func (e acquireRequested) apply(m *Manager, now time.Time) {
 	p := m.pool(e.waiter.work.Service)
-	if len(p.targets) == 0 {
-		e.waiter.reply <- decision{refusal: noTargetRefusal()}
+	if r := p.unservable(e.waiter.work); r != nil {
+		e.waiter.reply <- decision{refusal: r}
 		return
 	}
 	if p.engine != nil {
@@ -252,8 +254,21 @@
 	m.markChanged(p)
 }
 
-func noTargetRefusal() *Refusal {
-	return &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}
+// unservable returns the refusal of a request for which no target is known, or nil. A
+// target that is down may be back in time; one that leaves is not.
+func (p *pool) unservable(w *Work) *Refusal {
+	if len(p.targets) == 0 {
+		return &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}
+	}
+	if w.Version == "" {
+		return nil
+	}
+	for _, t := range p.targets {
+		if !t.leaves() && w.Allows(t.Target) {
+			return nil
+		}
+	}
+	return &Refusal{Reason: ReasonNoVersion, RetryAfter: noTargetRetryAfter}
 }
 
 // stoppingRetryAfter is short because the caller's next attempt can reach
@@ -311,9 +326,7 @@
 			m.restoreRemoteLoads(t)
 			m.restoreSignals(t, now)
 		}
-		if len(p.targets) == 0 {
-			p.refuseAll()
-		}
+		p.refuseUnservable()
 		m.markChanged(p)
 		if e.services[name] == nil && p.unused() {
 			delete(m.pools, name)
@@ -322,15 +335,17 @@
 	m.forgetSignals(now)
 }
 
-// refuseAll refuses the waiting requests of a service that has no targets left, as those
-// that arrive now are refused. They can still be served by another service, if a change
-// of the configuration has moved their route.
-func (p *pool) refuseAll() {
-	for _, w := range p.waiting {
-		w.reply <- decision{refusal: noTargetRefusal()}
-	}
-	clear(p.waiting)
-	p.waiting = p.waiting[:0]
+// refuseUnservable refuses the waiting requests for which no target is left, as those that
+// arrive now are refused. They can still be served by another service, if a change of the
+// configuration has moved their route.
+func (p *pool) refuseUnservable() {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
+		r := p.unservable(w.work)
+		if r != nil {
+			w.reply <- decision{refusal: r}
+		}
+		return r != nil
+	})
 }
 
 // setEngine applies the engine settings of a service; c is nil for a plain
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -123,7 +123,8 @@
 			w.reply <- decision{refusal: r}
 			continue
 		}
-		onTimeWaiting = onTimeWaiting || !w.late
+		// One that needs a certain version takes no slot that others could have.
+		onTimeWaiting = onTimeWaiting || !w.late && w.work.Version == ""
 		kept = append(kept, w)
 	}
 	clear(p.waiting[len(kept):])
--- a/balance/target.go
+++ b/balance/target.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
@@ -37,10 +38,18 @@
 	Patience time.Time
 	// Tried lists the targets that the request was sent to before.
 	Tried []string
+	// Version is the software version that the target must have, because targets of that
+	// version have produced the beginning of the stream; empty for any.
+	Version string
 	// Node is the node that sends the request; empty for this node.
 	Node string
 }
 
+// Allows reports whether the request may go to a target, whatever the state of that.
+func (w *Work) Allows(t *catalog.Target) bool {
+	return (w.Version == "" || w.Version == t.Version) && !slices.Contains(w.Tried, t.ID)
+}
+
 // Load is the number of requests and prompt tokens in flight at a target.
 type Load struct {
 	// Requests counts requests that were sent and have not ended.
--- /dev/null
+++ b/balance/version_test.go
@@ -0,0 +1,78 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func needsVersion(version string) func(*Work) { return func(w *Work) { w.Version = version } }
+
+// newVersionedPool returns a pool with a slow engine of version 1 and two fast ones of
+// version 2.
+func newVersionedPool() *testPool {
+	p := newTestPool(9*time.Millisecond, 3*time.Millisecond, 3*time.Millisecond)
+	p.targets["A"].Version, p.targets["B"].Version, p.targets["C"].Version = "1", "2", "2"
+	return p
+}
+
+func TestRequestThatNeedsAVersionGetsATargetOfIt(t *testing.T) {
+	is := is.New(t)
+	p := newVersionedPool()
+	p.enqueue(p.work("r", 0, needsVersion("1")), p.work("r2", 1, needsVersion("1")))
+	is.Equal(p.assignNow(), []string{"r>A", "r2>A"})
+}
+
+func TestRequestWaitsForASlotOfItsVersionAndOthersDoNot(t *testing.T) {
+	is := is.New(t)
+	p := newVersionedPool()
+	p.setFreeSlots("A", 0)
+	p.enqueue(p.work("r", 0, needsVersion("1")), p.work("other", 3, nil), p.work("late", 3, makeLate))
+	is.Equal(len(p.assignNow()), 2)
+	is.Equal(p.waitingIDs(), []string{"r"})
+	p.setFreeSlots("A", 1)
+	p.now = p.now.Add(time.Second)
+	is.Equal(p.assignNow(), []string{"r>A"})
+}
+
+func TestRequestThatWaitsForItsVersionRefusesNoOther(t *testing.T) {
+	is := is.New(t)
+	p := newVersionedPool()
+	for _, id := range []string{"A", "B", "C"} {
+		p.setFreeSlots(id, 0)
+	}
+	p.enqueue(p.work("r", 0, needsVersion("1")), p.work("late", 0, makeLate))
+	is.Equal(len(p.assignNow()), 0)
+	is.Equal(p.waitingIDs(), []string{"late", "r"})
+}
+
+func TestRequestWhoseVersionHasNoTargetLeftIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused bool
+		edit    func(*testPool, *Work)
+	}{
+		{"one target", false, nil},
+		{"none of the version", true, func(p *testPool, w *Work) { w.Version = "3" }},
+		{"the only one was tried", true, func(p *testPool, w *Work) { w.Tried = []string{"A"} }},
+		{"the only one drains", true, func(p *testPool, w *Work) { p.targets["A"].Draining = true }},
+		{"the only one says that it leaves", true, func(p *testPool, w *Work) { p.targets["A"].leaving = true }},
+		{"the only one was down a moment ago", false, func(p *testPool, w *Work) { p.targets["A"].health.recordFailure(p.now) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newVersionedPool()
+			w := p.work("r", 0, needsVersion("1"))
+			if c.edit != nil {
+				c.edit(p, w)
+			}
+			reply := p.enqueue(w, p.work("other", 0, nil))[0]
+			p.refuseUnservable()
+			is.Equal(len(p.waiting) == 1, c.refused)
+			if c.refused {
+				is.Equal((<-reply).refusal.Reason, ReasonNoVersion)
+			}
+		})
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,6 +49,9 @@
 	// position is that of the last event sent.
 	headersSent bool
 	position    streamPosition
+	// version is that of the target whose events were sent to the caller first; empty if
+	// none were sent yet.
+	version string
 	// targetInfo is what the last target said in the headers of its response.
 	targetInfo ResponseInfo
 	// attemptEvents counts the events of the current attempt.
@@ -158,7 +161,7 @@
 			ended = x.follow(ctx, a)
 			continue
 		}
-		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(x.tried, x.lastEventAt))
+		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(x.tried, x.lastEventAt, x.version))
 		switch {
 		case err == nil:
 			ended = x.attempt(ctx, grant)
@@ -170,8 +173,9 @@
 }
 
 // balancerWork describes the request, which was sent to some targets before, to the
-// balancer. lastEventAt is when the last event of its stream arrived, if any has.
-func (x *exchange) balancerWork(tried []string, lastEventAt time.Time) *balance.Work {
+// balancer. lastEventAt is when the last event of its stream arrived, if any has, and
+// version that of the targets that it may go on at, empty for all.
+func (x *exchange) balancerWork(tried []string, lastEventAt time.Time, version string) *balance.Work {
 	w := &balance.Work{
 		ID:                    x.call.ID,
 		Service:               x.service,
@@ -185,6 +189,7 @@
 		Patience:              x.deadline,
 		End:                   x.deadline,
 		Tried:                 tried,
+		Version:               version,
 	}
 	if x.call.HasTimeout {
 		w.Goal = w.Goal.Add(-x.gateway.callerTimeouts.elapsed(x.route.Name, x.call.Timeout))
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -57,12 +57,12 @@
 	// events are passed on.
 	cancelSearch             context.CancelFunc
 	sending, closing, paused bool
-	// lastEventID is where another target would resume the stream; streaming is set once
-	// events were passed on, the last of them at lastEventAt.
-	lastEventID string
-	lastEventAt time.Time
-	streaming   bool
-	found       *begunAttempt
+	// lastEventID is where another target, of the given version, would resume the stream;
+	// streaming is set once events were passed on, the last of them at lastEventAt.
+	lastEventID, version string
+	lastEventAt          time.Time
+	streaming            bool
+	found                *begunAttempt
 	// tried lists the targets that were asked, those of the exchange included. sends and
 	// runs count those that received the request, and those that may have run it.
 	tried       []string
@@ -80,7 +80,7 @@
 	}
 	s := &standby{
 		exchange: x, ctx: ctx, yield: yield, target: target, timeout: x.stallTimeout(),
-		lastEventID: x.lastEventID(), lastEventAt: x.lastEventAt, streaming: x.headersSent,
+		lastEventID: x.lastEventID(), version: x.version, lastEventAt: x.lastEventAt, streaming: x.headersSent,
 		tried: slices.Clone(x.tried), maxRuns: x.route.MaxAttempts - runs,
 	}
 	s.mu.Lock()
@@ -108,14 +108,15 @@
 	return true
 }
 
-// resume continues the watch after events were passed on.
-func (s *standby) resume(lastEventID string, lastEventAt time.Time) {
+// resume continues the watch after events of a target of the version were passed on.
+func (s *standby) resume(lastEventID, version string, lastEventAt time.Time) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastEventID, s.lastEventAt, s.streaming, s.paused = lastEventID, lastEventAt, true, false
+	s.lastEventID, s.version, s.lastEventAt = lastEventID, version, lastEventAt
+	s.streaming, s.paused = true, false
 	s.timer.Reset(s.timeout)
 }
 
@@ -242,9 +243,9 @@
 func (s *standby) ask(ctx context.Context) (a *begunAttempt, again bool) {
 	x := s.exchange
 	s.mu.Lock()
-	lastEventAt := s.lastEventAt
+	lastEventAt, version := s.lastEventAt, s.version
 	s.mu.Unlock()
-	grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(s.tried, lastEventAt))
+	grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(s.tried, lastEventAt, version))
 	if err != nil {
 		x.logNoStandby(ctx, err)
 		return nil, false
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,12 +51,12 @@
 		if eventErr = errors.Join(eventErr, gapErr); eventErr != nil {
 			err = errors.Join(eventErr, err)
 		}
-		if len(ready) > 0 && !x.writeEvents(resp, ready) {
+		if len(ready) > 0 && !x.writeEvents(grant, resp, ready) {
 			grant.Done(balance.Abandoned)
 			x.abort("caller_left", resp.StatusCode)
 		}
 		if progress {
-			x.standby.resume(x.lastEventID(), x.lastEventAt)
+			x.standby.resume(x.lastEventID(), x.version, x.lastEventAt)
 		}
 		switch {
 		case err == nil:
@@ -80,8 +80,9 @@
 
 // writeEvents sends events to the caller. It reports whether the caller is still
 // connected.
-func (x *exchange) writeEvents(resp *http.Response, events []byte) bool {
+func (x *exchange) writeEvents(grant *balance.Grant, resp *http.Response, events []byte) bool {
 	x.sendStreamHeaders(resp)
+	x.version = grant.Target.Version
 	if _, err := x.writer.Write(events); err != nil {
 		return false
 	}
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -86,7 +86,7 @@
 		PromptTokens: w.PromptTokens, HintTokens: w.EstimatedOutputTokens,
 		ArrivedMicros: w.Arrived.Sub(now).Microseconds(), GoalMicros: w.Goal.Sub(now).Microseconds(),
 		PatienceMicros: w.Patience.Sub(now).Microseconds(), EndMicros: w.End.Sub(now).Microseconds(),
-		Tried: w.Tried,
+		Tried: w.Tried, Version: w.Version,
 	}
 }
 
@@ -98,7 +98,7 @@
 		PromptTokens: a.GetPromptTokens(), EstimatedOutputTokens: a.GetHintTokens(),
 		Arrived: now.Add(micros(a.GetArrivedMicros())), Goal: now.Add(micros(a.GetGoalMicros())),
 		Patience: now.Add(micros(a.GetPatienceMicros())), End: now.Add(micros(a.GetEndMicros())),
-		Tried: a.GetTried(),
+		Tried: a.GetTried(), Version: a.GetVersion(),
 	}
 }
 
@@ -125,7 +125,7 @@
 func encodeGrant(number uint64, g *balance.Grant) *schema.OwnerGrant {
 	return &schema.OwnerGrant{
 		Number: number, Target: g.Target.ID, Service: g.Target.Service, Address: g.Target.Address, Zone: g.Target.Zone,
-		Started: g.Target.Started, ExpectedMicros: g.Prediction.Expected.Microseconds(),
+		Started: g.Target.Started, Version: g.Target.Version, ExpectedMicros: g.Prediction.Expected.Microseconds(),
 		Requests: uint32(g.Prediction.Load.Requests), PromptTokens: g.Prediction.Load.PromptTokens, StepMicros: g.Prediction.Step.Microseconds(),
 	}
 }
@@ -141,5 +141,6 @@
 func decodeTarget(g *schema.OwnerGrant) *catalog.Target {
 	return &catalog.Target{
 		ID: g.GetTarget(), Service: g.GetService(), Address: g.GetAddress(), Zone: g.GetZone(), Started: g.GetStarted(),
+		Version: g.GetVersion(),
 	}
 }
--- a/owner/link.go
+++ b/owner/link.go
@@ -168,10 +168,12 @@
 	}
 }
 
-// refusalResult converts a refusal. An owner that has no targets or is shutting
-// down does not decide for this node, which then chooses a target itself.
+// refusalResult converts a refusal. An owner that has no targets, or none of the version
+// that is needed, or is shutting down does not decide for this node, which then chooses a
+// target itself.
 func refusalResult(r *schema.OwnerRefusal) acquireResult {
-	if r.GetReason() == balance.ReasonNoTarget || r.GetReason() == balance.ReasonStopping {
+	switch r.GetReason() {
+	case balance.ReasonNoTarget, balance.ReasonNoVersion, balance.ReasonStopping:
 		return acquireResult{}
 	}
 	return acquireResult{err: &balance.Refusal{Reason: r.GetReason(), RetryAfter: micros(r.GetRetryAfterMicros())}}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -248,7 +248,8 @@
 }
 
 // confirmTarget returns the target that the owner chose, or nil if this node knows
-// that it is draining, or that it wants no request from this node. A target with the same
+// that it is draining, that the request cannot go there, or that it wants no request
+// from this node. A target with the same
 // ID and a later start time is a new target, which this node does not know yet.
 func (m *Manager) confirmTarget(chosen *catalog.Target, w *balance.Work) *catalog.Target {
 	known := m.options.Targets.Target(chosen.ID)
@@ -258,7 +259,7 @@
 	case known.Draining:
 		return nil
 	}
-	if !m.options.Balancer.MaySend(known, w.Arrived) {
+	if !w.Allows(known) || !m.options.Balancer.MaySend(known, w.Arrived) {
 		return nil
 	}
 	return known
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -237,3 +237,17 @@
 	is.True(to == "n2-target" || to == "n3-target") // n3 chooses itself until it is linked to n2
 	c.eventually(func() bool { return c.nodes["n1"].balancer.withdrawn.Load() == 1 })
 }
+
+func TestRequestThatNeedsAVersionIsNotSentToAnother(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2")
+	c.setOwner("n1")
+	c.waitUntilLinked("n2")
+	w := newWork("r1")
+	w.Version = "2"
+	c.nodes["n2"].targets.Store("n1-target", &catalog.Target{ID: "n1-target", Version: "1"})
+	grant, err := c.nodes["n2"].manager.Acquire(t.Context(), w)
+	is.NoErr(err)
+	is.Equal((<-c.nodes["n1"].balancer.acquires).Version, "2")
+	is.Equal(grant.Target.ID, "n2-target") // What this node knows of the owner's choice holds.
+}
