resume, gateway, mesh: a caller takes a stream up at the version that began it, at any node

Cause: a second try was a new request to its node, which neither read which attempt began the stream nor could know at which version that was; the node that knew may be dead. Class: state that only one process holds, needed after that process has failed.

Nodes remember where their streams began, and tell some others while that is ambiguous: all nodes of a small zone, the hubs of a large one, one node of each of two other zones. A node that does not know asks these; if nobody knows, the request is refused unless the route's streams can have begun at one version only.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/primrosemoor/primrosemoor/owner"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
+	"github.com/primrosemoor/primrosemoor/resume"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
@@ -43,6 +44,8 @@
 			newServer,
 			newForwarder,
 			newCulprits,
+			newStreams,
+			newStreamFinder,
 			newMesh,
 			newBalancer,
 			newOwner,
@@ -75,10 +78,10 @@
 	return f.retries
 }
 
-func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, s *resume.Finder, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: u,
-		Culprits: c, Prober: u, Limits: l, Signals: b, Metrics: t, Logger: logger,
+		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: s, Metrics: t, Logger: logger,
 	})
 }
 
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
+	"github.com/primrosemoor/primrosemoor/resume"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -71,6 +72,7 @@
 	allowance *quota.Allowance
 	retries   *quota.Retries
 	datastore *datastore.Manager
+	streams   *resume.Registry
 	unlisted  unlisted
 }
 
@@ -158,9 +160,9 @@
 	return culprit.New(func() { f.mesh.CrashesChanged() }, logger)
 }
 
-func newMesh(f *forwarder, self datastore.Node, pool *peer.Pool, server *peer.Server, culprits *culprit.Manager, logger *log.Logger) *mesh.Manager {
+func newMesh(f *forwarder, self datastore.Node, pool *peer.Pool, server *peer.Server, culprits *culprit.Manager, streams *resume.Registry, logger *log.Logger) *mesh.Manager {
 	f.mesh = mesh.New(mesh.Options{
-		Self: self, Pool: pool, Listener: f, ProofRelay: f, ObjectRelay: f, CrashRelay: culprits, Logger: logger,
+		Self: self, Pool: pool, Listener: f, ProofRelay: f, ObjectRelay: f, CrashRelay: culprits, StreamRelay: streams, Logger: logger,
 	})
 	server.HandleStream(schema.Method_METHOD_MESH, f.mesh.Serve)
 	return f.mesh
@@ -220,6 +222,7 @@
 		Logger:      logger,
 		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
 			f.balancer.ApplyTargets(targets, services)
+			f.streams.Update(f.datastore.Table().Config.Routes, targets)
 		},
 		OnNodes:    func(nodes map[string]datastore.Node) { f.mesh.SetNodes(nodes) },
 		Self:       self.Name,
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,8 +49,9 @@
 	// position is that of the last event sent.
 	headersSent bool
 	position    streamPosition
-	// version is that of the target whose events were sent to the caller first; empty if
-	// none were sent yet.
+	// resumed is set if the caller takes up a stream that began earlier. version is that of
+	// the target which began the stream; empty if it has not begun.
+	resumed bool
 	version string
 	// targetInfo is what the last target said in the headers of its response.
 	targetInfo ResponseInfo
@@ -99,7 +100,10 @@
 	if errResp := x.quarantined(); errResp != nil {
 		return errResp
 	}
-	return x.takeAllowance()
+	if errResp := x.takeAllowance(); errResp != nil {
+		return errResp
+	}
+	return x.findOrigin()
 }
 
 // hostOf returns the host without its port, in lower case.
@@ -197,14 +201,16 @@
 	if x.route.Patience == 0 {
 		return w
 	}
-	if lastEventAt.IsZero() {
-		w.Patience = earlier(x.arrived.Add(x.route.Patience), x.deadline)
-		return w
+	waitsFrom := x.arrived
+	if !lastEventAt.IsZero() {
+		waitsFrom = lastEventAt
+	}
+	w.Patience = earlier(waitsFrom.Add(x.route.Patience), x.deadline)
+	if x.resumed || !lastEventAt.IsZero() {
+		// A stream that breaks off earns nothing, so that it is on time for as long as its
+		// caller waits for the next event.
+		w.Goal = w.Patience
 	}
-	// A stream that breaks off earns nothing, so that it is on time for as long as its
-	// caller waits for the next event.
-	w.Patience = earlier(lastEventAt.Add(x.route.Patience), x.deadline)
-	w.Goal = w.Patience
 	return w
 }
 
@@ -213,7 +219,7 @@
 // stays with its service.
 func (x *exchange) followRoute(refused error) bool {
 	var refusal *balance.Refusal
-	if x.headersSent || !errors.As(refused, &refusal) {
+	if x.headersSent || x.resumed || !errors.As(refused, &refusal) {
 		return false
 	}
 	route := x.gateway.Config.Table().Route(hostOf(x.request.Host), x.request.URL.EscapedPath())
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -19,6 +19,7 @@
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/platform"
+	"github.com/primrosemoor/primrosemoor/resume"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
@@ -287,6 +288,7 @@
 	sender    *fakeSender
 	culprits  *culprit.Manager
 	prober    *fakeProber
+	streams   *resume.Registry
 	gateway   *gateway.Gateway
 	server    *httptest.Server
 }
@@ -298,6 +300,9 @@
 	}
 }
 
+// testVersion is the version of all targets.
+const testVersion = "v1"
+
 func newTestGateway(tb testing.TB, route *catalog.Route, scripts ...targetScript) *testGateway {
 	tb.Helper()
 	config := &catalog.Config{
@@ -325,13 +330,16 @@
 	var list []*catalog.Target
 	for i := range targets {
 		list = append(list, &catalog.Target{
-			ID: fmt.Sprintf("i-%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "a", Slots: 8,
+			ID: fmt.Sprintf("i-%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "a", Slots: 8, Version: testVersion,
 		})
 	}
 	balancer.ApplyTargets(list, nil)
+	g.streams = resume.NewRegistry(func() {})
+	g.streams.Update(config.Routes, list)
+	finder := &resume.Finder{Registry: g.streams, Holders: func() []string { return nil }}
 	g.gateway = gateway.New(gateway.Options{
 		Config: g.config, HeaderCodec: platform.HeaderCodec{}, Balancer: balancer, Allowance: g.allowance,
-		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Signals: signals{balancer}, Metrics: nopMetrics{}, Logger: logging.Discard(),
+		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Signals: signals{balancer}, Streams: finder, Metrics: nopMetrics{}, Logger: logging.Discard(),
 	})
 	g.server = httptest.NewServer(g.gateway)
 	tb.Cleanup(func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	Prober      Prober
 	Limits      TargetLimits
 	Signals     TargetSignals
+	Streams     Streams
 	Metrics     Metrics
 	Logger      *log.Logger
 }
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -62,6 +62,11 @@
 		"requests like this one crash their targets; change its prompt or its body; it was not run", retryAfter}
 }
 
+func errNotResumable(cause string) *errorResponse {
+	return &errorResponse{http.StatusServiceUnavailable, cause,
+		"this stream cannot be continued here at present; it was not run; use another node or begin it anew", noTargetRetryAfter}
+}
+
 func errUnknownEffect(cause string) *errorResponse {
 	return &errorResponse{status: http.StatusBadGateway, cause: cause, message: "the target gave no whole answer; the request may have run"}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -81,8 +81,10 @@
 // writeEvents sends events to the caller. It reports whether the caller is still
 // connected.
 func (x *exchange) writeEvents(grant *balance.Grant, resp *http.Response, events []byte) bool {
+	if !x.headersSent {
+		x.recordOrigin(grant.Target)
+	}
 	x.sendStreamHeaders(resp)
-	x.version = grant.Target.Version
 	if _, err := x.writer.Write(events); err != nil {
 		return false
 	}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -41,6 +41,8 @@
 	toMember bool
 	// sentCrashes is the version of the evidence on crashes that was last sent.
 	sentCrashes uint64
+	// sentStreams is the version of the records of streams that were last sent.
+	sentStreams uint64
 	// sentForwarded are the versions of the other zones' sums that were last sent;
 	// nil until the first update on a stream.
 	sentForwarded map[string]uint64
@@ -180,7 +182,7 @@
 // begin makes the next update the first one of a stream, with the full state.
 func (l *link) begin() {
 	l.encoder = newEncoder()
-	l.sentOwn, l.sentZone, l.sentCrashes, l.sentForwarded, l.toMember = 0, 0, 0, nil, false
+	l.sentOwn, l.sentZone, l.sentCrashes, l.sentStreams, l.sentForwarded, l.toMember = 0, 0, 0, 0, nil, false
 }
 
 // open opens the stream. It fails after connectTimeout or when a retry is
@@ -322,6 +324,7 @@
 		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: z.silentNodes})
 	}
 	hasChanges = l.addCrashes(u) || hasChanges
+	hasChanges = l.addStreams(u, toMember) || hasChanges
 	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady || u.GetStarted() != l.sentStarted
 	l.sentLeaving, l.sentReady, l.sentStarted = u.GetLeaving(), u.GetAble(), u.GetStarted()
 	if hasChanges || due {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -102,7 +102,9 @@
 	ObjectRelay ObjectRelay
 	// CrashRelay is nil if no evidence on crashes is exchanged.
 	CrashRelay CrashRelay
-	Logger     *log.Logger
+	// StreamRelay is nil if nodes do not tell each other where streams began.
+	StreamRelay StreamRelay
+	Logger      *log.Logger
 }
 
 // Manager maintains the links to other nodes. Its methods may be called by any
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -15,6 +15,7 @@
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/mesh"
 	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/resume"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -46,6 +47,7 @@
 	// content is an object that this node has read.
 	content  []byte
 	culprits *culprit.Manager
+	streams  *resume.Registry
 }
 
 func (n *node) Era() uint64 { return locked(n, func() uint64 { return max(n.era, n.storeEra) }) }
@@ -154,8 +156,10 @@
 	n.pool = peer.NewPool(peer.PoolOptions{Identity: id, Meter: peer.NopMeter{}, DialTimeout: time.Second, CallTimeout: time.Second})
 	n.server = peer.NewServer(id, peer.NopMeter{}, nil)
 	n.culprits = culprit.New(func() { n.manager.CrashesChanged() }, logging.Discard())
+	n.streams = resume.NewRegistry(func() { n.manager.StreamsChanged() })
 	n.manager = mesh.New(mesh.Options{
-		Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, ObjectRelay: n, CrashRelay: n.culprits, Logger: logging.Discard(),
+		Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, ObjectRelay: n, CrashRelay: n.culprits, StreamRelay: n.streams,
+		Logger: logging.Discard(),
 	})
 	n.server.HandleStream(schema.Method_METHOD_MESH, n.manager.Serve)
 	go n.server.Serve(l)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// DisconnectIdle closes the session to a peer unless a stream is open on it.
+func (p *Pool) DisconnectIdle(address string) {
+	p.mu.Lock()
+	c := p.connections[address]
+	p.mu.Unlock()
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session != nil && c.session.NumStreams() == 0 {
+		c.session.Close()
+	}
+}
+
 // Traffic returns the bytes sent and received on outgoing connections.
 func (p *Pool) Traffic() Traffic {
 	return p.counter.traffic()
--- /dev/null
+++ b/resume/finder_test.go
@@ -0,0 +1,94 @@
+package resume
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// holders maps addresses to what a node there answers; nil never answers.
+type holders map[string]func(ID) (Origin, bool)
+
+func knows(id ID, o Origin) func(ID) (Origin, bool) {
+	return func(asked ID) (Origin, bool) { return o, asked == id }
+}
+
+func (h holders) finder(r *Registry, asked *atomic.Int64) *Finder {
+	return &Finder{
+		Registry: r,
+		Holders: func() (addresses []string) {
+			for address := range h {
+				addresses = append(addresses, address)
+			}
+			return addresses
+		},
+		Ask: func(ctx context.Context, address string, id ID) (Origin, bool) {
+			asked.Add(1)
+			if answer := h[address]; answer != nil {
+				return answer(id)
+			}
+			<-ctx.Done()
+			return Origin{}, false
+		},
+	}
+}
+
+func TestOriginIsFoundWhereverItIsKnown(t *testing.T) {
+	id, other := Identify("first"), ID(1)
+	nobody := knows(0, Origin{})
+	for _, c := range []struct {
+		name     string
+		origins  []Origin
+		recorded bool
+		holders  holders
+		source   Source
+		origin   Origin
+		within   time.Duration
+	}{
+		{"here", []Origin{v1, v2}, true, holders{"a": nil}, Recorded, v1, 0},
+		{"at another node", []Origin{v1, v2}, false, holders{"a": nobody, "b": knows(id, v2), "c": nobody}, Asked, v2, 0},
+		{"at another node beside silent ones", []Origin{v1, v2}, false, holders{"a": nil, "b": knows(id, v2), "c": nil}, Asked, v2, 0},
+		{"nowhere, one possibility", []Origin{v1}, false, holders{"a": nobody}, Only, v1, 0},
+		{"nowhere, one possibility, silent nodes", []Origin{v1}, false, holders{"a": nil}, Only, v1, askTimeout},
+		{"nowhere, two possibilities", []Origin{v1, v2}, false, holders{"a": nobody, "b": knows(other, v1)}, Unknown, Origin{}, 0},
+		{"nowhere, two possibilities, silent nodes", []Origin{v1, v2}, false, holders{"a": nil, "b": nil}, Unknown, Origin{}, askTimeout},
+		{"nowhere, no other nodes", []Origin{v1, v2}, false, nil, Unknown, Origin{}, 0},
+		{"nowhere, no targets", nil, false, nil, Unknown, Origin{}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := NewRegistry(func() {})
+				r.Update(chat("llm"), serving(c.origins...))
+				if c.recorded {
+					r.Record(id, v1)
+				}
+				began := time.Now()
+				origin, source := c.holders.finder(r, new(atomic.Int64)).Find(t.Context(), "chat", "first")
+				is.Equal(source, c.source)
+				is.Equal(origin, c.origin)
+				is.True(time.Since(began) <= c.within)
+				time.Sleep(askTimeout) // Silent nodes are asked until then.
+			})
+		})
+	}
+}
+
+func TestCallerThatNamesNoAttemptIsServedWhileOneVersionIsPossible(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(func() {})
+	var asked atomic.Int64
+	f := holders{"a": knows(Identify(""), v2)}.finder(r, &asked)
+	r.Update(chat("llm"), serving(v1))
+	origin, source := f.Find(t.Context(), "chat", "")
+	is.Equal(source, Only)
+	is.Equal(origin, v1)
+	r.Update(chat("llm"), serving(v1, v2))
+	_, source = f.Find(t.Context(), "chat", "")
+	is.Equal(source, Unknown)
+	is.Equal(asked.Load(), int64(0))
+}
