balance: a log line says which node's request put a target into backoff

So far no line told the failures that a zone's owner sees itself from those that its members report to it, which the hypotheses on nodes without links differ in.

--- a/balance/grant.go
+++ b/balance/grant.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
@@ -35,6 +36,19 @@
 	Unreported
 )
 
+var resultNames = [...]string{
+	Answered: "answered", Failed: "failed", Unsent: "unsent", Abandoned: "abandoned", Rejected: "rejected",
+	Unreachable: "unreachable", Broken: "broken", Stalled: "stalled", Superseded: "superseded", Unreported: "unreported",
+}
+
+// String returns the result's name in log lines.
+func (r Result) String() string {
+	if int(r) >= len(resultNames) {
+		return "unknown" // Of a node of another release.
+	}
+	return resultNames[r]
+}
+
 // Sample holds the timing of a stream's events, from which the speed of its
 // engine is estimated.
 type Sample struct {
@@ -188,6 +202,7 @@
 			p.engine.learnLengths(e.request.work.Route, e.request.work.PromptTokens, float64(e.sample.Gaps+1)*p.engine.eventTokens)
 		}
 	}
+	backoff := t.health.backoffUntil
 	switch e.result {
 	case Answered:
 		t.health.recordSuccess()
@@ -203,10 +218,20 @@
 	case Stalled:
 		t.health.recordSilence(now)
 	}
+	if t.health.backoffUntil.After(backoff) {
+		m.logBackoff(t, e, now)
+	}
 	m.publish(t)
 	m.markChanged(p)
 }
 
+// logBackoff logs that a target gets no requests for a time, and whose request showed that.
+func (m *Manager) logBackoff(t *target, e requestEnded, now time.Time) {
+	m.options.Logger.Info().Str("event", "target_backoff").Str("target", t.ID).Str("service", t.Service).
+		Str("node", cmp.Or(e.request.work.Node, m.options.Node)).Str("request", e.request.work.ID).
+		Str("result", e.result.String()).Int("failures", t.health.failures).Dur("lasts", t.health.backoffUntil.Sub(now)).Msg("")
+}
+
 // Adopt counts a request towards the load of a target that another node chose
 // for it. firstEventSeen says whether its first event has arrived.
 func (m *Manager) Adopt(w *Work, target string, firstEventSeen bool) Reporter {
