--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,7 @@
 			newOwner,
 			newDatastore,
 			newAllowance,
+			upstream.NewDial,
 			newUpstream,
 			newRetries,
 			newGateway,
@@ -69,8 +70,8 @@
 	return platform.NewStore(s.GetStore().GetAddress(), t.StoreCall)
 }
 
-func newUpstream(t *telemetry.EntryMetrics) *upstream.Client {
-	return upstream.NewClient(t.Dialed)
+func newUpstream(dial upstream.DialFunc, t *telemetry.EntryMetrics) *upstream.Client {
+	return upstream.NewClient(dial, t.Dialed)
 }
 
 func newRetries(s *schema.GatewaySettings, f *forwarder) *quota.Retries {
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -94,7 +94,7 @@
 	go target.accept()
 	t.Cleanup(func() { l.Close() })
 	g := newTestGateway(t, newRoute(kind))
-	g.gateway.Sender = oneTarget{upstream.NewClient(func() {}), l.Addr().String()}
+	g.gateway.Sender = oneTarget{upstream.NewClient(upstream.NewDial(), func() {}), l.Addr().String()}
 	return g, target
 }
 
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -236,7 +236,7 @@
 	silent := newWorker(t, func(r *http.Request) { <-r.Context().Done() })
 	sound := newWorker(t, func(*http.Request) {})
 	var dials atomic.Int32
-	client := upstream.NewClient(func() { dials.Add(1) })
+	client := upstream.NewClient(upstream.NewDial(), func() { dials.Add(1) })
 	g := newTestGateway(t, patientRoute(catalog.Idempotent))
 	b := &recordingBalancer{ends: make(map[string][]balance.Result), addresses: []string{silent, sound}}
 	g.gateway.Balancer, g.gateway.Sender = b, client
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -17,7 +17,7 @@
 // Client sends requests and keeps idle connections for reuse. Its methods are safe
 // for concurrent use.
 type Client struct {
-	dialer  *net.Dialer
+	dial    DialFunc
 	onDial  func()
 	mu      sync.Mutex
 	pools   map[Address]*pool
@@ -44,10 +44,13 @@
 	return idleTime < cn.maxIdle && cn.noPendingInput()
 }
 
+// DialFunc opens a TCP connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client without connections. onDial is called before each
 // dial.
-func NewClient(onDial func()) *Client {
-	return &Client{dialer: newDialer(), onDial: onDial, pools: make(map[Address]*pool)}
+func NewClient(dial DialFunc, onDial func()) *Client {
+	return &Client{dial: dial, onDial: onDial, pools: make(map[Address]*pool)}
 }
 
 // Run closes idle connections that are too old, that their target has closed, or
@@ -127,7 +130,7 @@
 // listens.
 func (c *Client) Refuses(ctx context.Context, to Address) bool {
 	c.onDial()
-	probe, err := c.dialer.DialContext(ctx, "tcp4", to.Host)
+	probe, err := c.dial(ctx, "tcp4", to.Host)
 	if err == nil {
 		probe.Close()
 	}
@@ -158,7 +161,7 @@
 		cn.Conn.Close()
 	}
 	c.onDial()
-	return dial(ctx, c.dialer, c.pool(to))
+	return connect(ctx, c.dial, c.pool(to))
 }
 
 // popIdle returns the most recently used connection, because the target is least
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -34,8 +34,8 @@
 	idleTime time.Duration
 }
 
-func dial(ctx context.Context, dialer *net.Dialer, p *pool) (*conn, error) {
-	c, err := dialer.DialContext(ctx, "tcp4", p.address.Host)
+func connect(ctx context.Context, dial DialFunc, p *pool) (*conn, error) {
+	c, err := dial(ctx, "tcp4", p.address.Host)
 	if err != nil {
 		return nil, err
 	}
@@ -67,10 +67,10 @@
 	return n, err
 }
 
-// newDialer returns a dialer whose connections detect a network path that has
+// NewDial returns a function that opens connections which detect a network path that has
 // failed.
-func newDialer() *net.Dialer {
-	return &net.Dialer{
+func NewDial() DialFunc {
+	return (&net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -82,7 +82,7 @@
 			})
 			return errors.Join(err, sockErr)
 		},
-	}
+	}).DialContext
 }
 
 // noPendingInput reports whether nothing has arrived since the last response. It is
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -73,7 +73,7 @@
 
 func newClient(t *testing.T) *upstream.Client {
 	t.Helper()
-	c := upstream.NewClient(func() {})
+	c := upstream.NewClient(upstream.NewDial(), func() {})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
