links, gateway: a node that reaches no target takes none for crashed

Callers of nodes with all their links were refused as 'quarantined', although no target had crashed. Cause: a node whose links to all targets were cut saw each of them close its connection and refuse a new one, which counted as a crash with the request in flight; the evidence goes to all nodes. Class: a failure of the observer taken for one of the observed.

A crash is recorded only if, after it, another target accepts a connection (links.Monitor).

--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,6 +167,11 @@
 	m.nodes.Apply = func(u Update[Node]) { m.submit(func(s *state) { s.applyNodes(u) }) }
 }
 
+// Targets returns the targets that are known, also those that have left.
+func (m *Manager) Targets() []*catalog.Target {
+	return slices.Collect(maps.Values(*m.targetsByID.Load()))
+}
+
 // Run follows the store until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	var followers sync.WaitGroup
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/gateway"
+	"github.com/primrosemoor/primrosemoor/links"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/owner"
 	"github.com/primrosemoor/primrosemoor/platform"
@@ -53,6 +54,7 @@
 			newAllowance,
 			upstream.NewDial,
 			newUpstream,
+			newLinks,
 			newRetries,
 			newGateway,
 		),
@@ -79,10 +81,10 @@
 	return f.retries
 }
 
-func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, s *resume.Finder, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, s *resume.Finder, links *links.Monitor, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: u,
-		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: s, Metrics: t, Logger: logger,
+		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: s, Links: links, Metrics: t, Logger: logger,
 	})
 }
 
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -19,6 +19,7 @@
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/gateway"
+	"github.com/primrosemoor/primrosemoor/links"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/mesh"
 	"github.com/primrosemoor/primrosemoor/owner"
@@ -48,6 +49,7 @@
 	Owner     *owner.Manager
 	Allowance *quota.Allowance
 	Upstream  *upstream.Client
+	Links     *links.Monitor
 	Gateway   *gateway.Gateway
 	Retries   *quota.Retries
 	Recorder  *explain.Recorder
@@ -107,7 +109,7 @@
 			l.Logger.Error().Str("event", "listener_failed").Str("address", listen.GetPeers()).Err(err).Msg("")
 		}
 	})
-	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.announce, l.bootstrapFromSeeds, l.reload} {
+	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.Links.Run, l.announce, l.bootstrapFromSeeds, l.reload} {
 		l.wg.Go(func() { run(ctx) })
 	}
 	l.callerServer = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
--- /dev/null
+++ b/entry/links.go
@@ -0,0 +1,15 @@
+package entry
+
+import (
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/links"
+	"github.com/primrosemoor/primrosemoor/upstream"
+)
+
+func newLinks(d *datastore.Manager, u *upstream.Client, logger *log.Logger) *links.Monitor {
+	return links.NewMonitor(links.Options{
+		Targets: d.Targets, Connect: u.Connect, OnLost: func() {}, OnRegained: func() {}, Logger: logger,
+	})
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -34,6 +34,12 @@
 	Refuses(ctx context.Context, to upstream.Address) bool
 }
 
+// Links knows whether this node can reach targets at all.
+type Links interface {
+	// Verify reports whether this node reaches any target now.
+	Verify(ctx context.Context) bool
+}
+
 const (
 	// survivedEvents is the number of events from which a target has survived the
 	// request.
@@ -123,8 +129,9 @@
 	return balance.Broken
 }
 
-// recordBroken records the crash of a target if it refuses connections after it closed
-// that of a request which it had begun to answer at the most, with some events.
+// recordBroken records the crash of a target if it refuses connections, while others can be
+// reached, after it closed that of a request which it had begun to answer at the most, with
+// some events.
 func (x *exchange) recordBroken(ctx context.Context, target *catalog.Target, events int, err error) {
 	at := clock.Now()
 	if events >= survivedEvents || !upstream.IsPeerClosed(err) {
@@ -132,7 +139,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if x.gateway.Prober.Refuses(ctx, upstream.Address{ID: target.ID, Host: target.Address}) {
+	address := upstream.Address{ID: target.ID, Host: target.Address}
+	if x.gateway.Prober.Refuses(ctx, address) && x.gateway.Links.Verify(ctx) {
 		x.gateway.Culprits.RecordCrash(culprit.Crash{Target: instanceHash(target), Features: x.features(), At: at})
 	}
 }
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -113,3 +113,16 @@
 	is.Equal(got.status, http.StatusBadGateway) // It may have run.
 	is.True(time.Since(began) < time.Second)
 }
+
+func TestCrashIsNotRecordedByANodeThatReachesNoTarget(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, newRoute(catalog.NonIdempotent), targetScript{resetAfterSend: true}, targetScript{resetAfterSend: true}, targetScript{resetAfterSend: true})
+	g.prober.refuses = true
+	g.links.lost.Store(true)
+	for range 3 {
+		is.Equal(g.send(t, t.Context(), nil).status, http.StatusBadGateway)
+		time.Sleep(crashInterval)
+	}
+	crashes, _, _ := g.culprits.Since(0)
+	is.Equal(len(crashes), 0)
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -289,6 +290,7 @@
 	culprits  *culprit.Manager
 	prober    *fakeProber
 	streams   *resume.Registry
+	links     *fakeLinks
 	gateway   *gateway.Gateway
 	server    *httptest.Server
 }
@@ -316,6 +318,7 @@
 		sender:    &fakeSender{scripts: scripts},
 		culprits:  culprit.New(func() {}, logging.Discard()),
 		prober:    &fakeProber{},
+		links:     &fakeLinks{},
 	}
 	balancer := balance.NewManager(balance.Options{
 		Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
@@ -339,7 +342,7 @@
 	finder := &resume.Finder{Registry: g.streams, Holders: func() []string { return nil }}
 	g.gateway = gateway.New(gateway.Options{
 		Config: g.config, HeaderCodec: platform.HeaderCodec{}, Balancer: balancer, Allowance: g.allowance,
-		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Signals: signals{balancer}, Streams: finder, Metrics: nopMetrics{}, Logger: logging.Discard(),
+		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Signals: signals{balancer}, Streams: finder, Links: g.links, Metrics: nopMetrics{}, Logger: logging.Discard(),
 	})
 	g.server = httptest.NewServer(g.gateway)
 	tb.Cleanup(func() {
@@ -383,3 +386,9 @@
 	body, err := io.ReadAll(resp.Body)
 	return callerResponse{resp.StatusCode, string(body), resp.Header, err, resp.Close}
 }
+
+// fakeLinks are this node's links to targets.
+type fakeLinks struct{ lost atomic.Bool }
+
+// Verify implements gateway.Links.
+func (l *fakeLinks) Verify(context.Context) bool { return !l.lost.Load() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,7 @@
 	Limits      TargetLimits
 	Signals     TargetSignals
 	Streams     Streams
+	Links       Links
 	Metrics     Metrics
 	Logger      *log.Logger
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -137,6 +137,17 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// Connect opens a connection to a target and keeps it for the next request.
+func (c *Client) Connect(ctx context.Context, to Address) error {
+	c.onDial()
+	cn, err := connect(ctx, c.dial, c.pool(to))
+	if err != nil {
+		return err
+	}
+	c.putIdle(cn)
+	return nil
+}
+
 // Forget closes the idle connections to a target that has been removed.
 func (c *Client) Forget(to Address) {
 	c.mu.Lock()
