links, balance, gateway: an owner that has lost its links to targets does not refuse for its zone

Callers of nodes with all their links were refused as 'no_prospect' while the owner of their zone had lost its own. Cause: the owner chooses targets for its zone, and each of its own failed sends put a target into backoff for all. Class: a failure of the observer taken for one of the observed, by the part that decides for others.

Once they are found lost, the failures of this node's requests that counted against targets are dropped, and further ones say nothing of targets (ErrNoLink). A failure of another node's request at the same target keeps it in backoff.

--- a/balance/grant.go
+++ b/balance/grant.go
@@ -31,8 +31,8 @@
 	// Superseded means that the response was not needed, because that of another target
 	// was used.
 	Superseded
-	// Unreported means that the node which sent the request fell silent, which says
-	// nothing of the target.
+	// Unreported means that the node which sent the request fell silent or had no link,
+	// which says nothing of the target.
 	Unreported
 )
 
@@ -206,17 +206,17 @@
 	switch e.result {
 	case Answered:
 		t.health.recordSuccess()
-		p.recordOutcome(t, e.request.work.Route, false, now)
+		p.recordOutcome(t, e.request.work, false, now)
 	case Failed:
-		p.recordOutcome(t, e.request.work.Route, true, now)
+		p.recordOutcome(t, e.request.work, true, now)
 	case Unreachable, Broken:
-		t.health.recordFailure(now)
+		t.health.recordFailure(e.request.work.Node, now)
 	case Abandoned:
 		if overdue {
-			t.health.recordFailure(now)
+			t.health.recordFailure(e.request.work.Node, now)
 		}
 	case Stalled:
-		t.health.recordSilence(now)
+		t.health.recordSilence(e.request.work.Node, now)
 	}
 	if t.health.backoffUntil.After(backoff) {
 		m.logBackoff(t, e, now)
--- a/balance/health.go
+++ b/balance/health.go
@@ -27,7 +27,10 @@
 
 // health is the failure record of a target.
 type health struct {
+	// failures counts those since the last success, failuresOf them by the node whose
+	// request failed.
 	failures     int
+	failuresOf   map[string]int
 	backoffUntil time.Time
 	// excess estimates the share of requests that fail here beyond those that fail
 	// at any target, as of updatedAt.
@@ -47,28 +50,44 @@
 // suspect reports whether the target fails more requests than others do.
 func (h *health) suspect(now time.Time) bool { return h.currentExcess(now) > suspectExcess }
 
-func (h *health) recordFailure(now time.Time) {
+// recordFailure records that a request of a node failed.
+func (h *health) recordFailure(node string, now time.Time) {
 	backoff := min(initialBackoff<<min(h.failures, 8), maxBackoff)
 	h.failures++
+	if h.failuresOf == nil {
+		h.failuresOf = make(map[string]int)
+	}
+	h.failuresOf[node]++
 	h.backoffUntil = now.Add(backoff)
 }
 
+// forgive drops the failures of a node's requests, which that node itself was the cause
+// of. The backoff holds if requests of others failed as well.
+func (h *health) forgive(node string) {
+	h.failures -= h.failuresOf[node]
+	delete(h.failuresOf, node)
+	if h.failures <= 0 {
+		h.recordSuccess()
+	}
+}
+
 // recordSilence records that a target was silent. The streams that one silence ends
 // count once: a sound target may stand still for a second.
-func (h *health) recordSilence(now time.Time) {
+func (h *health) recordSilence(node string, now time.Time) {
 	if !h.inBackoff(now) && !h.onTrial() {
-		h.recordFailure(now)
+		h.recordFailure(node, now)
 	}
 }
 
 func (h *health) recordSuccess() {
 	h.failures = 0
+	clear(h.failuresOf)
 	h.backoffUntil = time.Time{}
 }
 
 // recordOutcome updates the excess of failures; expected is the share of such
 // requests that fail at any target.
-func (h *health) recordOutcome(now time.Time, failed bool, expected float64) {
+func (h *health) recordOutcome(node string, now time.Time, failed bool, expected float64) {
 	sample := -expected
 	if failed {
 		sample = 1 - expected
@@ -77,7 +96,7 @@
 	h.excess = max(0, excess+excessWeight*(sample-excess))
 	h.updatedAt = now
 	if failed && h.excess > failingExcess {
-		h.recordFailure(now)
+		h.recordFailure(node, now)
 	}
 }
 
@@ -90,15 +109,15 @@
 }
 
 // recordOutcome records whether the target of a request reported a failure.
-func (p *pool) recordOutcome(t *target, route string, failed bool, now time.Time) {
+func (p *pool) recordOutcome(t *target, w *Work, failed bool, now time.Time) {
 	if p.routeFailures == nil {
 		p.routeFailures = make(map[string]float64)
 	}
-	expected := p.routeFailures[route]
-	t.health.recordOutcome(now, failed, expected)
+	expected := p.routeFailures[w.Route]
+	t.health.recordOutcome(w.Node, now, failed, expected)
 	sample := 0.0
 	if failed {
 		sample = 1
 	}
-	p.routeFailures[route] = expected + routeFailureWeight*(sample-expected)
+	p.routeFailures[w.Route] = expected + routeFailureWeight*(sample-expected)
 }
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -14,9 +14,9 @@
 	switch r {
 	case Answered:
 		t.health.recordSuccess()
-		p.recordOutcome(t, route, false, p.now)
+		p.recordOutcome(t, &Work{Route: route}, false, p.now)
 	case Failed:
-		p.recordOutcome(t, route, true, p.now)
+		p.recordOutcome(t, &Work{Route: route}, true, p.now)
 	}
 }
 
--- a/balance/manager_test.go
+++ b/balance/manager_test.go
@@ -247,3 +247,28 @@
 		}
 	})
 }
+
+// A node that has lost its links fails at each target. Once that is known, the others get
+// the targets again.
+func TestTargetThatOneNodeCannotReachServesOthersOnceThatIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _ := start(t)
+		request := func(node string) *balance.Work {
+			w := work()
+			w.Node, w.Patience = node, w.Arrived.Add(40*time.Millisecond)
+			return w
+		}
+		g, err := m.Acquire(t.Context(), request("n2"))
+		is.NoErr(err)
+		g.Done(balance.Unreachable)
+		_, err = m.Acquire(t.Context(), request("n3"))
+		is.True(err != nil)
+		m.ForgiveFailures("n2")
+		for _, node := range []string{"n3", "n2", "n3"} {
+			g, err = m.Acquire(t.Context(), request(node))
+			is.NoErr(err)
+			g.Done(map[string]balance.Result{"n2": balance.Unreported, "n3": balance.Answered}[node])
+		}
+	})
+}
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -169,7 +169,7 @@
 		"full":     func(p *testPool) { p.setFreeSlots("A", 0) },
 		"others":   func(p *testPool) { p.targets["A"].remote["n2"] = remoteLoad{Load: Load{Requests: 8}} },
 		"draining": func(p *testPool) { p.targets["A"].Draining = true },
-		"paused":   func(p *testPool) { p.targets["A"].health.recordFailure(p.now) },
+		"paused":   func(p *testPool) { p.targets["A"].health.recordFailure("", p.now) },
 		"tried":    func(p *testPool) { p.waiting[0].work.Tried = []string{"A"} },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -186,11 +186,11 @@
 	is := is.New(t)
 	var h health
 	now := time.Unix(0, 0)
-	h.recordFailure(now)
+	h.recordFailure("", now)
 	is.True(h.inBackoff(now.Add(initialBackoff - 1)))
 	is.True(!h.inBackoff(now.Add(initialBackoff)))
 	for range 20 {
-		h.recordFailure(now)
+		h.recordFailure("", now)
 	}
 	is.True(!h.inBackoff(now.Add(maxBackoff)))
 	h.recordSuccess()
--- a/balance/target.go
+++ b/balance/target.go
@@ -150,6 +150,15 @@
 	return p != nil && now.After(p.dueAt)
 }
 
+// neverOverdue lets the requests of a node that are waiting wait for as long as they do.
+func (t *target) neverOverdue(node string) {
+	for w, p := range t.prefilling {
+		if w.Node == node {
+			p.dueAt = w.End
+		}
+	}
+}
+
 // mostlyOverdue reports whether more than half of the targets have an overdue
 // request.
 func (p *pool) mostlyOverdue(now time.Time) bool {
--- a/balance/version_test.go
+++ b/balance/version_test.go
@@ -58,7 +58,7 @@
 		{"the only one was tried", true, func(p *testPool, w *Work) { w.Tried = []string{"A"} }},
 		{"the only one drains", true, func(p *testPool, w *Work) { p.targets["A"].Draining = true }},
 		{"the only one says that it leaves", true, func(p *testPool, w *Work) { p.targets["A"].leaving = true }},
-		{"the only one was down a moment ago", false, func(p *testPool, w *Work) { p.targets["A"].health.recordFailure(p.now) }},
+		{"the only one was down a moment ago", false, func(p *testPool, w *Work) { p.targets["A"].health.recordFailure("", p.now) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 			upstream.NewDial,
 			newUpstream,
 			newLinks,
+			newLinkClient,
 			newRetries,
 			newGateway,
 		),
@@ -81,10 +82,10 @@
 	return f.retries
 }
 
-func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, s *resume.Finder, links *links.Monitor, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, s *resume.Finder, m *links.Monitor, sender *links.Client, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: u,
-		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: s, Links: links, Metrics: t, Logger: logger,
+		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: sender,
+		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: s, Links: m, Metrics: t, Logger: logger,
 	})
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -146,7 +146,7 @@
 	}
 	x.logSendFailed(grant, sendErr, err)
 	if !sent {
-		grant.Done(balance.Unreachable)
+		grant.Done(failureOf(err, balance.Unreachable))
 		return !x.takeOver() && !x.mayTryNext() && x.endOutOfTargets(ctx, "targets_unreachable")
 	}
 	return x.handleBrokenAttempt(ctx, grant, "no_answer", err)
--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -57,7 +57,7 @@
 	select {
 	case <-body.done:
 		if body.err != nil && (!errors.Is(body.err, io.EOF) || errors.Is(body.err, errUnusable)) {
-			return balance.Broken, body.err
+			return failureOf(body.err, balance.Broken), body.err
 		}
 	case <-limit:
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,6 +14,7 @@
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/clock"
 	"github.com/primrosemoor/primrosemoor/culprit"
+	"github.com/primrosemoor/primrosemoor/links"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -124,9 +125,18 @@
 	case x.quarantinedInFlight.Load():
 		return balance.Abandoned
 	case errors.Is(err, errStalled):
-		return balance.Stalled
+		return failureOf(err, balance.Stalled)
 	}
-	return balance.Broken
+	return failureOf(err, balance.Broken)
+}
+
+// failureOf returns what a failure says of its target: nothing, if this node had no link
+// to any.
+func failureOf(err error, r balance.Result) balance.Result {
+	if errors.Is(err, links.ErrNoLink) {
+		return balance.Unreported
+	}
+	return r
 }
 
 // recordBroken records the crash of a target if it refuses connections, while others can be
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -332,10 +332,10 @@
 	}
 	s.exchange.logSendFailed(grant, sendErr, err)
 	if !sent {
-		grant.Done(balance.Unreachable)
+		grant.Done(failureOf(err, balance.Unreachable))
 		return s.mayAsk()
 	}
-	grant.Done(balance.Broken)
+	grant.Done(failureOf(err, balance.Broken))
 	s.exchange.recordBroken(s.ctx, grant.Target, 0, err)
 	return s.mayAsk()
 }
--- /dev/null
+++ b/links/client.go
@@ -0,0 +1,99 @@
+package links
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/upstream"
+)
+
+// silenceTimeout is the time without a byte from any target after which an attempt makes
+// the links suspect.
+const silenceTimeout = 500 * time.Millisecond
+
+// ErrNoLink is wrapped by failures that say nothing of the target, because this node had
+// no link to any.
+var ErrNoLink = errors.New("links: this node reaches no target")
+
+// Sender sends a request to a target.
+type Sender interface {
+	Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error)
+}
+
+// Client sends requests and watches what that says of the links. Its methods are safe for
+// concurrent use.
+type Client struct {
+	direct  Sender
+	monitor *Monitor
+	// heard is when a byte last arrived from any target, in nanoseconds since started.
+	heard   atomic.Int64
+	started time.Time
+}
+
+// NewClient returns a client that sends with another one.
+func NewClient(direct Sender, monitor *Monitor) *Client {
+	return &Client{direct: direct, monitor: monitor, started: time.Now()}
+}
+
+// Send sends the request as upstream.Client.Send does. Errors of it and of the body wrap
+// ErrNoLink if the links are known to be lost.
+func (c *Client) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
+	began := time.Since(c.started)
+	silence := time.AfterFunc(silenceTimeout, func() {
+		if c.heard.Load() <= int64(began) {
+			c.monitor.Suspect()
+		}
+	})
+	resp, err := c.direct.Send(ctx, to, r)
+	silence.Stop()
+	if err != nil {
+		return nil, c.explain(ctx, err)
+	}
+	c.recordHeard()
+	resp.Body = &watchedBody{ReadCloser: resp.Body, ctx: ctx, client: c}
+	return resp, nil
+}
+
+func (c *Client) recordHeard() { c.heard.Store(int64(time.Since(c.started))) }
+
+// explain returns the error of an attempt, which makes the links suspect unless the request
+// was cancelled.
+func (c *Client) explain(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		c.monitor.Suspect()
+	}
+	if c.monitor.Linked() {
+		return err
+	}
+	var sendErr *upstream.SendError
+	if !errors.As(err, &sendErr) {
+		return fmt.Errorf("%w: %w", ErrNoLink, err)
+	}
+	explained := *sendErr
+	explained.Err = fmt.Errorf("%w: %w", ErrNoLink, sendErr.Err)
+	return &explained
+}
+
+// watchedBody is the body of a response from a target.
+type watchedBody struct {
+	io.ReadCloser
+	ctx    context.Context
+	client *Client
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.client.recordHeard()
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.client.explain(b.ctx, err)
+	}
+	return n, err
+}
