owner: a member that has lost its links to targets does not make its owner refuse for the zone

Callers of all nodes of a zone were refused while one member of it had lost its links. Cause: a member reports each failed send to the owner, which took it for a failure of the target, for all of the zone.

--- a/entry/links.go
+++ b/entry/links.go
@@ -10,12 +10,8 @@
 
 func newLinks(d *datastore.Manager, u *upstream.Client, f *forwarder, logger *log.Logger) *links.Monitor {
 	return links.NewMonitor(links.Options{
-		Targets: d.Targets, Connect: u.Connect, OnLost: f.linksLost, OnRegained: func() {}, Logger: logger,
+		Targets: d.Targets, Connect: u.Connect, OnLost: func() { f.owner.LinksLost() }, OnRegained: func() {}, Logger: logger,
 	})
 }
 
-// linksLost is called when this node has lost its links to all targets. What its requests
-// met before that was noticed says nothing of them.
-func (f *forwarder) linksLost() { f.balancer.ForgiveFailures("") }
-
 func newLinkClient(u *upstream.Client, m *links.Monitor) *links.Client { return links.NewClient(u, m) }
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -69,6 +69,7 @@
 type forwarder struct {
 	mesh      *mesh.Manager
 	balancer  *balance.Manager
+	owner     *owner.Manager
 	allowance *quota.Allowance
 	retries   *quota.Retries
 	datastore *datastore.Manager
@@ -187,12 +188,12 @@
 	return f.balancer
 }
 
-func newOwner(self datastore.Node, b *balance.Manager, m *mesh.Manager, d *datastore.Manager, pool *peer.Pool, server *peer.Server, logger *log.Logger) *owner.Manager {
-	o := owner.NewManager(owner.Options{
+func newOwner(self datastore.Node, f *forwarder, b *balance.Manager, m *mesh.Manager, d *datastore.Manager, pool *peer.Pool, server *peer.Server, logger *log.Logger) *owner.Manager {
+	f.owner = owner.NewManager(owner.Options{
 		Self: self.Name, Balancer: b, Members: m, Targets: d, Pool: pool, Logger: logger,
 	})
-	server.HandleStream(schema.Method_METHOD_OWNER, o.Serve)
-	return o
+	server.HandleStream(schema.Method_METHOD_OWNER, f.owner.Serve)
+	return f.owner
 }
 
 func newAllowance(s *schema.GatewaySettings, f *forwarder, m *mesh.Manager) *quota.Allowance {
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -168,6 +168,8 @@
 	withdrawn atomic.Int32
 	// remoteSignals holds what targets asked of other nodes.
 	remoteSignals chan remoteSignal
+	// forgiven are the nodes whose failures were dropped.
+	forgiven chan string
 
 	mu      sync.Mutex
 	target  string
@@ -189,7 +191,7 @@
 func newFakeBalancer(target string) *fakeBalancer {
 	return &fakeBalancer{
 		acquires: make(chan *balance.Work, 16), adopted: make(chan string, 16), reports: make(chan report, 16), target: target,
-		remoteSignals: make(chan remoteSignal, 16),
+		remoteSignals: make(chan remoteSignal, 16), forgiven: make(chan string, 16),
 	}
 }
 
@@ -227,6 +229,9 @@
 	return b
 }
 
+// ForgiveFailures implements owner.Balancer.
+func (b *fakeBalancer) ForgiveFailures(node string) { b.forgiven <- node }
+
 // remoteSignal is what a target asked of another node.
 type remoteSignal struct {
 	node   string
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -22,6 +22,7 @@
 	withdrawn []uint64
 	reports   []*schema.OwnerReport
 	signals   []*schema.OwnerSignal
+	linksLost bool
 }
 
 // queuedAcquire is a request for a target that has not been sent yet.
@@ -65,13 +66,17 @@
 	})
 }
 
+func (o *outbox) addLinksLost() {
+	o.update(func() { o.linksLost = true })
+}
+
 // take empties the outbox and returns its contents as one message. Times are
 // encoded relative to the time of the call.
 func (o *outbox) take() *schema.OwnerCall {
 	o.mu.Lock()
 	acquires := o.acquires
-	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports, Signals: o.signals}
-	o.acquires, o.withdrawn, o.reports, o.signals = nil, nil, nil, nil
+	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports, Signals: o.signals, LinksLost: o.linksLost}
+	o.acquires, o.withdrawn, o.reports, o.signals, o.linksLost = nil, nil, nil, nil, false
 	o.mu.Unlock()
 	now := time.Now()
 	for _, a := range acquires {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -45,6 +45,9 @@
 	// RecordSignal records what a target asked of this node, and reports whether the
 	// owner has to be told.
 	RecordSignal(s balance.Signal) (isNew bool)
+	// ForgiveFailures drops the failures of requests that a node sent; the node is empty
+	// for this one.
+	ForgiveFailures(node string)
 	// RecordRemoteSignal records what a target asked of another node.
 	RecordRemoteSignal(node string, s balance.Signal)
 	// Signals returns what targets have asked of this node and what still holds.
@@ -240,6 +243,18 @@
 	}
 }
 
+// LinksLost says that this node has lost its links to all targets. The failures of its
+// requests then say nothing of these, here and at the owner.
+func (m *Manager) LinksLost() {
+	m.options.Balancer.ForgiveFailures(thisNode)
+	if l := m.currentLink(); l != nil {
+		l.outbox.addLinksLost()
+	}
+}
+
+// thisNode is the name of this node in calls of its own balancer.
+const thisNode = ""
+
 // MaySend reports whether this node may send a target a request that arrived at the given
 // time. It may not while a pause that the target asked for lasts, nor, once the target
 // leaves, if the request arrived too late.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -251,3 +251,17 @@
 	is.Equal((<-c.nodes["n1"].balancer.acquires).Version, "2")
 	is.Equal(grant.Target.ID, "n2-target") // What this node knows of the owner's choice holds.
 }
+
+func TestOwnerIsToldThatANodeHasLostItsLinksAfterTheReportsOfThat(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2")
+	c.setOwner("n1")
+	c.waitUntilLinked("n2")
+	grant, err := c.nodes["n2"].manager.Acquire(t.Context(), newWork("r1"))
+	is.NoErr(err)
+	grant.Done(balance.Unreachable)
+	c.nodes["n2"].manager.LinksLost()
+	is.Equal(<-c.nodes["n2"].balancer.forgiven, "")
+	is.Equal(<-c.nodes["n1"].balancer.forgiven, "n2")
+	is.Equal((<-c.nodes["n1"].balancer.reports).result, balance.Unreachable)
+}
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -73,6 +73,9 @@
 	for _, r := range call.GetReports() {
 		s.handleReport(r)
 	}
+	if call.GetLinksLost() {
+		s.balancer.ForgiveFailures(s.node)
+	}
 }
 
 // acquire waits for a target and sends the grant or the refusal.
