forward, links: a node that has lost its links to targets sends through another node

Cause: the node had no other way to a target than its own connections, and no notion of having lost them. Class: no fallback for the loss of one kind of links while all others work.

Once the links are lost, a step below all decisions has another node send each attempt; the node keeps queue, limits, retries and the caller. The other node accepts before it is given the request, so that what is not accepted is certainly not run. It is not ready only while no node accepts.

--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -18,6 +18,7 @@
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/explain"
+	"github.com/primrosemoor/primrosemoor/forward"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/links"
 	"github.com/primrosemoor/primrosemoor/logging"
@@ -50,6 +51,8 @@
 	Allowance *quota.Allowance
 	Upstream  *upstream.Client
 	Links     *links.Monitor
+	Others    *forward.Client
+	ForOthers *forward.Server
 	Gateway   *gateway.Gateway
 	Retries   *quota.Retries
 	Recorder  *explain.Recorder
@@ -136,9 +139,11 @@
 // answers 503 while the node is draining, is not ready yet, does not know how many
 // nodes share the limits, or has not confirmed within the revocation bound that its
 // configuration is the newest; in the last two states the gateway refuses requests
-// that need an API key.
+// that need an API key. Without links to targets it is ready as long as another node sends
+// requests for it.
 func (l *lifecycle) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if l.draining.Load() || !l.Datastore.Ready() || !l.Datastore.KeysProven() || !l.Allowance.Ready() {
+	reaches := l.Links.Linked() || l.Others.Usable()
+	if l.draining.Load() || !l.Datastore.Ready() || !l.Datastore.KeysProven() || !l.Allowance.Ready() || !reaches {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -251,6 +256,7 @@
 	l.Logger.Info().Str("event", "draining").Msg("")
 	l.draining.Store(true)
 	l.Gateway.CloseConnections()
+	l.ForOthers.Stop()
 	l.Mesh.Leave()
 	select {
 	case <-time.After(deregistrationDelay):
@@ -260,6 +266,9 @@
 	if err != nil {
 		l.Logger.Warn().Str("event", "requests_cut").Err(err).Msg("")
 	}
+	if left := l.ForOthers.Drain(ctx); left > 0 {
+		l.Logger.Warn().Str("event", "forwarded_requests_cut").Int64("count", left).Msg("")
+	}
 	l.cancel()
 	l.readinessServer.Close()
 	l.metricsServer.Close()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -124,6 +124,9 @@
 		Body:   x.body,
 		// On a connection in use before, a late response without an id would match.
 		NewConn: x.call.ID == "",
+		ID:      x.call.ID,
+		Arrived: x.arrived,
+		Started: grant.Target.Started,
 		Matches: func(h http.Header) bool {
 			return x.gateway.HeaderCodec.ParseResponse(http.StatusOK, h).ID == x.call.ID
 		},
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -147,12 +147,17 @@
 	if events >= survivedEvents || !upstream.IsPeerClosed(err) {
 		return
 	}
+	if errors.Is(err, links.ErrTargetCrashed) || x.targetCrashed(ctx, target) {
+		x.gateway.Culprits.RecordCrash(culprit.Crash{Target: instanceHash(target), Features: x.features(), At: at})
+	}
+}
+
+// targetCrashed reports whether a target refuses connections while others can be reached.
+func (x *exchange) targetCrashed(ctx context.Context, target *catalog.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	address := upstream.Address{ID: target.ID, Host: target.Address}
-	if x.gateway.Prober.Refuses(ctx, address) && x.gateway.Links.Verify(ctx) {
-		x.gateway.Culprits.RecordCrash(culprit.Crash{Target: instanceHash(target), Features: x.features(), At: at})
-	}
+	return x.gateway.Prober.Refuses(ctx, address) && x.gateway.Links.Verify(ctx)
 }
 
 // recordSurvival records that the target of the request has survived it.
--- a/links/client.go
+++ b/links/client.go
@@ -16,6 +16,10 @@
 // the links suspect.
 const silenceTimeout = 500 * time.Millisecond
 
+// ErrTargetCrashed is wrapped by the failure of a request whose target has crashed, as the
+// node that sent it found.
+var ErrTargetCrashed = errors.New("links: the target refuses connections since then")
+
 // ErrNoLink is wrapped by failures that say nothing of the target, because this node had
 // no link to any.
 var ErrNoLink = errors.New("links: this node reaches no target")
@@ -25,8 +29,8 @@
 	Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error)
 }
 
-// Client sends requests and watches what that says of the links. Its methods are safe for
-// concurrent use.
+// Client sends requests over this node's own links and watches what that says of these.
+// Its methods are safe for concurrent use.
 type Client struct {
 	direct  Sender
 	monitor *Monitor
--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/resume"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -98,6 +99,19 @@
 	return addresses
 }
 
+// OtherNodes returns the other nodes of all zones that are not known to be silent.
+func (m *Manager) OtherNodes() []datastore.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	nodes := make([]datastore.Node, 0, len(m.peers))
+	for _, n := range m.peers {
+		if s := m.source(n); s != nil && s.active != nil {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
 // holdersPerZone is the number of nodes of another zone that are asked: the owner, and the
 // one that was or will be if that has failed.
 const holdersPerZone = 2
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -148,6 +148,18 @@
 	return nil
 }
 
+// CloseIdle closes all idle connections, because they may be dead.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	var idle []*conn
+	for _, p := range c.pools {
+		idle = append(idle, p.idle...)
+		p.idle = nil
+	}
+	c.mu.Unlock()
+	closeAll(idle)
+}
+
 // Forget closes the idle connections to a target that has been removed.
 func (c *Client) Forget(to Address) {
 	c.mu.Lock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -64,6 +64,12 @@
 	Matches func(http.Header) bool
 	// NewConn demands a new connection.
 	NewConn bool
+	// ID is the id of the request, Arrived when the caller's request arrived, and Started
+	// when the target started, in Unix milliseconds. Another node that sends the request
+	// needs them.
+	ID      string
+	Arrived time.Time
+	Started int64
 }
 
 // SendError reports a request that got no response.
