entrytest: requests in a planned stop are neither taken late nor cut without an answer (failing)

A request whose head came before callers stopped being sent, and whose body comes 4 s into the stop, is passed on and cut at the end of the grace time; requests that wait for a target, or for its answer, then end without an answer. Requests on connections that bring nothing before are not read any more.

--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -88,6 +88,7 @@
 	}
 	routes := []any{
 		route("book", "non_idempotent", "app", nil), route("look", "idempotent", "app", nil),
+		route("long", "non_idempotent", "app", map[string]any{"timeoutMs": 15000, "targetLatencyMs": 15000}),
 		route("chat", "streaming", "llm", map[string]any{"streamResume": true, "itlTargetMs": 300}),
 	}
 	for _, name := range env.addedRoutes {
