gateway, entry: a request that is complete only late in a planned stop is refused, not taken

Callers' requests were passed on late in the grace time and cut at its end, among them such as may not be repeated. Cause: only connections are turned away from the moment at which the balancer has stopped sending; a request whose head came before, and whose body came after it, was still taken. Such a request is now refused with 503 and a short Retry-After, which holds: it has not been sent.

--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -262,6 +262,7 @@
 	case <-time.After(deregistrationDelay):
 	case <-ctx.Done():
 	}
+	l.Gateway.RefuseNew()
 	err := l.callerServer.Shutdown(ctx)
 	if err != nil {
 		l.Logger.Warn().Str("event", "requests_cut").Err(err).Msg("")
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -97,6 +97,9 @@
 	if errResp := x.readBody(table.Config.Bounds.BodyBytes); errResp != nil {
 		return errResp
 	}
+	if g.refusing.Load() {
+		return errNotRun(balance.ReasonStopping, stoppingRetryAfter)
+	}
 	if errResp := x.quarantined(); errResp != nil {
 		return errResp
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,8 +102,9 @@
 	Options
 	router         *mux.Router
 	callerTimeouts callerTimeouts
-	// closing makes every response close its connection.
-	closing atomic.Bool
+	// closing makes every response close its connection, refusing refuses requests that
+	// are complete only now.
+	closing, refusing atomic.Bool
 }
 
 // New returns a gateway.
@@ -126,6 +127,12 @@
 	g.closing.Store(true)
 }
 
+// RefuseNew makes the gateway refuse requests that are complete only from now on: a request
+// may still arrive slowly on a connection that was used in time.
+func (g *Gateway) RefuseNew() {
+	g.refusing.Store(true)
+}
+
 // serve handles one request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -19,6 +19,8 @@
 	// notReadyRetryAfter is short because a starting node soon loads its
 	// configuration.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is short because another node can be used at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// noTargetRetryAfter is the time within which slots at targets become free.
 	noTargetRetryAfter = 500 * time.Millisecond
 )
