gateway, entry: what is left at the end of a planned stop is answered, not cut

Callers got no answer to requests that waited for a target, or for its answer, when the grace time of a stop ended. Cause: the process was ended with them; nothing told them before. 0.7 s before the end each is answered with what is known: 503 if no target got it, which holds, else 502; streams that have begun break off and can be taken up elsewhere.

--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -249,6 +249,19 @@
 	announceRetry   = time.Second
 )
 
+// endMargin is the time before the end of the grace time in which the requests that are
+// left are answered and the process ends.
+const endMargin = 700 * time.Millisecond
+
+// withMargin returns a context that ends some time before another one's deadline.
+func withMargin(ctx context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-margin))
+}
+
 // stop reports the node as not ready to the load balancer and as leaving to the
 // other nodes, waits until no new connections arrive and the requests in flight
 // have ended, and stops the components.
@@ -263,11 +276,14 @@
 	case <-ctx.Done():
 	}
 	l.Gateway.RefuseNew()
+	drainCtx, cancel := withMargin(ctx, endMargin)
+	defer cancel()
+	defer context.AfterFunc(drainCtx, l.Gateway.EndRequests)()
 	err := l.callerServer.Shutdown(ctx)
 	if err != nil {
 		l.Logger.Warn().Str("event", "requests_cut").Err(err).Msg("")
 	}
-	if left := l.ForOthers.Drain(ctx); left > 0 {
+	if left := l.ForOthers.Drain(drainCtx); left > 0 {
 		l.Logger.Warn().Str("event", "forwarded_requests_cut").Int64("count", left).Msg("")
 	}
 	l.cancel()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -68,6 +68,9 @@
 // errDeadline is the cause of a request's context when its deadline has passed.
 var errDeadline = errors.New("gateway: deadline exceeded")
 
+// errStopping is the cause of a request's context when this node stops.
+var errStopping = errors.New("gateway: the node stops")
+
 // admit runs the checks that come before a target is selected, and reads the body.
 func (x *exchange) admit() *errorResponse {
 	g := x.gateway
@@ -160,8 +163,11 @@
 // run sends the request to targets until one has responded or no retry is
 // allowed.
 func (x *exchange) run() {
-	ctx, cancel := context.WithDeadlineCause(x.request.Context(), x.deadline, errDeadline)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(x.request.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(x.gateway.ended, func() { cancel(errStopping) })()
+	ctx, stopDeadline := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
+	defer stopDeadline()
 	for ended := false; !ended; {
 		if a := x.successor; a != nil {
 			x.successor = nil
@@ -265,12 +271,16 @@
 	case x.request.Context().Err() != nil:
 		// The caller may still read; a return without a response would be an empty 200.
 		x.abort("caller_left", 0)
+	case x.possibleRuns > 0 && errors.Is(context.Cause(ctx), errStopping):
+		x.sendError(errUnknownEffect(balance.ReasonStopping))
 	case x.possibleRuns > 0 && ctx.Err() != nil:
 		x.sendError(errTimeout())
 	case x.possibleRuns > 0:
 		x.sendError(errUnknownEffect("no_target_left"))
 	case errors.As(err, &refusal):
 		x.sendError(errNotRun(refusal.Reason, refusal.RetryAfter))
+	case errors.Is(context.Cause(ctx), errStopping):
+		x.sendError(errNotRun(balance.ReasonStopping, stoppingRetryAfter))
 	default:
 		x.sendError(errNotRun("queue_timeout", noTargetRetryAfter))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,11 +105,15 @@
 	// closing makes every response close its connection, refusing refuses requests that
 	// are complete only now.
 	closing, refusing atomic.Bool
+	// ended is cancelled when the requests that are left must end; end does that.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a gateway.
 func New(options Options) *Gateway {
 	g := &Gateway{Options: options, router: mux.NewRouter().SkipClean(true).UseEncodedPath()}
+	g.ended, g.end = context.WithCancel(context.Background())
 	g.router.PathPrefix("/").HandlerFunc(g.serve)
 	// Requests that no path prefix matches, such as "*", have no route either.
 	g.router.NotFoundHandler = http.HandlerFunc(g.serve)
@@ -133,6 +137,10 @@
 	g.refusing.Store(true)
 }
 
+// EndRequests ends the requests that are left: those that were not sent are refused, and
+// the others answered with what is known of them. Streams that have begun break off.
+func (g *Gateway) EndRequests() { g.end() }
+
 // serve handles one request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{
