--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -116,9 +116,15 @@
 
 // startWorkerAs starts a worker, with defaults for what is not set.
 func (env *testEnv) startWorkerAs(wk *worker.Worker) *worker.Worker {
+	env.t.Helper()
+	return env.startWorkerIn(wk, "a")
+}
+
+// startWorkerIn starts a worker in a zone, with defaults for what is not set.
+func (env *testEnv) startWorkerIn(wk *worker.Worker, zone string) *worker.Worker {
 	env.t.Helper()
 	wk.ServiceTime, wk.Slots = cmp.Or(wk.ServiceTime, 5*time.Millisecond), cmp.Or(wk.Slots, 8)
-	if err := wk.Start(env.store, "a"); err != nil {
+	if err := wk.Start(env.store, zone); err != nil {
 		env.t.Fatal(err)
 	}
 	env.t.Cleanup(wk.Stop)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -31,6 +31,7 @@
 	headerLimit       = "Server-Limit"
 	headerLeaving     = "Server-Leaving"
 	headerRetryAfter  = "Retry-After"
+	headerBrittle     = "Server-Brittle"
 )
 
 // Faults are the failures that a worker simulates. The zero value is a healthy worker.
@@ -56,6 +57,10 @@
 	Limit float64
 	// Leaving makes the worker say in all its answers that it leaves.
 	Leaving bool
+	// Brittle is how many requests the worker may turn away in a second for want of a slot,
+	// which it says in all its answers. With more it crashes, and is back after Downtime.
+	// 0 lets any number of requests run.
+	Brittle int
 	// RetryAfter is the time, in seconds, that an overloaded worker states in
 	// Retry-After; 0 is none.
 	RetryAfter float64
@@ -101,8 +106,10 @@
 	running   int
 	runCounts map[string]int
 	arrivals  []Arrival
-	// crashedAt lists the times of its crashes.
+	// crashedAt lists the times of its crashes, and down is set during one that it brought
+	// about itself.
 	crashedAt []time.Time
+	down      bool
 	teamByID  map[string]string
 }
 
@@ -128,7 +135,7 @@
 func (w *Worker) serve(l net.Listener) {
 	server := &http.Server{Handler: w}
 	w.mu.Lock()
-	w.server = server
+	w.server, w.down = server, false
 	w.mu.Unlock()
 	go server.Serve(l)
 }
@@ -219,6 +226,9 @@
 		return
 	}
 	f, load := w.startRequest(id, r.Header.Get(headerTeam))
+	if f.Brittle > 0 {
+		rw.Header().Set(headerBrittle, strconv.Itoa(f.Brittle))
+	}
 	if f.Leaving {
 		rw.Header().Set(headerLeaving, "1")
 	}
@@ -287,12 +297,17 @@
 func (w *Worker) startRequest(id, team string) (Faults, string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	arrival := Arrival{ID: id, At: time.Now(), Refused: w.faults.Overloaded}
-	if arrival.Refused {
+	full := w.faults.Brittle > 0 && w.running >= w.Slots
+	arrival := Arrival{ID: id, At: time.Now(), Refused: w.faults.Overloaded || full}
+	if w.faults.Overloaded {
 		arrival.Pause = time.Duration(w.faults.RetryAfter * float64(time.Second))
 	}
 	w.arrivals = append(w.arrivals, arrival)
-	if w.faults.Overloaded {
+	if full && w.refusedWithin(time.Second) > w.faults.Brittle && !w.down {
+		w.down = true
+		go w.crash(w.faults.Downtime)
+	}
+	if arrival.Refused {
 		return w.faults, ""
 	}
 	w.running++
@@ -301,6 +316,18 @@
 	return w.faults, fmt.Sprintf("%d,0,%d", w.running, w.Slots)
 }
 
+// refusedWithin returns how many requests the worker has turned away in the last time. The
+// caller must hold w.mu.
+func (w *Worker) refusedWithin(d time.Duration) int {
+	count := 0
+	for i := len(w.arrivals) - 1; i >= 0 && time.Since(w.arrivals[i].At) < d; i-- {
+		if w.arrivals[i].Refused {
+			count++
+		}
+	}
+	return count
+}
+
 func (w *Worker) endRequest() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
