balance, platform, mesh: the slots of brittle targets are divided among the zones

Callers lost requests, and all others capacity, when targets that say Server-Brittle fell over for turning requests away. Cause: each zone learns late what the others have sent, so that several fill the same slot; sound targets take up the difference in their queue.

While a service's targets are brittle, each zone uses its own part of their slots only; all nodes work the parts out from the list of targets, and together they are never more than there are (property test). A target that turns a request away all the same gets none from that zone for 1 to 1.5 s.

--- a/balance/filter.go
+++ b/balance/filter.go
@@ -18,7 +18,8 @@
 	leaving []*target
 	// slots and taken count all slots of the available targets and those in use.
 	slots, taken int
-	// exhausted reports whether the limit of a target allows no request now.
+	// exhausted reports whether a target takes no request now: its limit allows none, or it
+	// is brittle and could turn one of this zone away.
 	exhausted func(t *target) bool
 }
 
@@ -26,11 +27,15 @@
 // that neither leave nor are in backoff. While there are none, those that only said so
 // themselves are used for requests that arrived soon enough (load: all targets of a
 // service are replaced at once). A target whose limit is exhausted has
-// none. A target with an overdue request may
-// stand still. While more than half of the targets are in such a state, the cause
+// none, nor has a brittle one of which this zone uses its part. A target with an overdue
+// request may stand still. While more than half of the targets are in such a state, the cause
 // is likely elsewhere, and all of them are used.
 func (p *pool) capacity(now time.Time, here location, limitShare float64) capacity {
 	c := capacity{exhausted: func(t *target) bool { return t.exhausted(now, limitShare) }}
+	if p.isBrittle(now) {
+		slots := p.divideSlots(here)
+		c.exhausted = func(t *target) bool { return t.exhausted(now, limitShare) || !t.brittleRoom(now, here, slots) }
+	}
 	ignoreOverdue := p.mostlyOverdue(now)
 	available := false
 	for _, t := range p.targets {
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -209,6 +209,8 @@
 		p.recordOutcome(t, e.request.work, false, now)
 	case Failed:
 		p.recordOutcome(t, e.request.work, true, now)
+	case Rejected:
+		t.brittle.recordRejection(now)
 	case Unreachable, Broken:
 		t.health.recordFailure(e.request.work.Node, now)
 	case Abandoned:
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -71,8 +71,9 @@
 	// changed holds the pools that changed since their requests were last
 	// assigned.
 	changed map[*pool]bool
-	// limited holds the targets with a limit that was stated to this node.
-	limited targetSet
+	// limited holds the targets with a limit that was stated to this node, and brittle
+	// those that have said to it that they are.
+	limited, brittle targetSet
 	// signals holds what targets have asked of this node.
 	signals signalRecords
 	// heardShare is the share of the nodes that this node hears, itself included.
@@ -112,7 +113,7 @@
 		if m.anyWaiting() {
 			due = tick.C
 		}
-		if m.limited.any() {
+		if m.limited.any() || m.brittle.any() {
 			limitsDue = limitCheck.C
 		}
 		select {
@@ -122,6 +123,7 @@
 			m.assignAll(now)
 		case now := <-limitsDue:
 			m.expireLimits(now)
+			m.expireBrittle(now)
 		case <-ctx.Done():
 			return
 		}
@@ -198,7 +200,7 @@
 
 // publish reports this node's use of a target to the other nodes.
 func (m *Manager) publish(t *target) {
-	m.options.Publish(t.ID, Use{Load: t.own, Step: seconds(t.speed.step), Limit: t.rate.own(time.Now())})
+	m.options.Publish(t.ID, Use{Load: t.own, Step: seconds(t.speed.step), Limit: t.rate.own(time.Now()), Brittle: t.brittle.own(time.Now())})
 }
 
 func (m *Manager) pool(service string) *pool {
--- a/balance/manager_test.go
+++ b/balance/manager_test.go
@@ -20,15 +20,26 @@
 	t.Helper()
 	var mu sync.Mutex
 	var published balance.Load
+	m := startWith(t, func(_ string, own balance.Use) {
+		mu.Lock()
+		defer mu.Unlock()
+		published = own.Load
+	})
+	return m, func() balance.Load {
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		return published
+	}
+}
+
+// startWith runs a manager with one plain target of two slots, which publishes its use of
+// that.
+func startWith(t *testing.T, publish func(string, balance.Use)) *balance.Manager {
+	t.Helper()
 	m := balance.NewManager(balance.Options{
 		Node: "n1", Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
-		Publish: func(_ string, own balance.Use) {
-			mu.Lock()
-			defer mu.Unlock()
-			published = own.Load
-		},
-		PublishSend:  func(string) {},
-		PublishQueue: func(string, int, int) {},
+		Publish: publish, PublishSend: func(string) {}, PublishQueue: func(string, int, int) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -41,12 +52,7 @@
 		<-done
 	})
 	m.ApplyTargets([]*catalog.Target{{ID: "i-1", Service: "s", Zone: "a", Slots: 2}}, nil)
-	return m, func() balance.Load {
-		synctest.Wait()
-		mu.Lock()
-		defer mu.Unlock()
-		return published
-	}
+	return m
 }
 
 func work() *balance.Work {
@@ -272,3 +278,30 @@
 		}
 	})
 }
+
+func TestBrittleTargetIsPublishedUntilItNoLongerSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var mu sync.Mutex
+		var published balance.Use
+		m := startWith(t, func(_ string, own balance.Use) {
+			mu.Lock()
+			defer mu.Unlock()
+			published = own
+		})
+		isBrittle := func() bool {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return published.Brittle
+		}
+		m.RecordBrittle("i-1", true)
+		is.True(isBrittle())
+		m.RecordBrittle("i-1", false)
+		is.True(!isBrittle())
+		m.RecordBrittle("i-1", true)
+		is.True(isBrittle())
+		time.Sleep(20 * time.Second)
+		is.True(!isBrittle()) // It has not answered for long.
+	})
+}
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -159,7 +159,7 @@
 func TestPromptBacklogSendsARequestToAnotherTarget(t *testing.T) {
 	is := is.New(t)
 	p := newTestPool(2*time.Millisecond, 2*time.Millisecond)
-	p.targets["A"].remote["n2"] = remoteLoad{Load{Requests: 1, PromptTokens: 30_000}, 30_000, 0}
+	p.targets["A"].remote["n2"] = remoteLoad{Load{Requests: 1, PromptTokens: 30_000}, 30_000, 0, false}
 	p.enqueue(p.work("chat", 1, nil))
 	is.Equal(p.assignNow(), []string{"chat>B"})
 }
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -9,6 +9,9 @@
 	Step time.Duration
 	// Limit is how many requests a second the target has stated to it, 0 for none.
 	Limit float64
+	// Brittle is set if the target has said to it that it falls over when it has to turn a
+	// few requests away.
+	Brittle bool
 }
 
 // SetRemoteUse sets the use of a target by a source, which is a node or a zone.
@@ -41,7 +44,7 @@
 		}
 		t.advancePrefill(now, p.engine)
 		freed := e.use.Requests < t.remote[e.source].Requests
-		t.remote[e.source] = remoteLoad{e.use.Load, e.use.PromptTokens, e.use.Limit}
+		t.remote[e.source] = remoteLoad{e.use.Load, e.use.PromptTokens, e.use.Limit, e.use.Brittle}
 		t.updateFreed(now)
 		if e.use.Step > 0 {
 			t.speed.reported = e.use.Step.Seconds()
@@ -73,7 +76,7 @@
 func (m *Manager) restoreRemoteLoads(t *target) {
 	for source, loads := range m.remote {
 		if l, ok := loads[t.ID]; ok {
-			t.remote[source] = remoteLoad{l.Load, l.PromptTokens, l.Limit}
+			t.remote[source] = remoteLoad{l.Load, l.PromptTokens, l.Limit, l.Brittle}
 		}
 	}
 }
--- a/balance/target.go
+++ b/balance/target.go
@@ -77,6 +77,7 @@
 	speed   engineSpeed
 	health  health
 	rate    rateLimit
+	brittle brittleness
 	// leaving is set once the target has said that it leaves, and lastArrival is when the
 	// last request arrived that it may get nevertheless.
 	leaving     bool
@@ -103,8 +104,10 @@
 	Load
 	// reportedPromptTokens is the value of PromptTokens in the report.
 	reportedPromptTokens float64
-	// limit is the limit that the target stated there, 0 for none.
-	limit float64
+	// limit is the limit that the target stated there, 0 for none, and brittle whether it
+	// said there that it is.
+	limit   float64
+	brittle bool
 }
 
 // updateFreed records when a full target gets a free slot.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -60,6 +60,7 @@
 func (n *otherNode) Verify(context.Context) bool                    { return !n.lost.Load() }
 func (n *otherNode) Refuses(context.Context, upstream.Address) bool { return n.crashed.Load() }
 func (n *otherNode) RecordLimit(string, float64, bool)              {}
+func (n *otherNode) RecordBrittle(string, bool)                     {}
 func (n *otherNode) RecordSignal(s balance.Signal)                  { n.signals <- s }
 func (n *otherNode) MaySend(*catalog.Target, time.Time) bool        { return !n.unwanted.Load() }
 
--- a/forward/server.go
+++ b/forward/server.go
@@ -168,6 +168,7 @@
 // recordInfo records what the target asked of this node, which it takes for the sender.
 func (s *Server) recordInfo(target *catalog.Target, info gateway.ResponseInfo) {
 	s.Limits.RecordLimit(target.ID, info.Limit, info.HasLimit)
+	s.Limits.RecordBrittle(target.ID, info.Brittle)
 	if info.Leaving || info.Pause > 0 {
 		s.Signals.RecordSignal(balance.Signal{Target: target.ID, Started: target.Started, Leaving: info.Leaving, Pause: info.Pause})
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -78,6 +78,7 @@
 // recordInfo records what a target stated and asked for in its response.
 func (x *exchange) recordInfo(target *catalog.Target, info ResponseInfo) {
 	x.gateway.Limits.RecordLimit(target.ID, info.Limit, info.HasLimit)
+	x.gateway.Limits.RecordBrittle(target.ID, info.Brittle)
 	if info.Leaving || info.Pause > 0 {
 		x.gateway.Signals.RecordSignal(balance.Signal{
 			Target: target.ID, Started: target.Started, Leaving: info.Leaving, Pause: info.Pause,
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -62,6 +62,8 @@
 	// valid if HasLimit is set. A target states it for as long as it holds.
 	Limit    float64
 	HasLimit bool
+	// Brittle reports that the target falls over if it has to turn a few requests away.
+	Brittle bool
 	// Leaving reports that the target leaves and takes no more requests.
 	Leaving bool
 	// Pause is for how long the target wants no request from this node; 0 if it asks for
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// RecordLimit records how many requests a second a target takes from all nodes, or
 	// that it stated no limit.
 	RecordLimit(target string, perSecond float64, stated bool)
+	// RecordBrittle records whether a target falls over if it has to turn a few requests
+	// away.
+	RecordBrittle(target string, brittle bool)
 }
 
 // TargetSignals learns what targets ask of this node in their responses.
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -29,6 +29,7 @@
 	for id, t := range c.targets {
 		m := &schema.MeshTarget{
 			Requests: uint32(t.Requests), PromptTokens: uint32(t.PromptTokens), StepMicros: uint32(t.StepMicros), LimitMillis: uint32(t.LimitMillis),
+			Brittle: t.Brittle,
 		}
 		m.Ref, m.Id = e.ref("target/" + id)
 		if m.Id != "" {
@@ -78,6 +79,7 @@
 		if id, ok := d.id(m.GetRef(), m.GetId()); ok {
 			c.targets[id] = TargetUse{
 				Requests: int(m.GetRequests()), PromptTokens: int(m.GetPromptTokens()), StepMicros: int(m.GetStepMicros()), LimitMillis: int(m.GetLimitMillis()),
+				Brittle: m.GetBrittle(),
 			}
 		}
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -397,6 +397,7 @@
 		total.PromptTokens += u.PromptTokens
 		total.StepMicros = max(total.StepMicros, u.StepMicros)
 		total.LimitMillis = lowestLimit(total.LimitMillis, u.LimitMillis)
+		total.Brittle = total.Brittle || u.Brittle
 	}
 	m.zoneSums.setTarget(id, total)
 }
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -15,6 +15,9 @@
 	// LimitMillis is how many thousandths of a request a second the target says that
 	// it takes, 0 for no limit.
 	LimitMillis int
+	// Brittle is set if the target says that it falls over when it has to turn a few
+	// requests away.
+	Brittle bool
 }
 
 // lowestLimit returns the lower one of two limits, of which 0 is none.
