owner: what targets ask of a node reaches the owner also while another node seems to own the zone

A caller was held for its whole time limit of 3 s, and then told to come back, while the only target asked for a pause of 0.8 s. Cause: a node tells the owner what targets ask of it over its link, but only if the node of that link owned the zone at that moment. Owners change for a moment when a node starts; the link stays if that is shorter than the 50 ms between two checks, and what was asked meanwhile was never sent. The owner then kept the target for the node, which declined it, and had the request wait for it.

The link that is open is told in any case. The same way of telling was used for lost links and is mended with it.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -202,6 +202,14 @@
 	return m.link
 }
 
+// latestLink returns the link that is open, or nil. Its node may be the owner again although
+// another one seems to be at the moment.
+func (m *Manager) latestLink() *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.link
+}
+
 // Linked reports whether this node has a link to the current owner of its zone.
 func (m *Manager) Linked() bool { return m.currentLink() != nil }
 
@@ -238,7 +246,7 @@
 // RecordSignal records what a target asked of this node, here and at the owner.
 func (m *Manager) RecordSignal(s balance.Signal) {
 	isNew := m.options.Balancer.RecordSignal(s)
-	if l := m.currentLink(); isNew && l != nil {
+	if l := m.latestLink(); isNew && l != nil {
 		l.outbox.addSignals(s)
 	}
 }
@@ -247,7 +255,7 @@
 // requests then say nothing of these, here and at the owner.
 func (m *Manager) LinksLost() {
 	m.options.Balancer.ForgiveFailures(thisNode)
-	if l := m.currentLink(); l != nil {
+	if l := m.latestLink(); l != nil {
 		l.outbox.addLinksLost()
 	}
 }
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -265,3 +265,21 @@
 	is.Equal(<-c.nodes["n1"].balancer.forgiven, "n2")
 	is.Equal((<-c.nodes["n1"].balancer.reports).result, balance.Unreachable)
 }
+
+func TestOwnerLearnsWhatATargetAskedWhileAnotherNodeSeemedToBeTheOwner(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2")
+	c.setOwner("n1")
+	c.waitUntilLinked("n2")
+	c.setOwner("n2")
+	c.nodes["n2"].manager.RecordSignal(balance.Signal{Target: "i-1", Pause: time.Second})
+	c.nodes["n2"].manager.LinksLost()
+	c.setOwner("n1")
+	is.Equal(c.nextRemoteSignal("n1"), remoteSignal{"n2", balance.Signal{Target: "i-1", Pause: time.Second}})
+	select {
+	case node := <-c.nodes["n1"].balancer.forgiven:
+		is.Equal(node, "n2")
+	case <-time.After(eventuallyTimeout):
+		t.Fatal("the owner was not told that the links are lost")
+	}
+}
