balance: requests that were sent before a target's limit was known count against it

Cause: a limit comes with an answer, about half a second after the target stated it first. What all nodes sent in that time was not counted, and the burst that a new limit allows came on top.

The requests of the last second are counted when a node learns of the limit, and booked with the others.

--- a/balance/limit.go
+++ b/balance/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,6 +21,9 @@
 	// reservedRequests is how many requests of a limited target are kept for those that
 	// occupy a slot for long: they gain most from its slots, which are left free.
 	reservedRequests = 1
+	// earlyTime is the time before a limit is known whose requests count against it: a
+	// target states it in its answers, which take a while.
+	earlyTime = time.Second
 	// maxLimitDebt bounds what all nodes together have sent too early, as the time that
 	// it takes to make up for it.
 	maxLimitDebt = 4 * time.Second
@@ -38,12 +42,21 @@
 	// were sent.
 	available float64
 	updatedAt time.Time
+	// early holds the requests that were sent while no limit was known, those of this node
+	// and of others that knew it sooner.
+	early []earlyRequest
 	// wait is what must be available beyond a request before this node sends one, from 0
 	// to 1. It is drawn anew after each request of any node, so that nodes that wait for
 	// the same target do not send at the same moment.
 	wait float64
 }
 
+// earlyRequest is a request that was sent before a limit was known.
+type earlyRequest struct {
+	at  time.Time
+	own bool
+}
+
 // own returns the limit that was stated to this node and still holds, or 0.
 func (l *rateLimit) own(now time.Time) float64 {
 	if l.stated == 0 || now.Sub(l.statedAt) > max(limitLifetime, seconds(limitLifetimeRequests/l.stated)) {
@@ -84,7 +97,9 @@
 func (l *rateLimit) refill(now time.Time, limit float64) {
 	burst := 1 + reservedRequests + max(1, limit*limitBurst.Seconds())
 	if l.updatedAt.IsZero() {
-		l.available = burst
+		l.dropEarly(now)
+		l.available = burst - float64(len(l.early))
+		l.early = nil
 	} else {
 		l.available += limit * now.Sub(l.updatedAt).Seconds()
 	}
@@ -92,12 +107,37 @@
 	l.updatedAt = now
 }
 
-// spend counts requests that were sent to the target, by this node or another one.
-func (l *rateLimit) spend(requests float64) {
-	l.available -= requests
+// spend counts a request that was sent to the target, by this node or another one.
+func (l *rateLimit) spend(now time.Time, own bool) {
+	if l.updatedAt.IsZero() {
+		l.dropEarly(now)
+		l.early = append(l.early, earlyRequest{now, own})
+		return
+	}
+	l.available--
 	l.wait = rand.Float64()
 }
 
+// dropEarly drops the early requests that no longer count.
+func (l *rateLimit) dropEarly(now time.Time) {
+	l.early = slices.DeleteFunc(l.early, func(r earlyRequest) bool { return now.Sub(r.at) > earlyTime })
+}
+
+// bookEarly tells the other nodes of this node's requests that were sent before it knew of
+// the limit of a target.
+func (m *Manager) bookEarly(t *target, now time.Time) {
+	if t.limit(now) == 0 || !t.rate.updatedAt.IsZero() {
+		return
+	}
+	t.rate.dropEarly(now)
+	for _, r := range t.rate.early {
+		if r.own {
+			m.options.PublishSend(t.ID)
+		}
+	}
+	t.rate.refill(now, t.limit(now)*m.heardShare)
+}
+
 // targetSet is a set of ids of targets. It is safe for concurrent use, so that an
 // answer of a target without a limit costs no event.
 type targetSet struct {
@@ -167,6 +207,7 @@
 	}
 	before := t.rate.own(now)
 	t.rate.stated, t.rate.statedAt = e.perSecond, now
+	m.bookEarly(t, now)
 	if before != e.perSecond {
 		m.limitChanged(t, p, e.perSecond)
 	}
@@ -218,7 +259,9 @@
 
 func (e remoteSends) apply(m *Manager, now time.Time) {
 	if t, _ := m.target(e.id); t != nil {
-		t.rate.spend(e.requests)
+		for range int(e.requests) {
+			t.rate.spend(now, false)
+		}
 	}
 }
 
--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -133,6 +133,29 @@
 	}
 }
 
+// Answers take half a second, in which requests are sent to a target that has stated a
+// limit and whose answer has not come.
+func TestRequestsSentBeforeTheLimitWasKnownCountAgainstIt(t *testing.T) {
+	for _, nodes := range []int{1, 3, 6} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const limit, early = 1.8, 12
+				c := startLimitCluster(t, nodes, 50*time.Millisecond)
+				began := time.Now()
+				c.send(500*time.Millisecond, 500*time.Millisecond*time.Duration(nodes)/early)
+				is.True(len(c.sends) >= early)
+				c.nodes[0].RecordLimit("i-1", limit, true)
+				time.Sleep(150 * time.Millisecond) // All nodes know what the others have sent.
+				c.send(8*time.Second, 10*time.Millisecond)
+				is.True(float64(c.most(began.Add(-1), 4*time.Second)) <= 1.5*limit*4+5)
+				is.True(len(c.sends) >= early+5) // A third of what the limit allows in 8 s.
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 func TestLimitEndsWhenATargetStatesNone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -46,6 +46,7 @@
 		freed := e.use.Requests < t.remote[e.source].Requests
 		t.remote[e.source] = remoteLoad{e.use.Load, e.use.PromptTokens, e.use.Limit, e.use.Brittle}
 		t.updateFreed(now)
+		m.bookEarly(t, now)
 		if e.use.Step > 0 {
 			t.speed.reported = e.use.Step.Seconds()
 		}
--- a/balance/target.go
+++ b/balance/target.go
@@ -187,7 +187,7 @@
 // after a time.
 func (t *target) addRequest(w *Work, now time.Time, expected time.Duration) {
 	t.own.Requests++
-	t.rate.spend(1)
+	t.rate.spend(now, true)
 	t.beginTrial(w)
 	dueAt := now.Add(overdueFactor*expected + overdueMargin)
 	t.prefilling[w] = &pendingPrompt{tokens: w.PromptTokens, remaining: w.PromptTokens, dueAt: dueAt}
