links, resume, balance: no connections, questions and held requests where nothing is in doubt

- a suspicion opened three connections at once; now one, and four more only if that fails;
- a caller's resumed stream had other nodes asked, for up to 0.25 s if one was dead, also while its route has only one possible origin; a node that has been there for the retention asks no more;
- late requests were kept waiting while a resumed stream waited, also where all targets have its version; they are refused as before there.

--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -143,8 +143,8 @@
 				const limit, early = 1.8, 12
 				c := startLimitCluster(t, nodes, 50*time.Millisecond)
 				began := time.Now()
-				c.send(500*time.Millisecond, 500*time.Millisecond*time.Duration(nodes)/early)
-				is.True(len(c.sends) >= early)
+				c.send(490*time.Millisecond, 500*time.Millisecond*time.Duration(nodes)/early)
+				is.Equal(len(c.sends), early)
 				c.nodes[0].RecordLimit("i-1", limit, true)
 				time.Sleep(150 * time.Millisecond) // All nodes know what the others have sent.
 				c.send(8*time.Second, 10*time.Millisecond)
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -337,6 +337,20 @@
 	m.forgetSignals(now)
 }
 
+// needsOtherTargets reports whether some targets of the service are of no use to the
+// request, because it needs a certain version: then it takes no slot of theirs.
+func (p *pool) needsOtherTargets(w *Work) bool {
+	if w.Version == "" {
+		return false
+	}
+	for _, t := range p.targets {
+		if t.Version != w.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // refuseUnservable refuses the waiting requests for which no target is left, as those that
 // arrive now are refused. They can still be served by another service, if a change of the
 // configuration has moved their route.
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -123,8 +123,7 @@
 			w.reply <- decision{refusal: r}
 			continue
 		}
-		// One that needs a certain version takes no slot that others could have.
-		onTimeWaiting = onTimeWaiting || !w.late && w.work.Version == ""
+		onTimeWaiting = onTimeWaiting || !w.late && !p.needsOtherTargets(w.work)
 		kept = append(kept, w)
 	}
 	clear(p.waiting[len(kept):])
--- a/links/monitor.go
+++ b/links/monitor.go
@@ -16,11 +16,10 @@
 )
 
 const (
-	// sampleSize is how many targets are tried at the same time, and sampleRounds how often
-	// others are tried if none of them answers, before the links count as lost: several
-	// targets may be down.
-	sampleSize   = 3
-	sampleRounds = 2
+	// sampleSize is how many targets are tried at the same time after one alone has failed,
+	// before the links count as lost: several targets may be down. A sound one costs one
+	// connection.
+	sampleSize = 4
 	// minTargets is the least number of targets that must fail for the links to count as
 	// lost.
 	minTargets = 2
@@ -143,18 +142,11 @@
 	if len(targets) < minTargets {
 		return m.record(true, 0)
 	}
-	tried, rounds := 0, sampleRounds
-	if m.lost.Load() {
-		rounds = 1
-	}
-	for range rounds {
-		sample := targets[tried:min(tried+sampleSize, len(targets))]
-		if m.reachesAny(ctx, sample) {
-			return m.record(true, tried+len(sample))
-		}
-		tried += len(sample)
+	if m.reachesAny(ctx, targets[:1]) {
+		return m.record(true, 1)
 	}
-	return m.record(ctx.Err() != nil, tried)
+	others := targets[1:min(1+sampleSize, len(targets))]
+	return m.record(!m.lost.Load() && m.reachesAny(ctx, others) || ctx.Err() != nil, 1+len(others))
 }
 
 // usable returns the targets that stay, or all if there are too few, in random order.
--- a/links/monitor_test.go
+++ b/links/monitor_test.go
@@ -101,11 +101,11 @@
 			n.monitored(t, func(t *testing.T, m *Monitor) {
 				is := is.New(t)
 				m.Suspect()
-				time.Sleep(suspectInterval + sampleRounds*connectTimeout)
+				time.Sleep(suspectInterval + 2*connectTimeout)
 				synctest.Wait()
 				is.Equal(m.Linked(), c.linked)
 				is.Equal(m.Verify(t.Context()), c.linked)
-				is.True(n.dials <= sampleRounds*sampleSize+4*sampleSize)
+				is.True(n.dials <= 1+sampleSize+4)
 			})
 		})
 	}
@@ -120,7 +120,7 @@
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		is.True(!m.Linked())
-		is.True(n.dials <= (sampleRounds+20)*sampleSize) // Two checks a second.
+		is.True(n.dials <= 1+sampleSize+20) // Two checks a second.
 		n.set(func() { n.refused = false })
 		time.Sleep(probeInterval + 50*time.Millisecond)
 		synctest.Wait()
@@ -140,7 +140,7 @@
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.True(n.dials <= 3*sampleSize)
+		is.True(n.dials <= 3)
 	})
 }
 
--- a/resume/finder.go
+++ b/resume/finder.go
@@ -40,11 +40,12 @@
 // first event; the name is empty if the caller gave none. The origin is empty if it is
 // unknown.
 func (f *Finder) Find(ctx context.Context, route, attempt string) (Origin, Source) {
-	if attempt != "" {
-		id := Identify(attempt)
-		if o, ok := f.Registry.Lookup(id); ok {
-			return o, Recorded
-		}
+	id := Identify(attempt)
+	if o, ok := f.Registry.Lookup(id); ok && attempt != "" {
+		return o, Recorded
+	}
+	origins, complete := f.Registry.Origins(route)
+	if attempt != "" && !(complete && len(origins) == 1) {
 		if o, ok := f.ask(ctx, id); ok {
 			return o, Asked
 		}
@@ -53,7 +54,7 @@
 			return o, Recorded
 		}
 	}
-	if origins := f.Registry.Origins(route); len(origins) == 1 {
+	if len(origins) == 1 {
 		return origins[0], Only
 	}
 	return Origin{}, Unknown
--- a/resume/finder_test.go
+++ b/resume/finder_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/primrosemoor/primrosemoor/clock"
 )
 
 // holders maps addresses to what a node there answers; nil never answers.
@@ -92,3 +94,24 @@
 	is.Equal(source, Unknown)
 	is.Equal(asked.Load(), int64(0))
 }
+
+// A node that has been there for long knows whether a stream may have begun elsewhere, and
+// asks nobody. One that has just started does not know which versions have left.
+func TestNodeThatKnowsTheOnlyOriginAsksNobody(t *testing.T) {
+	for _, uptime := range []time.Duration{time.Second, minRetention} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := NewRegistry(func() {})
+			r.update(chat("llm"), serving(v1), clock.Now().Add(-uptime))
+			var asked atomic.Int64
+			f := holders{"a": knows(0, Origin{}), "b": nil}.finder(r, &asked)
+			began := time.Now()
+			_, source := f.Find(t.Context(), "chat", "first")
+			is.Equal(source, Only)
+			settled := uptime >= minRetention
+			is.Equal(asked.Load() == 0, settled)
+			is.Equal(time.Since(began) == 0, settled)
+			time.Sleep(askTimeout)
+		})
+	}
+}
--- a/resume/registry.go
+++ b/resume/registry.go
@@ -23,7 +23,9 @@
 	// onShared is called when there are new records for other nodes.
 	onShared func()
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// startedAt is the time of the first update, 0 before.
+	startedAt clock.Instant
 	retention time.Duration
 	known     generations
 	// services holds the services of each route that can be resumed, and versions those
@@ -58,6 +60,9 @@
 func (r *Registry) update(routes []*catalog.Route, targets []*catalog.Target, now clock.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.startedAt == 0 {
+		r.startedAt = now
+	}
 	services, versions := make(present), make(present)
 	longest := time.Duration(0)
 	for _, route := range routes {
@@ -103,11 +108,12 @@
 	return r.shared.last != before
 }
 
-// Origins returns where the streams of a route may have begun.
-func (r *Registry) Origins(route string) []Origin {
+// Origins returns where the streams of a route may have begun, and whether this node has
+// been there for long enough to know all.
+func (r *Registry) Origins(route string) (origins []Origin, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.origins(route)
+	return r.origins(route), r.startedAt != 0 && clock.Since(r.startedAt) >= r.retention
 }
 
 func (r *Registry) origins(route string) (origins []Origin) {
--- a/resume/registry_test.go
+++ b/resume/registry_test.go
@@ -75,11 +75,11 @@
 	r := NewRegistry(func() {})
 	r.update(chat("llm"), serving(v1, v2), second(0))
 	r.update(chat("llm"), serving(v2), second(10))
-	is.Equal(len(r.Origins("chat")), 2)
+	is.Equal(len(r.origins("chat")), 2)
 	r.update(chat("llm"), serving(v2), second(39))
-	is.Equal(len(r.Origins("chat")), 2)
+	is.Equal(len(r.origins("chat")), 2)
 	r.update(chat("llm"), serving(v2), second(41))
-	is.Equal(r.Origins("chat"), []Origin{v2})
+	is.Equal(r.origins("chat"), []Origin{v2})
 }
 
 func TestStreamsOfARouteOfTwoServicesArePassedOn(t *testing.T) {
