balance: the test of early requests keeps reports in order

In the test's network, reports of the same instant may overtake each other, so that the end of a request, which states no limit, undid the limit at other nodes; between real nodes values keep their order.

--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -145,6 +145,7 @@
 				began := time.Now()
 				c.send(490*time.Millisecond, 500*time.Millisecond*time.Duration(nodes)/early)
 				is.Equal(len(c.sends), early)
+				time.Sleep(time.Millisecond) // Reports of the same instant may overtake each other here.
 				c.nodes[0].RecordLimit("i-1", limit, true)
 				time.Sleep(150 * time.Millisecond) // All nodes know what the others have sent.
 				c.send(8*time.Second, 10*time.Millisecond)
