balance: of requests sent before a limit was known, a short excess is not counted

Limited targets were starved for up to 4 s after they stated a limit. Two requests and what the limit allows in a second are left out of the count: with the burst that is 5 requests and five times the limit in 4 s, below the 5 and six times that the users allow.

--- a/balance/limit.go
+++ b/balance/limit.go
@@ -24,6 +24,10 @@
 	// earlyTime is the time before a limit is known whose requests count against it: a
 	// target states it in its answers, which take a while.
 	earlyTime = time.Second
+	// freeEarlyRequests, and what the limit allows in freeEarlyTime, are not counted of
+	// them: a target bears a short excess.
+	freeEarlyRequests = 2
+	freeEarlyTime     = time.Second
 	// maxLimitDebt bounds what all nodes together have sent too early, as the time that
 	// it takes to make up for it.
 	maxLimitDebt = 4 * time.Second
@@ -98,7 +102,7 @@
 	burst := 1 + reservedRequests + max(1, limit*limitBurst.Seconds())
 	if l.updatedAt.IsZero() {
 		l.dropEarly(now)
-		l.available = burst - float64(len(l.early))
+		l.available = burst - max(0, float64(len(l.early))-freeEarlyRequests-limit*freeEarlyTime.Seconds())
 		l.early = nil
 	} else {
 		l.available += limit * now.Sub(l.updatedAt).Seconds()
