entrysoak: callers take broken streams up, and no stream may hold events of two versions

Workers of two software versions serve side by side in the soak, and each event names the version that wrote it. A caller whose stream of a route that resumes breaks off takes it up once at any node. The soak reports each stream that holds events of two versions, over both tries (ORDER), which it could not see before.

--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -109,6 +109,9 @@
 		r := c.sendRequest(client, n, fmt.Sprintf("%s-%d", c.name, i), c.nextRoute(), c.nextKey())
 		if r.err != nil {
 			client.CloseIdleConnections()
+			if r.route == "chat" && lastEvent(r.body) > 0 {
+				c.takeUp(r)
+			}
 			n = c.balancer.pick(c.random, c.env.nodes)
 		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxRequestPause))))
@@ -141,7 +144,11 @@
 
 // sendRequest sends a request and records it.
 func (c *caller) sendRequest(client *http.Client, n *node, id, route, key string) request {
-	r := request{id: id, route: route, key: key, node: n.name, sentAt: time.Now()}
+	return c.sendPrepared(client, n, request{id: id, route: route, key: key})
+}
+
+func (c *caller) sendPrepared(client *http.Client, n *node, r request) request {
+	r.node, r.sentAt = n.name, time.Now()
 	c.send(client, n, &r)
 	r.endedAt = time.Now()
 	c.env.history.addRequest(r)
@@ -174,6 +181,10 @@
 	req.Header.Set("X-Primrosemoor-Attempt-Id", r.id)
 	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(deadline(r.route).Milliseconds()))
 	req.Header.Set("Api-Key", r.key)
+	if r.resumes != "" {
+		req.Header.Set("Resumes", r.resumes)
+		req.Header.Set("Last-Event-Id", fmt.Sprint(r.after))
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		r.err = err
--- a/standin/entrysoak/check.go
+++ b/standin/entrysoak/check.go
@@ -93,15 +93,6 @@
 	return slices.Contains(c.keys, r.key) && (v == 0 || v == c.version || v == c.version-versionStep)
 }
 
-// completeStream returns the body of a stream that has all its events.
-func completeStream() string {
-	var b strings.Builder
-	for id := 1; id <= eventsPerStream; id++ {
-		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", id, id)
-	}
-	return b.String()
-}
-
 // check returns the violations of the promises in the history. ranOn holds the workers
 // that ran each request, once per run.
 func (h *history) check(ranOn map[string][]string) []string {
@@ -118,6 +109,7 @@
 		h.checkConfig(r, len(ranOn[r.id]) > 0, effects[r.node], report)
 		h.checkLoss(r, ranOn[r.id], report)
 	}
+	h.checkVersions(report)
 	return violations
 }
 
@@ -132,14 +124,14 @@
 			report(r, "answered %d, but ran", r.status)
 		}
 	}
-	want := "answer to " + r.id
+	want, body := "answer to "+r.id, r.body
 	if isStream(r.route) {
-		want = completeStream()
+		want, body = streamAfter(r.after), withoutVersions(r.body)
 	}
-	if r.status == 200 && r.err == nil && r.body != want {
+	if r.status == 200 && r.err == nil && body != want {
 		report(r, "complete response with an unexpected body: %q", r.body)
 	}
-	if r.status == 200 && r.err != nil && !strings.HasPrefix(want, r.body) {
+	if r.status == 200 && r.err != nil && !strings.HasPrefix(want, body) {
 		report(r, "partial response that is no prefix of the expected body: %q", r.body)
 	}
 }
--- a/standin/entrysoak/history.go
+++ b/standin/entrysoak/history.go
@@ -8,8 +8,11 @@
 
 // request is one request of a caller with its response.
 type request struct {
-	id, route, key  string
-	node            string
+	id, route, key string
+	node           string
+	// resumes is the request whose stream this one takes up after an event; empty if none.
+	resumes         string
+	after           int
 	sentAt, endedAt time.Time
 	// writtenAt is when the last byte of the request was sent; zero means never.
 	writtenAt time.Time
--- a/standin/entrysoak/history_test.go
+++ b/standin/entrysoak/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 func okRequest(route string, seconds float64) request {
 	r := request{id: "id", route: route, key: "steady", node: "edge-1", sentAt: atSeconds(seconds), endedAt: atSeconds(seconds + 0.1), status: 200, body: "answer to id"}
 	if route == "chat" || route == "draft" {
-		r.body = completeStream()
+		r.body = streamAfter(0)
 	}
 	return r
 }
@@ -154,3 +155,33 @@
 	is.True(h.undisturbedNode("edge-1", start))
 	is.True(!h.undisturbedNode("edge-2", start))
 }
+
+func TestStreamsOfTwoVersionsAreViolations(t *testing.T) {
+	event := func(id int, version string) string {
+		return fmt.Sprintf("id: %d\ndata: event %d %s\n\n", id, id, version)
+	}
+	for name, c := range map[string]struct {
+		first, again string
+		violations   int
+	}{
+		"one version":           {event(1, "v1") + event(2, "v1"), event(3, "v1"), 0},
+		"two in one answer":     {event(1, "v1") + event(2, "v2"), "", 1},
+		"two over two tries":    {event(1, "v1"), event(2, "v2"), 1},
+		"none that is complete": {"", "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &history{requests: []request{{id: "r", body: c.first}, {id: "r-again", resumes: "r", body: c.again}}}
+			count := 0
+			h.checkVersions(func(request, string, ...any) { count++ })
+			is.Equal(count, c.violations)
+		})
+	}
+}
+
+func TestLastEventIsThatOfTheLastWholeOne(t *testing.T) {
+	is := is.New(t)
+	is.Equal(lastEvent("id: 1\ndata: event 1 v1\n\nid: 12\ndata: event 12 v1\n\nid: 13\ndata: ev"), 12)
+	is.Equal(lastEvent("id: 1\nda"), 0)
+	is.Equal(withoutVersions("id: 1\ndata: event 1 v12\n\n"), "id: 1\ndata: event 1\n\n")
+}
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -179,7 +179,7 @@
 		ID: fmt.Sprintf("i-%s-%d", service, len(env.workers)), Service: service, ServiceTime: 5 * time.Millisecond, Slots: 8, Advertise: env.startProxy,
 	}
 	if service == "llm" {
-		wk.Events = eventsPerStream
+		wk.Events, wk.Version, wk.ShowVersion = eventsPerStream, workerVersion(len(env.workers)), true
 	}
 	if err := wk.Start(env.store, "a"); err != nil {
 		return err
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -81,8 +81,10 @@
 type Worker struct {
 	ID      string
 	Service string
-	// Version is the version of its software; empty for v1.
-	Version string
+	// Version is the version of its software; empty for v1. If ShowVersion is set, each
+	// event of a stream ends with it.
+	Version     string
+	ShowVersion bool
 	// Events is the number of events of a stream; with 0, responses are plain text.
 	Events int
 	// ServiceTime is the time that a plain response, or each event of a stream, takes.
@@ -353,7 +355,11 @@
 		case <-r.Context().Done():
 			return
 		}
-		fmt.Fprintf(rw, "id: %d\ndata: event %d\n\n", id, id)
+		shown := ""
+		if w.ShowVersion {
+			shown = " " + cmp.Or(w.Version, "v1")
+		}
+		fmt.Fprintf(rw, "id: %d\ndata: event %d%s\n\n", id, id, shown)
 		_ = http.NewResponseController(rw).Flush()
 	}
 }
