quota: a node that has heard few others yet serves its own share of a team's rate

What callers saw: 429 from a node that had just started, for a team that uses a small part of its limit, at sites of 12 nodes or more.

Cause: while a level is low, each of 12 or more nodes uses 1.25 times its share of the rate at most. The rate was that of the reachable nodes, and the share one of all nodes: a node that hears nobody divided twice, and used 1/144 of the rate in place of 1/12.

Change: the share is one of the reachable nodes. All nodes together still use 1.25 times the rate at most by this bound, and the level bounds them as before.

TestNodeOfManyThatHasHeardNobodyServesItsShare failed before.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -182,9 +182,11 @@
 	if !usageUnknown && b.used.sum > limit {
 		return retryAfter(amount, rate), b.level, false
 	}
-	b.refillOwn(now, rate, a.nodes, usageUnknown)
+	// The rate is what the reachable nodes, this one included, may use together.
+	reachableNodes := max(1, float64(a.nodes)*reachableShare)
+	b.refillOwn(now, rate, reachableNodes, usageUnknown)
 	if a.nodes >= ownShareMinNodes && b.level < scarceTime.Seconds()*rate && b.ownLevel <= 0 {
-		return retryAfter(-b.ownLevel, rate/float64(max(a.nodes, 1))), b.level, false
+		return retryAfter(-b.ownLevel, rate/reachableNodes), b.level, false
 	}
 	b.level -= amount
 	b.ownLevel -= amount
@@ -196,9 +198,9 @@
 // refillOwn refills what this node may use while the level is low: ownShareFactor
 // times its share of the team's recent usage, or of the nodes if that is more or the
 // usage of others is not known.
-func (b *bucket) refillOwn(now time.Time, rate float64, nodes int, usageUnknown bool) {
+func (b *bucket) refillOwn(now time.Time, rate, reachableNodes float64, usageUnknown bool) {
 	b.ownUsed.advance(now)
-	share := 1 / float64(max(nodes, 1))
+	share := 1 / reachableNodes
 	if b.used.sum > 0 && !usageUnknown {
 		share = max(share, b.ownUsed.sum/b.used.sum)
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -453,6 +453,23 @@
 	})
 }
 
+// A node that has just started has heard nobody yet, and the level is low.
+func TestNodeOfManyThatHasHeardNobodyServesItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, amount, pause = 24, 200.0, 10 * time.Millisecond
+		is := is.New(t)
+		c := newCluster(nodes, 20*time.Millisecond)
+		c.setPartitioned(0, true)
+		// The requests are half of the node's share.
+		team := &catalog.Team{Name: "t", Rate: 2 * nodes * amount / pause.Seconds()}
+		team.Burst = team.Rate
+		for range 40 {
+			time.Sleep(pause)
+			is.True(c.take(0, team, amount))
+		}
+	})
+}
+
 func TestLoweredLimitAppliesWithinAWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
