upstream: a target that takes nothing of a long body for 4 s, but acknowledges, is not cut

Callers saw: no answer (502, or a stream that broke off) from a sound target that had not read a long body for 4 s, also where it was answering with a stream meanwhile.

Cause: connections to targets have TCP_USER_TIMEOUT at 4 s, so that a failed path is found. Linux counts a closed window as unacknowledged, although the target's kernel acknowledges each probe of it.

Change: while a request longer than 2 KiB is not taken whole, the time of the last acknowledgement is read from TCP_INFO every 0.5 s, and the limit of the kernel is raised to 4 s after it. The kernel spaces its probes by what is left of that limit, so that they go on about every 2 s, and it still closes the connection itself. The limit is 4 s again before the connection is reused.

Weighed: no TCP_USER_TIMEOUT and a clock of our own. The probes of the kernel then come ever more rarely (up to 120 s), and a path that fails beside a closed window is found as late.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -79,14 +79,21 @@
 	}
 	stopCancel := context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	written := make(chan error, 1)
+	var acks *ackWatch
 	if len(r.Body) <= maxInlineBodyBytes {
 		written <- cn.write(r)
 	} else {
-		go func() { written <- cn.write(r) }()
+		acks = watchAcks(cn.raw)
+		go func() {
+			written <- cn.write(r)
+			acks.requestWritten()
+		}()
 	}
 	resp, mismatched, err := cn.read(r, &http.Request{Method: r.Method})
 	if err != nil {
 		stopCancel()
+		// The connection is closed, so that its limit matters no more.
+		_ = acks.stop()
 		cn.Conn.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			return nil, &SendError{Address: to, Sent: true, Err: cause}
@@ -99,7 +106,7 @@
 	cn.responses++
 	cn.maxIdle = keepAliveTimeout(resp.Header)
 	resp.Body = &responseBody{
-		ReadCloser: resp.Body, ctx: ctx, client: c, conn: cn, stopCancel: stopCancel, written: written,
+		ReadCloser: resp.Body, ctx: ctx, client: c, conn: cn, stopCancel: stopCancel, written: written, acks: acks,
 		reusable: !mismatched && isReusable(r, resp), length: bodyLength(r, resp),
 	}
 	return resp, nil
@@ -283,6 +290,7 @@
 	conn       *conn
 	stopCancel func() bool
 	written    chan error
+	acks       *ackWatch
 	reusable   bool
 	length     int64
 	bytesRead  int64
@@ -326,7 +334,8 @@
 // Close implements io.Closer.
 func (b *responseBody) Close() error {
 	active := b.stopCancel()
-	if active && b.reusable && b.reachedEOF && !b.failed && b.requestWritten() && b.conn.reader.Buffered() == 0 {
+	limited := b.acks.stop() == nil
+	if active && limited && b.reusable && b.reachedEOF && !b.failed && b.requestWritten() && b.conn.reader.Buffered() == 0 {
 		b.client.putIdle(b.conn)
 		return nil
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -20,6 +20,7 @@
 // conn is one connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
+	raw    syscall.RawConn
 	pool   *pool
 	reader *bufio.Reader
 	// head bounds the bytes that are read while a head is expected.
@@ -39,8 +40,12 @@
 	if err != nil {
 		return nil, err
 	}
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
 	head := &headLimiter{source: c}
-	return &conn{Conn: c, pool: p, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, maxIdle: defaultMaxIdle}, nil
+	return &conn{Conn: c, raw: raw, pool: p, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, maxIdle: defaultMaxIdle}, nil
 }
 
 // headLimiter reads from a connection. While a limit is set, it returns errHeadTooLarge
@@ -76,11 +81,7 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockErr error
-			err := raw.Control(func(fd uintptr) {
-				sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(err, sockErr)
+			return setUnackedLimit(raw, unackedTimeout)
 		},
 	}).DialContext
 }
@@ -91,13 +92,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
 	var b [1]byte
 	empty := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		empty = errors.Is(err, unix.EAGAIN)
 		return true
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,8 +12,8 @@
 
 const (
 	dialTimeout = time.Second
-	// unackedTimeout closes a connection whose sent bytes remain unacknowledged,
-	// for instance because the network path to the target has failed.
+	// unackedTimeout closes a connection on which bytes wait and none is acknowledged, for
+	// instance because the network path to the target has failed.
 	unackedTimeout = 4 * time.Second
 	// Keep-alive probes on a connection that awaits a response detect a target
 	// that has disappeared without closing it.
