gateway, owner: the end of a target that leaves is not taken for a crash

Callers saw: 503 `quarantined` for two minutes for requests whose prompt shares a part with three that were cut at targets that had announced that they leave and then ended, though no target had crashed. Requests of that kind in flight were cancelled, too.

Cause: a target that closes a connection before the second event and refuses connections from then on counted as crashed, also where its end had been announced: listed as draining, removed from the list, or said in an answer (Server-Leaving).

Change: gateway.TargetSignals has Leaves, and recordBroken records no crash of such a target. The owner's manager answers from the list, where targets that left stay known as draining, and from what the target said. A later instance under the same id says nothing of an earlier one. A crash that is real at a target that leaves is no evidence either; such targets get no new requests while others stay, so that this is rare.

--- a/balance/signal.go
+++ b/balance/signal.go
@@ -167,6 +167,9 @@
 	return !time.Now().Before(r.pausedUntil) && (!r.leaving || arrived.Before(r.lastArrival))
 }
 
+// Leaves reports whether a target has said that it leaves.
+func (m *Manager) Leaves(t *catalog.Target) bool { return m.signals.of(t).leaving }
+
 // leavingSaid means that a target said that it leaves.
 type leavingSaid struct {
 	signal      Signal
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -63,6 +63,7 @@
 func (n *otherNode) RecordBrittle(string, bool)                     {}
 func (n *otherNode) RecordSignal(s balance.Signal)                  { n.signals <- s }
 func (n *otherNode) MaySend(*catalog.Target, time.Time) bool        { return !n.unwanted.Load() }
+func (n *otherNode) Leaves(*catalog.Target) bool                    { return false }
 
 func startOther(t *testing.T, name, zone string) *otherNode {
 	t.Helper()
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -141,10 +141,10 @@
 
 // recordBroken records the crash of a target if it refuses connections, while others can be
 // reached, after it closed that of a request which it had begun to answer at the most, with
-// some events.
+// some events. The end of a target that leaves has another cause.
 func (x *exchange) recordBroken(ctx context.Context, target *catalog.Target, events int, err error) {
 	at := clock.Now()
-	if events >= survivedEvents || !upstream.IsPeerClosed(err) {
+	if events >= survivedEvents || !upstream.IsPeerClosed(err) || x.gateway.Signals.Leaves(target) {
 		return
 	}
 	if errors.Is(err, links.ErrTargetCrashed) || x.targetCrashed(ctx, target) {
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -126,3 +126,19 @@
 	crashes, _, _ := g.culprits.Since(0)
 	is.Equal(len(crashes), 0)
 }
+
+// A target that leaves ends with what it has not answered, and refuses connections then.
+func TestEndOfTargetsThatLeaveIsNotTakenForACrash(t *testing.T) {
+	is := is.New(t)
+	leaving := crashOnHead()
+	leaving.header.Set("Server-Leaving", "1")
+	g := newTestGateway(t, newRoute(catalog.Streaming), leaving, leaving, leaving, wholeStream())
+	g.prober.refuses = true
+	for i := range 3 {
+		is.Equal(g.send(t, t.Context(), withPrompt(i, "aa:60,dead:9")).status, http.StatusBadGateway)
+		time.Sleep(crashInterval)
+	}
+	is.Equal(g.send(t, t.Context(), withPrompt(3, "aa:60,dead:9")).status, http.StatusOK)
+	crashes, _, _ := g.culprits.Since(0)
+	is.Equal(len(crashes), 0)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,8 @@
 	// given time. It may not while a pause that the target asked for lasts, nor, once the
 	// target leaves, if the request arrived too late.
 	MaySend(t *catalog.Target, arrived time.Time) bool
+	// Leaves reports whether a target is known to leave, or to have left.
+	Leaves(t *catalog.Target) bool
 }
 
 // Metrics records the outcome of requests.
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -263,6 +263,13 @@
 	return !b.unwanted[t.ID]
 }
 
+// Leaves implements owner.Balancer.
+func (b *fakeBalancer) Leaves(t *catalog.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unwanted[t.ID]
+}
+
 // FirstEvent implements balance.Reporter.
 func (b *fakeBalancer) FirstEvent(time.Duration) { b.reports <- report{method: "first"} }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -56,6 +56,8 @@
 	// given time. It may not while a pause that the target asked for lasts, nor, once the
 	// target leaves, if the request arrived too late.
 	MaySend(t *catalog.Target, arrived time.Time) bool
+	// Leaves reports whether a target has said that it leaves.
+	Leaves(t *catalog.Target) bool
 }
 
 // Members is this node's view of the cluster membership.
@@ -270,6 +272,13 @@
 	return m.options.Balancer.MaySend(t, arrived)
 }
 
+// Leaves reports whether a target is known to leave, or to have left: it has said so, or is
+// listed as draining or no longer.
+func (m *Manager) Leaves(t *catalog.Target) bool {
+	known := m.options.Targets.Target(t.ID)
+	return known != nil && known.Draining && known.Started == t.Started || m.options.Balancer.Leaves(t)
+}
+
 // confirmTarget returns the target that the owner chose, or nil if this node knows
 // that it is draining, that the request cannot go there, or that it wants no request
 // from this node. A target with the same
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -195,6 +195,23 @@
 	is.Equal((<-c.nodes["n1"].balancer.reports).result, balance.Unsent)
 }
 
+func TestTargetIsTakenForLeavingWhileThatInstanceIsListedSo(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1")
+	n := c.nodes["n1"]
+	n.targets.Store("drains", &catalog.Target{ID: "drains", Started: 5, Draining: true})
+	n.targets.Store("stays", &catalog.Target{ID: "stays", Started: 5})
+	n.balancer.configure(func(b *fakeBalancer) { b.unwanted = map[string]bool{"said so": true} })
+	leaves := func(id string, started int64) bool {
+		return n.manager.Leaves(&catalog.Target{ID: id, Started: started})
+	}
+	is.True(leaves("drains", 5))
+	is.True(!leaves("drains", 4)) // an earlier instance
+	is.True(!leaves("stays", 5))
+	is.True(leaves("said so", 5))
+	is.True(!leaves("unknown", 5))
+}
+
 // An owner that does not know what targets ask of a node would grant them to it again
 // and again.
 func TestOwnerLearnsWhatTargetsAskOfItsNodes(t *testing.T) {
