gateway: a stream that breaks after a silence goes on at the target that was asked meanwhile

Callers saw: a resumable stream whose connection closes without its end, where the route allows two attempts: its target was silent for a second, a second target was asked and cancelled because the first went on, and then the first broke off.

Cause: the second target may have run the request, so that it counts among the targets that the route allows, and no further one may be asked.

Change: that target is remembered. When no further one may be asked, the request is sent to it once more, after the last event that was passed on: maxAttempts bounds the targets that a request may be sent to, and this is none more. balance.Work.Only names the target; it gets its slot, pauses and limits like any other, from the node's own balancer, since owners do not learn of it. A target that failed or stalled is not asked again, each is asked once more at the most, and the budget of retries applies.

Weighed and not taken: no last attempt beside a stream that has begun until the silence is long (dead targets would cost these callers their stream); a second target that is kept waiting (a worker at work in vain).

--- a/balance/manager.go
+++ b/balance/manager.go
@@ -262,7 +262,7 @@
 	if len(p.targets) == 0 {
 		return &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}
 	}
-	if w.Version == "" {
+	if w.Version == "" && w.Only == "" {
 		return nil
 	}
 	for _, t := range p.targets {
@@ -338,13 +338,10 @@
 }
 
 // needsOtherTargets reports whether some targets of the service are of no use to the
-// request, because it needs a certain version: then it takes no slot of theirs.
+// request, because it needs a certain version or target: then it takes no slot of theirs.
 func (p *pool) needsOtherTargets(w *Work) bool {
-	if w.Version == "" {
-		return false
-	}
 	for _, t := range p.targets {
-		if t.Version != w.Version {
+		if w.Version != "" && t.Version != w.Version || w.Only != "" && t.ID != w.Only {
 			return true
 		}
 	}
--- a/balance/version_test.go
+++ b/balance/version_test.go
@@ -76,3 +76,28 @@
 		})
 	}
 }
+
+func needsTarget(id string) func(*Work) { return func(w *Work) { w.Only = id } }
+
+func TestRequestThatNeedsATargetWaitsForItAndTakesNoOther(t *testing.T) {
+	is := is.New(t)
+	p := newVersionedPool()
+	p.setFreeSlots("A", 0)
+	p.enqueue(p.work("r", 0, needsTarget("A")), p.work("late", 3, makeLate))
+	is.Equal(len(p.assignNow()), 1)
+	is.Equal(p.waitingIDs(), []string{"r"})
+	p.setFreeSlots("A", 1)
+	p.now = p.now.Add(time.Second)
+	is.Equal(p.assignNow(), []string{"r>A"})
+}
+
+func TestRequestWhoseOnlyTargetHasLeftIsRefused(t *testing.T) {
+	is := is.New(t)
+	p := newVersionedPool()
+	p.enqueue(p.work("r", 0, needsTarget("A")), p.work("gone", 0, needsTarget("D")))
+	p.refuseUnservable()
+	is.Equal(p.waitingIDs(), []string{"r"})
+	p.targets["A"].Draining = true
+	p.refuseUnservable()
+	is.Equal(len(p.waiting), 0)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,6 +32,9 @@
 		x.endUnanswered(ctx, errRetryBudget)
 		return true
 	}
+	if x.spare == grant.Target.ID {
+		x.spare = ""
+	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.watchQuarantine(cancel)
@@ -178,7 +181,7 @@
 // may have run.
 func (x *exchange) mayRetry() bool {
 	_, blocked := x.blocked()
-	return !blocked && x.mayRetryAfterRuns(x.possibleRuns)
+	return !blocked && (x.spare != "" || x.mayRetryAfterRuns(x.possibleRuns))
 }
 
 // mayTryNext reports whether the request, which the last target has certainly not run,
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,10 @@
 	// those that may have run it.
 	sends, possibleRuns int
 	tried               []string
+	// spare is a target that was asked while another one was silent, and cancelled when
+	// that went on. It counts among possibleRuns, so that it may be asked again when no
+	// further target may; empty if there is none.
+	spare string
 	// standby looks for another target while that of the current attempt is silent;
 	// successor is the attempt that has taken over from it.
 	standby   *standby
@@ -174,7 +178,7 @@
 			ended = x.follow(ctx, a)
 			continue
 		}
-		grant, err := x.gateway.Balancer.Acquire(ctx, x.balancerWork(x.tried, x.lastEventAt, x.version))
+		grant, err := x.gateway.Balancer.Acquire(ctx, x.nextWork())
 		switch {
 		case err == nil:
 			ended = x.attempt(ctx, grant)
@@ -185,6 +189,17 @@
 	}
 }
 
+// nextWork describes the next attempt to the balancer. If no further target may be asked, it
+// goes to the spare one.
+func (x *exchange) nextWork() *balance.Work {
+	if x.spare == "" || x.mayRetryAfterRuns(x.possibleRuns) {
+		return x.balancerWork(x.tried, x.lastEventAt, x.version)
+	}
+	w := x.balancerWork(nil, x.lastEventAt, x.version)
+	w.Only = x.spare
+	return w
+}
+
 // balancerWork describes the request, which was sent to some targets before, to the
 // balancer. lastEventAt is when the last event of its stream arrived, if any has, and
 // version that of the targets that it may go on at, empty for all.
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -67,6 +68,9 @@
 	// runs count those that received the request, and those that may have run it.
 	tried       []string
 	sends, runs int
+	// spare is a target that received the request and was cancelled because the first one
+	// went on; empty if there is none.
+	spare string
 	// maxRuns is how many more targets may run the request.
 	maxRuns int
 }
@@ -173,6 +177,7 @@
 	x.tried = s.tried
 	x.sends += s.sends
 	x.possibleRuns += s.runs
+	x.spare = cmp.Or(s.spare, x.spare)
 }
 
 // search asks one target after the other until one has begun to answer.
@@ -231,6 +236,7 @@
 	}
 	s.mu.Unlock()
 	if s.found == nil {
+		s.spare = a.grant.Target.ID
 		a.drop(balance.Superseded)
 		s.end()
 		return
@@ -310,6 +316,7 @@
 		}
 		if ctx.Err() != nil {
 			result = balance.Superseded
+			s.spare = grant.Target.ID
 		}
 		a.drop(result)
 		return nil, s.mayAsk()
@@ -328,6 +335,9 @@
 	}
 	if ctx.Err() != nil {
 		grant.Done(balance.Superseded)
+		if sent {
+			s.spare = grant.Target.ID
+		}
 		return false
 	}
 	s.exchange.logSendFailed(grant, sendErr, err)
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -284,3 +284,51 @@
 		})
 	}
 }
+
+// workers returns the targets that received a request.
+func workers(sends []sentRequest) map[string]bool {
+	ids := make(map[string]bool)
+	for _, s := range sends {
+		ids[s.to.ID] = true
+	}
+	return ids
+}
+
+// breaksAfterSilence makes a stream that falls silent go on and break.
+func breaksAfterSilence() targetScript {
+	s := fallsSilent(3, 4)
+	s.truncated = true
+	return s
+}
+
+// The second target was cancelled because the first one went on; that one breaks later.
+func TestStreamThatBreaksAfterASilenceIsResumedAtTheTargetThatWasAsked(t *testing.T) {
+	rest := streamScript(streamEvents(5, 6), false)
+	begunLate := streamScript(streamEvents(4, 6), false)
+	begunLate.delay = time.Second
+	for name, second := range map[string]targetScript{"no headers": {hang: true}, "late": begunLate} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g := newTestGateway(t, patientRoute(catalog.Streaming), breaksAfterSilence(), second, rest)
+			got := g.sendPatiently(t)
+			is.NoErr(got.err)
+			is.Equal(got.body, streamEvents(1, 6))
+			sends := g.sender.sent()
+			is.Equal(len(sends), 3)
+			is.Equal(sends[2].to.ID, sends[1].to.ID)
+			is.Equal(sends[2].request.Header.Get("Last-Event-Id"), "4")
+			is.Equal(len(workers(sends)), 2) // as many as the route allows
+		})
+	}
+}
+
+// A target that was asked and failed is not asked again.
+func TestStreamThatBreaksAfterASilenceIsNotResumedAtATargetThatFailed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := newTestGateway(t, patientRoute(catalog.Streaming), breaksAfterSilence(), targetScript{resetAfterSend: true}, streamScript(streamEvents(5, 6), false))
+	got := g.sendPatiently(t)
+	is.True(got.err != nil)
+	is.Equal(len(g.sender.sent()), 2)
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -216,11 +216,11 @@
 func (m *Manager) Linked() bool { return m.currentLink() != nil }
 
 // Acquire waits for a target, chosen by the owner if this node has a link to it
-// and by this node's balancer otherwise. The error is a *balance.Refusal, or the
+// and by this node's balancer otherwise, or if only one may get the request. The error is a *balance.Refusal, or the
 // cause of ctx.
 func (m *Manager) Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error) {
 	declined := 0
-	for declined < maxDeclined {
+	for declined < maxDeclined && w.Only == "" {
 		l := m.currentLink()
 		if l == nil {
 			break
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -195,6 +195,20 @@
 	is.Equal((<-c.nodes["n1"].balancer.reports).result, balance.Unsent)
 }
 
+// The owner does not learn which target it has to be.
+func TestNodeDecidesLocallyWhereOnlyOneTargetMayGetTheRequest(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2")
+	c.setOwner("n1")
+	c.waitUntilLinked("n2")
+	w := newWork("r1")
+	w.Only = "n2-target"
+	grant, err := c.nodes["n2"].manager.Acquire(t.Context(), w)
+	is.NoErr(err)
+	is.Equal(grant.Target.ID, "n2-target")
+	is.Equal(len(c.nodes["n1"].balancer.acquires), 0)
+}
+
 func TestTargetIsTakenForLeavingWhileThatInstanceIsListedSo(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, "n1")
