forward: the test of a node that accepts waits until requests have ended

forward.TestNodeThatAcceptsIsFoundBesideOthers failed once beside load: "no other node accepts the request" for the third of three requests.

Cause: the node of the test forwards two requests at the same time, and a request counts until its handler has returned, which is after the sender has closed it. The count is right: the bound stands for file descriptors, and the connection to the target is closed last.

Shown: as it was, the test failed in 1 of 200 runs with the race detector, twice over, with that message; with a target whose connection takes 50 ms to close, in 5 of 5. The test keeps such a target now, and waits for the end of each request before the next; all checks that it made stay. 200 of 200 with the race detector pass, beside load.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -216,16 +216,31 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// slowClose is a body whose connection takes a moment to close.
+type slowClose struct{ io.Reader }
+
+func (slowClose) Close() error {
+	time.Sleep(50 * time.Millisecond)
+	return nil
+}
+
 func TestNodeThatAcceptsIsFoundBesideOthers(t *testing.T) {
 	is := is.New(t)
 	lost, gone, other := startOther(t, "n2", "a"), startOther(t, "n3", "a"), startOther(t, "n4", "b")
 	lost.lost.Store(true)
 	gone.peers.Close()
+	other.answer = func(context.Context, *upstream.Request) (*http.Response, error) {
+		resp := response(nil)
+		resp.Body = slowClose{strings.NewReader("whole")}
+		return resp, nil
+	}
 	client := newClient(t, lost, gone, other)
 	for range 3 {
 		resp, err := client.Send(t.Context(), target, request(""))
 		is.NoErr(err)
 		is.NoErr(resp.Body.Close())
+		// A request counts against the bound of its node until its connection to the target is closed.
+		is.Equal(other.server.Drain(t.Context()), int64(0))
 	}
 	is.Equal(len(other.sends), 3)
 	is.True(client.Usable())
