peer: a link that fails cuts no other stream of its session

What callers saw: a request that another node sends on for this one ended with 502, or its stream broke off, when the link of the mesh to that node failed for another reason: 0.7 s without an acknowledgement at a busy node, or an error on the link's own stream.

Cause: mesh/link.go gives up the session when its stream fails, and Pool.Disconnect closed the session with all streams on it.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -15,6 +15,12 @@
 )
 
 func startServer(t *testing.T, cluster string, register func(*peer.Server)) string {
+	t.Helper()
+	return startServerOn(t, cluster, func(l net.Listener) net.Listener { return l }, register)
+}
+
+// startServerOn starts a server on what wrap makes of its listener.
+func startServerOn(t *testing.T, cluster string, wrap func(net.Listener) net.Listener, register func(*peer.Server)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -22,7 +28,7 @@
 	}
 	s := peer.NewServer(peer.Identity{Cluster: cluster, Node: "server"}, peer.NopMeter{}, nil)
 	register(s)
-	go s.Serve(listener)
+	go s.Serve(wrap(listener))
 	t.Cleanup(s.Close)
 	return listener.Addr().String()
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -30,9 +30,15 @@
 
 	mu          sync.Mutex
 	connections map[string]*connection
-	closed      bool
+	// retired holds the sessions that take no more streams and still have some.
+	retired map[*yamux.Session]struct{}
+	closed  bool
 }
 
+// retireInterval is how often a session that takes no more streams is checked for those
+// that are left.
+const retireInterval = 100 * time.Millisecond
+
 // PoolOptions configures a Pool.
 type PoolOptions struct {
 	Identity Identity
@@ -61,6 +67,7 @@
 		tls:         options.TLS,
 		callTimeout: options.CallTimeout,
 		connections: make(map[string]*connection),
+		retired:     make(map[*yamux.Session]struct{}),
 	}
 	p.dialer.Timeout = options.DialTimeout
 	if ip := net.ParseIP(options.SourceAddress); ip != nil {
@@ -126,14 +133,56 @@
 	return stream, nil
 }
 
-// Disconnect closes the session to a peer, so that the next call dials again.
+// Disconnect gives up the session to a peer, so that the next call dials again. Streams that
+// are open on it go on: one that has failed says nothing of the others. The session is closed
+// once they have ended, or if the peer does not answer on it.
 func (p *Pool) Disconnect(address string) {
 	p.mu.Lock()
 	c := p.connections[address]
 	delete(p.connections, address)
 	p.mu.Unlock()
-	if c != nil {
-		c.close()
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session != nil {
+		p.retire(c.session)
+	}
+}
+
+// retire closes a session once it has no streams, at the latest when the pool is closed.
+func (p *Pool) retire(session *yamux.Session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || session.NumStreams() == 0 {
+		session.Close()
+		return
+	}
+	p.retired[session] = struct{}{}
+	go func() {
+		awaitStreams(session)
+		session.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.retired, session)
+	}()
+}
+
+// awaitStreams returns when a session has no streams, is closed, or its peer is silent for
+// writeTimeout.
+func awaitStreams(session *yamux.Session) {
+	if _, err := session.Ping(); err != nil {
+		return
+	}
+	tick := time.NewTicker(retireInterval)
+	defer tick.Stop()
+	for session.NumStreams() > 0 {
+		select {
+		case <-tick.C:
+		case <-session.CloseChan():
+			return
+		}
 	}
 }
 
@@ -163,6 +212,9 @@
 	p.closed = true
 	connections := p.connections
 	p.connections = nil
+	for session := range p.retired {
+		session.Close()
+	}
 	p.mu.Unlock()
 	for _, c := range connections {
 		c.close()
