callers, entry, gateway: a stop drops no request of which a byte was read

What callers saw: beside SIGTERM, a connection that closed with neither an answer nor a refusal, 2.5 s after the stop began, when the head of their request had come in part by then, on a kept or a new connection, or when the first request on a connection that was opened before came later.

Cause: http.Server.Shutdown takes a connection for idle until the whole head is read, and drops a request whose head is read after Shutdown was called without an answer.

Change: package callers notes whether bytes came after the last answer, closes only connections without any, and waits for the others, which the gateway refuses with 503 and Connection: close. As net/http no longer adds Connection: close in a stop, the gateway sets it when it writes the head of an answer, not when the request comes.

--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/callers"
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/forward"
@@ -66,7 +67,7 @@
 	components
 	cancel          context.CancelFunc
 	wg              sync.WaitGroup
-	callerServer    *http.Server
+	callers         *callers.Server
 	readinessServer *http.Server
 	metricsServer   *http.Server
 	draining        atomic.Bool
@@ -92,7 +93,7 @@
 
 func (l *lifecycle) start(context.Context) error {
 	listen := l.Settings.GetListen()
-	callers, err := net.Listen("tcp4", listen.GetCallers())
+	callerListener, err := net.Listen("tcp4", listen.GetCallers())
 	if err != nil {
 		return fmt.Errorf("listen.callers: %w", err)
 	}
@@ -115,22 +116,24 @@
 	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.Links.Run, l.announce, l.bootstrapFromSeeds, l.reload} {
 		l.wg.Go(func() { run(ctx) })
 	}
-	l.callerServer = &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callerServer := &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	maxCallers := int(l.Settings.GetResources().GetFileDescriptors() / callerDescriptorDivisor)
+	l.callers = callers.NewServer(callerServer, netutil.LimitListener(callerListener, maxCallers))
 	l.readinessServer = &http.Server{Handler: http.HandlerFunc(l.handleReadiness), ReadHeaderTimeout: headerTimeout}
 	if err := l.serveMetrics(); err != nil {
 		return err
 	}
-	l.serve(l.callerServer, netutil.LimitListener(callers, int(l.Settings.GetResources().GetFileDescriptors()/callerDescriptorDivisor)))
-	l.serve(l.readinessServer, readiness)
+	l.serve(l.callers.Serve, callerListener.Addr())
+	l.serve(func() error { return l.readinessServer.Serve(readiness) }, readiness.Addr())
 	l.Logger.Info().Str("event", "started").Str("node", l.Settings.GetNode().GetName()).
 		Str("zone", l.Settings.GetNode().GetAvailabilityZone()).Str("callers", listen.GetCallers()).Msg("")
 	return nil
 }
 
-func (l *lifecycle) serve(s *http.Server, listener net.Listener) {
+func (l *lifecycle) serve(run func() error, address net.Addr) {
 	l.wg.Go(func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			l.Logger.Error().Str("event", "listener_failed").Str("address", listener.Addr().String()).Err(err).Msg("")
+		if err := run(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			l.Logger.Error().Str("event", "listener_failed").Str("address", address.String()).Err(err).Msg("")
 		}
 	})
 }
@@ -279,7 +282,7 @@
 	drainCtx, cancel := withMargin(ctx, endMargin)
 	defer cancel()
 	defer context.AfterFunc(drainCtx, l.Gateway.EndRequests)()
-	err := l.callerServer.Shutdown(ctx)
+	err := l.callers.Stop(ctx, drainCtx)
 	if err != nil {
 		l.Logger.Warn().Str("event", "requests_cut").Err(err).Msg("")
 	}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return fmt.Errorf("listen.metrics: %w", err)
 	}
-	l.serve(l.metricsServer, listener)
+	l.serve(func() error { return l.metricsServer.Serve(listener) }, listener.Addr())
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,9 +153,6 @@
 		arrived: time.Now(),
 		call:    g.HeaderCodec.Read(r.Header),
 	}
-	if g.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if errResp := x.admit(); errResp != nil {
 		x.sendError(errResp)
 		return
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -84,6 +84,7 @@
 	if errResp.retryAfter > 0 {
 		h.Set("Retry-After", x.gateway.HeaderCodec.RetryAfter(errResp.retryAfter))
 	}
+	x.announceClose()
 	x.logEnded(errResp.cause, errResp.status)
 	x.writer.WriteHeader(errResp.status)
 	if x.request.Method != http.MethodHead {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -96,14 +96,18 @@
 	panic(http.ErrAbortHandler)
 }
 
-// copyHeaders copies the end-to-end headers of a target's response. A Connection
-// header that the gateway has set is kept.
+// copyHeaders copies the end-to-end headers of a target's response.
 func (x *exchange) copyHeaders(resp *http.Response) {
 	h := x.writer.Header()
-	connection := h.Get("Connection")
 	maps.Copy(h, resp.Header)
 	dropHopByHop(h)
-	if connection != "" {
-		h.Set("Connection", connection)
+	x.announceClose()
+}
+
+// announceClose tells the caller that its connection is closed after the response, if this
+// node stops.
+func (x *exchange) announceClose() {
+	if x.gateway.closing.Load() {
+		x.writer.Header().Set("Connection", "close")
 	}
 }
