--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -43,7 +43,9 @@
 	configVersion int
 	// addedRoutes are further idempotent routes of the next versions.
 	addedRoutes []string
-	workers     map[string]*worker.Worker
+	// edit, if it is set, changes the next versions before they are written.
+	edit    func(spec map[string]any)
+	workers map[string]*worker.Worker
 	// network is the third byte of the loopback addresses of the nodes.
 	network int32
 }
@@ -94,7 +96,7 @@
 	for _, name := range env.addedRoutes {
 		routes = append(routes, route(name, "idempotent", "app", nil))
 	}
-	err := env.store.Put("config", "main", map[string]any{
+	spec := map[string]any{
 		"version":    env.configVersion,
 		"routeTable": routes,
 		"services": []any{
@@ -103,8 +105,11 @@
 		},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "t1", "apiKeys": keys, "ratePerS": 1e6, "burst": 1e6, "unit": "tokens", "uncachedTokens": 200}},
-	})
-	if err != nil {
+	}
+	if env.edit != nil {
+		env.edit(spec)
+	}
+	if err := env.store.Put("config", "main", spec); err != nil {
 		env.t.Fatal(err)
 	}
 }
