--- a/upstream/client.go
+++ b/upstream/client.go
@@ -77,10 +77,6 @@
 	if err != nil {
 		return nil, &SendError{Address: to, PeerClosed: IsPeerClosed(err), Err: err}
 	}
-	if err := cn.allowUnread(len(r.Body) >= longBodyBytes); err != nil {
-		cn.Conn.Close()
-		return nil, &SendError{Address: to, Err: err}
-	}
 	stopCancel := context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	written := make(chan error, 1)
 	if len(r.Body) <= maxInlineBodyBytes {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -32,8 +32,6 @@
 	maxIdle   time.Duration
 	// idleTime is how long the connection was idle before its current request.
 	idleTime time.Duration
-	// mayBeUnread is whether the target may leave what was sent unread.
-	mayBeUnread bool
 }
 
 func connect(ctx context.Context, dial DialFunc, p *pool) (*conn, error) {
@@ -78,40 +76,15 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUnackedTimeout(raw, unackedTimeout)
+			var sockErr error
+			err := raw.Control(func(fd uintptr) {
+				sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			return errors.Join(err, sockErr)
 		},
 	}).DialContext
 }
 
-// setUnackedTimeout sets how long sent bytes may remain unacknowledged; 0 is the system's
-// own limit.
-func setUnackedTimeout(raw syscall.RawConn, d time.Duration) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-	})
-	return errors.Join(err, sockErr)
-}
-
-// allowUnread sets whether the target may leave sent bytes unread for longer than
-// unackedTimeout. The system counts bytes that find no room at a sound target as
-// unacknowledged.
-func (c *conn) allowUnread(allow bool) error {
-	if c.mayBeUnread == allow {
-		return nil
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return err
-	}
-	timeout := unackedTimeout
-	if allow {
-		timeout = 0
-	}
-	c.mayBeUnread = allow
-	return setUnackedTimeout(raw, timeout)
-}
-
 // noPendingInput reports whether nothing has arrived since the last response. It is
 // false after unsolicited bytes and after the target has closed the connection.
 func (c *conn) noPendingInput() bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,9 +15,6 @@
 	// unackedTimeout closes a connection whose sent bytes remain unacknowledged,
 	// for instance because the network path to the target has failed.
 	unackedTimeout = 4 * time.Second
-	// longBodyBytes is the size of a body from which it may not fit into the receive buffer
-	// of a target that does not read.
-	longBodyBytes = 32 << 10
 	// Keep-alive probes on a connection that awaits a response detect a target
 	// that has disappeared without closing it.
 	keepAliveIdle     = time.Second
