forward, peer: a forwarded answer that is closed unread ends at once

What callers saw: after a faulty worker had sent without end through another node, that node refused to forward further requests ("too many requests are forwarded") for minutes, and each closed answer kept its window of 256 KiB at the node that had asked. Cause: a yamux stream whose other side has closed still lets a send wait for that side to read. The other side reads no more, so that the send ended only with the timeout of a half-closed stream, 5 minutes. The request to the worker did end. Change: the side that serves closes the stream as soon as the other one has (Stream.AwaitClose), which ends the send and frees the window on both sides. Weighed: a shorter timeout for half-closed streams. It resets a stream whose last bytes the other side has received but not read yet, which would cut answers of callers that read slowly.

--- a/forward/server.go
+++ b/forward/server.go
@@ -91,7 +91,7 @@
 	defer cancel()
 	go func() {
 		// Nothing follows the request, so that this returns when the other node gives up.
-		_ = stream.Receive(&schema.ForwardBody{})
+		stream.AwaitClose()
 		cancel()
 	}()
 	return s.forward(ctx, from, stream, f)
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -55,6 +55,15 @@
 	return s.conn.SetDeadline(t)
 }
 
+// AwaitClose waits until the other side has closed the stream, discards what it sends
+// until then, and closes the stream. A send that waits for the other side to read would
+// otherwise not end.
+func (s *Stream) AwaitClose() {
+	// An error says that the stream has ended, too.
+	_, _ = io.Copy(io.Discard, s.reader)
+	_ = s.Close()
+}
+
 // Close closes the stream in both directions.
 func (s *Stream) Close() error {
 	return s.conn.Close()
