peer: a large reply whose caller has left is dropped

The test failed before, 3 of 3: the reply was still being sent a second after the caller had left. It passed 20 of 20 after.

--- a/peer/server.go
+++ b/peer/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -221,9 +220,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		// The caller sends nothing after the request, so this read returns only
+		// The caller sends nothing after the request, so this returns only
 		// when the stream ends.
-		_, _ = io.Copy(io.Discard, stream.reader)
+		stream.AwaitClose()
 		cancel()
 	}()
 	reply, err := s.dispatch(ctx, caller, header.GetMethod(), request)
