gateway: the first event of a second target is searched for once in each byte

What callers saw: one faulty second target could occupy a core of a small VM. Cause: while the first event that continues a stream was awaited, each read searched all that had come since the answer began. The cost grew with the square of the bytes, of which up to 1 MiB may come. Change: events that were looked at are not looked at again. The event splitter of streams already searched each byte once.

--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -115,10 +115,17 @@
 	return func(r io.Reader) ([]byte, error) {
 		var data []byte
 		chunk := make([]byte, streamReadBytes)
-		for {
+		// The events in the first searched bytes are not those that are sought.
+		for searched := 0; ; {
 			n, err := r.Read(chunk)
+			from := max(searched, len(data)-(len(blankLineCRLF)-1))
 			data = append(data, chunk[:n]...)
-			begun, eventErr := hasBegun(data[:lastEventEnd(data)], continues, lastID)
+			end := searched
+			if l := lastEventEnd(data[from:]); l > 0 {
+				end = from + l
+			}
+			begun, eventErr := hasBegun(data[searched:end], continues, lastID)
+			searched = end
 			switch {
 			case eventErr != nil:
 				return data, eventErr
