gateway: what all requests hold back of answers is bounded by the node's memory

What callers saw: many faulty workers at once that sent bytes without end took the memory of a node, and the requests of its other callers ended with it. Cause: each request may hold back 1 MiB of an unfinished event, or 256 KiB of an answer that is not known to be complete. These bounds held for one request; 300 of them need more than a node of 184 MiB has. Change: all requests together hold back an eighth of the node's memory at most, and each no more than is left after it, so that some is left for later ones. 16 KiB are free to each, so that streams of small events are never refused because of others. A whole answer beyond it is passed on as it arrives, as one of more than 256 KiB was before; an event beyond it ends its stream, as one of more than 1 MiB did. The bytes of a second target count until they are passed on.

--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -48,11 +48,12 @@
 	case !isSuccess(a.resp.StatusCode) || streaming && !x.isStream(a.resp):
 		return resultOf(a.resp.StatusCode), fmt.Errorf("%w: status %d", errUnusable, a.resp.StatusCode)
 	}
-	read, limit := readWhole, (<-chan time.Time)(nil)
+	held := &holding{all: x.gateway.held}
+	read, limit := held.readWhole, (<-chan time.Time)(nil)
 	if x.isStream(a.resp) {
-		read, limit = firstEventReader(streaming, lastEventID), time.After(handoverLimit)
+		read, limit = held.firstEventReader(streaming, lastEventID), time.After(handoverLimit)
 	}
-	body := prefetch(a.resp.Body, a.cancel, read)
+	body := prefetch(a.resp.Body, a.cancel, held, read)
 	a.resp.Body = body
 	select {
 	case <-body.done:
@@ -68,14 +69,15 @@
 type prefetchedBody struct {
 	io.ReadCloser
 	cancel context.CancelCauseFunc
+	held   *holding
 	// done is closed once the first bytes are read; data and err are what was read.
 	done chan struct{}
 	data []byte
 	err  error
 }
 
-func prefetch(body io.ReadCloser, cancel context.CancelCauseFunc, read func(io.Reader) ([]byte, error)) *prefetchedBody {
-	b := &prefetchedBody{ReadCloser: body, cancel: cancel, done: make(chan struct{})}
+func prefetch(body io.ReadCloser, cancel context.CancelCauseFunc, held *holding, read func(io.Reader) ([]byte, error)) *prefetchedBody {
+	b := &prefetchedBody{ReadCloser: body, cancel: cancel, held: held, done: make(chan struct{})}
 	go func() {
 		defer close(b.done)
 		b.data, b.err = read(body)
@@ -91,6 +93,8 @@
 		b.data = b.data[n:]
 		return n, nil
 	}
+	b.data = nil
+	b.held.release()
 	if b.err != nil {
 		return 0, b.err
 	}
@@ -105,12 +109,13 @@
 		b.cancel(nil)
 		<-b.done
 	}
+	b.held.release()
 	return b.ReadCloser.Close()
 }
 
 // firstEventReader returns a function that reads a stream until its first event is
 // complete, and until that which continues an earlier stream if there is one.
-func firstEventReader(continues bool, lastEventID string) func(io.Reader) ([]byte, error) {
+func (h *holding) firstEventReader(continues bool, lastEventID string) func(io.Reader) ([]byte, error) {
 	lastID, _ := strconv.ParseUint(lastEventID, 10, 64)
 	return func(r io.Reader) ([]byte, error) {
 		var data []byte
@@ -135,6 +140,8 @@
 				return data, errors.Join(errUnusable, err)
 			case len(data) > maxEventBytes:
 				return data, errEventTooLarge
+			case !h.set(len(data) + len(chunk)):
+				return data, errHeldTooLarge
 			}
 		}
 	}
@@ -160,10 +167,4 @@
 }
 
 // readWhole reads as much of an answer as is held back before it is relayed.
-func readWhole(r io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes))
-	if err == nil && len(data) < maxBufferedBytes {
-		err = io.EOF
-	}
-	return data, err
-}
+func (h *holding) readWhole(r io.Reader) ([]byte, error) { return h.readHeld(r, maxBufferedBytes) }
--- a/gateway/begun_internal_test.go
+++ b/gateway/begun_internal_test.go
@@ -36,7 +36,7 @@
 			is := is.New(t)
 			body := bytes.NewReader(bytes.Repeat([]byte(c.body), 2*maxEventBytes/len(c.body)))
 			started := time.Now()
-			data, err := firstEventReader(true, "7")(smallReads{body, c.read})
+			data, err := (*holding)(nil).firstEventReader(true, "7")(smallReads{body, c.read})
 			is.True(errors.Is(err, c.readErr))
 			is.True(len(data) <= maxEventBytes+streamReadBytes)
 			is.True(time.Since(started) < time.Second)
@@ -47,10 +47,10 @@
 func TestFirstEventIsFoundAcrossReads(t *testing.T) {
 	for _, end := range []string{"\n\n", "\r\n\r\n"} {
 		is := is.New(t)
-		data, err := firstEventReader(true, "7")(iotest.OneByteReader(bytes.NewReader([]byte(": c" + end + "id: 8" + end + "rest"))))
+		data, err := (*holding)(nil).firstEventReader(true, "7")(iotest.OneByteReader(bytes.NewReader([]byte(": c" + end + "id: 8" + end + "rest"))))
 		is.NoErr(err)
 		is.Equal(string(data), ": c"+end+"id: 8"+end)
-		_, err = firstEventReader(true, "7")(iotest.OneByteReader(bytes.NewReader([]byte("id: 9" + end))))
+		_, err = (*holding)(nil).firstEventReader(true, "7")(iotest.OneByteReader(bytes.NewReader([]byte("id: 9" + end))))
 		is.Equal(err, errEventGap)
 	}
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -13,6 +13,7 @@
 
 var (
 	errEventTooLarge = errors.New("gateway: an event exceeds the size limit")
+	errHeldTooLarge  = fmt.Errorf("%w while other requests hold back much", errEventTooLarge)
 	// errEventUnfinished counts as a close by the target, which ended the connection.
 	errEventUnfinished = fmt.Errorf("gateway: the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 	errEventGap        = errors.New("gateway: an event is missing after the stream was resumed")
@@ -23,6 +24,7 @@
 // eventSplitter splits a stream of server-sent events into complete events.
 type eventSplitter struct {
 	pending []byte
+	held    *holding
 }
 
 // add appends p and returns the events that it completes. The result is valid
@@ -31,6 +33,9 @@
 	// The pending bytes hold no complete event, so that only a terminator that ends
 	// in p can be new.
 	searchFrom := max(0, len(s.pending)-(len(blankLineCRLF)-1))
+	if !s.held.set(len(s.pending) + len(p)) {
+		return nil, errHeldTooLarge
+	}
 	s.pending = append(s.pending, p...)
 	end := lastEventEnd(s.pending[searchFrom:])
 	if end == 0 {
@@ -44,6 +49,9 @@
 	return ready, nil
 }
 
+// settle is called when the result of add is no longer used.
+func (s *eventSplitter) settle() { s.held.set(len(s.pending)) }
+
 // insideEvent reports whether an event is unfinished.
 func (s *eventSplitter) insideEvent() bool {
 	return len(bytes.Trim(s.pending, "\r\n")) > 0
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -306,6 +306,12 @@
 const testVersion = "v1"
 
 func newTestGateway(tb testing.TB, route *catalog.Route, scripts ...targetScript) *testGateway {
+	tb.Helper()
+	return newTestGatewayWith(tb, route, func(*gateway.Options) {}, scripts...)
+}
+
+// newTestGatewayWith returns a gateway whose options are changed by edit.
+func newTestGatewayWith(tb testing.TB, route *catalog.Route, edit func(*gateway.Options), scripts ...targetScript) *testGateway {
 	tb.Helper()
 	config := &catalog.Config{
 		Version: 1, Routes: []*catalog.Route{route},
@@ -340,10 +346,12 @@
 	g.streams = resume.NewRegistry(func() {})
 	g.streams.Update(config.Routes, list)
 	finder := &resume.Finder{Registry: g.streams, Holders: func() []string { return nil }}
-	g.gateway = gateway.New(gateway.Options{
+	options := gateway.Options{
 		Config: g.config, HeaderCodec: platform.HeaderCodec{}, Balancer: balancer, Allowance: g.allowance,
 		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Signals: signals{balancer}, Streams: finder, Links: g.links, Metrics: nopMetrics{}, Logger: logging.Discard(),
-	})
+	}
+	edit(&options)
+	g.gateway = gateway.New(options)
 	g.server = httptest.NewServer(g.gateway)
 	tb.Cleanup(func() {
 		g.server.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -98,6 +99,8 @@
 	Links       Links
 	Metrics     Metrics
 	Logger      *log.Logger
+	// HeldBytes bounds the bytes of answers that all requests together hold back.
+	HeldBytes int
 }
 
 // Gateway is the HTTP handler for callers.
@@ -105,6 +108,7 @@
 	Options
 	router         *mux.Router
 	callerTimeouts callerTimeouts
+	held           *heldBytes
 	// closing makes every response close its connection, refusing refuses requests that
 	// are complete only now.
 	closing, refusing atomic.Bool
@@ -116,6 +120,7 @@
 // New returns a gateway.
 func New(options Options) *Gateway {
 	g := &Gateway{Options: options, router: mux.NewRouter().SkipClean(true).UseEncodedPath()}
+	g.held = &heldBytes{limit: cmp.Or(options.HeldBytes, defaultHeldBytes)}
 	g.ended, g.end = context.WithCancel(context.Background())
 	g.router.PathPrefix("/").HandlerFunc(g.serve)
 	// Requests that no path prefix matches, such as "*", have no route either.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/internal/rapidtest"
 )
 
@@ -311,3 +312,17 @@
 	g := newTestGateway(t, newRoute(catalog.NonIdempotent), script)
 	is.True(g.send(t, t.Context(), nil).err != nil)
 }
+
+// An answer of which no more may be held back is passed on as it arrives.
+func TestALargeResponseIsRelayedWholeWhileOthersHoldBackMuch(t *testing.T) {
+	for _, status := range []int{200, 404, 500} {
+		is := is.New(t)
+		script := signedOK(strings.Repeat("0123456789", 20_000))
+		script.status = status
+		g := newTestGatewayWith(t, newRoute(catalog.NonIdempotent), func(o *gateway.Options) { o.HeldBytes = 1 }, script)
+		got := g.send(t, t.Context(), nil)
+		is.NoErr(got.err)
+		is.Equal(got.status, status)
+		is.Equal(got.body, script.body)
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -27,11 +26,13 @@
 }
 
 // relayWhole relays a response that is not a stream of events. It first buffers up
-// to maxBufferedBytes, so that the request can be retried if they are truncated.
+// to maxBufferedBytes, or what may be held back, so that the request can be retried if
+// they are truncated.
 // It reports whether the request has ended.
 func (x *exchange) relayWhole(ctx context.Context, grant *balance.Grant, resp *http.Response, info ResponseInfo) bool {
-	var buffered bytes.Buffer
-	_, err := io.CopyN(&buffered, resp.Body, maxBufferedBytes)
+	held := &holding{all: x.gateway.held}
+	defer held.release()
+	buffered, err := held.readHeld(resp.Body, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
 	if isTampered(resp, info) || err != nil && !complete {
 		return x.handleBrokenResponse(ctx, grant, err)
@@ -47,12 +48,13 @@
 	x.endStandby()
 	x.copyHeaders(resp)
 	if complete && x.request.Method != http.MethodHead {
-		x.writer.Header().Set("Content-Length", strconv.Itoa(buffered.Len()))
+		x.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 	} else if resp.ContentLength >= 0 {
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	x.writer.WriteHeader(resp.StatusCode)
-	_, err = x.writer.Write(buffered.Bytes())
+	_, err = x.writer.Write(buffered)
+	held.release()
 	if err == nil && !complete {
 		_, err = io.Copy(x.writer, resp.Body)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,7 +29,8 @@
 	if isTampered(resp, info) {
 		return x.handleBrokenResponse(ctx, grant, nil)
 	}
-	splitter := eventSplitter{}
+	splitter := eventSplitter{held: &holding{all: x.gateway.held}}
+	defer splitter.held.release()
 	chunk := make([]byte, streamReadBytes)
 	for {
 		n, err := resp.Body.Read(chunk)
@@ -55,6 +56,7 @@
 			grant.Done(balance.Abandoned)
 			x.abort("caller_left", resp.StatusCode)
 		}
+		splitter.settle()
 		if progress {
 			x.standby.resume(x.lastEventID(), x.version, x.lastEventAt)
 		}
