gateway: a request ends soon after its time limit though its caller reads nothing

What callers saw: a caller that read nothing of a long answer kept its request, with what it held back and its place at the target, until it closed the connection. Cause: the time limit ends the request to the target, but the write to the caller that was under way waited without a limit. Change: writes to the caller fail half a second after the time limit, which leaves time for an error.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,9 +165,22 @@
 		x.sendError(errResp)
 		return
 	}
+	x.limitWrites(x.deadline.Add(lastWriteTime))
 	x.run()
 }
 
+// lastWriteTime is how long after a request's time limit the last bytes for its caller may
+// take, an error among them.
+const lastWriteTime = 500 * time.Millisecond
+
+// limitWrites makes writes to the caller fail from a time on, so that a caller that does
+// not read does not keep a request from ending. The server takes the limit back after the
+// request.
+func (x *exchange) limitWrites(end time.Time) {
+	// A writer that has no deadline, such as a test recorder, does not wait for a caller.
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(end)
+}
+
 const (
 	// startupConfigWait bounds how long a request waits on a newly started node
 	// for the configuration, whose load takes several trips to the store.
