upstream: a test that frames of a body without end end the answer

Ruled out: chunk lines, chunk extensions, trailers, bytes after an answer's length, and a body after the head of an answer to HEAD are bounded by the 4 KiB read buffer of the connection or not read at all, and the connection is closed.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -591,3 +591,57 @@
 		})
 	}
 }
+
+// What frames a body is bounded, too: a chunk's line, its extension, and trailers. A body
+// that follows the head of an answer to HEAD is not read.
+func TestFramesOfABodyWithoutEndEndTheAnswer(t *testing.T) {
+	block := strings.Repeat("a", 4096)
+	chunked := "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, script := range map[string]struct {
+		method, start, repeat string
+		whole                 bool
+	}{
+		"chunk line":       {"POST", chunked, block, false},
+		"chunk extension":  {"POST", chunked + "5;", block, false},
+		"tiny chunks":      {"POST", chunked, "1;" + strings.Repeat("e", 2000) + "\r\na\r\n", false},
+		"trailer line":     {"POST", chunked + "0\r\nX: ", block, false},
+		"trailer lines":    {"POST", chunked + "0\r\n", "X: a\r\n", false},
+		"body after HEAD":  {"HEAD", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n", block, true},
+		"after the length": {"POST", "HTTP/1.1 503 Full\r\nId: 1\r\nContent-Length: 1\r\n\r\n", block, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			written := make(chan int, 1)
+			target := startTarget(t, func(conn *targetConn) {
+				if _, _, err := conn.request(); err != nil {
+					return
+				}
+				sum := 0
+				for text := script.start; ; text = script.repeat {
+					n, err := conn.Write([]byte(text))
+					if sum += n; err != nil {
+						written <- sum
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			r := request("1")
+			r.Method = script.method
+			resp, err := newClient(t).Send(ctx, target.address, r)
+			is.NoErr(err)
+			body, err := io.ReadAll(resp.Body)
+			is.Equal(err == nil, script.whole)
+			is.True(len(body) < 64<<10)
+			is.NoErr(ctx.Err())
+			is.NoErr(resp.Body.Close())
+			select {
+			case sum := <-written:
+				is.True(sum < 16<<20) // What was read, and what the sockets hold.
+			case <-time.After(5 * time.Second):
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
