--- a/objects/http.go
+++ b/objects/http.go
@@ -32,7 +32,11 @@
 	// maxResponseBytes limits the size of a response body; those of lists and
 	// watches are the largest.
 	maxResponseBytes = 64 << 20
-	maxIdleConns     = 16
+	// maxHeadBytes limits the head of a response, and maxErrorBytes what is read of the
+	// body of an error, so that the connection of a short one can be used again.
+	maxHeadBytes  = 64 << 10
+	maxErrorBytes = 64 << 10
+	maxIdleConns  = 16
 )
 
 // HTTP is a Store that calls the platform's object API over HTTP. It is safe for
@@ -119,8 +123,9 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -282,7 +287,11 @@
 		return nil, markDialError(err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	limit := int64(maxResponseBytes)
+	if response.StatusCode >= http.StatusBadRequest {
+		limit = maxErrorBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
 		return nil, err
 	}
--- a/objects/http_test.go
+++ b/objects/http_test.go
@@ -150,3 +150,34 @@
 	_, err = h.Put(t.Context(), "k", nil, 0)
 	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE)
 }
+
+// The head of an answer of the object API was bounded at 10 MiB only.
+func TestHeadWithoutEndIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-A", strings.Repeat("a", 1<<20))
+		_, _ = w.Write([]byte(`[]`))
+	}))
+	_, err := h.VMs(t.Context())
+	is.True(err != nil)
+}
+
+// Of an error, the status and the headers only are used.
+func TestErrorWithoutEndIsNotRead(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan int, 1)
+	h := newHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotFound)
+		sum, block := 0, make([]byte, 32<<10)
+		for sum < 80<<20 {
+			n, err := w.Write(block)
+			if sum += n; err != nil {
+				break
+			}
+		}
+		sent <- sum
+	}))
+	_, err := h.VMs(t.Context())
+	is.True(err != nil)
+	is.True(<-sent < 12<<20) // What the sockets hold.
+}
