probe, node: heads of targets' answers to probes and placement requests are bounded

The head of each could take 10 MiB, the default of net/http, at a time. It may have 64 KiB now, as the head of an answer to a caller's request.

--- a/node/wiring.go
+++ b/node/wiring.go
@@ -151,16 +151,24 @@
 // targetTimeout bounds one placement order or state request to a target.
 const targetTimeout = 2 * time.Second
 
-func newPlacement(s *schema.Settings, store objects.Store, members *membership.Manager, logger *log.Logger) *placement.Manager {
+// maxTargetHeadBytes bounds the head of a target's answer to one.
+const maxTargetHeadBytes = 64 << 10
+
+// newTargetClient returns the client for placement orders and state requests.
+func newTargetClient(s *schema.Settings) *http.Client {
 	dialer := &net.Dialer{Timeout: targetTimeout}
 	if ip := net.ParseIP(s.GetNode().GetSourceAddress()); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}, Timeout: targetTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxTargetHeadBytes}
+	return &http.Client{Transport: transport, Timeout: targetTimeout}
+}
+
+func newPlacement(s *schema.Settings, store objects.Store, members *membership.Manager, logger *log.Logger) *placement.Manager {
 	return placement.New(placement.Options{
 		Node:    s.GetNode().GetName(),
 		Store:   store,
-		Targets: placement.HTTPTargets{Client: client},
+		Targets: placement.HTTPTargets{Client: newTargetClient(s)},
 		Current: members.IsCurrent,
 		Logger:  logger,
 	})
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -27,6 +27,7 @@
 	probeInterval  = 2 * time.Second
 	requestTimeout = 500 * time.Millisecond
 	maxStateBytes  = 64 << 10
+	maxHeadBytes   = 64 << 10
 	idleTimeout    = 3 * probeInterval
 )
 
@@ -75,10 +76,11 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Prober{
 		options: options,
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -20,6 +20,19 @@
 	a.calls = append(a.calls, fmt.Sprintf("%s %v %v", target, leaving, models))
 }
 
+// The head of a target's answer to a probe was bounded at 10 MiB only.
+func TestHeadWithoutEndFromATargetIsRefused(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-A", strings.Repeat("a", 1<<20))
+		fmt.Fprint(w, `{"leaving":true}`)
+	}))
+	defer server.Close()
+	p := New(Options{Node: "n", Logger: &log.Logger{Level: log.PanicLevel}}, topology.NewCurrent())
+	_, err := p.fetchState(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+	is.True(err != nil)
+}
+
 func TestStateChangeIsReportedOnce(t *testing.T) {
 	is := is.New(t)
 	body := `{"leaving":false}`
