--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -100,6 +101,8 @@
 	Links       Links
 	Metrics     Metrics
 	Logger      *log.Logger
+	// HeldBytes bounds the bytes of answers that all requests together hold back.
+	HeldBytes int
 }
 
 // Gateway is the HTTP handler for callers.
@@ -107,6 +110,7 @@
 	Options
 	router         *mux.Router
 	callerTimeouts callerTimeouts
+	held           *heldBytes
 	// closing makes every response close its connection, refusing refuses requests that
 	// are complete only now.
 	closing, refusing atomic.Bool
@@ -118,6 +122,7 @@
 // New returns a gateway.
 func New(options Options) *Gateway {
 	g := &Gateway{Options: options, router: mux.NewRouter().SkipClean(true).UseEncodedPath()}
+	g.held = &heldBytes{limit: cmp.Or(options.HeldBytes, defaultHeldBytes)}
 	g.ended, g.end = context.WithCancel(context.Background())
 	g.router.PathPrefix("/").HandlerFunc(g.serve)
 	// Requests that no path prefix matches, such as "*", have no route either.
@@ -159,9 +164,22 @@
 		x.sendError(errResp)
 		return
 	}
+	x.limitWrites(x.deadline.Add(lastWriteTime))
 	x.run()
 }
 
+// lastWriteTime is how long after a request's time limit the last bytes for its caller may
+// take, an error among them.
+const lastWriteTime = 500 * time.Millisecond
+
+// limitWrites makes writes to the caller fail from a time on, so that a caller that does
+// not read does not keep a request from ending. The server takes the limit back after the
+// request.
+func (x *exchange) limitWrites(end time.Time) {
+	// A writer that has no deadline, such as a test recorder, does not wait for a caller.
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(end)
+}
+
 const (
 	// startupConfigWait bounds how long a request waits on a newly started node
 	// for the configuration, whose load takes several trips to the store.
