--- a/balance/manager.go
+++ b/balance/manager.go
@@ -183,12 +183,15 @@
 }
 
 func (m *Manager) assign(p *pool, now time.Time) {
-	p.assign(now, m.location, m.heardShare, &m.remoteQueues, func(w *waiter, c choice) {
-		w.reply <- decision{choice: c}
-		m.publish(c.target)
-		if c.target.limit(now) > 0 {
-			m.options.PublishSend(c.target.ID)
-		}
+	p.assign(now, m.location, m.heardShare, &m.remoteQueues, assignCallbacks{
+		assigned: func(w *waiter, c choice) {
+			w.reply <- decision{choice: c}
+			m.publish(c.target)
+			if c.target.limit(now) > 0 {
+				m.options.PublishSend(c.target.ID)
+			}
+		},
+		refused: func(w *waiter, r *Refusal) { m.logRefused(p, w, r, now) },
 	})
 	for tier, waiting := range p.countOnTime(now) {
 		if p.publishedWaiting[tier] != waiting {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -62,7 +62,10 @@
 
 func (p *testPool) assignNow() []string {
 	p.granted = nil
-	p.assign(p.now, p.location, 1, &p.queues, func(w *waiter, c choice) { p.granted = append(p.granted, w.work.ID+">"+c.target.ID) })
+	p.assign(p.now, p.location, 1, &p.queues, assignCallbacks{
+		assigned: func(w *waiter, c choice) { p.granted = append(p.granted, w.work.ID+">"+c.target.ID) },
+		refused:  func(*waiter, *Refusal) {},
+	})
 	return p.granted
 }
 
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -89,10 +89,16 @@
 // own size but on the mean size of its route's requests.
 const fixedValueShare = 0.3
 
+// assignCallbacks are called for the requests that an assignment decides.
+type assignCallbacks struct {
+	assigned func(*waiter, choice)
+	refused  func(*waiter, *Refusal)
+}
+
 // assign assigns targets to the waiting requests in order. It refuses those
 // whose patience has ended, late ones while others wait that can be on time, and those
 // for which all targets ask for a pause beyond their goal.
-func (p *pool) assign(now time.Time, here location, limitShare float64, queues *remoteQueues, onAssign func(*waiter, choice)) {
+func (p *pool) assign(now time.Time, here location, limitShare float64, queues *remoteQueues, on assignCallbacks) {
 	if len(p.waiting) == 0 {
 		return
 	}
@@ -116,10 +122,11 @@
 		if ok && (c.onTime || w.late) {
 			c.target.addRequest(w.work, now, c.expected)
 			free.addRequest(c.target)
-			onAssign(w, c)
+			on.assigned(w, c)
 			continue
 		}
 		if r := p.refuse(w, now, onTimeWaiting, &paused); r != nil {
+			on.refused(w, r)
 			w.reply <- decision{refusal: r}
 			continue
 		}
--- /dev/null
+++ b/balance/refused.go
@@ -0,0 +1,66 @@
+package balance
+
+import (
+	"cmp"
+	"time"
+)
+
+// zoneState counts what a balancer knows of the targets of one or several zones.
+type zoneState struct {
+	// targets counts those that stay, and the other fields those of them that get no
+	// request and why, in the order in which that is decided.
+	targets, inBackoff, overdue, exhausted, full, reserved int
+	// slots counts the slots of all, and used the requests there.
+	slots, used int
+}
+
+// add counts a target. reserve is how long a free slot of it is reserved.
+func (s *zoneState) add(t *target, now time.Time, reserve time.Duration, exhausted bool) {
+	s.targets++
+	s.slots += t.Slots
+	s.used += t.load().Requests
+	switch {
+	case t.health.inBackoff(now):
+		s.inBackoff++
+	case t.overdue(now):
+		s.overdue++
+	case exhausted:
+		s.exhausted++
+	case t.load().Requests >= t.usableSlots():
+		s.full++
+	case now.Sub(t.freedAt) < reserve:
+		s.reserved++
+	}
+}
+
+// zoneStates returns what is known of the targets of this zone and of all others.
+func (p *pool) zoneStates(now time.Time, here location, limitShare float64) (own, others zoneState) {
+	c := p.capacity(now, here, limitShare)
+	for _, t := range p.targets {
+		switch {
+		case t.leaves():
+		case t.Zone == here.zone:
+			own.add(t, now, 0, c.exhausted(t))
+		default:
+			others.add(t, now, p.slotReserveTime(t, here, 0), c.exhausted(t))
+		}
+	}
+	return own, others
+}
+
+// logRefused logs a refusal with what it was based on.
+func (m *Manager) logRefused(p *pool, w *waiter, r *Refusal, now time.Time) {
+	own, others := p.zoneStates(now, m.location, m.heardShare)
+	entry := m.options.Logger.Info().Str("event", "request_refused").Str("request", w.work.ID).Str("reason", r.Reason).
+		Str("service", p.name).Str("node", cmp.Or(w.work.Node, m.options.Node)).Int("tier", w.work.Tier).Bool("late", w.late).
+		Dur("waited", now.Sub(w.work.Arrived)).Dur("goal_in", w.work.Goal.Sub(now)).Int("waiting", len(p.waiting))
+	for _, z := range []struct {
+		prefix string
+		zoneState
+	}{{"own_", own}, {"other_", others}} {
+		entry.Int(z.prefix+"targets", z.targets).Int(z.prefix+"slots", z.slots).Int(z.prefix+"used", z.used).
+			Int(z.prefix+"backoff", z.inBackoff).Int(z.prefix+"overdue", z.overdue).Int(z.prefix+"exhausted", z.exhausted).
+			Int(z.prefix+"full", z.full).Int(z.prefix+"reserved", z.reserved)
+	}
+	entry.Msg("")
+}
