links, forward: links are judged for each service, not over all of them

The lines request_refused show the cause. The failures came from nodes that reached engines and no application server, or the reverse: links_lost and links_regained followed each other within 0.2 s, as each check tries random targets of all services. Such nodes went on sending directly, and accepted requests to forward that they could not send; both counted against the targets for the whole zone.

Now each service has a verdict of its own (links.Monitors); failures are forgiven by service; a node that accepted a request and reaches no target of its service says so (ForwardFailure.unlinked), and the next node is asked. That one has certainly sent nothing.

--- a/balance/manager_test.go
+++ b/balance/manager_test.go
@@ -270,7 +270,10 @@
 		g.Done(balance.Unreachable)
 		_, err = m.Acquire(t.Context(), request("n3"))
 		is.True(err != nil)
-		m.ForgiveFailures("n2")
+		m.ForgiveFailures("n2", "other")
+		_, err = m.Acquire(t.Context(), request("n3"))
+		is.True(err != nil)
+		m.ForgiveFailures("n2", "s")
 		for _, node := range []string{"n3", "n2", "n3"} {
 			g, err = m.Acquire(t.Context(), request(node))
 			is.NoErr(err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,7 +85,7 @@
 	return f.retries
 }
 
-func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, s *resume.Finder, m *links.Monitor, sender *links.Switch, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, s *resume.Finder, m *links.Monitors, sender *links.Switch, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: sender,
 		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: s, Links: m, Metrics: t, Logger: logger,
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -50,7 +50,7 @@
 	Owner     *owner.Manager
 	Allowance *quota.Allowance
 	Upstream  *upstream.Client
-	Links     *links.Monitor
+	Links     *links.Monitors
 	Others    *forward.Client
 	ForOthers *forward.Server
 	Gateway   *gateway.Gateway
--- a/entry/links.go
+++ b/entry/links.go
@@ -19,21 +19,33 @@
 // of file descriptors is divided by it.
 const forwardDescriptorDivisor = 8
 
-func newLinks(d *datastore.Manager, u *upstream.Client, f *forwarder, logger *log.Logger) *links.Monitor {
-	return links.NewMonitor(links.Options{
-		Targets: d.Targets, Connect: u.Connect, OnRegained: func() {}, Logger: logger,
-		OnLost: func() {
+func newLinks(d *datastore.Manager, u *upstream.Client, f *forwarder, logger *log.Logger) *links.Monitors {
+	return links.NewMonitors(links.MonitorsOptions{
+		Targets: d.Targets, Service: serviceOf(d), Connect: u.Connect, Logger: logger,
+		OnLost: func(service string) {
 			u.CloseIdle()
-			f.owner.LinksLost()
+			f.owner.LinksLost(service)
 		},
 	})
 }
 
-func newLinkClient(u *upstream.Client, m *links.Monitor) *links.Client { return links.NewClient(u, m) }
+// serviceOf returns the service of a target, empty if unknown.
+func serviceOf(d *datastore.Manager) func(target string) string {
+	return func(target string) string {
+		if t := d.Target(target); t != nil {
+			return t.Service
+		}
+		return ""
+	}
+}
+
+func newLinkClient(u *upstream.Client, m *links.Monitors) *links.Client {
+	return links.NewClient(u, m.Of)
+}
 
 func newForwardClient(self datastore.Node, m *mesh.Manager, d *datastore.Manager, pool *peer.Pool, logger *log.Logger) *forward.Client {
 	return forward.NewClient(forward.ClientOptions{
-		Self: self, Pool: pool, Nodes: m.OtherNodes, Logger: logger,
+		Self: self, Pool: pool, Nodes: m.OtherNodes, Service: serviceOf(d), Logger: logger,
 		Zone: func(target string) string {
 			if t := d.Target(target); t != nil {
 				return t.Zone
@@ -43,7 +55,7 @@
 	})
 }
 
-func newForwardServer(s *schema.GatewaySettings, c *links.Client, m *links.Monitor, o *owner.Manager, b *balance.Manager, u *upstream.Client, server *peer.Server, logger *log.Logger) *forward.Server {
+func newForwardServer(s *schema.GatewaySettings, c *links.Client, m *links.Monitors, o *owner.Manager, b *balance.Manager, u *upstream.Client, server *peer.Server, logger *log.Logger) *forward.Server {
 	fs := forward.NewServer(forward.ServerOptions{
 		Sender: c, Codec: platform.HeaderCodec{}, Signals: o, Limits: b, Prober: u, Links: m,
 		MaxRequests: int64(s.GetResources().GetFileDescriptors() / forwardDescriptorDivisor), Logger: logger,
@@ -52,6 +64,6 @@
 	return fs
 }
 
-func newSwitch(own *links.Client, others *forward.Client, m *links.Monitor) *links.Switch {
-	return &links.Switch{Own: own, Others: others, Monitor: m}
+func newSwitch(own *links.Client, others *forward.Client, m *links.Monitors) *links.Switch {
+	return &links.Switch{Own: own, Others: others, Monitor: m.Of}
 }
--- a/forward/client.go
+++ b/forward/client.go
@@ -37,95 +37,127 @@
 	Pool Connector
 	// Nodes returns the other nodes that are not known to be silent.
 	Nodes func() []datastore.Node
-	// Zone returns the availability zone of a target, empty if unknown.
-	Zone   func(target string) string
-	Logger *log.Logger
+	// Zone returns the availability zone of a target, and Service its service, empty if
+	// unknown.
+	Zone, Service func(target string) string
+	Logger        *log.Logger
 }
 
 // Client has other nodes send requests to targets. Its methods are safe for concurrent use.
 type Client struct {
 	ClientOptions
 
-	mu    sync.Mutex
-	nodes standing
-	// refusedAt is when a request was last accepted by no node, zero if one was accepted
-	// since.
-	refusedAt time.Time
+	mu sync.Mutex
+	// services holds what is known of the other nodes by service, as a node may have links
+	// to the targets of one and not of another.
+	services map[string]*standing
 }
 
 // NewClient returns a client.
 func NewClient(options ClientOptions) *Client {
-	return &Client{ClientOptions: options, nodes: newStanding()}
+	return &Client{ClientOptions: options, services: make(map[string]*standing)}
 }
 
-// Usable reports whether another node accepted the last request, or may accept one now.
+// Usable reports whether another node accepted the last request to some service, or may
+// accept one now.
 func (c *Client) Usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.refusedAt) >= refusedTime
+	for _, s := range c.services {
+		if time.Since(s.refusedAt) >= refusedTime {
+			return true
+		}
+	}
+	return len(c.services) == 0
 }
 
-// Send has another node send the request. It implements links.Sender.
-func (c *Client) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
-	stream, node, err := c.open(ctx, to)
-	if err != nil {
-		return nil, &upstream.SendError{Address: to, Err: fmt.Errorf("%w: %w", links.ErrNoLink, err)}
+// standing returns what is known of the other nodes for a service. The caller must hold
+// c.mu.
+func (c *Client) standing(service string) *standing {
+	s := c.services[service]
+	if s == nil {
+		s = newStanding()
+		c.services[service] = s
 	}
-	c.Logger.Info().Str("event", "request_forwarded").Str("request", r.ID).Str("target", to.ID).Str("by", node).Msg("")
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
-	x := &exchange{client: c, stream: stream, node: node, ctx: ctx, stop: stop}
-	resp, err := x.roundTrip(to, r)
-	if err != nil {
-		x.Close()
-		return nil, err
-	}
-	return resp, nil
+	return s
 }
 
-var errNoNode = errors.New("forward: no other node accepts the request")
-
-// open asks nodes until one accepts a request.
-func (c *Client) open(ctx context.Context, to upstream.Address) (*peer.Stream, string, error) {
+// Send has another node send the request. It implements links.Sender.
+func (c *Client) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
+	service := c.Service(to.ID)
 	nodes := c.Nodes()
 	c.mu.Lock()
-	ranked := c.nodes.rank(nodes, c.Self.Zone, c.Zone(to.ID), time.Now())
+	ranked := c.standing(service).rank(nodes, c.Self.Zone, c.Zone(to.ID), time.Now())
 	c.mu.Unlock()
 	for _, n := range ranked {
-		stream, err := c.ask(ctx, n)
-		if ctx.Err() != nil {
-			if err == nil {
-				stream.Close()
-			}
-			return nil, "", context.Cause(ctx)
+		resp, err := c.sendThrough(ctx, n, service, to, r)
+		if err == nil || !errors.Is(err, errNotAccepted) {
+			return resp, err
 		}
-		c.record(n, err == nil)
-		if err == nil {
-			return stream, n.Name, nil
-		}
-		c.Logger.Info().Str("event", "forward_not_accepted").Str("node", n.Name).Err(err).Msg("")
+		c.Logger.Info().Str("event", "forward_not_accepted").Str("node", n.Name).Str("service", service).Err(err).Msg("")
 	}
 	c.mu.Lock()
-	c.refusedAt = time.Now()
+	c.standing(service).refusedAt = time.Now()
 	c.mu.Unlock()
-	return nil, "", errNoNode
+	return nil, noLink(to, errNoNode)
 }
 
-// record records whether a node accepted a request.
-func (c *Client) record(n datastore.Node, accepted bool) {
+var (
+	errNoNode = errors.New("forward: no other node accepts the request")
+	// errNotAccepted is wrapped by errors of nodes that have certainly not sent the request.
+	errNotAccepted = errors.New("forward: not accepted")
+)
+
+// noLink returns the error of a request that was not sent.
+func noLink(to upstream.Address, err error) error {
+	return &upstream.SendError{Address: to, Err: fmt.Errorf("%w: %w", links.ErrNoLink, err)}
+}
+
+// sendThrough has a node send the request. The error wraps errNotAccepted if another node
+// may be asked.
+func (c *Client) sendThrough(ctx context.Context, n datastore.Node, service string, to upstream.Address, r *upstream.Request) (*http.Response, error) {
+	stream, err := c.ask(ctx, n)
+	if ctx.Err() != nil {
+		if err == nil {
+			stream.Close()
+		}
+		return nil, noLink(to, context.Cause(ctx))
+	}
+	c.record(n, service, err == nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotAccepted, err)
+	}
+	c.Logger.Info().Str("event", "request_forwarded").Str("request", r.ID).Str("target", to.ID).Str("by", n.Name).Msg("")
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	x := &exchange{client: c, stream: stream, node: n.Name, service: service, ctx: ctx, stop: stop}
+	resp, err := x.roundTrip(to, r)
+	if err != nil {
+		x.Close()
+		if errors.Is(err, errNotAccepted) {
+			c.record(n, service, false)
+		}
+		return nil, err
+	}
+	return resp, nil
+}
+
+// record records whether a node accepted a request to a service.
+func (c *Client) record(n datastore.Node, service string, accepted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s := c.standing(service)
 	if accepted {
-		c.refusedAt = time.Time{}
-		c.nodes.accepted(n)
+		s.refusedAt = time.Time{}
+		s.accepted(n)
 		return
 	}
-	c.nodes.refused(n, time.Now())
+	s.refused(n, time.Now())
 }
 
-func (c *Client) recordEnd(node string) {
+func (c *Client) recordEnd(node, service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.nodes.ended(node)
+	c.standing(service).ended(node)
 }
 
 // ask opens a stream to a node, which has accepted a request on it.
@@ -159,12 +191,12 @@
 
 // exchange is one request that another node forwards. It is the body of its response.
 type exchange struct {
-	client *Client
-	stream *peer.Stream
-	node   string
-	ctx    context.Context
-	stop   func() bool
-	once   sync.Once
+	client        *Client
+	stream        *peer.Stream
+	node, service string
+	ctx           context.Context
+	stop          func() bool
+	once          sync.Once
 	// data is what was received and not read, err how the body ends.
 	data []byte
 	err  error
@@ -180,6 +212,9 @@
 		return nil, x.lost(to, err)
 	}
 	if f := reply.GetFailure(); f != nil {
+		if f.GetUnlinked() && !f.GetSent() {
+			return nil, fmt.Errorf("%w: %w", errNotAccepted, x.failure(f))
+		}
 		return nil, &upstream.SendError{Address: to, Sent: f.GetSent(), PeerClosed: f.GetPeerClosed(), Err: x.failure(f)}
 	}
 	head := reply.GetResponse()
@@ -271,7 +306,7 @@
 func (x *exchange) Close() error {
 	x.once.Do(func() {
 		x.stop()
-		x.client.recordEnd(x.node)
+		x.client.recordEnd(x.node, x.service)
 	})
 	return x.stream.Close()
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -29,11 +29,13 @@
 
 // otherNode is a node that forwards requests. It stands in for its own links.
 type otherNode struct {
-	node    datastore.Node
-	server  *forward.Server
-	peers   *peer.Server
-	lost    atomic.Bool
-	crashed atomic.Bool
+	node   datastore.Node
+	server *forward.Server
+	peers  *peer.Server
+	lost   atomic.Bool
+	// unlinked is whether it reaches no target of the service, lost whether it reaches none.
+	unlinked atomic.Bool
+	crashed  atomic.Bool
 	// unwanted is whether targets want no request from it.
 	unwanted atomic.Bool
 	signals  chan balance.Signal
@@ -57,6 +59,7 @@
 }
 
 func (n *otherNode) Linked() bool                                   { return !n.lost.Load() }
+func (n *otherNode) LinkedTo(string) bool                           { return !n.lost.Load() && !n.unlinked.Load() }
 func (n *otherNode) Verify(context.Context) bool                    { return !n.lost.Load() }
 func (n *otherNode) Refuses(context.Context, upstream.Address) bool { return n.crashed.Load() }
 func (n *otherNode) RecordLimit(string, float64, bool)              {}
@@ -89,7 +92,7 @@
 	pool := peer.NewPool(peer.PoolOptions{Identity: peer.Identity{Cluster: "test", Node: "self"}, Meter: peer.NopMeter{}, DialTimeout: time.Second})
 	t.Cleanup(pool.Close)
 	return forward.NewClient(forward.ClientOptions{
-		Self: datastore.Node{Name: "self", Zone: "a"}, Pool: pool, Zone: func(string) string { return "a" }, Logger: logging.Discard(),
+		Self: datastore.Node{Name: "self", Zone: "a"}, Pool: pool, Zone: func(string) string { return "a" }, Service: func(string) string { return "s" }, Logger: logging.Discard(),
 		Nodes: func() (nodes []datastore.Node) {
 			for _, n := range others {
 				nodes = append(nodes, n.node)
@@ -215,6 +218,36 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// A node may reach the targets of other services only, and find that out late.
+func TestNodeWithoutLinksToTheServiceIsNotTheLastOneAsked(t *testing.T) {
+	noLink := &upstream.SendError{Err: links.ErrNoLink}
+	for _, c := range []struct {
+		name string
+		set  func(*otherNode)
+	}{
+		{"known", func(n *otherNode) { n.unlinked.Store(true) }},
+		{"found out now", func(n *otherNode) { n.answer = fails(noLink) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			unlinked, other := startOther(t, "n2", "a"), startOther(t, "n3", "b")
+			c.set(unlinked)
+			client := newClient(t, unlinked, other)
+			for range 3 {
+				resp, err := client.Send(t.Context(), target, request("body"))
+				is.NoErr(err)
+				is.NoErr(resp.Body.Close())
+			}
+			is.Equal(len(other.sends), 3)
+			is.True(len(unlinked.sends) <= 1) // It is asked last for a time.
+			other.server.Stop()
+			_, err := client.Send(t.Context(), target, request("body"))
+			is.True(errors.Is(err, links.ErrNoLink))
+			is.True(!client.Usable())
+		})
+	}
+}
+
 func TestNodeThatAcceptsIsFoundBesideOthers(t *testing.T) {
 	is := is.New(t)
 	lost, gone, other := startOther(t, "n2", "a"), startOther(t, "n3", "a"), startOther(t, "n4", "b")
--- a/forward/rank.go
+++ b/forward/rank.go
@@ -19,17 +19,20 @@
 	avoidTime = time.Second
 )
 
-// standing is what is known of the other nodes.
+// standing is what is known of the other nodes as senders to the targets of a service.
 type standing struct {
 	// running counts the requests that each node forwards for this one.
 	running map[string]int
 	// avoidedNodes and avoidedZones hold until when those are asked last that did not
 	// accept a request.
 	avoidedNodes, avoidedZones map[string]time.Time
+	// refusedAt is when a request was last accepted by no node, zero if one was accepted
+	// since.
+	refusedAt time.Time
 }
 
-func newStanding() standing {
-	return standing{running: make(map[string]int), avoidedNodes: make(map[string]time.Time), avoidedZones: make(map[string]time.Time)}
+func newStanding() *standing {
+	return &standing{running: make(map[string]int), avoidedNodes: make(map[string]time.Time), avoidedZones: make(map[string]time.Time)}
 }
 
 // accepted records that a node accepted a request.
--- a/forward/server.go
+++ b/forward/server.go
@@ -29,10 +29,12 @@
 	Signals gateway.TargetSignals
 	Limits  gateway.TargetLimits
 	Prober  gateway.Prober
-	// Links knows whether this node has links to targets.
+	// Links knows whether this node has links to targets of any service, and to those of a
+	// target's service.
 	Links interface {
 		gateway.Links
 		Linked() bool
+		LinkedTo(target string) bool
 	}
 	// MaxRequests bounds the requests that are forwarded at the same time.
 	MaxRequests int64
@@ -132,6 +134,9 @@
 
 // forward sends a request to its target and passes the response on.
 func (s *Server) forward(ctx context.Context, from peer.Identity, stream *peer.Stream, f *forwarded) error {
+	if !s.Links.LinkedTo(f.GetTarget()) {
+		return stream.Send(&schema.ForwardReply{Failure: unlinked(errNoLinks)})
+	}
 	target := &catalog.Target{ID: f.GetTarget(), Address: f.GetAddress(), Started: f.GetStarted()}
 	if !s.Signals.MaySend(target, f.arrived) {
 		return sendFailure(stream, errUnwanted)
@@ -207,6 +212,8 @@
 // of one.
 func (s *Server) fail(ctx context.Context, stream *peer.Stream, f *forwarded, err error) error {
 	failure := describe(err)
+	var sendErr *upstream.SendError
+	failure.Unlinked = failure.NoLink && errors.As(err, &sendErr) && !sendErr.Sent
 	if failure.PeerClosed && ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 		defer cancel()
@@ -219,6 +226,14 @@
 	return stream.Send(&schema.ForwardReply{Failure: describe(err)})
 }
 
+// unlinked describes the failure of a request that was not sent because this node has no
+// link to the targets of the service.
+func unlinked(err error) *schema.ForwardFailure {
+	failure := describe(err)
+	failure.Unlinked = true
+	return failure
+}
+
 func describe(err error) *schema.ForwardFailure {
 	failure := &schema.ForwardFailure{
 		Message: err.Error(), PeerClosed: upstream.IsPeerClosed(err), NoLink: errors.Is(err, links.ErrNoLink),
--- a/links/client.go
+++ b/links/client.go
@@ -6,13 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
-// silenceTimeout is the time without a byte from any target after which an attempt makes
+// silenceTimeout is the time without a byte from any target of a service after which an attempt makes
 // the links suspect.
 const silenceTimeout = 500 * time.Millisecond
 
@@ -32,46 +31,42 @@
 // Client sends requests over this node's own links and watches what that says of these.
 // Its methods are safe for concurrent use.
 type Client struct {
-	direct  Sender
-	monitor *Monitor
-	// heard is when a byte last arrived from any target, in nanoseconds since started.
-	heard   atomic.Int64
-	started time.Time
+	direct Sender
+	// monitor returns the monitor of the links to a target and those like it.
+	monitor func(target string) *Monitor
 }
 
 // NewClient returns a client that sends with another one.
-func NewClient(direct Sender, monitor *Monitor) *Client {
-	return &Client{direct: direct, monitor: monitor, started: time.Now()}
+func NewClient(direct Sender, monitor func(target string) *Monitor) *Client {
+	return &Client{direct: direct, monitor: monitor}
 }
 
 // Send sends the request as upstream.Client.Send does. Errors of it and of the body wrap
 // ErrNoLink if the links are known to be lost.
 func (c *Client) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
-	began := time.Since(c.started)
+	monitor, began := c.monitor(to.ID), time.Now()
 	silence := time.AfterFunc(silenceTimeout, func() {
-		if c.heard.Load() <= int64(began) {
-			c.monitor.Suspect()
+		if !monitor.heardSince(began) {
+			monitor.Suspect()
 		}
 	})
 	resp, err := c.direct.Send(ctx, to, r)
 	silence.Stop()
 	if err != nil {
-		return nil, c.explain(ctx, err)
+		return nil, monitor.explain(ctx, err)
 	}
-	c.recordHeard()
-	resp.Body = &watchedBody{ReadCloser: resp.Body, ctx: ctx, client: c}
+	monitor.recordHeard()
+	resp.Body = &watchedBody{ReadCloser: resp.Body, ctx: ctx, monitor: monitor}
 	return resp, nil
 }
 
-func (c *Client) recordHeard() { c.heard.Store(int64(time.Since(c.started))) }
-
 // explain returns the error of an attempt, which makes the links suspect unless the request
 // was cancelled.
-func (c *Client) explain(ctx context.Context, err error) error {
+func (m *Monitor) explain(ctx context.Context, err error) error {
 	if ctx.Err() == nil {
-		c.monitor.Suspect()
+		m.Suspect()
 	}
-	if c.monitor.Linked() {
+	if m.Linked() {
 		return err
 	}
 	var sendErr *upstream.SendError
@@ -86,18 +81,18 @@
 // watchedBody is the body of a response from a target.
 type watchedBody struct {
 	io.ReadCloser
-	ctx    context.Context
-	client *Client
+	ctx     context.Context
+	monitor *Monitor
 }
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.client.recordHeard()
+		b.monitor.recordHeard()
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
-		err = b.client.explain(b.ctx, err)
+		err = b.monitor.explain(b.ctx, err)
 	}
 	return n, err
 }
--- a/links/client_test.go
+++ b/links/client_test.go
@@ -64,7 +64,7 @@
 			is := is.New(t)
 			m := NewMonitor(Options{})
 			m.lost.Store(!c.linked)
-			resp, err := NewClient(c.sender, m).Send(t.Context(), upstream.Address{}, nil)
+			resp, err := NewClient(c.sender, func(string) *Monitor { return m }).Send(t.Context(), upstream.Address{}, nil)
 			var sendErr *upstream.SendError
 			if c.sender.err != nil {
 				is.True(errors.As(err, &sendErr))
@@ -84,7 +84,7 @@
 	m := NewMonitor(Options{})
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := NewClient(sender{after: time.Hour}, m).Send(ctx, upstream.Address{}, nil)
+	_, err := NewClient(sender{after: time.Hour}, func(string) *Monitor { return m }).Send(ctx, upstream.Address{}, nil)
 	is.True(err != nil)
 	is.Equal(len(m.suspects), 0)
 }
@@ -96,11 +96,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				m := NewMonitor(Options{})
-				c := NewClient(sender{after: 2 * time.Second, body: strings.NewReader("")}, m)
+				c := NewClient(sender{after: 2 * time.Second, body: strings.NewReader("")}, func(string) *Monitor { return m })
 				if others {
 					go func() {
 						time.Sleep(300 * time.Millisecond)
-						c.recordHeard()
+						m.recordHeard()
 					}()
 				}
 				_, err := c.Send(t.Context(), upstream.Address{}, nil)
--- a/links/monitor.go
+++ b/links/monitor.go
@@ -36,6 +36,8 @@
 
 // Options configures a Monitor.
 type Options struct {
+	// Service is the service of the targets, empty for all.
+	Service string
 	// Targets returns the targets that are in use.
 	Targets func() []*catalog.Target
 	// Connect opens a connection to a target.
@@ -45,7 +47,7 @@
 	Logger             *log.Logger
 }
 
-// Monitor checks whether this node has links to targets. Its methods may be called by any
+// Monitor checks whether this node has links to some targets. Its methods may be called by any
 // goroutine.
 type Monitor struct {
 	options  Options
@@ -53,18 +55,30 @@
 	requests chan chan bool
 	suspects chan struct{}
 	done     chan struct{}
+	// heard is when a byte last arrived from any of the targets, in nanoseconds since
+	// started.
+	heard   atomic.Int64
+	started time.Time
 }
 
 // NewMonitor returns a monitor that takes the links to work until Run has found otherwise.
 func NewMonitor(options Options) *Monitor {
 	return &Monitor{
 		options: options, requests: make(chan chan bool, requestQueue), suspects: make(chan struct{}, 1), done: make(chan struct{}),
+		started: time.Now(),
 	}
 }
 
 // Linked reports whether the links worked at the last check.
 func (m *Monitor) Linked() bool { return !m.lost.Load() }
 
+func (m *Monitor) recordHeard() { m.heard.Store(int64(time.Since(m.started))) }
+
+// heardSince reports whether a byte has arrived from any of the targets since a time.
+func (m *Monitor) heardSince(since time.Time) bool {
+	return m.heard.Load() > int64(since.Sub(m.started))
+}
+
 // Suspect has the links checked soon, because a target could not be reached.
 func (m *Monitor) Suspect() {
 	select {
@@ -187,10 +201,10 @@
 		return linked
 	}
 	if linked {
-		m.options.Logger.Info().Str("event", "links_regained").Int("targets_tried", tried).Msg("")
+		m.options.Logger.Info().Str("event", "links_regained").Str("service", m.options.Service).Int("targets_tried", tried).Msg("")
 		m.options.OnRegained()
 	} else {
-		m.options.Logger.Warn().Str("event", "links_lost").Int("targets_tried", tried).Msg("")
+		m.options.Logger.Warn().Str("event", "links_lost").Str("service", m.options.Service).Int("targets_tried", tried).Msg("")
 		m.options.OnLost()
 	}
 	return linked
--- a/links/switch.go
+++ b/links/switch.go
@@ -8,15 +8,16 @@
 )
 
 // Switch sends requests over this node's own links, or through other nodes while it has
-// none.
+// none to the targets of the service.
 type Switch struct {
 	Own, Others Sender
-	Monitor     *Monitor
+	// Monitor returns the monitor of the links to a target and those like it.
+	Monitor func(target string) *Monitor
 }
 
 // Send sends the request.
 func (s *Switch) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
-	if s.Monitor.Linked() {
+	if s.Monitor(to.ID).Linked() {
 		return s.Own.Send(ctx, to, r)
 	}
 	return s.Others.Send(ctx, to, r)
--- a/links/switch_test.go
+++ b/links/switch_test.go
@@ -21,7 +21,7 @@
 func TestRequestsGoThroughOthersOnlyWhileTheLinksAreLost(t *testing.T) {
 	is := is.New(t)
 	own, others, m := &countingSender{}, &countingSender{}, NewMonitor(Options{})
-	s := &Switch{Own: own, Others: others, Monitor: m}
+	s := &Switch{Own: own, Others: others, Monitor: func(string) *Monitor { return m }}
 	for _, lost := range []bool{false, true, true, false} {
 		m.lost.Store(lost)
 		_, err := s.Send(t.Context(), upstream.Address{}, nil)
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -230,7 +230,7 @@
 }
 
 // ForgiveFailures implements owner.Balancer.
-func (b *fakeBalancer) ForgiveFailures(node string) { b.forgiven <- node }
+func (b *fakeBalancer) ForgiveFailures(node, service string) { b.forgiven <- node + " " + service }
 
 // remoteSignal is what a target asked of another node.
 type remoteSignal struct {
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -22,7 +22,8 @@
 	withdrawn []uint64
 	reports   []*schema.OwnerReport
 	signals   []*schema.OwnerSignal
-	linksLost bool
+	// linksLost lists services whose targets this node no longer reaches.
+	linksLost []string
 }
 
 // queuedAcquire is a request for a target that has not been sent yet.
@@ -66,8 +67,8 @@
 	})
 }
 
-func (o *outbox) addLinksLost() {
-	o.update(func() { o.linksLost = true })
+func (o *outbox) addLinksLost(service string) {
+	o.update(func() { o.linksLost = append(o.linksLost, service) })
 }
 
 // take empties the outbox and returns its contents as one message. Times are
@@ -75,8 +76,8 @@
 func (o *outbox) take() *schema.OwnerCall {
 	o.mu.Lock()
 	acquires := o.acquires
-	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports, Signals: o.signals, LinksLost: o.linksLost}
-	o.acquires, o.withdrawn, o.reports, o.signals, o.linksLost = nil, nil, nil, nil, false
+	c := &schema.OwnerCall{Withdrawn: o.withdrawn, Reports: o.reports, Signals: o.signals, LinksLost: len(o.linksLost) > 0, LinksLostServices: o.linksLost}
+	o.acquires, o.withdrawn, o.reports, o.signals, o.linksLost = nil, nil, nil, nil, nil
 	o.mu.Unlock()
 	now := time.Now()
 	for _, a := range acquires {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -45,9 +45,9 @@
 	// RecordSignal records what a target asked of this node, and reports whether the
 	// owner has to be told.
 	RecordSignal(s balance.Signal) (isNew bool)
-	// ForgiveFailures drops the failures of requests that a node sent; the node is empty
-	// for this one.
-	ForgiveFailures(node string)
+	// ForgiveFailures drops the failures of requests that a node sent to targets of a
+	// service; the node is empty for this one, the service for all of them.
+	ForgiveFailures(node, service string)
 	// RecordRemoteSignal records what a target asked of another node.
 	RecordRemoteSignal(node string, s balance.Signal)
 	// Signals returns what targets have asked of this node and what still holds.
@@ -251,12 +251,12 @@
 	}
 }
 
-// LinksLost says that this node has lost its links to all targets. The failures of its
-// requests then say nothing of these, here and at the owner.
-func (m *Manager) LinksLost() {
-	m.options.Balancer.ForgiveFailures(thisNode)
+// LinksLost says that this node has lost its links to all targets of a service. The
+// failures of its requests then say nothing of these, here and at the owner.
+func (m *Manager) LinksLost(service string) {
+	m.options.Balancer.ForgiveFailures(thisNode, service)
 	if l := m.latestLink(); l != nil {
-		l.outbox.addLinksLost()
+		l.outbox.addLinksLost(service)
 	}
 }
 
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -260,9 +260,9 @@
 	grant, err := c.nodes["n2"].manager.Acquire(t.Context(), newWork("r1"))
 	is.NoErr(err)
 	grant.Done(balance.Unreachable)
-	c.nodes["n2"].manager.LinksLost()
-	is.Equal(<-c.nodes["n2"].balancer.forgiven, "")
-	is.Equal(<-c.nodes["n1"].balancer.forgiven, "n2")
+	c.nodes["n2"].manager.LinksLost("llm")
+	is.Equal(<-c.nodes["n2"].balancer.forgiven, " llm")
+	is.Equal(<-c.nodes["n1"].balancer.forgiven, "n2 llm")
 	is.Equal((<-c.nodes["n1"].balancer.reports).result, balance.Unreachable)
 }
 
@@ -273,12 +273,12 @@
 	c.waitUntilLinked("n2")
 	c.setOwner("n2")
 	c.nodes["n2"].manager.RecordSignal(balance.Signal{Target: "i-1", Pause: time.Second})
-	c.nodes["n2"].manager.LinksLost()
+	c.nodes["n2"].manager.LinksLost("llm")
 	c.setOwner("n1")
 	is.Equal(c.nextRemoteSignal("n1"), remoteSignal{"n2", balance.Signal{Target: "i-1", Pause: time.Second}})
 	select {
 	case node := <-c.nodes["n1"].balancer.forgiven:
-		is.Equal(node, "n2")
+		is.Equal(node, "n2 llm")
 	case <-time.After(eventuallyTimeout):
 		t.Fatal("the owner was not told that the links are lost")
 	}
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -73,11 +73,23 @@
 	for _, r := range call.GetReports() {
 		s.handleReport(r)
 	}
-	if call.GetLinksLost() {
-		s.balancer.ForgiveFailures(s.node)
+	s.forgive(call)
+}
+
+// forgive drops the failures that the other node says were its own.
+func (s *session) forgive(call *schema.OwnerCall) {
+	services := call.GetLinksLostServices()
+	if call.GetLinksLost() && len(services) == 0 {
+		services = []string{allServices}
+	}
+	for _, service := range services {
+		s.balancer.ForgiveFailures(s.node, service)
 	}
 }
 
+// allServices is the service of which a node says nothing more exact.
+const allServices = ""
+
 // acquire waits for a target and sends the grant or the refusal.
 func (s *session) acquire(ctx context.Context, number uint64, w *balance.Work) {
 	grant, err := s.balancer.Acquire(ctx, w)
--- a/standin/entrytest/links_test.go
+++ b/standin/entrytest/links_test.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	mode  cutMode
 	conns map[*nodeLink]bool
+	// only holds the addresses of the workers that are cut off, nil for all.
+	only map[string]bool
 	// healed is closed when a cut ends.
 	healed chan struct{}
 }
@@ -51,7 +53,7 @@
 func (l *nodeLinks) option() fx.Option {
 	return fx.Decorate(func(dial upstream.DialFunc) upstream.DialFunc {
 		return func(ctx context.Context, network, address string) (net.Conn, error) {
-			switch mode, _ := l.state(); mode {
+			switch mode, _ := l.stateOf(address); mode {
 			case reset, half:
 				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 			case silent:
@@ -64,7 +66,7 @@
 			if err != nil {
 				return nil, err
 			}
-			link := &nodeLink{TCPConn: c.(*net.TCPConn), links: l, closed: make(chan struct{})}
+			link := &nodeLink{TCPConn: c.(*net.TCPConn), links: l, address: address, closed: make(chan struct{})}
 			l.mu.Lock()
 			l.conns[link] = true
 			l.mu.Unlock()
@@ -73,18 +75,31 @@
 	})
 }
 
-func (l *nodeLinks) state() (cutMode, chan struct{}) {
+// stateOf returns the mode of the connections to a worker, and a channel that is closed
+// when a cut ends.
+func (l *nodeLinks) stateOf(address string) (cutMode, chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.only != nil && !l.only[address] {
+		return linked, l.healed
+	}
 	return l.mode, l.healed
 }
 
+// cutOff cuts the connections to some workers.
+func (l *nodeLinks) cutOff(mode cutMode, addresses map[string]bool) {
+	l.mu.Lock()
+	l.only = addresses
+	l.mu.Unlock()
+	l.set(mode)
+}
+
 func (l *nodeLinks) set(mode cutMode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode = mode
 	for c := range l.conns {
-		if mode == reset && c.reading.Load() {
+		if mode == reset && c.reading.Load() && (l.only == nil || l.only[c.address]) {
 			c.TCPConn.SetReadDeadline(time.Now())
 		}
 	}
@@ -98,6 +113,7 @@
 type nodeLink struct {
 	*net.TCPConn
 	links   *nodeLinks
+	address string
 	reading atomic.Bool
 	once    sync.Once
 	closed  chan struct{}
@@ -106,7 +122,7 @@
 // await returns once the connection works, or is closed.
 func (c *nodeLink) await() {
 	for {
-		mode, healed := c.links.state()
+		mode, healed := c.links.stateOf(c.address)
 		if mode != silent {
 			return
 		}
@@ -121,19 +137,19 @@
 func (c *nodeLink) Read(p []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	if mode, _ := c.links.state(); mode == reset {
+	if mode, _ := c.links.stateOf(c.address); mode == reset {
 		return 0, syscall.ECONNRESET
 	}
 	n, err := c.TCPConn.Read(p)
 	c.await()
-	if mode, _ := c.links.state(); mode == reset {
+	if mode, _ := c.links.stateOf(c.address); mode == reset {
 		return 0, syscall.ECONNRESET
 	}
 	return n, err
 }
 
 func (c *nodeLink) Write(p []byte) (int, error) {
-	if mode, _ := c.links.state(); mode == silent {
+	if mode, _ := c.links.stateOf(c.address); mode == silent {
 		go func() {
 			c.await()
 			c.TCPConn.Write(p)
@@ -236,17 +252,19 @@
 	mode         cutMode
 	first, count int
 	cut          []int
+	// cutService is the service whose workers they are cut off from, empty for all.
+	cutService string
 }
 
 var cutCases = []cutCase{
-	{"a member, reset", newTestEnv, reset, 3, 3, []int{1}},
-	{"a member, silent", newTestEnv, silent, 3, 3, []int{1}},
-	{"the owner of the zone, reset", newTestEnv, reset, 3, 3, []int{0}},
-	{"two of three, reset", newTestEnv, reset, 3, 3, []int{0, 1}},
-	{"two of three, half", newTestEnv, half, 3, 3, []int{0, 1}},
-	{"all of a zone, reset", newTestEnv, reset, 3, 5, []int{0, 1, 2}},
-	{"all of a zone, silent", newTestEnv, silent, 3, 5, []int{0, 1, 2}},
-	{"most of a zone with hubs, reset", newLoneTestEnv, reset, 9, 11, []int{0, 1, 2, 3, 5, 7, 8}},
+	{"a member, reset", newTestEnv, reset, 3, 3, []int{1}, ""},
+	{"a member, silent", newTestEnv, silent, 3, 3, []int{1}, ""},
+	{"the owner of the zone, reset", newTestEnv, reset, 3, 3, []int{0}, ""},
+	{"two of three, reset", newTestEnv, reset, 3, 3, []int{0, 1}, ""},
+	{"two of three, half", newTestEnv, half, 3, 3, []int{0, 1}, ""},
+	{"all of a zone, reset", newTestEnv, reset, 3, 5, []int{0, 1, 2}, ""},
+	{"all of a zone, silent", newTestEnv, silent, 3, 5, []int{0, 1, 2}, ""},
+	{"most of a zone with hubs, reset", newLoneTestEnv, reset, 9, 11, []int{0, 1, 2, 3, 5, 7, 8}, ""},
 }
 
 // run cuts nodes off while all serve, and returns them and the others once they have had
@@ -261,7 +279,7 @@
 	}
 	for i, n := range nodes {
 		if slices.Contains(c.cut, i) {
-			n.links.set(c.mode)
+			n.links.cutOff(c.mode, env.addressesOf(c.cutService))
 			cut = append(cut, n)
 		} else {
 			others = append(others, n)
@@ -272,6 +290,20 @@
 	return env, cut, others
 }
 
+// addressesOf returns the addresses of the workers of a service, nil if it is empty.
+func (env *testEnv) addressesOf(service string) map[string]bool {
+	if service == "" {
+		return nil
+	}
+	addresses := make(map[string]bool)
+	for _, w := range env.workers {
+		if w.Service == service {
+			addresses[w.Address()] = true
+		}
+	}
+	return addresses
+}
+
 func TestNodesWithLinksServeWhileOthersHaveNone(t *testing.T) {
 	for _, c := range cutCases {
 		t.Run(c.name, func(t *testing.T) {
@@ -313,6 +345,30 @@
 	}
 }
 
+func TestNodesWithoutLinksToOneServiceServeThroughOthers(t *testing.T) {
+	for _, c := range []struct {
+		cutCase
+		service string
+	}{
+		{cutCase{name: "a member, reset", newEnv: newTestEnv, mode: reset, first: 3, count: 3, cut: []int{1}}, "app"},
+		{cutCase{name: "two of three, silent", newEnv: newTestEnv, mode: silent, first: 3, count: 3, cut: []int{0, 1}}, "app"},
+		{cutCase{name: "all of a zone, half", newEnv: newTestEnv, mode: half, first: 3, count: 5, cut: []int{0, 1, 2}}, "llm"},
+		{cutCase{name: "all of a zone, silent", newEnv: newTestEnv, mode: silent, first: 3, count: 5, cut: []int{0, 1, 2}}, "app"},
+		{cutCase{name: "most of a zone with hubs, silent", newEnv: newLoneTestEnv, mode: silent, first: 9, count: 11, cut: []int{0, 1, 2, 3, 5, 7, 8}}, "llm"},
+	} {
+		t.Run(c.name+", "+c.service, func(t *testing.T) {
+			c.cutService = c.service
+			env, cut, others := c.run(t)
+			env.load(slices.Concat(cut, others), "cut", 2*time.Second)
+			for name, nodes := range map[string][]*linkedNode{"cut off": cut, "others": others} {
+				if tried, served := count(nodes); !tolerable(tried, served) {
+					t.Errorf("%s: served %d of %d", name, served, tried)
+				}
+			}
+		})
+	}
+}
+
 // Targets that only one node cannot reach have not crashed.
 func TestNodeWithoutLinksDoesNotTakeSoundTargetsForCrashed(t *testing.T) {
 	is := is.New(t)
