forward: a node that has just refused a request is not asked again at once

A node that did not accept is now left out for 0.25 s.

TestNodesThatAllRefuseAreNotAskedForEachRequest failed before.

--- a/forward/client.go
+++ b/forward/client.go
@@ -85,10 +85,16 @@
 // Send has another node send the request. It implements links.Sender.
 func (c *Client) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
 	service := c.Service(to.ID)
-	nodes := c.Nodes()
-	c.mu.Lock()
-	ranked := c.standing(service).rank(nodes, c.Self.Zone, c.Zone(to.ID), time.Now())
-	c.mu.Unlock()
+	ranked := c.rank(service, to)
+	if len(ranked) == 0 {
+		// All have just refused. A node whose links are back is found by those who wait.
+		select {
+		case <-time.After(askAgainInterval):
+		case <-ctx.Done():
+			return nil, noLink(to, context.Cause(ctx))
+		}
+		ranked = c.rank(service, to)
+	}
 	for _, n := range ranked {
 		resp, err := c.sendThrough(ctx, n, service, to, r)
 		if err == nil || !errors.Is(err, errNotAccepted) {
@@ -102,6 +108,14 @@
 	return nil, noLink(to, errNoNode)
 }
 
+// rank returns the nodes to ask to forward a request, in order.
+func (c *Client) rank(service string, to upstream.Address) []datastore.Node {
+	nodes := c.Nodes()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.standing(service).rank(nodes, c.Self.Zone, c.Zone(to.ID), time.Now())
+}
+
 var (
 	errNoNode = errors.New("forward: no other node accepts the request")
 	// errNotAccepted is wrapped by errors of nodes that have certainly not sent the request.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -248,6 +248,19 @@
 	}
 }
 
+func TestRequestWaitsForTheOnlyOtherNodeThatHasJustRefused(t *testing.T) {
+	is := is.New(t)
+	n := startOther(t, "n2", "a")
+	client := newClient(t, n)
+	n.unlinked.Store(true)
+	_, err := client.Send(t.Context(), target, request("body"))
+	is.True(errors.Is(err, links.ErrNoLink))
+	n.unlinked.Store(false)
+	resp, err := client.Send(t.Context(), target, request("body"))
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+}
+
 func TestNodeThatAcceptsIsFoundBesideOthers(t *testing.T) {
 	is := is.New(t)
 	lost, gone, other := startOther(t, "n2", "a"), startOther(t, "n3", "a"), startOther(t, "n4", "b")
--- a/forward/rank.go
+++ b/forward/rank.go
@@ -17,6 +17,9 @@
 	// avoidTime is how long a node that did not accept a request, and its zone, are asked
 	// after all others.
 	avoidTime = time.Second
+	// askAgainInterval is the least time between a node's refusal and the next request that
+	// it is asked to forward.
+	askAgainInterval = 250 * time.Millisecond
 )
 
 // standing is what is known of the other nodes as senders to the targets of a service.
@@ -66,7 +69,9 @@
 )
 
 // rank returns the nodes to ask to forward a request to a target, in order. It answers the
-// load of nodes that have lost their links, alone or with all of their zone.
+// load of nodes that have lost their links, alone or with all of their zone. Nodes that have
+// just refused are left out, lest each request ask all of them when no node reaches the
+// service.
 func (s *standing) rank(nodes []datastore.Node, ownZone, targetZone string, now time.Time) []datastore.Node {
 	class := func(n datastore.Node) int {
 		c := otherZoneClass
@@ -84,7 +89,9 @@
 		}
 		return c
 	}
-	candidates := slices.Clone(nodes)
+	candidates := slices.DeleteFunc(slices.Clone(nodes), func(n datastore.Node) bool {
+		return s.avoidedNodes[n.Name].Sub(now) > avoidTime-askAgainInterval
+	})
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	slices.SortStableFunc(candidates, func(a, b datastore.Node) int { return cmp.Compare(class(a), class(b)) })
 	// Of two random nodes of a class, the one that forwards fewer requests is asked first.
--- a/forward/rank_test.go
+++ b/forward/rank_test.go
@@ -62,6 +62,25 @@
 	}
 }
 
+// No node reaches the service. Each is asked a few times a second, however many requests come.
+func TestNodesThatAllRefuseAreNotAskedForEachRequest(t *testing.T) {
+	is := is.New(t)
+	s, now := newStanding(), time.Now()
+	nodes := append(zoneNodes("a", 2), zoneNodes("b", 3)...)
+	asked := make(map[string]int)
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		for _, n := range s.rank(nodes, "a", "b", now) {
+			asked[n.Name]++
+			s.refused(n, now)
+		}
+	}
+	for _, n := range nodes {
+		is.True(asked[n.Name] >= 3) // A node whose links are back is found soon.
+		is.True(asked[n.Name] <= 5)
+	}
+}
+
 func TestRequestsAreSpreadOverTheNodesThatForwardThem(t *testing.T) {
 	is := is.New(t)
 	s, nodes := newStanding(), zoneNodes("b", 10)
