--- a/links/monitor_test.go
+++ b/links/monitor_test.go
@@ -54,6 +54,12 @@
 	return nil
 }
 
+func (n *network) dialCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials
+}
+
 func (n *network) set(change func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -109,7 +115,7 @@
 				if c.linked {
 					maxDials = 2 * (1 + sampleSize)
 				}
-				is.True(n.dials <= maxDials)
+				is.True(n.dialCount() <= maxDials)
 			})
 		})
 	}
@@ -124,7 +130,7 @@
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		is.True(!m.Linked())
-		is.True(n.dials <= 1+sampleSize+20) // Two checks a second.
+		is.True(n.dialCount() <= 1+sampleSize+20) // Two checks a second.
 		n.set(func() { n.refused = false })
 		time.Sleep(probeInterval + 50*time.Millisecond)
 		synctest.Wait()
@@ -144,7 +150,7 @@
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.True(n.dials <= 3)
+		is.True(n.dialCount() <= 3)
 	})
 }
 
--- a/links/monitors_test.go
+++ b/links/monitors_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,12 +17,44 @@
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
-// monitoredServices runs a test in virtual time with monitors of two services, of which "app"
-// has the given number of targets and "llm" twelve. Those of the services that cut lists are
-// not reached.
-func monitoredServices(t *testing.T, apps int, cut *[]string, test func(*testing.T, *Monitors, *[]string)) {
+// serviceCut is which services' targets a node does not reach, and what it was told to have
+// lost.
+type serviceCut struct {
+	mu        sync.Mutex
+	cut, lost []string
+}
+
+func (c *serviceCut) set(services ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = services
+}
+
+func (c *serviceCut) recordLost(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = append(c.lost, service)
+}
+
+// serviceOf returns the service of a target.
+func serviceOf(target string) string {
+	name, _, _ := strings.Cut(target, "-")
+	return name
+}
+
+func (c *serviceCut) connect(_ context.Context, to upstream.Address) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.cut, serviceOf(to.ID)) {
+		return errRefused
+	}
+	return nil
+}
+
+// monitored runs a test in virtual time with monitors of two services, of which "app" has
+// the given number of targets and "llm" twelve.
+func (c *serviceCut) monitored(t *testing.T, apps int, test func(*testing.T, *Monitors)) {
 	synctest.Test(t, func(t *testing.T) {
-		var mu sync.Mutex
 		var targets []*catalog.Target
 		for i := range apps {
 			targets = append(targets, &catalog.Target{ID: fmt.Sprint("app-", i), Service: "app"})
@@ -29,30 +62,14 @@
 		for i := range 12 {
 			targets = append(targets, &catalog.Target{ID: fmt.Sprint("llm-", i), Service: "llm"})
 		}
-		service := func(target string) string { name, _, _ := strings.Cut(target, "-"); return name }
-		lost := []string{}
 		s := NewMonitors(MonitorsOptions{
-			Targets: func() []*catalog.Target { return targets }, Service: service, Logger: logging.Discard(),
-			Connect: func(_ context.Context, to upstream.Address) error {
-				mu.Lock()
-				defer mu.Unlock()
-				for _, name := range *cut {
-					if name == service(to.ID) {
-						return errRefused
-					}
-				}
-				return nil
-			},
-			OnLost: func(service string) {
-				mu.Lock()
-				defer mu.Unlock()
-				lost = append(lost, service)
-			},
+			Targets: func() []*catalog.Target { return targets }, Service: serviceOf, Connect: c.connect,
+			OnLost: c.recordLost, Logger: logging.Discard(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { s.Run(ctx) })
-		test(t, s, &lost)
+		test(t, s)
 		cancel()
 		running.Wait()
 	})
@@ -68,19 +85,20 @@
 		{"one service", 3, []string{"app"}, []string{"app"}, false, true, true},
 		{"the other one", 3, []string{"llm"}, []string{"llm"}, true, false, true},
 		{"all", 3, []string{"app", "llm"}, []string{"app", "llm"}, false, false, false},
-		{"one target only, which may be its own fault", 1, []string{"app"}, []string{}, true, true, true},
+		{"one target only, which may be its own fault", 1, []string{"app"}, nil, true, true, true},
 		{"one target only, and all", 1, []string{"app", "llm"}, []string{"app", "llm"}, false, false, false},
-		{"none", 3, nil, []string{}, true, true, true},
+		{"none", 3, nil, nil, true, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			monitoredServices(t, c.apps, &c.cut, func(t *testing.T, s *Monitors, lost *[]string) {
+			services := &serviceCut{cut: c.cut}
+			services.monitored(t, c.apps, func(t *testing.T, s *Monitors) {
 				is := is.New(t)
 				s.Of("app-0").Suspect()
 				time.Sleep(time.Second)
 				s.Of("llm-0").Suspect()
 				time.Sleep(time.Second)
 				synctest.Wait()
-				is.Equal(*lost, c.lost)
+				is.Equal(services.lost, c.lost)
 				is.Equal(s.LinkedTo("app-0"), c.app)
 				is.Equal(s.LinkedTo("llm-5"), c.llm)
 				is.Equal(s.Linked(), c.linked)
@@ -91,11 +109,11 @@
 }
 
 func TestLinksToAServiceAreRegainedByThemselves(t *testing.T) {
-	cut := []string{"app"}
-	monitoredServices(t, 3, &cut, func(t *testing.T, s *Monitors, _ *[]string) {
+	services := &serviceCut{cut: []string{"app"}}
+	services.monitored(t, 3, func(t *testing.T, s *Monitors) {
 		is := is.New(t)
 		is.True(!s.Of("app-0").Verify(t.Context()))
-		cut = nil
+		services.set()
 		time.Sleep(probeInterval + 50*time.Millisecond)
 		synctest.Wait()
 		is.True(s.LinkedTo("app-0"))
