forward, gateway: an answer whose sender ends in its middle is not whole

The log said "answered".

Cause: the end of the stream between the nodes is io.EOF. The body's error wrapped it beside ErrTruncated, and the readers of answers asked errors.Is(err, io.EOF) for their end. Class: an error that is wrapped twice answers to both of its causes.

Change: the error of the stream between nodes is no longer wrapped; it says nothing of the body nor of the target. And all readers of answers (gateway, forward, links) take only io.EOF itself for the end, as io.Reader has it.

TestAnswerIsNotWholeIfTheOtherNodeEndsInItsMiddle and TestAnErrorThatWrapsTheEndOfAnotherStreamIsNoEndOfAnAnswer (3 of 3 cases) failed before.

--- a/forward/client.go
+++ b/forward/client.go
@@ -262,10 +262,17 @@
 // lost returns the error of a request that was passed to the other node and not heard of
 // since: it may have been sent, and says nothing of the target.
 func (x *exchange) lost(to upstream.Address, err error) error {
+	return &upstream.SendError{Address: to, Sent: true, Err: x.streamError(err)}
+}
+
+// streamError returns the error of a failed stream to the other node. It does not wrap that of
+// the stream: an end of the stream, or its reset, is neither the end of a body nor the
+// target's doing.
+func (x *exchange) streamError(err error) error {
 	if cause := context.Cause(x.ctx); cause != nil {
-		err = cause
+		return fmt.Errorf("%w: %w", links.ErrNoLink, cause)
 	}
-	return &upstream.SendError{Address: to, Sent: true, Err: fmt.Errorf("%w: %w", links.ErrNoLink, err)}
+	return fmt.Errorf("%w: stream to node %s: %v", links.ErrNoLink, x.node, err)
 }
 
 // failure returns the error that the other node met.
@@ -302,10 +309,7 @@
 	err := x.stream.Receive(reply)
 	switch f := reply.GetFailure(); {
 	case err != nil:
-		if cause := context.Cause(x.ctx); cause != nil {
-			err = cause
-		}
-		x.err = fmt.Errorf("%w: %w: %w", upstream.ErrTruncated, links.ErrNoLink, err)
+		x.err = fmt.Errorf("%w: %w", upstream.ErrTruncated, x.streamError(err))
 	case f != nil:
 		x.err = fmt.Errorf("%w: %w", upstream.ErrTruncated, x.failure(f))
 	default:
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -301,6 +301,27 @@
 	is.Equal(len(lost.sends), 0)
 }
 
+func TestAnswerIsNotWholeIfTheOtherNodeEndsInItsMiddle(t *testing.T) {
+	is := is.New(t)
+	n := startOther(t, "n2", "a")
+	n.answer = func(ctx context.Context, _ *upstream.Request) (*http.Response, error) {
+		r, w := io.Pipe()
+		context.AfterFunc(ctx, func() { r.CloseWithError(ctx.Err()) })
+		go w.Write([]byte("id: 1\n\n"))
+		return response(r), nil
+	}
+	resp, err := newClient(t, n).Send(t.Context(), target, request(""))
+	is.NoErr(err)
+	_, err = resp.Body.Read(make([]byte, 64))
+	is.NoErr(err)
+	n.peers.Close()
+	_, err = resp.Body.Read(make([]byte, 64))
+	is.True(errors.Is(err, upstream.ErrTruncated))
+	is.True(errors.Is(err, links.ErrNoLink))
+	is.True(!errors.Is(err, io.EOF))     // Readers take that for the end of the answer.
+	is.True(!upstream.IsPeerClosed(err)) // Nothing is known of the target.
+}
+
 func TestNodeForwardsABoundedNumberOfRequestsAndEndsThemInAPlannedStop(t *testing.T) {
 	is := is.New(t)
 	n := startOther(t, "n2", "a")
--- a/forward/server.go
+++ b/forward/server.go
@@ -190,7 +190,7 @@
 	part := make([]byte, bodyBytes)
 	for {
 		n, err := body.Read(part)
-		reply := &schema.ForwardReply{Data: part[:n], End: errors.Is(err, io.EOF)}
+		reply := &schema.ForwardReply{Data: part[:n], End: err == io.EOF}
 		if n > 0 || reply.End {
 			if err := stream.Send(reply); err != nil {
 				return err
--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -57,7 +57,7 @@
 	a.resp.Body = body
 	select {
 	case <-body.done:
-		if body.err != nil && (!errors.Is(body.err, io.EOF) || errors.Is(body.err, errUnusable)) {
+		if body.err != nil && !isEnd(body.err) {
 			return failureOf(body.err, balance.Broken), body.err
 		}
 	case <-limit:
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,8 +41,9 @@
 	status                 int
 	body                   string
 	header                 http.Header
-	// truncated ends the body early.
-	truncated bool
+	// truncated ends the body early, with truncation if that is set.
+	truncated  bool
+	truncation error
 	// hang delays the headers, or the end of the body if there is one, until the
 	// request's context ends.
 	hang bool
@@ -179,7 +181,7 @@
 		return 0, context.Cause(b.ctx)
 	}
 	if b.script.truncated {
-		return n, errTruncatedByPeer
+		return n, cmp.Or(b.script.truncation, errTruncatedByPeer)
 	}
 	return n, err
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -19,6 +18,10 @@
 	streamReadBytes = 8 << 10
 )
 
+// isEnd reports whether a read has met the end of an answer. An error that wraps io.EOF is a
+// failed read.
+func isEnd(err error) bool { return err == io.EOF }
+
 // isTampered reports whether a response cannot be the target's own: a success
 // without a signature, or an encoded body.
 func isTampered(resp *http.Response, info ResponseInfo) bool {
@@ -33,7 +36,7 @@
 	held := &holding{all: x.gateway.held}
 	defer held.release()
 	buffered, err := held.readHeld(resp.Body, maxBufferedBytes)
-	complete := errors.Is(err, io.EOF)
+	complete := isEnd(err)
 	if isTampered(resp, info) || err != nil && !complete {
 		return x.handleBrokenResponse(ctx, grant, err)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"mime"
 	"net/http"
 	"strconv"
@@ -34,8 +33,9 @@
 	chunk := make([]byte, streamReadBytes)
 	for {
 		n, err := resp.Body.Read(chunk)
+		ended := isEnd(err)
 		ready, eventErr := splitter.add(chunk[:n])
-		if eventErr == nil && errors.Is(err, io.EOF) && splitter.insideEvent() {
+		if eventErr == nil && ended && splitter.insideEvent() {
 			eventErr = errEventUnfinished
 		}
 		progress := len(ready) > 0
@@ -46,7 +46,7 @@
 			x.recordEvents(grant, time.Now(), ready)
 		}
 		ready, gapErr := x.position.filter(ready)
-		if errors.Is(err, io.EOF) {
+		if ended {
 			gapErr = errors.Join(gapErr, x.position.end())
 		}
 		if eventErr = errors.Join(eventErr, gapErr); eventErr != nil {
@@ -62,7 +62,7 @@
 		}
 		switch {
 		case err == nil:
-		case eventErr == nil && errors.Is(err, io.EOF):
+		case eventErr == nil && ended:
 			x.endStream(grant, resp)
 			return true
 		default:
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
 // streamEvents returns a stream of events with ids from first to last.
@@ -52,6 +54,25 @@
 	is.Equal(len(g.sender.sent()), 1)
 }
 
+// What passes an answer on may have met the end of another stream than the answer's.
+func TestAnErrorThatWrapsTheEndOfAnotherStreamIsNoEndOfAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   catalog.Kind
+		script targetScript
+	}{
+		"stream":          {catalog.Streaming, streamScript(streamEvents(1, 3), true)},
+		"before an event": {catalog.Streaming, streamScript("", true)},
+		"plain":           {catalog.NonIdempotent, signedOK("part")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c.script.truncated, c.script.truncation = true, fmt.Errorf("%w: other node: %w", upstream.ErrTruncated, io.EOF)
+			got := newTestGateway(t, newRoute(c.kind), c.script).send(t, t.Context(), nil)
+			is.True(got.err != nil || got.status == http.StatusBadGateway)
+		})
+	}
+}
+
 func TestABrokenStreamIsResumedAfterItsLastWholeEvent(t *testing.T) {
 	is := is.New(t)
 	first := streamScript(streamEvents(1, 3)+"id: 4\ndata: ev", true)
--- a/links/client.go
+++ b/links/client.go
@@ -91,7 +91,7 @@
 	if n > 0 {
 		b.monitor.recordHeard()
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		err = b.monitor.explain(b.ctx, err)
 	}
 	return n, err
