datastore: a node that starts beside others is not ready, refusing and ready again

Cause: a node that starts has to hear another node's configuration before it trusts keys, or to wait for 1 s, unless the store lists no other node. The first of several nodes was alone for a moment, and was not when the next one was listed.

Change: being listed alone no longer counts. It also showed nothing where the check matters: after the store's return from an older copy, which may lack the others. A node that really is alone is ready 1 s after its start.

TestKeysStayProvenWhenAnotherNodeStarts failed before; the tests of datastore pass.

--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -82,9 +82,9 @@
 	// revocation is a time.Duration.
 	revocation atomic.Int64
 	ready      atomic.Bool
-	// nodesListed is set once the store has listed the nodes; hasPeers is set while others
-	// are listed, peerHeard once one of them has named its configuration.
-	nodesListed, hasPeers, peerHeard atomic.Bool
+	// nodesListed is set once the store has listed the nodes, peerHeard once another one has
+	// named its configuration.
+	nodesListed, peerHeard atomic.Bool
 	// targetsByID are the current targets and those that left recently, by id.
 	targetsByID   atomic.Pointer[map[string]*catalog.Target]
 	configs       *Follower[*catalog.Config]
@@ -245,11 +245,11 @@
 	return limit == 0 || m.ProofAge() <= limit && m.askedPeers()
 }
 
-// askedPeers reports whether another node has named its configuration since the start,
-// if there is one that answers.
+// askedPeers reports whether another node has named its configuration since the start, or
+// had the time to. That the store lists no other one shows nothing: others may start at the
+// same time, and an older copy of the store may lack them.
 func (m *Manager) askedPeers() bool {
-	alone := m.nodesListed.Load() && !m.hasPeers.Load()
-	return m.peerHeard.Load() || alone || m.options.Now().Sub(m.started) >= peerCheckTime
+	return m.peerHeard.Load() || m.options.Now().Sub(m.started) >= peerCheckTime
 }
 
 // ProofAge returns how long ago the configuration was known to be the newest.
@@ -342,11 +342,6 @@
 		s.retainedNodes.keep(s.nodes, u.Items, func(Node) bool { return true })
 	}
 	_, listed := u.Items[s.manager.options.Self]
-	others := len(u.Items)
-	if listed {
-		others--
-	}
-	s.manager.hasPeers.Store(others > 0)
 	s.manager.nodesListed.Store(true)
 	s.nodes, s.nodesAt, s.selfListed = u.Items, u.At, listed
 	s.publishNodes()
--- a/datastore/manager_test.go
+++ b/datastore/manager_test.go
@@ -64,6 +64,26 @@
 	})
 }
 
+// Callers that are sent to a node once it is ready must not be refused when others start.
+func TestKeysStayProvenWhenAnotherNodeStarts(t *testing.T) {
+	for delay := time.Duration(0); delay < 3*time.Second; delay += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := startFixture(t)
+			proven := false
+			for elapsed := time.Duration(0); elapsed < 4*time.Second; elapsed += 10 * time.Millisecond {
+				if elapsed == delay {
+					f.nodes.put("n-9", datastore.Node{Name: "n-9"})
+				}
+				time.Sleep(10 * time.Millisecond)
+				is.True(!proven || f.manager.KeysProven())
+				proven = f.manager.KeysProven()
+			}
+			is.True(proven)
+		})
+	}
+}
+
 // However the store fails, the proof must not be younger than its last answer, and a
 // node that cannot reach it must stop accepting keys in time.
 func TestKeysAreNotAcceptedAfterARevocationMayHaveTakenEffect(t *testing.T) {
