--- a/standin/entrytest/restore_test.go
+++ b/standin/entrytest/restore_test.go
@@ -33,7 +33,13 @@
 		}
 		nodes = append(nodes, env.startNodeWith(i+1, s))
 	}
-	env.t.Cleanup(func() { stopAll(nodes) })
+	env.t.Cleanup(func() {
+		var ending sync.WaitGroup
+		for _, n := range nodes {
+			ending.Go(n.end)
+		}
+		ending.Wait()
+	})
 	for _, n := range nodes {
 		env.waitReady(n)
 	}
--- a/standin/entrytest/world_test.go
+++ b/standin/entrytest/world_test.go
@@ -166,15 +166,22 @@
 	if err := n.app.Start(env.t.Context()); err != nil {
 		env.t.Fatal(err)
 	}
-	env.t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
-		defer cancel()
-		// If the test has already stopped the node, this does nothing.
-		_ = n.app.Stop(ctx)
-	})
+	env.t.Cleanup(n.end)
 	return n
 }
 
+// endTime is how long a node that a test leaves running has for its stop, too short for what
+// it does in a planned one.
+const endTime = 200 * time.Millisecond
+
+// end stops the node. If the test has already stopped it, this does nothing.
+func (n *node) end() {
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
+	defer cancel()
+	// The outcome of the stop is no part of the test.
+	_ = n.app.Stop(ctx)
+}
+
 // settings returns the default settings of a node.
 func (env *testEnv) settings(i int) *schema.GatewaySettings {
 	at := func(port int) string { return fmt.Sprintf("%s:%d", env.address(i), port) }
