entrysoak: some bodies come in two parts

One request in six has a body whose second part comes up to 0.5 s after the head, so that stops, reloads, changes of the configuration and kills meet requests whose body is still coming. The promises checked are the same.

--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -29,6 +29,11 @@
 	requestDeadline = 3 * time.Second
 	streamDeadline  = 6 * time.Second
 	patience        = time.Second
+	// One body in slowBodyShare comes in two parts, the first of slowBodyBytes, with a pause of
+	// up to maxBodyPause.
+	slowBodyShare = 6
+	slowBodyBytes = 8 << 10
+	maxBodyPause  = 500 * time.Millisecond
 	// The load balancer checks each node at readinessInterval and removes it after
 	// maxFailedChecks in a row.
 	readinessInterval = 300 * time.Millisecond
@@ -135,6 +140,31 @@
 
 func isStream(route string) bool { return route == "chat" || route == "draft" }
 
+// newBody returns the body of a request with its length. Some bodies come in two parts, the
+// first of which is long enough for the transport to send it with the head.
+func (c *caller) newBody() (io.Reader, int64) {
+	const rest = "body"
+	if c.random.IntN(slowBodyShare) > 0 {
+		return io.MultiReader(strings.NewReader(rest)), int64(len(rest))
+	}
+	pause := time.Duration(c.random.Int64N(int64(maxBodyPause)))
+	first := strings.NewReader(strings.Repeat("x", slowBodyBytes))
+	return io.MultiReader(first, &delayedReader{Reader: strings.NewReader(rest), delay: pause}), slowBodyBytes + int64(len(rest))
+}
+
+// delayedReader waits once before its first byte.
+type delayedReader struct {
+	io.Reader
+	delay time.Duration
+}
+
+// Read implements io.Reader.
+func (r *delayedReader) Read(p []byte) (int, error) {
+	time.Sleep(r.delay)
+	r.delay = 0
+	return r.Reader.Read(p)
+}
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
@@ -172,12 +202,13 @@
 	}}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline(r.route)+patience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, io.MultiReader(strings.NewReader("body")))
+	body, length := c.newBody()
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, body)
 	if err != nil {
 		r.err = err
 		return
 	}
-	req.Host, req.ContentLength = host, int64(len("body"))
+	req.Host, req.ContentLength = host, length
 	req.Header.Set("X-Primrosemoor-Attempt-Id", r.id)
 	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(deadline(r.route).Milliseconds()))
 	req.Header.Set("Api-Key", r.key)
@@ -191,7 +222,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	r.status, r.body, r.err = resp.StatusCode, string(body), err
+	answer, err := io.ReadAll(resp.Body)
+	r.status, r.body, r.err = resp.StatusCode, string(answer), err
 	r.saysLeaving = resp.Header.Get("Server-Leaving") != ""
 }
