links: targets that have left do not make the links to a service lost

What callers saw: a service with one target that stays and works could count as unreached on a node for seconds after a rollout or a smaller replica count, so that its requests took the way through other nodes, which judge the same way, and ended no_link after pauses of 0.25 s. With one sound target among 12 that have left, a check tries 5 of 13, and, once the links count as lost, one of 13 each half second.

Cause: targets that have left stay listed as draining for a while (datastore.departed). Monitors.targetsOf counted them among a service's own targets, so that a service with fewer than two that stay was judged by those that are gone. Before links were judged for each service, usable() left them out, as some service always had two that stay.

Change: targetsOf counts those that stay only. A service with fewer than two of them is judged by all targets, as one with a single target is already.

Evidence: TestTargetsThatHaveLeftDoNotMakeTheLinksToAServiceLost failed in all three cases before (1 loss each) and passes: links 3 of 3 runs, 1 of 1 with the race detector.

--- a/links/monitors.go
+++ b/links/monitors.go
@@ -94,12 +94,12 @@
 	})
 }
 
-// targetsOf returns the targets of a service, or all if it has too few to tell its own
-// failures from those of the links.
+// targetsOf returns the targets of a service that stay, or all targets if it has too few of
+// them to tell its own failures from those of the links.
 func targetsOf(targets []*catalog.Target, service string) []*catalog.Target {
 	var own []*catalog.Target
 	for _, t := range targets {
-		if t.Service == service {
+		if t.Service == service && !t.Draining {
 			own = append(own, t)
 		}
 	}
--- a/links/monitors_test.go
+++ b/links/monitors_test.go
@@ -45,7 +45,7 @@
 func (c *serviceCut) connect(_ context.Context, to upstream.Address) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if slices.Contains(c.cut, serviceOf(to.ID)) {
+	if service := serviceOf(to.ID); service == "gone" || slices.Contains(c.cut, service) {
 		return errRefused
 	}
 	return nil
@@ -54,11 +54,20 @@
 // monitored runs a test in virtual time with monitors of two services, of which "app" has
 // the given number of targets and "llm" twelve.
 func (c *serviceCut) monitored(t *testing.T, apps int, test func(*testing.T, *Monitors)) {
+	c.monitoredWith(t, apps, 0, test)
+}
+
+// monitoredWith does the same with targets of "app" that have left besides, which refuse
+// connections.
+func (c *serviceCut) monitoredWith(t *testing.T, apps, gone int, test func(*testing.T, *Monitors)) {
 	synctest.Test(t, func(t *testing.T) {
 		var targets []*catalog.Target
 		for i := range apps {
 			targets = append(targets, &catalog.Target{ID: fmt.Sprint("app-", i), Service: "app"})
 		}
+		for i := range gone {
+			targets = append(targets, &catalog.Target{ID: fmt.Sprint("gone-", i), Service: "app", Draining: true})
+		}
 		for i := range 12 {
 			targets = append(targets, &catalog.Target{ID: fmt.Sprint("llm-", i), Service: "llm"})
 		}
@@ -119,3 +128,30 @@
 		is.True(s.LinkedTo("app-0"))
 	})
 }
+
+// Targets that have left stay listed as draining for a while, and refuse connections.
+func TestTargetsThatHaveLeftDoNotMakeTheLinksToAServiceLost(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		apps, gone int
+		cut        []string
+	}{
+		{"one stays and works", 1, 12, nil},
+		{"one stays and fails, which may be its own fault", 1, 2, []string{"app"}},
+		{"none stays", 0, 6, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			services := &serviceCut{cut: c.cut}
+			services.monitoredWith(t, c.apps, c.gone, func(t *testing.T, s *Monitors) {
+				is := is.New(t)
+				for range 20 {
+					s.Of("app-0").Suspect()
+					time.Sleep(suspectInterval)
+				}
+				synctest.Wait()
+				is.Equal(len(services.lost), 0)
+				is.True(s.LinkedTo("app-0"))
+			})
+		})
+	}
+}
