forward: nodes that accepted long ago do not keep a node without links ready

What callers saw: a node that reaches no target, and for which no other node sends requests any more, went on to say that it is ready, so that callers were sent to it and refused, as long as some service had been served through others at any time before and was not asked for since, or had been removed.

Cause: since the standing of other nodes is kept for each service, Usable was true if any service had no refusal in the last 3 s. A service that is not asked for has none, for ever. Before, one time of refusal held for all requests.

Change: a service speaks for its last request only if that is at most 3 s old (refusedTime). One that was accepted then makes others usable, one that was refused then makes them not, and if none says anything they may be asked, as before.

Evidence: TestNodesThatAcceptedLongAgoAreNotTakenToAcceptNow failed before (its first refusal beside a service that was accepted a minute ago) and passes.

--- a/forward/client.go
+++ b/forward/client.go
@@ -22,7 +22,8 @@
 	// acceptTimeout bounds how long a node may take to accept a request: a connection to
 	// another region and an answer over it.
 	acceptTimeout = 300 * time.Millisecond
-	// refusedTime is how long a request that no node accepted shows that none would.
+	// refusedTime is how long a request that a node, or none, accepted shows that one would,
+	// or that none would.
 	refusedTime = 3 * time.Second
 )
 
@@ -58,17 +59,22 @@
 	return &Client{ClientOptions: options, services: make(map[string]*standing)}
 }
 
-// Usable reports whether another node accepted the last request to some service, or may
-// accept one now.
+// Usable reports whether another node has just accepted the last request to some service,
+// or may accept one now, as none has just been refused.
 func (c *Client) Usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	usable := true
 	for _, s := range c.services {
-		if time.Since(s.refusedAt) >= refusedTime {
+		switch {
+		case time.Since(s.outcomeAt) >= refusedTime:
+		case s.lastAccepted:
 			return true
+		default:
+			usable = false
 		}
 	}
-	return len(c.services) == 0
+	return usable
 }
 
 // standing returns what is known of the other nodes for a service. The caller must hold
@@ -103,7 +109,7 @@
 		c.Logger.Info().Str("event", "forward_not_accepted").Str("node", n.Name).Str("service", service).Err(err).Msg("")
 	}
 	c.mu.Lock()
-	c.standing(service).refusedAt = time.Now()
+	c.standing(service).recordOutcome(false, time.Now())
 	c.mu.Unlock()
 	return nil, noLink(to, errNoNode)
 }
@@ -161,7 +167,7 @@
 	defer c.mu.Unlock()
 	s := c.standing(service)
 	if accepted {
-		s.refusedAt = time.Time{}
+		s.recordOutcome(true, time.Now())
 		s.accepted(n)
 		return
 	}
--- a/forward/rank.go
+++ b/forward/rank.go
@@ -29,15 +29,21 @@
 	// avoidedNodes and avoidedZones hold until when those are asked last that did not
 	// accept a request.
 	avoidedNodes, avoidedZones map[string]time.Time
-	// refusedAt is when a request was last accepted by no node, zero if one was accepted
-	// since.
-	refusedAt time.Time
+	// outcomeAt is when it was last known of a request whether a node accepts it, and
+	// lastAccepted whether one did.
+	outcomeAt    time.Time
+	lastAccepted bool
 }
 
 func newStanding() *standing {
 	return &standing{running: make(map[string]int), avoidedNodes: make(map[string]time.Time), avoidedZones: make(map[string]time.Time)}
 }
 
+// recordOutcome records that a request was accepted by a node, or by none.
+func (s *standing) recordOutcome(accepted bool, now time.Time) {
+	s.outcomeAt, s.lastAccepted = now, accepted
+}
+
 // accepted records that a node accepted a request.
 func (s *standing) accepted(n datastore.Node) {
 	s.running[n.Name]++
--- a/forward/rank_test.go
+++ b/forward/rank_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -91,3 +92,37 @@
 		is.True(s.running[n.Name] >= 10 && s.running[n.Name] <= 30)
 	}
 }
+
+// A service that nobody has asked for since, or that is gone, says nothing of the present.
+func TestNodesThatAcceptedLongAgoAreNotTakenToAcceptNow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		none, all := nodeAnswers{}, nodeAnswers{"app": true, "llm": true}
+		c := NewClient(ClientOptions{})
+		is.True(c.Usable())
+		all.record(c, "app", "llm")
+		is.True(c.Usable())
+		time.Sleep(time.Minute)
+		is.True(c.Usable()) // nobody has asked since
+		none.record(c, "llm")
+		is.True(!c.Usable())
+		time.Sleep(time.Second)
+		nodeAnswers{"app": true}.record(c, "app", "llm")
+		is.True(c.Usable()) // for one of two services
+		time.Sleep(2 * time.Second)
+		none.record(c, "app", "llm")
+		is.True(!c.Usable())
+		time.Sleep(refusedTime)
+		is.True(c.Usable()) // may be asked again
+	})
+}
+
+// nodeAnswers are the services to which all other nodes accept requests.
+type nodeAnswers map[string]bool
+
+// record records the outcome of one request to each of some services.
+func (a nodeAnswers) record(c *Client, services ...string) {
+	for _, service := range services {
+		c.standing(service).recordOutcome(a[service], time.Now())
+	}
+}
