gateway: a target is not to blame for what other requests hold back

What callers saw: while the requests of a node held back as much as they may together, a stream with an event of more than 16 KB was ended at that node, as it has to be, and counted as a failure of its target, so that a sound target could go into backoff for the whole zone.

Cause: errHeldTooLarge was handled as an event that is too long, balance.Broken.

Change: failureOf takes it for nothing about the target (balance.Unreported), for relayed streams and for the first event of a second target. An event beyond maxEventBytes still counts as broken.

Evidence: TestTargetIsNotReportedAsBrokenForWhatOthersHoldBack failed in its first case before (broken instead of unreported) and passes with its three others.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -131,9 +131,9 @@
 }
 
 // failureOf returns what a failure says of its target: nothing, if this node had no link
-// to any.
+// to any, or could hold back no more of the answer because of others.
 func failureOf(err error, r balance.Result) balance.Result {
-	if errors.Is(err, links.ErrNoLink) {
+	if errors.Is(err, links.ErrNoLink) || errors.Is(err, errHeldTooLarge) {
 		return balance.Unreported
 	}
 	return r
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +19,7 @@
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/clock"
 	"github.com/primrosemoor/primrosemoor/culprit"
+	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -184,6 +186,30 @@
 	is.True(b.ended("i-0")[0] != balance.Broken) // it had passed on events and was silent for a second
 }
 
+// That other requests hold back much is no failure of a target either.
+func TestTargetIsNotReportedAsBrokenForWhatOthersHoldBack(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		heldBytes, eventBytes int
+		want                  balance.Result
+	}{
+		"others hold back much":     {1, 40_000, balance.Unreported},
+		"the event is too long":     {0, 2 << 20, balance.Broken},
+		"the event may be held":     {1, 10_000, balance.Answered},
+		"nobody holds back so much": {0, 40_000, balance.Answered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			script := streamScript("id: 1\ndata: "+strings.Repeat("x", c.eventBytes)+"\n\n", false)
+			g := newTestGatewayWith(t, newRoute(catalog.Streaming), func(o *gateway.Options) { o.HeldBytes = c.heldBytes }, script)
+			b := &recordingBalancer{ends: make(map[string][]balance.Result)}
+			g.gateway.Balancer = b
+			g.send(t, t.Context(), nil)
+			is.Equal(b.ended("i-0"), []balance.Result{c.want})
+		})
+	}
+}
+
 // Each grant ends exactly once, whatever the second target does.
 func TestGrantsOfBothAttemptsEndOnce(t *testing.T) {
 	sealed := http.Header{headerSeal: {"s"}}
