links: a node that reaches one of many services has links

What callers saw: where the targets of most services are down, or cut off, a node that reaches all targets of one service could count as reaching none: not ready if others refuse the dead services as well, refusing to send for other nodes, and recording no crash.

Cause: the verdict over all services tries 5 of two targets of each service, and one at a time once it is lost. With 8 of 9 services down, a sample misses the sound one in half of the checks (16 of 18 targets).

Change: targets of services to which the links are known to be lost are left out of that sample, as their own monitors try them, unless fewer than two targets are left.

What remains: services with one target have no verdict of their own, and stay in the sample; so do services that nobody has asked for.

Evidence: TestNodeThatReachesOneOfManyServicesHasLinks failed in 3 of 3 runs before. Package links passes in 50 of 50 runs, 5 of 5 with the race detector; TestNodesWithoutLinksToOneServiceServeThroughOthers (entrytest) passes in 1 of 1.

--- a/links/monitors.go
+++ b/links/monitors.go
@@ -40,7 +40,8 @@
 func NewMonitors(options MonitorsOptions) *Monitors {
 	s := &Monitors{options: options, services: make(map[string]*Monitor)}
 	s.all = NewMonitor(Options{
-		Targets: func() []*catalog.Target { return fewOfEach(options.Targets()) }, Connect: options.Connect, OnLost: func() {}, OnRegained: func() {}, Logger: options.Logger,
+		Targets: func() []*catalog.Target { return fewOfEach(s.perhapsReached(options.Targets())) }, Connect: options.Connect,
+		OnLost: func() {}, OnRegained: func() {}, Logger: options.Logger,
 	})
 	return s
 }
@@ -109,6 +110,23 @@
 	return own
 }
 
+// perhapsReached returns the targets that stay of the services to which the links are not
+// known to be lost, or all targets if there are too few of them.
+func (s *Monitors) perhapsReached(targets []*catalog.Target) []*catalog.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var perhaps []*catalog.Target
+	for _, t := range targets {
+		if m := s.services[t.Service]; !t.Draining && (m == nil || m.Linked()) {
+			perhaps = append(perhaps, t)
+		}
+	}
+	if len(perhaps) < minTargets {
+		return targets
+	}
+	return perhaps
+}
+
 // fewOfEach returns a few targets of each service, so that a sample of them is hardly ever
 // of one service alone.
 func fewOfEach(targets []*catalog.Target) []*catalog.Target {
--- a/links/monitors_test.go
+++ b/links/monitors_test.go
@@ -155,3 +155,44 @@
 		})
 	}
 }
+
+// A sample of all services may hold none of the few that a node reaches.
+func TestNodeThatReachesOneOfManyServicesHasLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		services := &serviceCut{}
+		var targets []*catalog.Target
+		for service := range 9 {
+			for i := range 2 {
+				name := fmt.Sprint("s", service)
+				targets = append(targets, &catalog.Target{ID: fmt.Sprint(name, "-", i), Service: name})
+			}
+		}
+		s := NewMonitors(MonitorsOptions{
+			Targets: func() []*catalog.Target { return targets }, Service: serviceOf, Connect: services.connect,
+			OnLost: services.recordLost, Logger: logging.Discard(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { s.Run(ctx) })
+		services.set("s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8")
+		for service := range 9 {
+			s.Of(fmt.Sprintf("s%d-0", service)).Suspect()
+		}
+		time.Sleep(2 * time.Second)
+		for range 50 {
+			is.True(s.Verify(t.Context()))
+			is.True(s.Linked())
+			time.Sleep(100 * time.Millisecond)
+		}
+		services.set("s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8")
+		s.Of("s0-0").Suspect()
+		time.Sleep(time.Second)
+		is.True(!s.Verify(t.Context()))
+		services.set("s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7")
+		time.Sleep(4 * probeInterval)
+		is.True(s.Verify(t.Context()))
+		cancel()
+		running.Wait()
+	})
+}
