gateway: a request that is complete late is answered

What callers saw: a request whose body was complete later than 0.5 s after its time limit was refused, but the 503 was not written: the connection was closed without a byte. The caller of a request that may run once could not know that it had not run.

Cause: the limit of writes to a caller is set when the body is complete, to 0.5 s after the request's time limit, which may have passed then.

Change: the 0.5 s count from the end of the body if that is later.

TestRequestThatIsCompleteLongAfterItsTimeLimitIsAnswered failed before; it and the other tests of gateway named after the time limit pass. The whole package was not run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,12 +164,12 @@
 		x.sendError(errResp)
 		return
 	}
-	x.limitWrites(x.deadline.Add(lastWriteTime))
+	x.limitWrites(time.Now().Add(max(0, time.Until(x.deadline)) + lastWriteTime))
 	x.run()
 }
 
-// lastWriteTime is how long after a request's time limit the last bytes for its caller may
-// take, an error among them.
+// lastWriteTime is how long after a request's time limit, or after the end of its body if that
+// is later, the last bytes for its caller may take, an error among them.
 const lastWriteTime = 500 * time.Millisecond
 
 // limitWrites makes writes to the caller fail from a time on, so that a caller that does
--- a/gateway/unread_test.go
+++ b/gateway/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -65,3 +66,23 @@
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(got[:n]), "HTTP/1.1 404"))
 }
+
+// A body that is complete only long after the time limit of its request came from a caller
+// who may still wait: it was closed on without a word.
+func TestRequestThatIsCompleteLongAfterItsTimeLimitIsAnswered(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, newRoute(catalog.NonIdempotent))
+	conn, err := net.Dial("tcp4", g.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	head, ok := strings.CutSuffix(strings.Replace(rawRequest, "Deadline-Ms: 2000", "Deadline-Ms: 100", 1), "the body")
+	is.True(ok)
+	fmt.Fprint(conn, head)
+	time.Sleep(time.Second)
+	fmt.Fprint(conn, "the body")
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	got, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(got), "HTTP/1.1 503"))
+	is.Equal(len(g.sender.sent()), 0)
+}
