owner: the end of a node's link ends a reply that waits to be read

An owner kept counting the requests of a node that had given up its link, so that their slots stayed taken.

Cause: Serve waits for the goroutine that sends replies before it gives the node's requests up.

Change: Serve closes the stream when the other node has.

TestOwnerStopsCountingTheRequestsOfANodeThatLeavesRepliesUnread failed before (2 s); the tests of the package pass.

--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/peer"
+	"github.com/primrosemoor/primrosemoor/schema"
 )
 
 func TestRequestIsSentToTheTargetThatTheOwnerChose(t *testing.T) {
@@ -314,3 +317,32 @@
 		t.Fatal("the owner was not told that the links are lost")
 	}
 }
+
+// The owner went on counting the requests of a node that gave up its link beside more replies
+// than fit into a window.
+func TestOwnerStopsCountingTheRequestsOfANodeThatLeavesRepliesUnread(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1")
+	b := c.nodes["n1"].balancer
+	id := peer.Identity{Cluster: "test", Node: "n2", AvailabilityZone: "a", Incarnation: 1}
+	pool := peer.NewPool(peer.PoolOptions{Identity: id, Meter: peer.NopMeter{}, DialTimeout: time.Second, CallTimeout: time.Second})
+	t.Cleanup(pool.Close)
+	stream, err := pool.OpenStream(t.Context(), c.nodes["n1"].self.Address, schema.Method_METHOD_OWNER)
+	is.NoErr(err)
+	ask := func(number uint64) {
+		is.NoErr(stream.Send(&schema.OwnerCall{Asks: []*schema.OwnerAsk{{Number: number, Service: "s"}}}))
+		<-b.acquires
+	}
+	ask(1)
+	is.NoErr(stream.Receive(&schema.OwnerReply{}))
+	b.configure(func(b *fakeBalancer) { b.refusal = &balance.Refusal{Reason: strings.Repeat("x", 1<<20)} })
+	ask(2)
+	time.Sleep(100 * time.Millisecond) // The window is full then.
+	is.NoErr(stream.Close())
+	select {
+	case ended := <-b.reports:
+		is.Equal(ended.result, balance.Unreported)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the request is still counted")
+	}
+}
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -43,6 +43,8 @@
 		s.handleCall(ctx, &running, call)
 	}
 	cancel()
+	// A send that waits for the other node to read would otherwise not end.
+	_ = stream.Close()
 	running.Wait()
 	s.abandonAll()
 	return err
