peer: a connection that was given up gets no new session

Each time a node gave a link up beside a call, a session to the other node could be left that nothing used or closed, also by the end of the pool.

Cause: a call takes the connection from the pool and then its session. If Disconnect, or Close, came in between, the call dialed for a connection that the pool no longer held.

Change: a connection that was given up says so, and the call takes another one from the pool.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -57,8 +57,13 @@
 type connection struct {
 	mu      sync.Mutex
 	session *yamux.Session
+	// givenUp is set once the pool no longer holds the connection, which then gets no session.
+	givenUp bool
 }
 
+// errGivenUp says that a connection was given up after the pool returned it.
+var errGivenUp = errors.New("peer: the connection was given up")
+
 // NewPool returns a pool without connections.
 func NewPool(options PoolOptions) *Pool {
 	p := &Pool{
@@ -146,6 +151,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.givenUp = true
 	if c.session != nil {
 		p.retire(c.session)
 	}
@@ -222,11 +228,7 @@
 }
 
 func (p *Pool) openStream(ctx context.Context, address string) (*Stream, error) {
-	c, err := p.connection(address)
-	if err != nil {
-		return nil, err
-	}
-	session, err := c.connect(ctx, p, address)
+	c, session, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -238,6 +240,20 @@
 	return newStream(conn), nil
 }
 
+// connect returns the connection to a peer with its session.
+func (p *Pool) connect(ctx context.Context, address string) (*connection, *yamux.Session, error) {
+	for {
+		c, err := p.connection(address)
+		if err != nil {
+			return nil, nil, err
+		}
+		session, err := c.connect(ctx, p, address)
+		if err != errGivenUp {
+			return c, session, err
+		}
+	}
+}
+
 func (p *Pool) connection(address string) (*connection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -255,6 +271,9 @@
 func (c *connection) connect(ctx context.Context, p *Pool, address string) (*yamux.Session, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.givenUp {
+		return nil, errGivenUp
+	}
 	if c.session != nil && !c.session.IsClosed() {
 		return c.session, nil
 	}
@@ -278,6 +297,7 @@
 func (c *connection) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.givenUp = true
 	if c.session != nil {
 		c.session.Close()
 	}
