gateway: a request that only the second target got is not said not to have run

What callers saw: 503, which promises that a request has not run and never will, for a repeatable request that a target had got. Requests that may be sent once are not concerned, as no second target is asked for them.

Cause: while the first target could not be reached, the second was asked. At the time limit, or at the end of a node's stop, the answer was chosen before what the second got was counted.

Change: the search for another target is ended, and counted, first. The caller gets 504 then, or 502 at the end of a stop (the latter was read, not run).

TestRequestThatOnlyTheSecondTargetGotIsNotSaidNotToHaveRun failed before (503, 2 of 2 cases); it and all tests of gateway pass. The scripted target of the tests can now hang before the request is sent; no check is changed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -148,6 +148,8 @@
 	}
 	if ctx.Err() != nil {
 		grant.Done(balance.Abandoned)
+		// Another target may have got the request meanwhile.
+		x.endStandby()
 		x.endUnanswered(ctx, err)
 		return true
 	}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -36,7 +36,8 @@
 
 // targetScript is the scripted behaviour of a target for one request.
 type targetScript struct {
-	// unsent and resetAfterSend fail the send before and after the request left.
+	// unsent and resetAfterSend fail the send before and after the request left; unsent with
+	// hang fails it when the request's context ends.
 	unsent, resetAfterSend bool
 	status                 int
 	body                   string
@@ -104,6 +105,9 @@
 	s.sends = append(s.sends, sentRequest{to, *r, script, ctx.Done()})
 	s.mu.Unlock()
 	switch {
+	case script.unsent && script.hang:
+		<-ctx.Done()
+		return nil, &upstream.SendError{Address: to, Err: context.Cause(ctx)}
 	case script.unsent:
 		return nil, &upstream.SendError{Address: to, Err: errRefused}
 	case script.resetAfterSend:
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -145,3 +145,21 @@
 	is.Equal(got.body, "data: a\n\ndata: b\n\n")
 	is.Equal(len(g.sender.sent()), 1)
 }
+
+// The first target could not be reached until the time limit, and a second one had got the
+// request meanwhile: 503 promised that it had not run.
+func TestRequestThatOnlyTheSecondTargetGotIsNotSaidNotToHaveRun(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.Streaming} {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			route := patientRoute(kind)
+			route.Timeout = 2 * time.Second
+			g := newTestGateway(t, route, targetScript{unsent: true, hang: true}, targetScript{hang: true})
+			got := g.sendPatiently(t)
+			is.NoErr(got.err)
+			is.Equal(len(g.sender.sent()), 2)
+			is.Equal(got.status, http.StatusGatewayTimeout)
+		})
+	}
+}
