--- a/standin/entrytest/links_test.go
+++ b/standin/entrytest/links_test.go
@@ -220,7 +220,9 @@
 					n.tried.Add(1)
 					if got.err == nil && got.status == 200 {
 						n.served.Add(1)
+						return
 					}
+					env.t.Logf("%s at %s, request %d: %d %q %v", route, n.ip, k, got.status, got.body, got.err)
 				})
 			}
 		}
