forward: a node that is alone does not hold requests for others

A node that has lost its links held each attempt for 0.25 s, as it does while all other nodes have just refused, also where there is no other node: four attempts, 1 s before the refusal. TestRequestDoesNotWaitWhereThereIsNoOtherNode failed before.

--- a/forward/client.go
+++ b/forward/client.go
@@ -92,7 +92,7 @@
 func (c *Client) Send(ctx context.Context, to upstream.Address, r *upstream.Request) (*http.Response, error) {
 	service := c.Service(to.ID)
 	ranked := c.rank(service, to)
-	if len(ranked) == 0 {
+	if len(ranked) == 0 && len(c.Nodes()) > 0 {
 		// All have just refused. A node whose links are back is found by those who wait.
 		select {
 		case <-time.After(askAgainInterval):
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -271,6 +271,14 @@
 	is.NoErr(resp.Body.Close())
 }
 
+func TestRequestDoesNotWaitWhereThereIsNoOtherNode(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	_, err := newClient(t).Send(t.Context(), target, request("body"))
+	is.True(errors.Is(err, links.ErrNoLink))
+	is.True(time.Since(began) < 200*time.Millisecond) // Others that refuse are waited for for 0.25 s.
+}
+
 func TestNodeThatAcceptsIsFoundBesideOthers(t *testing.T) {
 	is := is.New(t)
 	lost, gone, other := startOther(t, "n2", "a"), startOther(t, "n3", "a"), startOther(t, "n4", "b")
