entrysoak: a body that is cut inside a version is still a prefix

A caller whose connection ends within the version of an event would have been reported as one that got other bytes than the stream's.

--- a/standin/entrysoak/history_test.go
+++ b/standin/entrysoak/history_test.go
@@ -184,4 +184,7 @@
 	is.Equal(lastEvent("id: 1\ndata: event 1 v1\n\nid: 12\ndata: event 12 v1\n\nid: 13\ndata: ev"), 12)
 	is.Equal(lastEvent("id: 1\nda"), 0)
 	is.Equal(withoutVersions("id: 1\ndata: event 1 v12\n\n"), "id: 1\ndata: event 1\n\n")
+	for _, cut := range []string{"", " ", " v", " v1"} {
+		is.Equal(withoutVersions("id: 1\ndata: event 1"+cut), "id: 1\ndata: event 1")
+	}
 }
--- a/standin/entrysoak/streams.go
+++ b/standin/entrysoak/streams.go
@@ -14,8 +14,10 @@
 func workerVersion(number int) string { return fmt.Sprint("v", 1+number/2%workerVersions) }
 
 var (
-	// versionText is what the events of a worker end with.
+	// versionText is what the events of a worker end with, and cutVersion what a body may end
+	// with that is cut there.
 	versionText = regexp.MustCompile(` v\d+\n`)
+	cutVersion  = regexp.MustCompile(` (v\d*)?\z`)
 	eventID     = regexp.MustCompile(`(?m)^id: (\d+)\ndata: .*\n\n`)
 )
 
@@ -30,7 +32,9 @@
 }
 
 // withoutVersions returns a body without the versions of the workers that it is from.
-func withoutVersions(body string) string { return versionText.ReplaceAllString(body, "\n") }
+func withoutVersions(body string) string {
+	return cutVersion.ReplaceAllString(versionText.ReplaceAllString(body, "\n"), "")
+}
 
 // lastEvent returns the id of the last whole event of a body, or 0.
 func lastEvent(body string) int {
