entrytest: few tests that send requests at a rate run side by side

What these tests check is a share of requests that nodes, workers and callers in one process serve, so that they must not starve each other: two of them run at a time now. No bound and no check has changed.

--- a/standin/entrytest/brittle_test.go
+++ b/standin/entrytest/brittle_test.go
@@ -76,6 +76,7 @@
 		t.Run(c.service, func(t *testing.T) {
 			is := is.New(t)
 			env := newTestEnv(t)
+			env.waitForLoad()
 			var workers []*worker.Worker
 			for i := range 6 {
 				w := &worker.Worker{ID: fmt.Sprint("i-", i), Service: c.service, Events: c.events, ServiceTime: c.serviceTime, Slots: 4}
--- a/standin/entrytest/links_test.go
+++ b/standin/entrytest/links_test.go
@@ -175,9 +175,20 @@
 	tried, served atomic.Int64
 }
 
+// loads holds those tests that send requests at a rate, of which few run side by side: they
+// check which share is served, which a machine short of processor time lowers.
+var loads = make(chan struct{}, 2)
+
+// waitForLoad waits until the test may send requests at a rate.
+func (env *testEnv) waitForLoad() {
+	loads <- struct{}{}
+	env.t.Cleanup(func() { <-loads })
+}
+
 // startLinkedNodes starts nodes 1 to count, those after the first ones in a second zone.
 func (env *testEnv) startLinkedNodes(first, count int) []*linkedNode {
 	env.t.Helper()
+	env.waitForLoad()
 	var nodes []*linkedNode
 	for i := range count {
 		n := &linkedNode{links: newNodeLinks()}
