--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,7 @@
 
 .PHONY: days
 
-SINCE ?= 2026-12-05T04:54:00Z
+SINCE ?= 2026-12-05T19:30:40Z
 
 days: build ## Write docs/DAYS.md from the journal of days played: make days [SINCE=TIME].
 	$(BIN)/standin days --since $(SINCE)
