--- a/standin/entrytest/links_test.go
+++ b/standin/entrytest/links_test.go
@@ -177,7 +177,7 @@
 
 // loads holds those tests that send requests at a rate, of which few run side by side: they
 // check which share is served, which a machine short of processor time lowers.
-var loads = make(chan struct{}, 2)
+var loads = make(chan struct{}, 4)
 
 // waitForLoad waits until the test may send requests at a rate.
 func (env *testEnv) waitForLoad() {
