--- a/forward/client.go
+++ b/forward/client.go
@@ -22,8 +22,8 @@
 	// acceptTimeout bounds how long a node may take to accept a request: a connection to
 	// another region and an answer over it.
 	acceptTimeout = 300 * time.Millisecond
-	// refusedTime is how long a request that a node, or none, accepted shows that one would,
-	// or that none would.
+	// refusedTime is how long the outcome of a request shows whether another node accepts the
+	// next one.
 	refusedTime = 3 * time.Second
 )
 
