--- a/review/standins/case_memory.go
+++ b/review/standins/case_memory.go
@@ -38,7 +38,7 @@
 // playMemory has requesters send bodies as long as the operator allows, at the usual rate.
 func playMemory(w *world) (broken bool, err error) {
 	const (
-		readers = 12
+		readers = 30
 		// perSecond is how many bodies a second begin, and uploads how many there are.
 		// Their requesters send 64 KiB every 200 ms, and together 63 MB/s at the most, half of
 		// the machine's link.
@@ -50,7 +50,7 @@
 	w.configure()
 	for i := range 12 {
 		wk := &worker{name: fmt.Sprintf("w%d", i), service: "llm", zone: zones[i%3], version: "v1", slots: 8, queue: 48,
-			firstAfter: 120 * time.Millisecond, pace: 60 * time.Millisecond, events: 20, store: w.store, record: w.record}
+			firstAfter: 600 * time.Millisecond, pace: 60 * time.Millisecond, events: 20, store: w.store, record: w.record}
 		if err := wk.start(); err != nil {
 			return false, err
 		}
@@ -66,7 +66,8 @@
 	killed, most := w.guardMemory(stop)
 	time.Sleep(contactTime + time.Second)
 	machine := w.fleet.nodes[0]
-	var lost, served, answered atomic.Int64
+	var kept keptRequests
+	var answered atomic.Int64
 	var running sync.WaitGroup
 	length := usualBody
 	if w.trouble {
@@ -74,7 +75,8 @@
 	}
 	end := time.Now().Add(5*time.Second + uploads/perSecond*time.Second)
 	for i := range readers {
-		running.Go(func() { w.readOn(machine, i, end, &lost, &served) })
+		time.Sleep(60 * time.Millisecond)
+		running.Go(func() { w.readOn(machine, i, end, &kept) })
 	}
 	time.Sleep(5 * time.Second)
 	w.record.line("%d requests a second with bodies of %d bytes are sent to %s", perSecond, length, machine.name)
@@ -92,16 +94,19 @@
 		time.Sleep(time.Second / perSecond)
 	}
 	running.Wait()
-	text := fmt.Sprintf("killed for its memory: %d times; most used: %d MiB; requests from kept channels: %d served, %d passed on and closed without an answer; of %d bodies answered: %d",
-		killed.Load(), most.Load()>>20, served.Load(), lost.Load(), uploads, answered.Load())
+	text := fmt.Sprintf("killed for its memory: %d times; most used: %d MiB; requests from kept channels: %d served, %d passed on and closed without an answer, %d in the middle of it; of %d bodies answered: %d",
+		killed.Load(), most.Load()>>20, kept.served.Load(), kept.lost.Load(), kept.cut.Load(), uploads, answered.Load())
 	w.record.line("%s", text)
 	fmt.Println(text)
-	return lost.Load() > 3, nil
+	return kept.lost.Load() > 3, nil
 }
 
-// readOn reads one stream after another on a kept channel. It counts those that were passed
-// on from a kept channel that was closed without a whole answer.
-func (w *world) readOn(n *node, reader int, end time.Time, lost, served *atomic.Int64) {
+// keptRequests counts requests from kept channels: those that were served, those that were
+// passed on and whose channel closed without a byte of an answer, and in the middle of it.
+type keptRequests struct{ served, lost, cut atomic.Int64 }
+
+// readOn reads one stream after another on a kept channel.
+func (w *world) readOn(n *node, reader int, end time.Time, count *keptRequests) {
 	var c *channel
 	for time.Now().Before(end) {
 		if c == nil {
@@ -118,10 +123,13 @@
 		w.record.line("request %s on a channel used %d times before: %v", q.id, c.used-1, a)
 		switch {
 		case a.err == nil && a.status == 200:
-			served.Add(1)
+			count.served.Add(1)
 			continue
-		case a.err != nil && kept && w.record.ran(q.id):
-			lost.Add(1)
+		case !kept || a.err == nil || !w.record.ran(q.id):
+		case a.status == 0:
+			count.lost.Add(1)
+		default:
+			count.cut.Add(1)
 		}
 		c.close()
 		c = nil
