--- a/review/standins/case_idle.go
+++ b/review/standins/case_idle.go
@@ -15,6 +15,8 @@
 		perSecond  = 33
 		comingTime = 64 * time.Second
 		late       = 10
+		// leastAnswered is how many requesters are served by a machine of any design.
+		leastAnswered = 2000
 		// lateTime is how long the late ones try; it exceeds contactMs.
 		lateTime = 6 * time.Second
 	)
@@ -68,6 +70,9 @@
 	}
 	coming.Wait()
 	w.record.line("%d requesters came to %s and were answered, %d were not", answered.Load(), machine.name, failed.Load())
+	if answered.Load() < leastAnswered {
+		return false, fmt.Errorf("only %d requesters were answered", answered.Load())
+	}
 	var tries, served, unready atomic.Int64
 	var trying sync.WaitGroup
 	end := time.Now().Add(lateTime)
