resume: where streams began outlives all nodes

After a kill within the release none went on, though 7 of 12 targets of their version served.

Cause: only nodes knew where streams began. A node that had just started took the only version that it saw for the origin of all streams, and refused all streams if it saw two. One that had been there for long took its own list of targets for complete, however old.

The store now lists the versions at which streams may have begun, and holds a record of each stream while more than one is listed. A node asks itself, then other nodes, then the store; it takes the only version only if the store, or a node that has been there for long, says that there is no other one.

Why it works: a stream without a record can only have begun while one version was listed, because every other version had to wait until it was. Writes replace known revisions, so that none undoes a later one when it takes effect late.

--- a/datastore/manager.go
+++ b/datastore/manager.go
@@ -53,7 +53,7 @@
 	// call the store less often; nil if no node does.
 	OwnsZone func() bool
 	// ReadsForAll reports whether this node reads the store for all nodes of a
-	// deployment of relayMinNodes or more; nil if no node does.
+	// deployment of RelayMinNodes or more; nil if no node does.
 	ReadsForAll func() bool
 	// Nodes returns the number of nodes of the deployment; nil if it is one.
 	Nodes  func() int
--- a/datastore/pacing.go
+++ b/datastore/pacing.go
@@ -39,11 +39,11 @@
 	// nodesRelayMaxAge is how old a list of nodes from another node may be: that
 	// node's watch and some time to spare.
 	nodesRelayMaxAge = nodesWatchWait + 5*time.Second
-	// relayMinNodes is the number of nodes from which one of them reads the store for
+	// RelayMinNodes is the number of nodes from which one of them reads the store for
 	// all. It and the owners of zones, which pass on what it reads, then watch the
 	// targets for ownerWatchRatio of Options.Drain, so that their list is recent
 	// enough for nodes that rely on it for relayedAgeRatio of that time.
-	relayMinNodes   = 12
+	RelayMinNodes   = 12
 	ownerWatchRatio = 0.2
 	relayedAgeRatio = 0.7
 	// startHold is how long a node that has started and listed the store waits for
@@ -70,7 +70,7 @@
 
 // relayed reports whether one node reads the store for all.
 func (m *Manager) relayed() bool {
-	return m.options.Nodes != nil && m.options.ReadsForAll != nil && m.options.Nodes() >= relayMinNodes
+	return m.options.Nodes != nil && m.options.ReadsForAll != nil && m.options.Nodes() >= RelayMinNodes
 }
 
 // relies reports whether this node takes what changed in the store from another one.
--- a/datastore/targets.go
+++ b/datastore/targets.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// Republish passes the targets to OnTargets once more.
+func (m *Manager) Republish() { m.submit((*state).publish) }
+
 // publish updates targetsByID and passes the targets that may be used to OnTargets.
 // It does nothing until a configuration is in force.
 func (s *state) publish() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 			newForwarder,
 			newCulprits,
 			newStreams,
+			newArchive,
 			newStreamFinder,
 			newMesh,
 			newBalancer,
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -28,6 +28,7 @@
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
+	"github.com/primrosemoor/primrosemoor/resume"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
@@ -57,6 +58,7 @@
 	Gateway   *gateway.Gateway
 	Retries   *quota.Retries
 	Recorder  *explain.Recorder
+	Archive   *resume.Archive
 	Forwarder *forwarder
 	Reload    Reload `optional:"true"`
 }
@@ -113,7 +115,7 @@
 			l.Logger.Error().Str("event", "listener_failed").Str("address", listen.GetPeers()).Err(err).Msg("")
 		}
 	})
-	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.Links.Run, l.announce, l.bootstrapFromSeeds, l.reload} {
+	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.Links.Run, l.Archive.Run, l.announce, l.bootstrapFromSeeds, l.reload} {
 		l.wg.Go(func() { run(ctx) })
 	}
 	callerServer := &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -74,6 +74,8 @@
 	retries   *quota.Retries
 	datastore *datastore.Manager
 	streams   *resume.Registry
+	archive   *resume.Archive
+	listed    listedNodes
 	unlisted  unlisted
 }
 
@@ -222,10 +224,14 @@
 		Nodes:       func() int { return f.mesh.Nodes() },
 		Logger:      logger,
 		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
-			f.balancer.ApplyTargets(targets, services)
 			f.streams.Update(f.datastore.Table().Config.Routes, targets)
+			f.balancer.ApplyTargets(f.streams.Admit(targets), services)
+			f.archive.Wake()
+		},
+		OnNodes: func(nodes map[string]datastore.Node) {
+			f.listed.set(nodes)
+			f.mesh.SetNodes(nodes)
 		},
-		OnNodes:    func(nodes map[string]datastore.Node) { f.mesh.SetNodes(nodes) },
 		Self:       self.Name,
 		OnUnlisted: func() { f.unlisted.signal() },
 	})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,7 @@
 	if x.spare == grant.Target.ID {
 		x.spare = ""
 	}
+	x.expectOrigin(grant.Target)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.watchQuarantine(cancel)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -301,6 +301,13 @@
 	server    *httptest.Server
 }
 
+// emptyStreamStore is a resume.Store with no records.
+type emptyStreamStore struct{}
+
+func (emptyStreamStore) ReadPossible(context.Context) error { return nil }
+
+func (emptyStreamStore) ReadRecords(context.Context) error { return nil }
+
 func newRoute(kind catalog.Kind) *catalog.Route {
 	return &catalog.Route{
 		Name: "r", Host: "farm.example", PathPrefix: "/walks/", Kind: kind, MaxAttempts: 2,
@@ -351,7 +358,7 @@
 	balancer.ApplyTargets(list, nil)
 	g.streams = resume.NewRegistry(func() {})
 	g.streams.Update(config.Routes, list)
-	finder := &resume.Finder{Registry: g.streams, Holders: func() []string { return nil }}
+	finder := &resume.Finder{Registry: g.streams, Store: emptyStreamStore{}, Holders: func() []string { return nil }}
 	options := gateway.Options{
 		Config: g.config, HeaderCodec: platform.HeaderCodec{}, Balancer: balancer, Allowance: g.allowance,
 		Retries: g.retries, Sender: g.sender, Culprits: g.culprits, Prober: g.prober, Limits: balancer, Signals: signals{balancer}, Streams: finder, Links: g.links, Metrics: nopMetrics{}, Logger: logging.Discard(),
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -9,8 +9,11 @@
 
 // Streams knows at which service and version streams began, on all nodes.
 type Streams interface {
-	// Record records where the stream began whose first event came with an attempt.
+	// Record records where the stream began, or is about to, whose first event comes with an
+	// attempt.
 	Record(attempt string, o resume.Origin)
+	// Settle waits, for a short time at most, until that record outlives all nodes.
+	Settle(ctx context.Context, attempt string)
 	// Find returns where the stream of a route began whose first event came with an
 	// attempt; the attempt is empty if the caller does not name it.
 	Find(ctx context.Context, route, attempt string) (resume.Origin, resume.Source)
@@ -39,17 +42,30 @@
 	return nil
 }
 
+// expectOrigin records where a stream will begin that is about to be sent to a target, so
+// that the record is not waited for once the first events are there.
+func (x *exchange) expectOrigin(target *catalog.Target) {
+	if x.routeResumes() && !x.headersSent {
+		x.gateway.Streams.Record(x.streamName(), resume.Origin{Service: x.service, Version: target.Version})
+	}
+}
+
 // recordOrigin records where a stream begins whose first events are about to be sent.
 func (x *exchange) recordOrigin(target *catalog.Target) {
 	x.version = target.Version
 	if !x.routeResumes() {
 		return
 	}
-	attempt := x.call.ID
+	x.gateway.Streams.Record(x.streamName(), resume.Origin{Service: x.service, Version: target.Version})
+	x.gateway.Streams.Settle(x.request.Context(), x.streamName())
+}
+
+// streamName returns the attempt by which the caller will name the stream.
+func (x *exchange) streamName() string {
 	if x.resumed && x.call.Resumes != "" {
-		attempt = x.call.Resumes
+		return x.call.Resumes
 	}
-	x.gateway.Streams.Record(attempt, resume.Origin{Service: x.service, Version: target.Version})
+	return x.call.ID
 }
 
 // logOrigin logs where a stream that the caller takes up again began, and how that is
--- a/resume/finder.go
+++ b/resume/finder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -14,82 +15,161 @@
 
 // The sources of an origin.
 const (
-	// Recorded means that this node knew, Asked that another one did.
+	// Recorded means that this node knew, Asked that another one did, and Stored that the
+	// store did.
 	Recorded Source = "recorded"
 	Asked    Source = "asked"
+	Stored   Source = "stored"
 	// Only means that nobody knew, and that the route has had no other origin.
 	Only Source = "only"
-	// Unknown means that nobody knew, and that there are several possibilities, or none.
+	// Unknown means that nobody knew, and that there are several possibilities, or none, or
+	// that other nodes may know of more.
 	Unknown Source = "unknown"
 )
 
+// Answer is what another node knows of a stream and of the origins of its route.
+type Answer struct {
+	Known  bool
+	Origin Origin
+	// Possible are the origins of the route; Settled means that the node has been there for
+	// long enough to know all.
+	Possible []Origin
+	Settled  bool
+}
+
+// Store reads what the nodes keep in the store into a Registry.
+type Store interface {
+	ReadPossible(ctx context.Context) error
+	ReadRecords(ctx context.Context) error
+}
+
 // Finder finds out where streams began.
 type Finder struct {
 	Registry *Registry
+	Store    Store
 	// Holders returns the addresses of the nodes that may know of streams that this node
 	// does not know of.
 	Holders func() []string
-	// Ask asks a node where a stream began.
-	Ask func(ctx context.Context, address string, id ID) (Origin, bool)
+	// Ask asks a node where a stream began, and where those of its route may have. It
+	// returns false if the node does not answer.
+	Ask func(ctx context.Context, address string, id ID, route string) (Answer, bool)
 }
 
-// Record records where the stream that began with an attempt did so.
+// Record records where the stream that began with an attempt did so, or will.
 func (f *Finder) Record(attempt string, o Origin) { f.Registry.Record(Identify(attempt), o) }
 
+// Settle waits, for a short time at most, until the record of the stream that began with an
+// attempt outlives all nodes.
+func (f *Finder) Settle(ctx context.Context, attempt string) {
+	f.Registry.Settle(ctx, Identify(attempt))
+}
+
 // Find returns where the stream began that is named by the attempt which brought its
 // first event; the name is empty if the caller gave none. The origin is empty if it is
 // unknown.
 func (f *Finder) Find(ctx context.Context, route, attempt string) (Origin, Source) {
-	id := Identify(attempt)
-	if o, ok := f.Registry.Lookup(id); ok && attempt != "" {
+	id, named := Identify(attempt), attempt != ""
+	if o, ok := f.lookup(id, named); ok {
 		return o, Recorded
 	}
-	origins, complete := f.Registry.Origins(route)
-	if attempt != "" && !(complete && len(origins) == 1) {
-		if o, ok := f.ask(ctx, id); ok {
-			return o, Asked
+	origins, settled := f.Registry.Origins(route)
+	if settled && len(origins) == 1 || !named {
+		// This node's targets may be old, so that only the store tells that there is no other
+		// origin.
+		if o, ok := f.only(route, f.Store.ReadPossible(ctx) == nil); ok {
+			return o, Only
 		}
-		// A record may have arrived in the meantime.
-		if o, ok := f.Registry.Lookup(id); ok {
-			return o, Recorded
+	}
+	if !named {
+		return Origin{}, Unknown
+	}
+	heard := f.ask(ctx, id, route)
+	if heard.Known {
+		return heard.Origin, Asked
+	}
+	// A record may have arrived in the meantime.
+	if o, ok := f.lookup(id, named); ok {
+		return o, Recorded
+	}
+	if f.Store.ReadRecords(ctx) == nil {
+		if o, ok := f.lookup(id, named); ok {
+			return o, Stored
 		}
 	}
-	if len(origins) == 1 {
-		return origins[0], Only
+	if o, ok := f.only(route, f.Store.ReadPossible(ctx) == nil || heard.confirms(f.Registry, route)); ok {
+		return o, Only
 	}
 	return Origin{}, Unknown
 }
 
-// ask asks all holders at the same time, and returns the first answer that says where the
-// stream began.
-func (f *Finder) ask(ctx context.Context, id ID) (Origin, bool) {
+func (f *Finder) lookup(id ID, named bool) (Origin, bool) {
+	if !named {
+		return Origin{}, false
+	}
+	return f.Registry.Lookup(id)
+}
+
+// only returns the origin of the route's streams if there is just one, and if this node is
+// known to know of all.
+func (f *Finder) only(route string, complete bool) (Origin, bool) {
+	origins, _ := f.Registry.Origins(route)
+	if !complete || len(origins) != 1 {
+		return Origin{}, false
+	}
+	return origins[0], true
+}
+
+// heard is what the holders have answered together.
+type heard struct {
+	Answer
+	asked int
+}
+
+// confirms reports whether this node knows of all origins of the route although it cannot
+// read the store: because another node knows of no other one, or because there is none.
+func (h heard) confirms(r *Registry, route string) bool {
+	own, settled := r.Origins(route)
+	if h.asked == 0 {
+		return settled
+	}
+	for _, o := range h.Possible {
+		if !slices.Contains(own, o) {
+			return false
+		}
+	}
+	return h.Settled
+}
+
+// ask asks all holders at the same time, until one says where the stream began.
+func (f *Finder) ask(ctx context.Context, id ID, route string) heard {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	holders := f.Holders()
-	found := make(chan Origin, len(holders))
-	asked := make(chan struct{}, len(holders))
+	all := heard{asked: len(holders)}
+	answers := make(chan *Answer, len(holders))
 	for _, address := range holders {
 		go func() {
-			if o, ok := f.Ask(ctx, address, id); ok {
-				found <- o
+			if a, ok := f.Ask(ctx, address, id, route); ok {
+				answers <- &a
+			} else {
+				answers <- nil
 			}
-			asked <- struct{}{}
 		}()
 	}
 	for range holders {
 		select {
-		case <-asked:
-		case o := <-found:
-			return o, true
+		case a := <-answers:
+			if a == nil {
+				continue
+			}
+			if a.Known {
+				return heard{Answer: *a}
+			}
+			all.Settled = all.Settled || a.Settled
+			all.Possible = append(all.Possible, a.Possible...)
 		case <-ctx.Done():
-			return Origin{}, false
+			return all
 		}
 	}
-	// The last answer may be the one that says it.
-	select {
-	case o := <-found:
-		return o, true
-	default:
-		return Origin{}, false
-	}
+	return all
 }
--- a/resume/records.go
+++ b/resume/records.go
@@ -72,3 +72,21 @@
 	}
 	return l.entries[min(version, l.last)-first:]
 }
+
+// lastOfEach returns the last record of each stream, in the order of the records.
+func lastOfEach(records []Record) []Record {
+	last := make(map[ID]int, len(records))
+	for i, r := range records {
+		last[r.ID] = i
+	}
+	if len(last) == len(records) {
+		return records
+	}
+	kept := records[:0]
+	for i, r := range records {
+		if last[r.ID] == i {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
--- a/resume/registry.go
+++ b/resume/registry.go
@@ -1,6 +1,7 @@
 package resume
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,14 @@
 	// services holds the services of each route that can be resumed, and versions those
 	// of the targets of each service.
 	services, versions sightings
+	// serving counts the targets of each version of the services that routes in force lead
+	// streams to.
+	serving map[string]map[string]int
+	// listed is what the store was known to list when it was last read or written; nil
+	// before.
+	listed *Possible
+	// withheld are the origins at which no stream begins yet.
+	withheld map[Origin]bool
 	// ambiguous holds the services whose streams cannot be told from those of another
 	// origin.
 	ambiguous map[string]bool
@@ -38,6 +47,7 @@
 	// passed on.
 	unshared recordLog
 	shared   recordLog
+	unwritten
 }
 
 // NewRegistry returns an empty registry. onShared is called when there are new records for
@@ -46,6 +56,7 @@
 	return &Registry{
 		onShared: onShared, retention: minRetention,
 		services: make(sightings), versions: make(sightings), ambiguous: make(map[string]bool),
+		withheld: make(map[Origin]bool), unwritten: newUnwritten(),
 	}
 }
 
@@ -80,9 +91,17 @@
 	r.retention = min(max(minRetention, timeoutFactor*longest), maxRetention)
 	r.services.update(services, now, r.retention)
 	r.versions.update(versions, now, r.retention)
+	r.serving = countServing(services, targets)
+	return r.sightingsChanged(now)
+}
+
+// sightingsChanged derives what depends on where streams may have begun, and reports
+// whether there are new records to pass on. The lock must be held.
+func (r *Registry) sightingsChanged(now clock.Instant) bool {
+	r.withheld = withheld(r.serving, r.listed)
 	clear(r.ambiguous)
 	for route := range r.services {
-		if origins := r.origins(route); len(origins) > 1 {
+		if origins := r.sighted(route); len(origins) > 1 {
 			for _, o := range origins {
 				r.ambiguous[o.Service] = true
 			}
@@ -116,7 +135,12 @@
 	return r.origins(route), r.startedAt != 0 && clock.Since(r.startedAt) >= r.retention
 }
 
-func (r *Registry) origins(route string) (origins []Origin) {
+// origins returns the origins of the route without those that are withheld.
+func (r *Registry) origins(route string) []Origin {
+	return slices.DeleteFunc(r.sighted(route), func(o Origin) bool { return r.withheld[o] })
+}
+
+func (r *Registry) sighted(route string) (origins []Origin) {
 	for service := range r.services[route] {
 		for version := range r.versions[service] {
 			origins = append(origins, Origin{service, version})
@@ -146,6 +170,7 @@
 	}
 	r.shared.add(e)
 	r.shared.trim(e.at, r.retention)
+	r.unwritten.add(e.ID, r.shared.last)
 	return true
 }
 
@@ -157,7 +182,8 @@
 }
 
 // Since returns the records that were added after a version, those of this node or also
-// those of the other nodes of its zone, and the version that includes them.
+// those of the other nodes of its zone, and the version that includes them. Of several
+// records of a stream it returns the last one.
 func (r *Registry) Since(version uint64, ownOnly bool) (records []Record, current uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -166,7 +192,7 @@
 			records = append(records, e.Record)
 		}
 	}
-	return records, r.shared.last
+	return lastOfEach(records), r.shared.last
 }
 
 // Apply adds records of another node. Those of a node of this zone are passed on to other
@@ -189,3 +215,22 @@
 	r.shared.trim(now, r.retention)
 	return r.shared.last != before
 }
+
+// Adopt adds records from the store of streams that this node does not know.
+func (r *Registry) Adopt(records []Record) {
+	now := clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range records {
+		if _, known := r.known.get(record.ID); !known {
+			r.known.add(record, now, r.retention)
+		}
+	}
+}
+
+// Retention returns the time for which records are kept.
+func (r *Registry) Retention() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retention
+}
--- a/resume/sightings.go
+++ b/resume/sightings.go
@@ -1,7 +1,9 @@
 package resume
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/clock"
@@ -48,3 +50,27 @@
 		}
 	}
 }
+
+// merge adds names that others have seen. Those that are not known count as gone from now
+// on.
+func (s sightings) merge(names map[string][]string, now clock.Instant) {
+	for key, list := range names {
+		if s[key] == nil {
+			s[key] = make(map[string]clock.Instant)
+		}
+		for _, name := range list {
+			if _, known := s[key][name]; !known {
+				s[key][name] = now
+			}
+		}
+	}
+}
+
+// names returns the names of each key.
+func (s sightings) names() map[string][]string {
+	all := make(map[string][]string, len(s))
+	for key, names := range s {
+		all[key] = slices.Collect(maps.Keys(names))
+	}
+	return all
+}
