entrysoak: kills of all nodes, releases of newer versions, streams taken up until they are whole

It now kills the processes of all nodes at once, replaces workers by newer versions (some report that they drain, the entries of others vanish and they serve on), and callers take a stream up to eight times. It checks that streams which are taken up go on at least half as often as new ones begin, at nodes that serve callers with keys.

--- a/standin/entrysoak/check.go
+++ b/standin/entrysoak/check.go
@@ -109,8 +109,8 @@
 		h.checkConfig(r, len(ranOn[r.id]) > 0, effects[r.node], report)
 		h.checkLoss(r, ranOn[r.id], report)
 	}
-	h.checkVersions(report)
-	return violations
+	versions := h.checkVersions(report)
+	return append(violations, h.checkTakenUp(versions)...)
 }
 
 // checkResponse checks what one response promises and contains.
--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -20,6 +20,8 @@
 
 var allFaults = []fault{
 	{"kill", (*environment).killNode},
+	{"kill-all", (*environment).killAll},
+	{"release", (*environment).release},
 	{"stop", (*environment).stopNode},
 	{"freeze", (*environment).freezeNode},
 	{"reload", (*environment).reloadNode},
--- a/standin/entrysoak/history.go
+++ b/standin/entrysoak/history.go
@@ -57,6 +57,7 @@
 	configs    []configVersion
 	violations []string
 	draining   map[string]bool
+	serving    []serving
 }
 
 func (h *history) addRequest(r request) {
--- a/standin/entrysoak/streams.go
+++ b/standin/entrysoak/streams.go
@@ -5,14 +5,12 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // workerVersions is the number of software versions of which workers serve side by side.
 const workerVersions = 2
 
-// workerVersion returns the version of a worker by its number.
-func workerVersion(number int) string { return fmt.Sprint("v", 1+number/2%workerVersions) }
-
 var (
 	// versionText is what the events of a worker end with, and cutVersion what a body may end
 	// with that is cut there.
@@ -45,18 +43,33 @@
 	return last
 }
 
+const (
+	// takeUpTries is how often a caller takes a stream up, and takeUpPause how long it waits
+	// before it does again.
+	takeUpTries = 8
+	takeUpPause = 400 * time.Millisecond
+)
+
 // takeUp takes a broken stream up again at any node, as callers do after a broken
-// connection.
+// connection, until it is whole.
 func (c *caller) takeUp(broken request) {
-	client := newClient()
-	defer client.CloseIdleConnections()
-	r := request{id: broken.id + "-again", route: broken.route, key: broken.key, resumes: broken.id, after: lastEvent(broken.body)}
-	c.sendPrepared(client, c.balancer.pick(c.random, c.env.nodes), r)
+	after := lastEvent(broken.body)
+	for try := 1; try <= takeUpTries; try++ {
+		client := newClient()
+		r := request{id: fmt.Sprintf("%s-again%d", broken.id, try), route: broken.route, key: broken.key, resumes: broken.id, after: after}
+		r = c.sendPrepared(client, c.balancer.pick(c.random, c.env.nodes), r)
+		client.CloseIdleConnections()
+		if r.status == 200 && r.err == nil {
+			return
+		}
+		after = max(after, lastEvent(r.body))
+		time.Sleep(takeUpPause)
+	}
 }
 
 // checkVersions checks that no stream, with the tries that took it up again, holds events
-// of two versions.
-func (h *history) checkVersions(report func(request, string, ...any)) {
+// of two versions, and returns the version of each stream.
+func (h *history) checkVersions(report func(request, string, ...any)) map[string]string {
 	versions := make(map[string]string)
 	for _, r := range h.requests {
 		first := r.id
@@ -72,4 +85,5 @@
 			versions[first] = v
 		}
 	}
+	return versions
 }
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -29,6 +29,9 @@
 	callersPort, readyPort, peersPort = 18321, 18324, 17700
 	host                              = "farm.example"
 	eventsPerStream                   = 12
+	// serviceTime is the time that a plain response takes, and eventTime that of an event.
+	serviceTime = 5 * time.Millisecond
+	eventTime   = 25 * time.Millisecond
 	// revocation is the time after which a revoked key must be refused, drain the
 	// time after which a draining target must get no new requests.
 	revocation = 5 * time.Second
@@ -61,6 +64,8 @@
 	newestVersion atomic.Int64
 	// issuedKeys and oddEntries count what was written, for unique names.
 	issuedKeys, oddEntries atomic.Int64
+	// releases counts the releases of newer versions.
+	releases atomic.Int64
 
 	mu            sync.Mutex
 	configVersion int
@@ -172,14 +177,22 @@
 	return env.writeConfig()
 }
 
+// addWorker starts a worker, of one of the latest versions.
 func (env *environment) addWorker(service string) error {
+	env.mu.Lock()
+	number := int(env.releases.Load()) + len(env.workers)/2%workerVersions
+	env.mu.Unlock()
+	return env.addWorkerOf(service, fmt.Sprint("v", 1+number))
+}
+
+func (env *environment) addWorkerOf(service, version string) error {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	wk := &worker.Worker{
-		ID: fmt.Sprintf("i-%s-%d", service, len(env.workers)), Service: service, ServiceTime: 5 * time.Millisecond, Slots: 8, Advertise: env.startProxy,
+		ID: fmt.Sprintf("i-%s-%d", service, len(env.workers)), Service: service, ServiceTime: serviceTime, Slots: 8, Advertise: env.startProxy,
 	}
-	if service == "llm" {
-		wk.Events, wk.Version, wk.ShowVersion = eventsPerStream, workerVersion(len(env.workers)), true
+	if service == streamService {
+		wk.Events, wk.Version, wk.ShowVersion, wk.ServiceTime = eventsPerStream, version, true, eventTime
 	}
 	if err := wk.Start(env.store, "a"); err != nil {
 		return err
@@ -187,6 +200,7 @@
 	env.states[wk.ID] = "ready"
 	context.AfterFunc(env.ctx, wk.Stop)
 	env.workers = append(env.workers, wk)
+	env.recordServing()
 	return nil
 }
 
@@ -195,6 +209,7 @@
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.states[wk.ID] = state
+	env.recordServing()
 	return wk.Register(env.store, "a", state)
 }
 
@@ -203,6 +218,7 @@
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	delete(env.states, wk.ID)
+	env.recordServing()
 	env.store.Remove("servers", wk.ID)
 }
 
