datastore: silent connections to the store are noticed in time

A watch of the targets waited for 4 s and was given up 1.5 s later, after the time in which a node must know again what the store shows; the idle connections that the next call could use were silent, too.

--- a/datastore/pacing.go
+++ b/datastore/pacing.go
@@ -21,9 +21,9 @@
 	// proof.
 	staleProofAge  = 2500 * time.Millisecond
 	staleProofWait = 100 * time.Millisecond
-	// targetsWatchWait is how long a watch of the targets waits. An unresponsive
-	// connection, or an outage of the store, is detected after it.
-	targetsWatchWait = 4 * time.Second
+	// targetsWatchWait is how long a watch of the targets waits. A silent connection is
+	// given up callSlack later; a target that leaves must be known soon after that.
+	targetsWatchWait = 1500 * time.Millisecond
 	// targetsPause and nodesPause are the minimum times between a change and the
 	// next watch. A target that leaves must be known within a few seconds; nodes can
 	// be read later, because a new node announces itself to its peers.
