callers: limits of idle connections and heads are in force, and a full node takes new callers

The operator's idle limit was decoded and not applied, and the listener waited for callers to close connections.

Connections are closed once they have waited for longer than the configuration in force allows; a limit that becomes shorter takes effect once the longer one is over, so that nobody who goes by it is cut. At the node's bound the longest idle connection gives way to a new one. Only while all have requests does a new one wait; the node is not ready then.

--- /dev/null
+++ b/callers/bounds.go
@@ -0,0 +1,117 @@
+package callers
+
+import "time"
+
+// lastingBound is a bound that may change. Callers that go by an older, longer one are
+// served for as long as that.
+type lastingBound struct {
+	current, older time.Duration
+	changedAt      time.Time
+}
+
+// set sets the bound in force, and returns the one that holds.
+func (b *lastingBound) set(d time.Duration, now time.Time) time.Duration {
+	if d != b.current {
+		b.older, b.current, b.changedAt = max(b.current, b.older), d, now
+	}
+	if now.Sub(b.changedAt) >= b.older {
+		b.older = 0
+	}
+	return max(b.current, b.older)
+}
+
+// sweep closes connections that have waited for too long, until done is closed.
+func (s *Server) sweep(done <-chan struct{}) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			s.closeWaiting(now)
+			s.left.Signal()
+		case <-done:
+			return
+		}
+	}
+}
+
+// closeWaiting closes connections that have waited for too long.
+func (s *Server) closeWaiting(now time.Time) {
+	if s.options.Waits == nil {
+		return
+	}
+	waits := s.options.Waits()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waits.Idle = s.idle.set(waits.Idle, now)
+	for c := range s.conns {
+		if bound := c.exceeded(waits, now); bound != "" {
+			s.closeFor(c, bound)
+		}
+	}
+}
+
+// closeFor closes a connection for a bound. The lock must be held.
+func (s *Server) closeFor(c *conn, bound Bound) {
+	if s.options.Closed != nil {
+		s.options.Closed(bound)
+	}
+	s.close(c)
+}
+
+// exceeded returns the bound that the connection exceeds, or an empty one.
+func (c *conn) exceeded(waits Waits, now time.Time) Bound {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waited := now.Sub(c.since)
+	switch {
+	case c.active:
+		return ""
+	case c.begun && waits.Head > 0 && waited > waits.Head:
+		return BoundHead
+	case !c.begun && waits.Idle > 0 && waited > waits.Idle:
+		return BoundIdle
+	}
+	return ""
+}
+
+// awaitRoom waits until there is room for a new connection. It closes the one that has been
+// idle for the longest time if there is none.
+func (s *Server) awaitRoom() {
+	if s.options.MaxConns <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) >= s.options.MaxConns && !s.stopped {
+		if c := s.longestIdle(time.Now()); c != nil {
+			s.closeFor(c, BoundConns)
+			continue
+		}
+		s.full = true
+		s.left.Wait()
+	}
+	s.full = false
+}
+
+// longestIdle returns the connection without a request that has waited for the longest time,
+// or nil. The lock must be held.
+func (s *Server) longestIdle(now time.Time) *conn {
+	var longest *conn
+	var since time.Time
+	for c := range s.conns {
+		if !c.idle(now, false) {
+			continue
+		}
+		if at := c.waitsSince(); longest == nil || at.Before(since) {
+			longest, since = c, at
+		}
+	}
+	return longest
+}
+
+func (c *conn) waitsSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since
+}
--- a/callers/callers.go
+++ b/callers/callers.go
@@ -1,6 +1,7 @@
-// Package callers serves the connections of callers. In a planned stop it closes only
-// connections on which no request has begun, so that each request of which a byte was read is
-// answered. http.Server.Shutdown drops a request whose head was not read whole before.
+// Package callers serves the connections of callers. It bounds how many there are and how
+// long they wait. In a planned stop it closes only connections on which no request has begun,
+// so that each request of which a byte was read is answered. http.Server.Shutdown drops a
+// request whose head was not read whole before.
 package callers
 
 import (
@@ -15,30 +16,80 @@
 	// firstRequestTime is how long the first request on a new connection is waited for in a
 	// planned stop.
 	firstRequestTime = time.Second
-	// stopInterval is how often Stop checks the connections.
-	stopInterval = 20 * time.Millisecond
+	// stopInterval is how often Stop checks the connections, and sweepInterval how often
+	// Serve looks for those that have waited for too long.
+	stopInterval  = 20 * time.Millisecond
+	sweepInterval = 250 * time.Millisecond
+)
+
+// Waits bounds how long connections wait; 0 means that there is no bound.
+type Waits struct {
+	// Idle is the time between two requests, or before the first one. Head is the time
+	// from the first byte of a request to the end of its head.
+	Idle, Head time.Duration
+}
+
+// Options configures a Server.
+type Options struct {
+	// MaxConns bounds the connections; 0 means that there is no bound.
+	MaxConns int
+	// Waits returns the bounds in force; nil means that there are none.
+	Waits func() Waits
+	// Closed is called with each connection that is closed for a bound; nil means that
+	// nobody is told.
+	Closed func(Bound)
+}
+
+// Bound is why a connection was closed.
+type Bound string
+
+// The bounds of connections.
+const (
+	BoundIdle  Bound = "idle"
+	BoundHead  Bound = "head"
+	BoundConns Bound = "connections"
 )
 
 // Server serves the connections of callers.
 type Server struct {
 	server   *http.Server
 	listener net.Listener
+	options  Options
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// left is signalled when a connection has left conns or has waited for long, and by Stop.
+	left *sync.Cond
+	// full is set while a new connection waits, because there are MaxConns with a request.
+	full, stopped bool
+	idle          lastingBound
 }
 
 // NewServer returns a server of the connections that a listener accepts. It sets the
 // ConnState of the HTTP server.
-func NewServer(server *http.Server, listener net.Listener) *Server {
-	s := &Server{server: server, conns: make(map[*conn]struct{})}
+func NewServer(server *http.Server, listener net.Listener, options Options) *Server {
+	s := &Server{server: server, options: options, conns: make(map[*conn]struct{})}
+	s.left = sync.NewCond(&s.mu)
 	s.listener = &trackingListener{Listener: listener, server: s}
 	server.ConnState = s.recordState
 	return s
 }
 
 // Serve serves connections until Stop, and returns an error that wraps net.ErrClosed then.
-func (s *Server) Serve() error { return s.server.Serve(s.listener) }
+func (s *Server) Serve() error {
+	done := make(chan struct{})
+	defer close(done)
+	go s.sweep(done)
+	return s.server.Serve(s.listener)
+}
+
+// Full reports whether the server accepts no connection, because those that it has all have
+// a request.
+func (s *Server) Full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.full
+}
 
 // Stop accepts no more connections, closes those on which no request has begun, and waits
 // until the others are closed, which their handler has to bring about with the header
@@ -47,6 +98,10 @@
 func (s *Server) Stop(ctx, heads context.Context) error {
 	// The listener is closed either way.
 	_ = s.listener.Close()
+	s.mu.Lock()
+	s.stopped = true
+	s.left.Broadcast()
+	s.mu.Unlock()
 	tick := time.NewTicker(stopInterval)
 	defer tick.Stop()
 	for s.closeIdle(time.Now(), heads.Err() != nil) > 0 {
@@ -67,13 +122,24 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if c.idle(now, begun) {
-			c.Conn.Close()
-			delete(s.conns, c)
+			s.close(c)
 		}
 	}
 	return len(s.conns)
 }
 
+// close closes a connection. The lock must be held.
+func (s *Server) close(c *conn) {
+	c.Conn.Close()
+	s.forget(c)
+}
+
+// forget removes a connection. The lock must be held.
+func (s *Server) forget(c *conn) {
+	delete(s.conns, c)
+	s.left.Signal()
+}
+
 // recordState records the state of a connection.
 func (s *Server) recordState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*conn)
@@ -83,10 +149,11 @@
 	switch state {
 	case http.StateActive, http.StateIdle:
 		c.setActive(state == http.StateActive)
+		s.left.Signal()
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.conns, c)
+		s.forget(c)
 	}
 }
 
@@ -102,7 +169,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, accepted: time.Now()}
+	l.server.awaitRoom()
+	now := time.Now()
+	c := &conn{Conn: nc, accepted: now, since: now}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
@@ -120,6 +189,9 @@
 	active, used bool
 	// begun is set when bytes were read since the last write, which are of the next request.
 	begun bool
+	// since is when the connection began to wait for the next request, or for the rest of
+	// its head.
+	since time.Time
 }
 
 // Read implements net.Conn.
@@ -140,13 +212,15 @@
 func (c *conn) setBegun(begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begun = begun
+	if c.begun != begun {
+		c.begun, c.since = begun, time.Now()
+	}
 }
 
 func (c *conn) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.used = active, true
+	c.active, c.used, c.since = active, true, time.Now()
 }
 
 // idle reports whether no request has begun on the connection or, if begun is set, none has
--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -21,6 +21,11 @@
 // startServer starts a server whose handler takes a time and then closes the connection if
 // it is asked to.
 func startServer(t *testing.T, takes time.Duration) (*callers.Server, net.Addr) {
+	t.Helper()
+	return startServerWith(t, takes, callers.Options{})
+}
+
+func startServerWith(t *testing.T, takes time.Duration, options callers.Options) (*callers.Server, net.Addr) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -36,7 +41,7 @@
 		}
 	})
 	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	s := callers.NewServer(server, l)
+	s := callers.NewServer(server, l, options)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	t.Cleanup(func() {
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -13,7 +13,6 @@
 
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
-	"golang.org/x/net/netutil"
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/callers"
@@ -120,7 +119,9 @@
 	}
 	callerServer := &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	maxCallers := int(l.Settings.GetResources().GetFileDescriptors() / callerDescriptorDivisor)
-	l.callers = callers.NewServer(callerServer, netutil.LimitListener(callerListener, maxCallers))
+	l.callers = callers.NewServer(callerServer, callerListener, callers.Options{
+		MaxConns: maxCallers, Waits: l.callerWaits, Closed: func(b callers.Bound) { l.Metrics.CallerClosed(string(b)) },
+	})
 	l.readinessServer = &http.Server{Handler: http.HandlerFunc(l.handleReadiness), ReadHeaderTimeout: headerTimeout}
 	if err := l.serveMetrics(); err != nil {
 		return err
@@ -132,6 +133,16 @@
 	return nil
 }
 
+// callerWaits returns how long connections of callers may wait.
+func (l *lifecycle) callerWaits() callers.Waits {
+	table := l.Datastore.Table()
+	if table == nil {
+		return callers.Waits{}
+	}
+	limits := table.Config.Bounds
+	return callers.Waits{Idle: limits.IdleTimeout, Head: limits.HeaderTimeout}
+}
+
 func (l *lifecycle) serve(run func() error, address net.Addr) {
 	l.wg.Go(func() {
 		if err := run(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -145,9 +156,9 @@
 // nodes share the limits, or has not confirmed within the revocation bound that its
 // configuration is the newest; in the last two states the gateway refuses requests
 // that need an API key. Without links to targets it is ready as long as another node sends
-// requests for it.
+// requests for it. It is not ready while it accepts no connections of callers.
 func (l *lifecycle) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	reaches := l.Links.Linked() || l.Others.Usable()
+	reaches := (l.Links.Linked() || l.Others.Usable()) && !l.callers.Full()
 	if l.draining.Load() || !l.Datastore.Ready() || !l.Datastore.KeysProven() || !l.Allowance.Ready() || !reaches {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
--- a/telemetry/entry.go
+++ b/telemetry/entry.go
@@ -20,6 +20,7 @@
 	*exporter
 	requests, dispatches, retries   metric.Int64Counter
 	storeCalls, dials, droppedLines metric.Int64Counter
+	callersClosed                   metric.Int64Counter
 	firstResponse, queueTime        metric.Float64Histogram
 }
 
@@ -40,6 +41,7 @@
 		{&t.storeCalls, "store.calls", "Calls to the platform's store, by call and status; 0 is no answer."},
 		{&t.dials, "upstream.connections", "New connections to targets."},
 		{&t.droppedLines, "log.dropped.lines", "Log lines that were not written, by event."},
+		{&t.callersClosed, "callers.closed", "Connections of callers closed for a bound, by bound."},
 	} {
 		if *c.counter, err = e.meter.Int64Counter(namePrefix+c.name, metric.WithDescription(c.description)); err != nil {
 			return nil, fmt.Errorf("counter %s: %w", c.name, err)
@@ -104,6 +106,11 @@
 	t.dials.Add(context.Background(), 1)
 }
 
+// CallerClosed counts one connection of a caller that was closed for a bound.
+func (t *EntryMetrics) CallerClosed(bound string) {
+	t.callersClosed.Add(context.Background(), 1, t.seriesFor(labels{cause: bound}).add...)
+}
+
 // LinesDropped counts log lines that were not written.
 func (t *EntryMetrics) LinesDropped(event string, lines int) {
 	t.droppedLines.Add(context.Background(), int64(lines), t.seriesFor(labels{event: event}).add...)
