culprit: requests that merely wait at crashes are not refused

A crash was recorded for each request that was there, and the parts of the sound ones were judged by what these have in common, which is what every sound request has. No survival could clear them, as none was sent.

Crashes are now grouped by target. Kept crashes are bounded by targets, so that many bystanders do not push out the oldest one.

--- a/culprit/culprit.go
+++ b/culprit/culprit.go
@@ -87,20 +87,60 @@
 	survivedAt clock.Instant
 }
 
-// maxCrashesPerFeature bounds the crashes that are kept of one feature.
-const maxCrashesPerFeature = 8
+const (
+	// maxTargetsPerFeature bounds the targets whose crashes are kept of one feature, and
+	// maxRequestsPerTarget the requests that were at each.
+	maxTargetsPerFeature = 8
+	maxRequestsPerTarget = 32
+)
 
+// addCrash adds a crash. Which crashes are kept does not depend on the order in which they
+// are added.
 func (r *record) addCrash(c Crash) {
 	if c.At <= r.survivedAt {
 		return
 	}
 	i, _ := slices.BinarySearchFunc(r.crashes, c, func(a, b Crash) int { return int(a.At - b.At) })
 	r.crashes = slices.Insert(r.crashes, i, c)
-	if len(r.crashes) > maxCrashesPerFeature {
-		r.crashes = slices.Delete(r.crashes, 0, 1)
+	ofTarget := func(other Crash) bool { return other.Target == c.Target }
+	if n := countIf(r.crashes, ofTarget); n > maxRequestsPerTarget {
+		r.dropLargestKey(c.Target)
+	}
+	if r.targets() > maxTargetsPerFeature {
+		oldest := r.crashes[0].Target
+		r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return c.Target == oldest })
 	}
 }
 
+// dropLargestKey drops one of the crashes of a target.
+func (r *record) dropLargestKey(target uint64) {
+	drop, largest := -1, uint64(0)
+	for i, c := range r.crashes {
+		if key := c.key(); c.Target == target && (drop < 0 || key > largest) {
+			drop, largest = i, key
+		}
+	}
+	r.crashes = slices.Delete(r.crashes, drop, drop+1)
+}
+
+// targets returns the number of targets that crashed.
+func (r *record) targets() int {
+	seen := make(map[uint64]bool, maxTargetsPerFeature)
+	for _, c := range r.crashes {
+		seen[c.Target] = true
+	}
+	return len(seen)
+}
+
+func countIf(crashes []Crash, matches func(Crash) bool) (n int) {
+	for _, c := range crashes {
+		if matches(c) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *record) survive(at clock.Instant) {
 	r.survivedAt = max(r.survivedAt, at)
 	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return c.At <= at })
