--- a/culprit/history.go
+++ b/culprit/history.go
@@ -7,8 +7,11 @@
 )
 
 // maxEntries bounds the crashes and survivals that are passed on to a node that has
-// just started.
-const maxEntries = 1024
+// just started, and maxEntryFeatures the features of these crashes.
+const (
+	maxEntries       = 1024
+	maxEntryFeatures = 1 << 15
+)
 
 // entry is a crash or, if that is nil, a survival.
 type entry struct {
@@ -26,6 +29,8 @@
 	// survivals by feature.
 	crashes   map[uint64]bool
 	survivals map[Feature]clock.Instant
+	// features is the number of features of the crashes in entries.
+	features int
 }
 
 func newHistory() *history {
@@ -59,7 +64,10 @@
 	h.version++
 	e.version = h.version
 	h.entries = append(h.entries, e)
-	if len(h.entries) > maxEntries {
+	if e.crash != nil {
+		h.features += len(e.crash.Features)
+	}
+	for len(h.entries) > maxEntries || h.features > maxEntryFeatures {
 		h.remove(h.entries[0])
 		h.entries = slices.Delete(h.entries, 0, 1)
 	}
@@ -68,6 +76,7 @@
 func (h *history) remove(e entry) {
 	if e.crash != nil {
 		delete(h.crashes, e.crash.key())
+		h.features -= len(e.crash.Features)
 	} else {
 		delete(h.survivals, e.survival.Feature)
 	}
