gateway: the bodies of all requests are bounded together

Each body was read whole; nothing bounded their sum, and the write to the target copied them once more.

Bodies share a budget of a quarter of the node's memory. One takes no more than is left after it, so that slow or large ones never hold all of it; without room its connection is not read for a second at most, and then the request is refused as not run.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -86,16 +86,21 @@
 	return f.retries
 }
 
-// heldBytesPerMebibyte is how many bytes of answers requests may hold back together per
-// mebibyte of the node's memory: an eighth of it, because slices that grow take up to
-// twice their length.
-const heldBytesPerMebibyte = 1 << 17
+const (
+	// heldBytesPerMebibyte is how many bytes of answers requests may hold back together per
+	// mebibyte of the node's memory: an eighth of it, because slices that grow take up to
+	// twice their length.
+	heldBytesPerMebibyte = 1 << 17
+	// bodyBytesPerMebibyte is how many bytes of bodies they may hold: a quarter.
+	bodyBytesPerMebibyte = 1 << 18
+)
 
 func newGateway(s *schema.GatewaySettings, d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, streams *resume.Finder, m *links.Monitors, sender *links.Switch, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: sender,
 		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: streams, Links: m, Metrics: t, Logger: logger,
 		HeldBytes: int(s.GetResources().GetMemoryMebibytes() * heldBytesPerMebibyte),
+		BodyBytes: int(s.GetResources().GetMemoryMebibytes() * bodyBytesPerMebibyte),
 	})
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -27,6 +27,8 @@
 	team    *catalog.Team
 	service string
 	body    []byte
+	// bodyHeld is what the body takes of the budget of all bodies.
+	bodyHeld bodyHolding
 	// deadline is when the timeout of the caller or the route ends.
 	deadline time.Time
 
@@ -129,17 +131,27 @@
 const defaultMaxBodyBytes = 16 << 20
 
 // readBody buffers the whole body, so that the request can be sent as soon as a
-// target is assigned, and again if a retry is allowed.
+// target is assigned, and again if a retry is allowed. It waits for room beside the bodies of
+// other requests, and refuses the request if there is none in time.
 func (x *exchange) readBody(limit int64) *errorResponse {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	x.bodyHeld = bodyHolding{all: x.gateway.bodies, tier: x.tier(), wait: bodyWait(time.Until(x.deadline))}
+	source := http.MaxBytesReader(x.writer, x.request.Body, limit)
 	var err error
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	if x.request.ContentLength > limit {
+		// It is read to its bound, so that its caller gets the answer.
+		_, err = io.Copy(io.Discard, source)
+	} else {
+		x.body, err = x.bodyHeld.read(x.request.Context(), source, x.request.ContentLength)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return errTooLarge()
+	case errors.Is(err, errBodiesFull):
+		return errNotRun("bodies_full", x.gateway.bodies.retryAfter(max(x.request.ContentLength, freeBodyBytes)))
 	case err != nil:
 		return errUnreadableBody()
 	}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -246,10 +246,13 @@
 // fakeAllowance rejects every charge if retryAfter is not zero.
 type fakeAllowance struct {
 	retryAfter time.Duration
+	mu         sync.Mutex
 	amount     float64
 }
 
 func (a *fakeAllowance) Take(_ *catalog.Team, amount float64) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.amount = amount
 	return a.retryAfter, a.retryAfter == 0
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,8 +101,9 @@
 	Links       Links
 	Metrics     Metrics
 	Logger      *log.Logger
-	// HeldBytes bounds the bytes of answers that all requests together hold back.
-	HeldBytes int
+	// HeldBytes bounds the bytes of answers that all requests together hold back, and
+	// BodyBytes those of their bodies.
+	HeldBytes, BodyBytes int
 }
 
 // Gateway is the HTTP handler for callers.
@@ -111,6 +112,7 @@
 	router         *mux.Router
 	callerTimeouts callerTimeouts
 	held           *heldBytes
+	bodies         *bodyBudget
 	// closing makes every response close its connection, refusing refuses requests that
 	// are complete only now.
 	closing, refusing atomic.Bool
@@ -123,6 +125,7 @@
 func New(options Options) *Gateway {
 	g := &Gateway{Options: options, router: mux.NewRouter().SkipClean(true).UseEncodedPath()}
 	g.held = &heldBytes{limit: cmp.Or(options.HeldBytes, defaultHeldBytes)}
+	g.bodies = &bodyBudget{limit: int64(cmp.Or(options.BodyBytes, defaultBodyBytes))}
 	g.ended, g.end = context.WithCancel(context.Background())
 	g.router.PathPrefix("/").HandlerFunc(g.serve)
 	// Requests that no path prefix matches, such as "*", have no route either.
@@ -160,6 +163,7 @@
 		arrived: time.Now(),
 		call:    g.HeaderCodec.Read(r.Header),
 	}
+	defer func() { x.bodyHeld.release() }()
 	if errResp := x.admit(); errResp != nil {
 		x.sendError(errResp)
 		return
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -102,10 +102,10 @@
 	return err == nil && empty
 }
 
-// write sends the request in a single write.
+// write sends the request, a short one in a single write. A long body is not copied.
 func (c *conn) write(r *Request) error {
 	var b bytes.Buffer
-	b.Grow(writeBufferBytes + len(r.Body))
+	b.Grow(writeBufferBytes + min(len(r.Body), maxCopiedBytes))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	if err := r.Header.Write(&b); err != nil {
 		return err
@@ -114,8 +114,12 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	_, err := c.Conn.Write(b.Bytes())
+	copied := min(len(r.Body), maxCopiedBytes)
+	b.Write(r.Body[:copied])
+	if _, err := c.Conn.Write(b.Bytes()); err != nil || copied == len(r.Body) {
+		return err
+	}
+	_, err := c.Conn.Write(r.Body[copied:])
 	return err
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -39,6 +39,9 @@
 	maxMismatched    = 4
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
+	// maxCopiedBytes of a body are copied behind the head, so that a short request is one
+	// packet or few.
+	maxCopiedBytes = 64 << 10
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 	// maxHeadBytes bounds the head of a response.
