--- a/Makefile
+++ b/Makefile
@@ -64,10 +64,18 @@
 LENGTH ?= 20s
 NODES ?= 4
 FAULTS ?=
+# The commit whose build the nodes run at first; none if it is empty.
+OLD ?=
+OLD_BIN = $(BIN)/old-$(OLD)
 SOAK_ENTRY = $(BIN)/standin entry-soak --binaries $(BIN)
 
-soak-entry: build ## Disturb processes of entry nodes at random: make soak-entry [SEED=N] [SEEDS=COUNT] [LENGTH=20s] [NODES=4] [FAULTS=kill,stop].
-	$(SOAK_ENTRY) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH) --nodes $(NODES) $(if $(FAULTS),--faults $(FAULTS))
+soak-entry: build $(if $(OLD),$(OLD_BIN)/primrosemoor) ## Disturb processes of entry nodes at random: make soak-entry [SEED=N] [SEEDS=COUNT] [LENGTH=20s] [NODES=4] [FAULTS=kill,stop] [OLD=COMMIT, from which they are upgraded].
+	$(SOAK_ENTRY) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH) --nodes $(NODES) $(if $(FAULTS),--faults $(FAULTS)) $(if $(OLD),--old $(OLD_BIN)/primrosemoor)
+
+$(OLD_BIN)/primrosemoor:
+	rm -rf $(OLD_BIN) && mkdir -p $(OLD_BIN)/src
+	git archive $(OLD) | tar -x -C $(OLD_BIN)/src
+	cd $(OLD_BIN)/src && go build -o $@ ./cmd/primrosemoor
 
 soak-entry-regressions: build ## Repeat the runs of the soak of entry nodes that once violated a promise.
 	$(SOAK_ENTRY) --regressions
--- a/standin/cmd/standin/entrysoak.go
+++ b/standin/cmd/standin/entrysoak.go
@@ -21,6 +21,7 @@
 	Length      time.Duration `help:"Time in which disturbances begin." default:"20s"`
 	Nodes       int           `help:"Number of entry nodes." default:"4"`
 	Faults      []string      `help:"Kinds of disturbances to choose from; all if empty."`
+	Old         string        `help:"Another build of the program, which the nodes run at first; they are replaced one after the other." type:"existingfile"`
 	Regressions bool          `help:"Run the runs that once violated a promise instead."`
 }
 
@@ -74,7 +75,7 @@
 		return false, err
 	}
 	report, err := entrysoak.Run(ctx, entrysoak.Options{
-		Program: filepath.Join(c.Binaries, "primrosemoor"), Directory: directory, Case: soakCase,
+		Program: filepath.Join(c.Binaries, "primrosemoor"), OldProgram: c.Old, Directory: directory, Case: soakCase,
 	})
 	if err != nil {
 		return false, err
--- a/standin/entrysoak/faults.go
+++ b/standin/entrysoak/faults.go
@@ -68,8 +68,10 @@
 	return nil
 }
 
-func (env *environment) stopNode(random *rand.Rand) error {
-	n := env.randomNode(random)
+func (env *environment) stopNode(random *rand.Rand) error { return env.stop(env.randomNode(random)) }
+
+// stop stops a node's process as planned; its supervisor starts it again.
+func (env *environment) stop(n *node) error {
 	defer env.history.beginDisturbance("stop", n.name, true)()
 	start, exited := time.Now(), n.Exited()
 	if err := n.signal(syscall.SIGTERM); err != nil {
--- a/standin/entrysoak/history_test.go
+++ b/standin/entrysoak/history_test.go
@@ -188,3 +188,41 @@
 		is.Equal(withoutVersions("id: 1\ndata: event 1"+cut), "id: 1\ndata: event 1")
 	}
 }
+
+// Streams that callers take up must go on about as often as new ones begin, while workers of
+// their version serve and nodes can serve at all.
+func TestCheckFindsStreamsThatDoNotGoOn(t *testing.T) {
+	const streams = 20
+	for _, c := range []struct {
+		name      string
+		status    int
+		body      string
+		serving   int
+		cut       bool
+		violation bool
+	}{
+		{"they go on", 200, "id: 7\ndata: event 7 v1\n\n", 2, false, false},
+		{"they are refused", 503, "stream_origin_unknown", 2, false, true},
+		{"no worker of the version is left", 503, "no_target_of_version", 1, false, false},
+		{"the node has just started", 503, unreadyCode, 2, false, false},
+		{"the node is cut off from the store", 503, "stream_origin_unknown", 2, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := &history{serving: []serving{{at: atSeconds(0), counts: map[string]int{"v1": c.serving}}}}
+			versions := make(map[string]string)
+			for i := range streams {
+				first := fmt.Sprint("id-", i)
+				versions[first] = "v1"
+				begun := okRequest("chat", float64(10+i))
+				begun.id = first
+				again := modified(begun, func(r *request) { r.id, r.resumes, r.status, r.body = first+"-again", first, c.status, c.body })
+				h.requests = append(h.requests, begun, again)
+			}
+			if c.cut {
+				h.disturbances = []*disturbance{{kind: "store-cut", subject: "edge-1", start: atSeconds(5), end: atSeconds(50)}}
+			}
+			is.Equal(len(h.checkTakenUp(versions)) > 0, c.violation)
+		})
+	}
+}
--- a/standin/entrysoak/soak.go
+++ b/standin/entrysoak/soak.go
@@ -19,6 +19,9 @@
 	// settings and logs.
 	Program   string
 	Directory string
+	// OldProgram is another build, which all nodes run at the start; they are then replaced
+	// one after the other. It is empty if there is no upgrade.
+	OldProgram string
 	Case
 }
 
@@ -114,7 +117,10 @@
 		c := env.newCaller(b, i)
 		callers.Go(func() { c.run(callerCtx) })
 	}
+	var upgrading sync.WaitGroup
+	upgrading.Go(env.upgrade)
 	env.injectFaults(faults)
+	upgrading.Wait()
 	time.Sleep(settleTime)
 	settledAt := time.Now()
 	if err := env.writeConfig(); err != nil {
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -1,6 +1,7 @@
 package entrysoak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -253,7 +254,8 @@
 	n := &node{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.9.%d.%d", env.options.Seed%250, i+1), store: proxy}
 	zone := []string{"a", "b"}[i%2]
 	settings := filepath.Join(env.options.Directory, n.name+".toml")
-	n.Process = process.New(env.options.Directory, n.name, env.options.Program, "entry", "--settings", settings)
+	program := cmp.Or(env.options.OldProgram, env.options.Program)
+	n.Process = process.New(env.options.Directory, n.name, program, "entry", "--settings", settings)
 	text := fmt.Sprintf(`seeds = ["127.9.%d.1:1", "127.9.%d.2:1"]
 [node]
 name = %q
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -19,11 +19,11 @@
 // concurrent use.
 type Process struct {
 	name    string
-	path    string
 	args    []string
 	logPath string
 
 	mu     sync.Mutex
+	path   string
 	cmd    *exec.Cmd
 	exited chan struct{}
 	frozen bool
@@ -35,6 +35,13 @@
 	return &Process{name: name, path: path, args: args, logPath: filepath.Join(directory, name+".log")}
 }
 
+// SetProgram sets the path of the program that the next Start starts.
+func (p *Process) SetProgram(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.path = path
+}
+
 // Start starts the program and appends its output to its log. The kernel kills the
 // program when the thread that started it exits, at the latest with this process.
 func (p *Process) Start() error {
@@ -43,7 +50,9 @@
 		return err
 	}
 	defer logFile.Close()
+	p.mu.Lock()
 	cmd := exec.Command(p.path, p.args...)
+	p.mu.Unlock()
 	cmd.Stdout = logFile
 	cmd.Stderr = logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
