--- a/datastore/pacing.go
+++ b/datastore/pacing.go
@@ -23,7 +23,7 @@
 	staleProofWait = 100 * time.Millisecond
 	// targetsWatchWait is how long a watch of the targets waits. A silent connection is
 	// given up callSlack later; a target that leaves must be known soon after that.
-	targetsWatchWait = 1500 * time.Millisecond
+	targetsWatchWait = 1800 * time.Millisecond
 	// targetsPause and nodesPause are the minimum times between a change and the
 	// next watch. A target that leaves must be known within a few seconds; nodes can
 	// be read later, because a new node announces itself to its peers.
--- a/standin/entrytest/ended_test.go
+++ b/standin/entrytest/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -90,6 +91,15 @@
 		ends.Go(n.end)
 	}
 	ends.Wait()
+	// A stop that takes longer than it may goes on for a moment.
+	for _, n := range r.nodes {
+		for _, port := range []int{callersPort, readyPort, peersPort} {
+			r.waitFor("the addresses are free", func() bool {
+				l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", n.ip, port))
+				return err == nil && l.Close() == nil
+			})
+		}
+	}
 	r.nodes = r.startNodes(len(r.nodes))
 }
 
