resume: an older answer of the store does not replace a newer one; waits on the store end

A read of the list that began before a write could end after it and put the older list back, for up to a second. A removal of records without an answer held the archive for ever. A caller whose node cannot read the store waited for up to three reads; now for one. TestOlderAnswerDoesNotReplaceANewerOne and TestRemovalWithoutAnAnswerIsGivenUp fail without it.

--- a/resume/archive.go
+++ b/resume/archive.go
@@ -16,8 +16,8 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// ErrChanged is returned by Objects.WritePossible and Objects.Extend when another writer has
-// changed the object, or has removed it.
+// ErrChanged is returned by Objects.WritePossible and Objects.WriteSegment when another
+// writer has changed the object, or has removed it.
 var ErrChanged = errors.New("resume: the object was changed by another writer")
 
 // Objects is the platform's store as an Archive uses it. Errors are ErrChanged or
@@ -48,10 +48,10 @@
 	// flushInterval is the shortest time between two writes of records by one node. The
 	// time from the choice of a target to its first event covers most of it.
 	flushInterval = 150 * time.Millisecond
-	// retryInterval and listRetry are the pauses after a write of records, or of what is listed, that
-	// failed or was made.
+	// retryInterval is the pause after a write of records that failed, and listInterval the
+	// shortest time between two writes of what is listed.
 	retryInterval = 300 * time.Millisecond
-	listRetry     = time.Second
+	listInterval  = time.Second
 	// listDelay is how long a node waits before it lists a new version in the store: all
 	// nodes have then seen the version, and have written what began before. Each other
 	// node adds listSpread at random, so that mostly one writes.
@@ -100,6 +100,13 @@
 	revision uint64
 }
 
+// forget lets the next answer of the store hold whatever its revision is.
+func (l *listedRevision) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision = 0
+}
+
 // archiveState is owned by the goroutine of Run.
 type archiveState struct {
 	segments segments
@@ -149,8 +156,10 @@
 	writes, forZone := a.Writes()
 	if era := a.Era(); era != s.era || forZone != s.forZone {
 		if s.era != 0 {
-			// What was written may be lost, or was left to another node.
+			// What was written may be lost, or was left to another node. Revisions may have gone
+			// back.
 			s.segments.rewrite(now)
+			a.listed.forget()
 			a.reread(ctx)
 		}
 		s.era, s.forZone = era, forZone
@@ -213,11 +222,11 @@
 	if wait := max(s.dueAt.Sub(now), s.listAt.Sub(now)); wait > 0 {
 		return wait
 	}
-	s.listAt = now.Add(listRetry)
+	s.listAt = now.Add(listInterval)
 	if err := a.change(ctx, add, drop); err != nil {
 		a.Logger.Warn().Str("event", "stream_origins_unlisted").Err(err).Msg("")
 	}
-	return listRetry
+	return listInterval
 }
 
 // listDelay returns how long this node waits before it lists a new origin. If nothing is
@@ -270,16 +279,24 @@
 	return *listed, a.listed.revision, true
 }
 
-// apply applies what the store lists at a revision of the object.
+// apply applies what the store lists at a revision of the object. An answer that is older
+// than another one is dropped.
 func (a *Archive) apply(p Possible, revision uint64) {
-	a.listed.mu.Lock()
-	a.listed.revision = revision
-	a.listed.mu.Unlock()
-	if a.Registry.SetListed(p) {
+	if a.setListed(p, revision) {
 		a.OnAdmitted()
 	}
 }
 
+func (a *Archive) setListed(p Possible, revision uint64) (admitsOthers bool) {
+	a.listed.mu.Lock()
+	defer a.listed.mu.Unlock()
+	if revision < a.listed.revision {
+		return false
+	}
+	a.listed.revision = revision
+	return a.Registry.SetListed(p)
+}
+
 func (a *Archive) reread(ctx context.Context) {
 	if err := a.ReadPossible(ctx); err != nil {
 		a.Logger.Warn().Str("event", "stream_origins_unread").Err(err).Msg("")
@@ -337,17 +354,31 @@
 	s, retention := &a.state, a.Registry.Retention()
 	names := s.segments.expired(now, retention)
 	if a.Cleans() && s.dead.due(now, retention) {
-		segments, err := a.Objects.Segments(ctx)
-		if err != nil {
-			a.Logger.Warn().Str("event", "stream_segments_unread").Err(err).Msg("")
-		}
-		names = append(names, s.dead.expired(segments, a.Alive, now, retention)...)
+		names = append(names, a.expiredOfDead(ctx, now, retention)...)
 	}
 	for _, name := range names {
-		err := a.Objects.RemoveSegment(ctx, name)
+		err := a.removeSegment(ctx, name)
 		if err != nil && fault.KindOf(err) != schema.ErrorKind_ERROR_KIND_NOT_FOUND {
 			a.Logger.Warn().Str("event", "stream_segment_kept").Str("segment", name).Err(err).Msg("")
 			s.segments.keep(name, now)
 		}
 	}
 }
+
+// expiredOfDead returns the segments of nodes that ended longer ago than the retention.
+func (a *Archive) expiredOfDead(ctx context.Context, now clock.Instant, retention time.Duration) []string {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	segments, err := a.Objects.Segments(ctx)
+	if err != nil {
+		a.Logger.Warn().Str("event", "stream_segments_unread").Err(err).Msg("")
+		return nil
+	}
+	return a.state.dead.expired(segments, a.Alive, now, retention)
+}
+
+func (a *Archive) removeSegment(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return a.Objects.RemoveSegment(ctx, name)
+}
--- a/resume/archive_test.go
+++ b/resume/archive_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -26,6 +27,8 @@
 	// late holds the writes of segments that get no answer, to be applied later.
 	loseAnswers bool
 	late        []func()
+	// silent makes removals wait until their context ends.
+	silent bool
 	writes      int
 }
 
@@ -76,7 +79,11 @@
 	return o.revision, err
 }
 
-func (o *fakeObjects) RemoveSegment(_ context.Context, name string) error {
+func (o *fakeObjects) RemoveSegment(ctx context.Context, name string) error {
+	if o.silent {
+		<-ctx.Done()
+		return errDown
+	}
 	delete(o.segments, name)
 	delete(o.revisions, name)
 	return nil
@@ -289,6 +296,21 @@
 	is.Equal(o.possible.Versions["llm"], []string{"v1", "v2"})
 }
 
+// A read that began before a write may end after it.
+func TestOlderAnswerDoesNotReplaceANewerOne(t *testing.T) {
+	is := is.New(t)
+	o := newFakeObjects()
+	a := newTestArchive(o, "n")
+	a.Registry.update(chat("llm"), serving(v1), second(0))
+	a.run(0, 1)
+	older, revision := o.possible, o.possibleRevision
+	a.Registry.update(chat("llm"), serving(v1, v2), second(2))
+	a.run(2, 4)
+	a.apply(older, revision)
+	is.Equal(a.Registry.Listed().Versions["llm"], []string{"v1", "v2"})
+	is.True(a.Registry.Unlisted().isEmpty())
+}
+
 func TestRecordsAreWrittenOnceTheStoreIsBack(t *testing.T) {
 	is := is.New(t)
 	o := newFakeObjects()
@@ -346,6 +368,28 @@
 	}
 }
 
+// A removal that gets no answer does not keep records from being written.
+func TestRemovalWithoutAnAnswerIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newFakeObjects()
+		a := newTestArchive(o, "n")
+		a.Registry.update(chat("llm"), serving(v1, v2), second(0))
+		a.Registry.record(began(1, v1, second(1)))
+		a.run(1, 2)
+		a.Registry.record(began(2, v1, second(20)))
+		a.run(20, 21) // The first segment is closed.
+		o.silent = true
+		start := time.Now()
+		a.step(t.Context(), second(21+minRetention.Seconds()))
+		is.True(time.Since(start) <= 2*writeTimeout)
+		o.silent = false
+		a.Registry.record(began(3, v2, second(60)))
+		a.run(60, 61)
+		is.Equal(records(o)[3], v2)
+	})
+}
+
 func TestSegmentsOfNodesThatEndedAreRemovedAfterTheRetention(t *testing.T) {
 	is := is.New(t)
 	o := newFakeObjects()
--- a/resume/finder.go
+++ b/resume/finder.go
@@ -72,11 +72,14 @@
 	if o, ok := f.lookup(id, named); ok {
 		return o, Recorded
 	}
+	// After a read that fails, the store is not read again: each may take its whole time-out.
+	readable := true
 	origins, settled := f.Registry.Origins(route)
 	if settled && len(origins) == 1 || !named {
 		// This node's targets may be old, so that only the store tells that there is no other
 		// origin.
-		if o, ok := f.only(route, f.Store.ReadPossible(ctx) == nil); ok {
+		readable = f.Store.ReadPossible(ctx) == nil
+		if o, ok := f.only(route, readable); ok {
 			return o, Only
 		}
 	}
@@ -91,12 +94,12 @@
 	if o, ok := f.lookup(id, named); ok {
 		return o, Recorded
 	}
-	if f.Store.ReadRecords(ctx) == nil {
-		if o, ok := f.lookup(id, named); ok {
-			return o, Stored
-		}
+	readable = readable && f.Store.ReadRecords(ctx) == nil
+	if o, ok := f.lookup(id, named); ok {
+		return o, Stored
 	}
-	if o, ok := f.only(route, f.Store.ReadPossible(ctx) == nil || heard.confirms(f.Registry, route)); ok {
+	readable = readable && f.Store.ReadPossible(ctx) == nil
+	if o, ok := f.only(route, readable || heard.confirms(f.Registry, route)); ok {
 		return o, Only
 	}
 	return Origin{}, Unknown
