--- a/resume/archive_test.go
+++ b/resume/archive_test.go
@@ -29,7 +29,7 @@
 	late        []func()
 	// silent makes removals wait until their context ends.
 	silent bool
-	writes      int
+	writes int
 }
 
 var errDown = fault.New(schema.ErrorKind_ERROR_KIND_STORE_UNAVAILABLE, "down", "wait")
