culprit: a break counts as a crash once another request has shown it

Suspected, not traced: the node of a crashing request did not confirm the crash in time, while that of a waiting one did, so that only the sound requests' parts were there at all three crashes.

A node remembers breaks that it cannot confirm for two seconds; a crash of the same target that is shown within a second confirms them, whichever comes first. In TestBreakCountsOnceAnotherRequestHasShownTheCrash sound requests are refused without it.

--- a/culprit/manager.go
+++ b/culprit/manager.go
@@ -23,6 +23,7 @@
 	evidence *evidence
 	history  *history
 	watches  map[*watch]struct{}
+	doubtful doubtful
 }
 
 // watch is a request that a target has not survived yet.
@@ -66,6 +67,17 @@
 	m.Apply([]Crash{c}, nil)
 }
 
+// RecordBreak records a target that broke off a request as it does when it crashes, which
+// this node could not confirm. It counts once another request has shown the crash.
+func (m *Manager) RecordBreak(c Crash) {
+	m.mu.Lock()
+	crashed := m.doubtful.add(c)
+	m.mu.Unlock()
+	if crashed {
+		m.RecordCrash(c)
+	}
+}
+
 // RecordSurvival records that a target has answered a request, or goes on answering it.
 func (m *Manager) RecordSurvival(features []Feature) {
 	if !m.suspicious.Load() {
@@ -96,10 +108,15 @@
 	m.mu.Lock()
 	changed := false
 	for _, c := range crashes {
-		if m.history.addCrash(c) {
-			m.evidence.addCrash(c)
-			m.logCrash(c)
-			changed = true
+		if !m.history.addCrash(c) {
+			continue
+		}
+		changed = true
+		m.addCrash(c)
+		for _, shown := range m.doubtful.confirm(c) {
+			if m.history.addCrash(shown) {
+				m.addCrash(shown)
+			}
 		}
 	}
 	for _, s := range survivals {
@@ -118,6 +135,11 @@
 	}
 }
 
+func (m *Manager) addCrash(c Crash) {
+	m.evidence.addCrash(c)
+	m.logCrash(c)
+}
+
 // cancelQuarantined cancels the watched requests that are quarantined by now. The lock
 // must be held.
 func (m *Manager) cancelQuarantined() {
--- a/culprit/manager_test.go
+++ b/culprit/manager_test.go
@@ -73,3 +73,39 @@
 	is.True(len(m.history.crashes)+len(m.history.survivals) <= maxEntries)
 	is.True(m.evidence.records.Len() <= maxFeatures)
 }
+
+// A crash that the node of the crashing request could not confirm is evidence once the node
+// of another request has shown it, whichever comes first. Sound requests stay clear of it.
+func TestBreakCountsOnceAnotherRequestHasShownTheCrash(t *testing.T) {
+	for _, first := range []string{"the break", "the crash"} {
+		t.Run(first, func(t *testing.T) {
+			is := is.New(t)
+			m := New(func() {}, logging.Discard())
+			now := clock.Now()
+			for i := range 3 {
+				at := now.Add(time.Duration(i-10) * time.Second)
+				unconfirmed := Crash{Target: uint64(i), Features: []Feature{shared, crashing, own(i)}, At: at}
+				shown := Crash{Target: uint64(i), Features: []Feature{shared, own(100 + i)}, At: at.Add(20 * time.Millisecond)}
+				if first == "the break" {
+					m.RecordBreak(unconfirmed)
+					m.Apply([]Crash{shown}, nil)
+				} else {
+					m.Apply([]Crash{shown}, nil)
+					m.RecordBreak(unconfirmed)
+				}
+			}
+			is.Equal(m.Judge([]Feature{shared, own(9)}).State, Suspect)
+			is.Equal(m.Judge([]Feature{shared, crashing, own(9)}).State, Quarantined)
+		})
+	}
+}
+
+func TestBreaksWithoutACrashAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	m := New(func() {}, logging.Discard())
+	for i := range 2 * maxDoubtful {
+		m.RecordBreak(Crash{Target: uint64(i % 5), Features: []Feature{shared}, At: clock.Now()})
+	}
+	is.Equal(m.Judge([]Feature{shared}).State, Clear)
+	is.True(len(m.doubtful.breaks) <= maxDoubtful)
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -26,6 +26,8 @@
 	Watch(features []culprit.Feature, cancel func()) (stop func())
 	// RecordCrash records a target that crashed with a request.
 	RecordCrash(c culprit.Crash)
+	// RecordBreak records a target that may have crashed with a request.
+	RecordBreak(c culprit.Crash)
 	// RecordSurvival records that a target has survived a request.
 	RecordSurvival(features []culprit.Feature)
 }
@@ -147,9 +149,12 @@
 	if events >= survivedEvents || !upstream.IsPeerClosed(err) || x.gateway.Signals.Leaves(target) {
 		return
 	}
+	c := culprit.Crash{Target: instanceHash(target), Features: x.features(), At: at}
 	if errors.Is(err, links.ErrTargetCrashed) || x.targetCrashed(ctx, target) {
-		x.gateway.Culprits.RecordCrash(culprit.Crash{Target: instanceHash(target), Features: x.features(), At: at})
+		x.gateway.Culprits.RecordCrash(c)
+		return
 	}
+	x.gateway.Culprits.RecordBreak(c)
 }
 
 // targetCrashed reports whether a target refuses connections while others can be reached.
