callers: no connection is closed on which input waits to be read

A head begins only when nothing is under way on its connection, and what waits in the socket is read first.

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -1,6 +1,12 @@
 package callers
 
-import "time"
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // lastingBound is a bound that may change. Callers that go by an older, longer one are
 // served for as long as that.
@@ -66,15 +72,34 @@
 	waited := now.Sub(c.since)
 	switch {
 	case c.active:
-		return ""
-	case c.begun && waits.Head > 0 && waited > waits.Head:
+	case c.partial && waits.Head > 0 && waited > waits.Head && !hasInput(c.Conn):
 		return BoundHead
-	case !c.begun && waits.Idle > 0 && waited > waits.Idle:
+	case !c.partial && waits.Idle > 0 && waited > waits.Idle && !hasInput(c.Conn):
 		return BoundIdle
 	}
 	return ""
 }
 
+// hasInput reports whether bytes have come on a connection that were not read yet, as after
+// the node stood still.
+func hasInput(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var b [1]byte
+	n := 0
+	// Control, unlike Read, does not wait for a read that is under way.
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // awaitRoom waits until there is room for a new connection. It closes the one that has been
 // idle for the longest time if there is none.
 func (s *Server) awaitRoom() {
--- a/callers/callers.go
+++ b/callers/callers.go
@@ -187,8 +187,11 @@
 	// active is set from when the head of a request was read until its answer is written,
 	// used once there was one.
 	active, used bool
-	// begun is set when bytes were read since the last write, which are of the next request.
+	// begun is set when bytes were read since the last write, which are of the next request
+	// or of the rest of a body that was answered early.
 	begun bool
+	// partial is set when bytes of the next request were read, and its head is not whole.
+	partial bool
 	// since is when the connection began to wait for the next request, or for the rest of
 	// its head.
 	since time.Time
@@ -212,15 +215,16 @@
 func (c *conn) setBegun(begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.begun != begun {
-		c.begun, c.since = begun, time.Now()
+	c.begun = begun
+	if begun && !c.active && !c.partial {
+		c.partial, c.since = true, time.Now()
 	}
 }
 
 func (c *conn) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.used, c.since = active, true, time.Now()
+	c.active, c.used, c.partial, c.since = active, true, false, time.Now()
 }
 
 // idle reports whether no request has begun on the connection or, if begun is set, none has
