--- a/resume/archive_test.go
+++ b/resume/archive_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/primrosemoor/primrosemoor/clock"
 	"github.com/primrosemoor/primrosemoor/fault"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -119,10 +120,12 @@
 	dead     map[string]bool
 	cleans   bool
 	admitted int
+	// at is the time of the latest step.
+	at clock.Instant
 }
 
 func newTestArchive(o *fakeObjects, node string) *testArchive {
-	a := &testArchive{era: 1, dead: make(map[string]bool)}
+	a := &testArchive{era: 1, dead: make(map[string]bool), at: second(0)}
 	a.Archive = (&Archive{
 		Registry: NewRegistry(func() {}), Objects: o, Node: node, Logger: logging.Discard(),
 		Nodes:  func() int { return 1 },
@@ -131,9 +134,16 @@
 		Cleans: func() bool { return a.cleans }, Era: func() uint64 { return a.era },
 		OnAdmitted: func() { a.admitted++ },
 	}).Open()
+	a.Registry.now = func() clock.Instant { return a.at }
 	return a
 }
 
+// step does what is due at a time.
+func (a *testArchive) step(ctx context.Context, now clock.Instant) {
+	a.at = now
+	a.Archive.step(ctx, now)
+}
+
 // run takes a step every 50 ms of a period.
 func (a *testArchive) run(from, to float64) {
 	for s := from; s <= to; s += 0.05 {
--- a/resume/listed.go
+++ b/resume/listed.go
@@ -71,7 +71,7 @@
 // SetListed applies what the store lists. It reports whether Admit may now return other
 // targets.
 func (r *Registry) SetListed(p Possible) (admitsOthers bool) {
-	admitsOthers, shared := r.setListed(p, clock.Now())
+	admitsOthers, shared := r.setListed(p, r.now())
 	if shared {
 		r.onShared()
 	}
--- a/resume/registry.go
+++ b/resume/registry.go
@@ -23,6 +23,8 @@
 type Registry struct {
 	// onShared is called when there are new records for other nodes.
 	onShared func()
+	// now reads the clock.
+	now func() clock.Instant
 
 	mu sync.Mutex
 	// startedAt is the time of the first update, 0 before.
@@ -54,7 +56,7 @@
 // other nodes.
 func NewRegistry(onShared func()) *Registry {
 	return &Registry{
-		onShared: onShared, retention: minRetention,
+		onShared: onShared, now: clock.Now, retention: minRetention,
 		services: make(sightings), versions: make(sightings), ambiguous: make(map[string]bool),
 		withheld: make(map[Origin]bool), unwritten: newUnwritten(),
 	}
@@ -62,7 +64,7 @@
 
 // Update applies the routes and the targets in force.
 func (r *Registry) Update(routes []*catalog.Route, targets []*catalog.Target) {
-	if r.update(routes, targets, clock.Now()) {
+	if r.update(routes, targets, r.now()) {
 		r.onShared()
 	}
 }
@@ -132,7 +134,7 @@
 func (r *Registry) Origins(route string) (origins []Origin, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.origins(route), r.startedAt != 0 && clock.Since(r.startedAt) >= r.retention
+	return r.origins(route), r.startedAt != 0 && r.now().Sub(r.startedAt) >= r.retention
 }
 
 // origins returns the origins of the route without those that are withheld.
@@ -151,7 +153,7 @@
 
 // Record records where a stream of this node began.
 func (r *Registry) Record(id ID, o Origin) {
-	if r.record(entry{Record: Record{id, o}, own: true, at: clock.Now()}) {
+	if r.record(entry{Record: Record{id, o}, own: true, at: r.now()}) {
 		r.onShared()
 	}
 }
@@ -198,7 +200,7 @@
 // Apply adds records of another node. Those of a node of this zone are passed on to other
 // zones.
 func (r *Registry) Apply(records []Record, sameZone bool) {
-	if r.apply(records, sameZone, clock.Now()) {
+	if r.apply(records, sameZone, r.now()) {
 		r.onShared()
 	}
 }
@@ -218,7 +220,7 @@
 
 // Adopt adds records from the store of streams that this node does not know.
 func (r *Registry) Adopt(records []Record) {
-	now := clock.Now()
+	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range records {
