callers: a connection in use does not give way to a new one

Traced: refused bodies keep their connections for 0.5 s, the node had its 512, and the longest idle connection was closed although its caller used it again within milliseconds.

A connection gives way only once it has been idle for a second; until then a new one waits. TestConnectionInUseDoesNotGiveWay failed without it. The connection of a request is marked when its handler begins, too.

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -100,8 +100,12 @@
 	return err == nil && n > 0
 }
 
+// yieldIdleTime is how long a connection must have been idle to give way to a new one: a caller
+// who sends one request after the other may have sent the next one already.
+const yieldIdleTime = time.Second
+
 // awaitRoom waits until there is room for a new connection. It closes the one that has been
-// idle for the longest time if there is none.
+// idle for the longest time, and for yieldIdleTime at least, if there is none.
 func (s *Server) awaitRoom() {
 	if s.options.MaxConns <= 0 {
 		return
@@ -120,7 +124,7 @@
 }
 
 // longestIdle returns the connection without a request that has waited for the longest time,
-// or nil. The lock must be held.
+// or nil if none has for yieldIdleTime. The lock must be held.
 func (s *Server) longestIdle(now time.Time) *conn {
 	var longest *conn
 	var since time.Time
@@ -128,7 +132,8 @@
 		if !c.idle(now, false) {
 			continue
 		}
-		if at := c.waitsSince(); longest == nil || at.Before(since) {
+		at := c.waitsSince()
+		if now.Sub(at) >= yieldIdleTime && (longest == nil || at.Before(since)) {
 			longest, since = c, at
 		}
 	}
--- a/callers/bounds_test.go
+++ b/callers/bounds_test.go
@@ -1,7 +1,9 @@
 package callers_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -81,9 +83,13 @@
 	is.Equal(closed[1].Load(), int64(1))
 }
 
+// Also later requests of a connection, whose heads net/http reads ahead.
 func TestRequestsThatTakeLongerThanTheLimitsAreAnswered(t *testing.T) {
 	_, to := startServerWith(t, time.Second, callers.Options{Waits: waits(300*time.Millisecond, 300*time.Millisecond)})
-	connect(t, to).ask(t)
+	c := connect(t, to)
+	for range 3 {
+		c.ask(t)
+	}
 }
 
 // Callers who go by a longer limit that was in force until now are served.
@@ -114,6 +120,7 @@
 		held = append(held, c)
 		time.Sleep(20 * time.Millisecond)
 	}
+	time.Sleep(time.Second)
 	held[0].ask(t)
 	connect(t, to).ask(t)
 	is.True(held[1].isClosed(t, time.Second))
@@ -137,3 +144,29 @@
 	waiting.ask(t) // It is accepted once another one is idle.
 	is.True(!s.Full())
 }
+
+// Callers who send one request after the other lose none while others take all connections.
+func TestConnectionInUseDoesNotGiveWay(t *testing.T) {
+	_, to := startServerWith(t, 0, callers.Options{MaxConns: 3})
+	held := connect(t, to)
+	held.ask(t)
+	for range 2 {
+		connect(t, to).ask(t)
+	}
+	waiting := make(chan *caller)
+	go func() {
+		c, err := net.Dial("tcp4", to.String())
+		if err != nil {
+			close(waiting)
+			return
+		}
+		waiting <- &caller{c, bufio.NewReader(c)}
+	}()
+	another := <-waiting
+	defer another.Close()
+	for range 20 {
+		held.ask(t)
+		time.Sleep(20 * time.Millisecond)
+	}
+	another.ask(t)
+}
--- a/callers/callers.go
+++ b/callers/callers.go
@@ -66,15 +66,33 @@
 }
 
 // NewServer returns a server of the connections that a listener accepts. It sets the
-// ConnState of the HTTP server.
+// ConnState and the ConnContext of the HTTP server, and wraps its handler.
 func NewServer(server *http.Server, listener net.Listener, options Options) *Server {
 	s := &Server{server: server, options: options, conns: make(map[*conn]struct{})}
 	s.left = sync.NewCond(&s.mu)
 	s.listener = &trackingListener{Listener: listener, server: s}
 	server.ConnState = s.recordState
+	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, nc)
+	}
+	server.Handler = markActive(server.Handler)
 	return s
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// markActive marks the connection of each request. The state that net/http tells does not:
+// it stays idle if the head had been read ahead.
+func markActive(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.setActive(true)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Serve serves connections until Stop, and returns an error that wraps net.ErrClosed then.
 func (s *Server) Serve() error {
 	done := make(chan struct{})
