resume: targets are admitted also when another version takes the listed one's place

Found by reading the change once more: whether other targets may be admitted was told by the number of versions that are withheld, which stays the same if the store comes back from a copy that lists another one. TestOtherTargetsAreAdmittedWhenAnotherVersionIsListed failed before.

--- a/resume/archive_test.go
+++ b/resume/archive_test.go
@@ -248,6 +248,17 @@
 	}
 }
 
+// The store may come back from a copy that lists another version: as many are withheld then,
+// but other ones.
+func TestOtherTargetsAreAdmittedWhenAnotherVersionIsListed(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(func() {})
+	r.update(chat("llm"), serving(v1, v2), second(0))
+	r.setListed(Possible{Versions: map[string][]string{"llm": {"v1"}}}, second(0))
+	admitsOthers, _ := r.setListed(Possible{Versions: map[string][]string{"llm": {"v2"}}}, second(1))
+	is.True(admitsOthers)
+}
+
 func TestRecordsAreWrittenWhileTheyAreAmbiguous(t *testing.T) {
 	is := is.New(t)
 	o := newFakeObjects()
--- a/resume/listed.go
+++ b/resume/listed.go
@@ -1,6 +1,7 @@
 package resume
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
@@ -81,12 +82,12 @@
 func (r *Registry) setListed(p Possible, now clock.Instant) (admitsOthers, shared bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := len(r.withheld)
+	before := r.withheld
 	r.listed = &p
 	r.versions.merge(p.Versions, now)
 	r.services.merge(p.Routes, now)
 	shared = r.sightingsChanged(now)
-	return len(r.withheld) != before, shared
+	return !maps.Equal(r.withheld, before), shared
 }
 
 // Unlisted returns what may begin streams, or has, and was not listed when the store was
