--- a/callers/bounds_test.go
+++ b/callers/bounds_test.go
@@ -83,7 +83,6 @@
 	is.Equal(closed[1].Load(), int64(1))
 }
 
-// Also later requests of a connection, whose heads net/http reads ahead.
 func TestRequestsThatTakeLongerThanTheLimitsAreAnswered(t *testing.T) {
 	_, to := startServerWith(t, time.Second, callers.Options{Waits: waits(300*time.Millisecond, 300*time.Millisecond)})
 	c := connect(t, to)
--- a/callers/callers.go
+++ b/callers/callers.go
@@ -66,33 +66,15 @@
 }
 
 // NewServer returns a server of the connections that a listener accepts. It sets the
-// ConnState and the ConnContext of the HTTP server, and wraps its handler.
+// ConnState of the HTTP server.
 func NewServer(server *http.Server, listener net.Listener, options Options) *Server {
 	s := &Server{server: server, options: options, conns: make(map[*conn]struct{})}
 	s.left = sync.NewCond(&s.mu)
 	s.listener = &trackingListener{Listener: listener, server: s}
 	server.ConnState = s.recordState
-	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, nc)
-	}
-	server.Handler = markActive(server.Handler)
 	return s
 }
 
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
-
-// markActive marks the connection of each request. The state that net/http tells does not:
-// it stays idle if the head had been read ahead.
-func markActive(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.setActive(true)
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 // Serve serves connections until Stop, and returns an error that wraps net.ErrClosed then.
 func (s *Server) Serve() error {
 	done := make(chan struct{})
@@ -205,8 +187,7 @@
 	// active is set from when the head of a request was read until its answer is written,
 	// used once there was one.
 	active, used bool
-	// begun is set when bytes were read since the last write, which are of the next request
-	// or of the rest of a body that was answered early.
+	// begun is set when bytes were read since the last write, which are of the next request.
 	begun bool
 	// partial is set when bytes of the next request were read, and its head is not whole.
 	partial bool
