gateway, callers, entry: the log tells which requests got no whole answer, and why

- request_ended of an answer that is not whole is a warning, with the error.
- caller_connection_closed names connections that the node closed with unread input, a begun request or one that was not answered whole; callers_closed_total counts all by reason.
- refusing marks when a stopping node refuses; process_late says that the node is short of processor time; callers_server_error has what net/http reports.

No decision changes.

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -52,30 +52,22 @@
 	waits.Idle = s.idle.set(waits.Idle, now)
 	for c := range s.conns {
 		if bound := c.exceeded(waits, now); bound != "" {
-			s.closeFor(c, bound)
+			s.close(c, bound)
 		}
 	}
 }
 
-// closeFor closes a connection for a bound. The lock must be held.
-func (s *Server) closeFor(c *conn, bound Bound) {
-	if s.options.Closed != nil {
-		s.options.Closed(bound)
-	}
-	s.close(c)
-}
-
 // exceeded returns the bound that the connection exceeds, or an empty one.
-func (c *conn) exceeded(waits Waits, now time.Time) Bound {
+func (c *conn) exceeded(waits Waits, now time.Time) Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waited := now.Sub(c.since)
 	switch {
 	case c.active:
 	case c.partial && waits.Head > 0 && waited > waits.Head && !hasInput(c.Conn):
-		return BoundHead
+		return ReasonHead
 	case !c.partial && waits.Idle > 0 && waited > waits.Idle && !hasInput(c.Conn):
-		return BoundIdle
+		return ReasonIdle
 	}
 	return ""
 }
@@ -114,7 +106,7 @@
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.options.MaxConns && !s.stopped {
 		if c := s.longestIdle(time.Now()); c != nil {
-			s.closeFor(c, BoundConns)
+			s.close(c, ReasonConns)
 			continue
 		}
 		s.full = true
--- a/callers/bounds_test.go
+++ b/callers/bounds_test.go
@@ -44,8 +44,8 @@
 func TestConnectionsThatWaitTooLongAreClosed(t *testing.T) {
 	const idle, head = 2 * time.Second, time.Second
 	var closed [2]atomic.Int64
-	_, to := startServerWith(t, 0, callers.Options{Waits: waits(idle, head), Closed: func(b callers.Bound) {
-		if b == callers.BoundIdle {
+	_, to := startServerWith(t, 0, callers.Options{Waits: waits(idle, head), Closed: func(c callers.Closed) {
+		if c.Reason == callers.ReasonIdle {
 			closed[0].Add(1)
 		} else {
 			closed[1].Add(1)
--- a/callers/callers.go
+++ b/callers/callers.go
@@ -35,21 +35,35 @@
 	MaxConns int
 	// Waits returns the bounds in force; nil means that there are none.
 	Waits func() Waits
-	// Closed is called with each connection that is closed for a bound; nil means that
-	// nobody is told.
-	Closed func(Bound)
+	// Closed is called with each connection that the server closes before its caller does,
+	// with the lock of the server held; nil means that nobody is told.
+	Closed func(Closed)
 }
 
-// Bound is why a connection was closed.
-type Bound string
+// Reason is why the server closed a connection.
+type Reason string
 
-// The bounds of connections.
+// The reasons: the bounds of connections, and a planned stop.
 const (
-	BoundIdle  Bound = "idle"
-	BoundHead  Bound = "head"
-	BoundConns Bound = "connections"
+	ReasonIdle  Reason = "idle"
+	ReasonHead  Reason = "head"
+	ReasonConns Reason = "connections"
+	ReasonStop  Reason = "stop"
+	// ReasonCut is the end of the time for a planned stop.
+	ReasonCut Reason = "cut"
 )
 
+// Closed describes a connection that the server has closed.
+type Closed struct {
+	Reason Reason
+	Remote net.Addr
+	// Unread is set if input had come that was not read, Begun if a part of a request was
+	// read and Active if the request was read, but not answered whole.
+	Unread, Begun, Active bool
+	// Waited is how long the connection has been in that state.
+	Waited time.Duration
+}
+
 // Server serves the connections of callers.
 type Server struct {
 	server   *http.Server
@@ -91,6 +105,13 @@
 	return s.full
 }
 
+// Len returns the number of connections.
+func (s *Server) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Stop accepts no more connections, closes those on which no request has begun, and waits
 // until the others are closed, which their handler has to bring about with the header
 // Connection. When heads ends, a request that has come in part is waited for no longer. When
@@ -108,6 +129,7 @@
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
+			s.cut()
 			_ = s.server.Close()
 			return context.Cause(ctx)
 		}
@@ -122,14 +144,26 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if c.idle(now, begun) {
-			s.close(c)
+			s.close(c, ReasonStop)
 		}
 	}
 	return len(s.conns)
 }
 
+// cut closes all connections.
+func (s *Server) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		s.close(c, ReasonCut)
+	}
+}
+
 // close closes a connection. The lock must be held.
-func (s *Server) close(c *conn) {
+func (s *Server) close(c *conn, reason Reason) {
+	if s.options.Closed != nil {
+		s.options.Closed(c.describe(reason, time.Now()))
+	}
 	c.Conn.Close()
 	s.forget(c)
 }
@@ -241,3 +275,12 @@
 	}
 	return !c.begun
 }
+
+// describe describes a connection that is about to be closed.
+func (c *conn) describe(reason Reason, now time.Time) Closed {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Closed{
+		Reason: reason, Remote: c.RemoteAddr(), Unread: hasInput(c.Conn), Begun: c.begun && !c.active, Active: c.active, Waited: now.Sub(c.since),
+	}
+}
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -117,10 +117,13 @@
 	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.Links.Run, l.Archive.Run, l.announce, l.bootstrapFromSeeds, l.reload} {
 		l.wg.Go(func() { run(ctx) })
 	}
-	callerServer := &http.Server{Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callerServer := &http.Server{
+		Handler: l.Gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: logging.NewStandardLogger(l.Logger, "callers_server_error"),
+	}
 	maxCallers := int(l.Settings.GetResources().GetFileDescriptors() / callerDescriptorDivisor)
 	l.callers = callers.NewServer(callerServer, callerListener, callers.Options{
-		MaxConns: maxCallers, Waits: l.callerWaits, Closed: func(b callers.Bound) { l.Metrics.CallerClosed(string(b)) },
+		MaxConns: maxCallers, Waits: l.callerWaits, Closed: l.callerClosed,
 	})
 	l.readinessServer = &http.Server{Handler: http.HandlerFunc(l.handleReadiness), ReadHeaderTimeout: headerTimeout}
 	if err := l.serveMetrics(); err != nil {
@@ -143,6 +146,17 @@
 	return callers.Waits{Idle: limits.IdleTimeout, Head: limits.HeaderTimeout}
 }
 
+// callerClosed records a connection of a caller that this node has closed, with a line if the
+// caller may miss an answer.
+func (l *lifecycle) callerClosed(c callers.Closed) {
+	l.Metrics.CallerClosed(string(c.Reason))
+	if !c.Unread && !c.Begun && !c.Active {
+		return
+	}
+	l.Logger.Warn().Str("event", "caller_connection_closed").Str("reason", string(c.Reason)).Str("caller", c.Remote.String()).
+		Bool("unread", c.Unread).Bool("begun", c.Begun).Bool("active", c.Active).Dur("waited", c.Waited).Msg("")
+}
+
 func (l *lifecycle) serve(run func() error, address net.Addr) {
 	l.wg.Go(func() {
 		if err := run(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -178,9 +192,13 @@
 	tick := time.NewTicker(eligibilityInterval)
 	defer tick.Stop()
 	started := time.Now()
+	late := lateness{interval: eligibilityInterval, checked: started}
 	for {
 		select {
 		case now := <-tick.C:
+			if delay, report := late.observe(time.Now()); report {
+				l.Logger.Warn().Str("event", "process_late").Dur("delay", delay).Msg("")
+			}
 			l.Mesh.SetReady(now.Sub(started) >= eligibilityDelay && l.Datastore.Ready() && l.Datastore.KeysProven())
 		case <-ctx.Done():
 			return
@@ -292,6 +310,7 @@
 	case <-ctx.Done():
 	}
 	l.Gateway.RefuseNew()
+	l.Logger.Info().Str("event", "refusing").Int("connections", l.callers.Len()).Msg("")
 	drainCtx, cancel := withMargin(ctx, endMargin)
 	defer cancel()
 	defer context.AfterFunc(drainCtx, l.Gateway.EndRequests)()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -171,7 +171,7 @@
 		return false
 	}
 	if x.headersSent {
-		x.abort("stream_not_resumed", http.StatusOK)
+		x.abort("stream_not_resumed", http.StatusOK, err)
 	}
 	return x.endWithError(errUnknownEffect(cause))
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -105,7 +105,7 @@
 // target.
 func (x *exchange) endQuarantined(errResp *errorResponse) bool {
 	if x.headersSent {
-		x.abort("stream_not_resumed", http.StatusOK)
+		x.abort("stream_not_resumed", http.StatusOK, errQuarantinedInFlight)
 	}
 	return x.endWithError(errResp)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -294,10 +294,10 @@
 	var refusal *balance.Refusal
 	switch {
 	case x.headersSent:
-		x.abort("stream_not_resumed", http.StatusOK)
+		x.abort("stream_not_resumed", http.StatusOK, err)
 	case x.request.Context().Err() != nil:
 		// The caller may still read; a return without a response would be an empty 200.
-		x.abort("caller_left", 0)
+		x.abort("caller_left", 0, context.Cause(x.request.Context()))
 	case x.possibleRuns > 0 && errors.Is(context.Cause(ctx), errStopping):
 		x.sendError(errUnknownEffect(balance.ReasonStopping))
 	case x.possibleRuns > 0 && ctx.Err() != nil:
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -96,8 +96,20 @@
 
 // logEnded records the end of the request in the metrics and the log.
 func (x *exchange) logEnded(cause string, status int) {
+	x.recordEnd(x.gateway.Logger.Info(), cause, status, nil)
+}
+
+// logAborted records the end of a request whose caller gets no whole answer. Its line is a
+// warning, for which there is room beside the lines of whole answers.
+func (x *exchange) logAborted(cause string, status int, err error) {
+	x.recordEnd(x.gateway.Logger.Warn(), cause, status, err)
+}
+
+// recordEnd records the end of the request in the metrics and an entry of the log, with the
+// error that led to it, if any.
+func (x *exchange) recordEnd(entry *log.Entry, cause string, status int, err error) {
 	x.recordMetrics(cause, status)
-	entry := x.gateway.Logger.Info().Str("event", "request_ended").Str("request", x.call.ID).Str("cause", cause).
+	entry.Str("event", "request_ended").Str("request", x.call.ID).Str("cause", cause).
 		Int("status", status).Int("sends", x.sends).Int("ran", x.possibleRuns).Dur("after", time.Since(x.arrived)).
 		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Dur("limit", x.call.Timeout)
 	if x.route != nil {
@@ -107,6 +119,9 @@
 		entry.Dur("first", x.firstEventAt.Sub(x.arrived)).Dur("longest_pause", x.longestPause).Int("events", x.eventCount)
 	}
 	x.logTargetInfo(entry)
+	if err != nil {
+		entry.Err(err)
+	}
 	entry.Str("parts", x.promptParts()).Str("team", x.teamName()).Msg("")
 }
 
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"testing"
 
+	"github.com/matryer/is"
 	"github.com/phuslu/log"
 	"pgregory.net/rapid"
 
@@ -66,3 +67,19 @@
 		}
 	})
 }
+
+// An answer that is not whole has a line beside those of a busy node's whole answers.
+func TestAbortedAnswersAreLoggedAsWarningsWithTheError(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, newRoute(catalog.Streaming), streamScript("id: 1\ndata: a\n\n", true))
+	out := &logBuffer{}
+	g.gateway.Logger = &log.Logger{Level: log.WarnLevel, Writer: &log.IOWriter{Writer: out}}
+	g.send(t, t.Context(), nil)
+	g.server.Close()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	_, line, found := strings.Cut(out.text.String(), `"event":"request_ended"`)
+	is.True(found)
+	is.True(strings.Contains(line, `"cause":"stream_broken"`))
+	is.True(strings.Contains(line, `"error":`))
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -63,7 +63,7 @@
 	}
 	if err != nil {
 		grant.Done(balance.Abandoned)
-		x.abort("answer_cut", resp.StatusCode)
+		x.abort("answer_cut", resp.StatusCode, err)
 	}
 	grant.Done(resultOf(resp.StatusCode))
 	x.logEnded("answered", resp.StatusCode)
@@ -95,9 +95,9 @@
 }
 
 // abort closes the caller's connection so that a truncated response does not look
-// complete.
-func (x *exchange) abort(cause string, status int) {
-	x.logEnded(cause, status)
+// complete. The error is why the response was truncated.
+func (x *exchange) abort(cause string, status int, err error) {
+	x.logAborted(cause, status, err)
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -52,9 +52,11 @@
 		if eventErr = errors.Join(eventErr, gapErr); eventErr != nil {
 			err = errors.Join(eventErr, err)
 		}
-		if len(ready) > 0 && !x.writeEvents(grant, resp, ready) {
-			grant.Done(balance.Abandoned)
-			x.abort("caller_left", resp.StatusCode)
+		if len(ready) > 0 {
+			if writeErr := x.writeEvents(grant, resp, ready); writeErr != nil {
+				grant.Done(balance.Abandoned)
+				x.abort("caller_left", resp.StatusCode, writeErr)
+			}
 		}
 		splitter.settle()
 		if progress {
@@ -80,17 +82,16 @@
 	x.logEnded("answered", resp.StatusCode)
 }
 
-// writeEvents sends events to the caller. It reports whether the caller is still
-// connected.
-func (x *exchange) writeEvents(grant *balance.Grant, resp *http.Response, events []byte) bool {
+// writeEvents sends events to the caller. It fails if the caller is no longer connected.
+func (x *exchange) writeEvents(grant *balance.Grant, resp *http.Response, events []byte) error {
 	if !x.headersSent {
 		x.recordOrigin(grant.Target)
 	}
 	x.sendStreamHeaders(resp)
 	if _, err := x.writer.Write(events); err != nil {
-		return false
+		return err
 	}
-	return http.NewResponseController(x.writer).Flush() == nil
+	return http.NewResponseController(x.writer).Flush()
 }
 
 // sendStreamHeaders sends the headers of the first target's response, once.
@@ -121,7 +122,7 @@
 	if !x.headersSent {
 		return x.endWithError(errUnknownEffect("answer_broken"))
 	}
-	x.abort("stream_broken", resp.StatusCode)
+	x.abort("stream_broken", resp.StatusCode, err)
 	return true
 }
 
@@ -133,7 +134,7 @@
 // disconnected.
 func (x *exchange) endCancelled(ctx context.Context, status int) bool {
 	if x.headersSent {
-		x.abort("stream_abandoned", status)
+		x.abort("stream_abandoned", status, context.Cause(ctx))
 	}
 	x.endUnanswered(ctx, ctx.Err())
 	return true
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
+	"strings"
 
 	"github.com/phuslu/log"
 
@@ -47,6 +49,29 @@
 	return closer.Close()
 }
 
+// maxErrorBytes bounds the text of one line of a standard logger, which may hold the stack of
+// a panic.
+const maxErrorBytes = 2 << 10
+
+// NewStandardLogger returns a logger of the standard library that logs each message as the
+// error of an event.
+func NewStandardLogger(logger *log.Logger, event string) *stdlog.Logger {
+	return stdlog.New(standardLog{logger, event}, "", 0)
+}
+
+// standardLog writes messages of the standard library's logger.
+type standardLog struct {
+	logger *log.Logger
+	event  string
+}
+
+// Write implements io.Writer.
+func (s standardLog) Write(p []byte) (int, error) {
+	text := strings.TrimSpace(string(p[:min(len(p), maxErrorBytes)]))
+	s.logger.Error().Str("event", s.event).Str("error", text).Msg("")
+	return len(p), nil
+}
+
 // Discard returns a logger that discards all lines.
 func Discard() *log.Logger {
 	return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -36,3 +36,16 @@
 	_, err := logging.New(&schema.LogSettings{Level: "loud"})
 	is.Equal(fault.KindOf(err), schema.ErrorKind_ERROR_KIND_BAD_REQUEST)
 }
+
+func TestStandardLoggerWritesMessagesAsErrorsOfAnEvent(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "log")
+	logger, err := logging.New(&schema.LogSettings{File: file})
+	is.NoErr(err)
+	logging.NewStandardLogger(logger, "server_error").Printf("http: panic serving: %s", strings.Repeat("x", 10_000))
+	is.NoErr(logging.Close(logger))
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), ` level=error event=server_error error="http: panic serving: xxx`))
+	is.True(len(text) < 3_000)
+}
--- a/telemetry/entry.go
+++ b/telemetry/entry.go
@@ -41,7 +41,7 @@
 		{&t.storeCalls, "store.calls", "Calls to the platform's store, by call and status; 0 is no answer."},
 		{&t.dials, "upstream.connections", "New connections to targets."},
 		{&t.droppedLines, "log.dropped.lines", "Log lines that were not written, by event."},
-		{&t.callersClosed, "callers.closed", "Connections of callers closed for a bound, by bound."},
+		{&t.callersClosed, "callers.closed", "Connections of callers that this node closed, by reason."},
 	} {
 		if *c.counter, err = e.meter.Int64Counter(namePrefix+c.name, metric.WithDescription(c.description)); err != nil {
 			return nil, fmt.Errorf("counter %s: %w", c.name, err)
@@ -106,9 +106,9 @@
 	t.dials.Add(context.Background(), 1)
 }
 
-// CallerClosed counts one connection of a caller that was closed for a bound.
-func (t *EntryMetrics) CallerClosed(bound string) {
-	t.callersClosed.Add(context.Background(), 1, t.seriesFor(labels{cause: bound}).add...)
+// CallerClosed counts one connection of a caller that this node closed.
+func (t *EntryMetrics) CallerClosed(reason string) {
+	t.callersClosed.Add(context.Background(), 1, t.seriesFor(labels{cause: reason}).add...)
 }
 
 // LinesDropped counts log lines that were not written.
