--- a/standin/entrysoak/history.go
+++ b/standin/entrysoak/history.go
@@ -16,6 +16,8 @@
 	sentAt, endedAt time.Time
 	// writtenAt is when the last byte of the request was sent; zero means never.
 	writtenAt time.Time
+	// events is the number of events of a stream; 0 is eventsPerStream.
+	events int
 	// saysLeaving means that the response says that its worker leaves.
 	saysLeaving bool
 	status      int
@@ -58,6 +60,8 @@
 	violations []string
 	draining   map[string]bool
 	serving    []serving
+	// loaded is set if the nodes have more load than they can bear.
+	loaded bool
 }
 
 func (h *history) addRequest(r request) {
--- a/standin/entrysoak/soak.go
+++ b/standin/entrysoak/soak.go
@@ -4,10 +4,13 @@
 package entrysoak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -82,6 +85,10 @@
 			}
 		})
 	}
+	if options.Share > 0 {
+		stopSharing := limitShares(env.nodes, options.Share)
+		defer stopSharing()
+	}
 	settledAt := env.runLoad(ctx, faults)
 	stopSupervisors()
 	supervisors.Wait()
@@ -117,10 +124,12 @@
 		c := env.newCaller(b, i)
 		callers.Go(func() { c.run(callerCtx) })
 	}
+	stopLoad := env.addLoad(callerCtx, b, &callers)
 	var upgrading sync.WaitGroup
 	upgrading.Go(env.upgrade)
 	env.injectFaults(faults)
 	upgrading.Wait()
+	stopLoad()
 	time.Sleep(settleTime)
 	settledAt := time.Now()
 	if err := env.writeConfig(); err != nil {
@@ -136,7 +145,7 @@
 func (env *environment) newCaller(b *balancer, i int) *caller {
 	return &caller{
 		env: env, balancer: b, name: fmt.Sprintf("c%d-%d", env.options.Seed, i), nextKey: env.keySource(i),
-		random: rand.New(rand.NewPCG(env.options.Seed, uint64(i+1))),
+		random: rand.New(rand.NewPCG(env.options.Seed, uint64(i+1))), maxPause: maxRequestPause,
 	}
 }
 
@@ -217,8 +226,29 @@
 	running.Wait()
 }
 
+// writeFailed writes a line for each request without a whole answer, so that violations can
+// be compared with what was excused.
+func (env *environment) writeFailed(executions map[string][]string) error {
+	var b bytes.Buffer
+	for _, r := range env.history.requests {
+		if r.err == nil {
+			continue
+		}
+		written := time.Duration(0)
+		if !r.writtenAt.IsZero() {
+			written = r.writtenAt.Sub(r.sentAt)
+		}
+		fmt.Fprintf(&b, "time=%s request=%s route=%s node=%s took=%v written=%v status=%d bytes=%d ran=%v error=%q\n", r.sentAt.UTC().Format("15:04:05.000"),
+			r.id, r.route, r.node, r.endedAt.Sub(r.sentAt).Round(time.Millisecond), written.Round(time.Millisecond), r.status, len(r.body), executions[r.id], r.err)
+	}
+	return os.WriteFile(filepath.Join(env.options.Directory, "failed.log"), b.Bytes(), 0o644)
+}
+
 func (env *environment) report(settledAt time.Time) *Report {
 	executions := env.executions()
+	if err := env.writeFailed(executions); err != nil {
+		env.history.addViolation("%v", err)
+	}
 	r := &Report{Violations: append(env.history.check(executions), env.history.checkSignals(executions, env.arrivals())...)}
 	for _, t := range env.history.disturbances {
 		r.Disturbances = append(r.Disturbances, t.kind+" "+t.subject)
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -22,11 +22,12 @@
 	args    []string
 	logPath string
 
-	mu     sync.Mutex
-	path   string
-	cmd    *exec.Cmd
-	exited chan struct{}
-	frozen bool
+	mu          sync.Mutex
+	path        string
+	environment []string
+	cmd         *exec.Cmd
+	exited      chan struct{}
+	frozen      bool
 }
 
 // New returns a process that has not been started. Its log file is NAME.log in the
@@ -42,6 +43,24 @@
 	p.path = path
 }
 
+// SetEnvironment sets variables, as KEY=VALUE, that the next Start adds to those of this
+// process.
+func (p *Process) SetEnvironment(variables ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.environment = variables
+}
+
+// PID returns the id of the latest started process, or 0 if there is none.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running() {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Start starts the program and appends its output to its log. The kernel kills the
 // program when the thread that started it exits, at the latest with this process.
 func (p *Process) Start() error {
@@ -52,6 +71,7 @@
 	defer logFile.Close()
 	p.mu.Lock()
 	cmd := exec.Command(p.path, p.args...)
+	cmd.Env = append(os.Environ(), p.environment...)
 	p.mu.Unlock()
 	cmd.Stdout = logFile
 	cmd.Stderr = logFile
@@ -107,6 +127,21 @@
 	return p.cmd.Process.Signal(s)
 }
 
+// Pause makes the process stand still for a while, and Resume lets it go on. Neither changes
+// a process that SIGSTOP has suspended, or one that is not running.
+func (p *Process) Pause() { p.signalUnlessFrozen(syscall.SIGSTOP) }
+
+// Resume ends a Pause.
+func (p *Process) Resume() { p.signalUnlessFrozen(syscall.SIGCONT) }
+
+func (p *Process) signalUnlessFrozen(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running() && !p.frozen {
+		_ = p.cmd.Process.Signal(s) // It may have ended meanwhile.
+	}
+}
+
 // Exited returns a channel that is closed when the latest started process has exited.
 func (p *Process) Exited() <-chan struct{} {
 	p.mu.Lock()
