callers: a stop closes no connection on which a request lies unread

Callers saw: a request on a kept connection of a node that stops got neither an answer nor a refusal, but a reset.

Cause: Stop went by the bytes that the node had read. Class: what this process has done so far taken for what has happened.

It works because a request that has come whole is either read or still in the socket, and the connection is closed in neither state; what comes after the look crosses the close.

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -138,12 +138,12 @@
 }
 
 // closeIdle closes the connections on which no request has begun, or all on which none has
-// come whole, and returns how many are left.
+// come whole, and returns how many are left. It closes none with input that was not read.
 func (s *Server) closeIdle(now time.Time, begun bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle(now, begun) {
+		if c.idle(now, begun) && !hasInput(c.Conn) {
 			s.close(c, ReasonStop)
 		}
 	}
