callers: what is read of a request is known as soon as it has left the socket

Cause: a reader took a request from the socket and recorded that only afterwards. A stop that came in between, on a processor that others keep busy, found neither input nor a request. Class: two places that each may hold a request, and a look at them at different moments.

Change: one read of the socket and its record are one step under the lock of the connection, and a connection is closed, for a stop or a bound, under the same lock as the look at it.

It works because at each moment at which the lock can be had, the request lies in the socket or is recorded.

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -1,12 +1,6 @@
 package callers
 
-import (
-	"net"
-	"syscall"
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // lastingBound is a bound that may change. Callers that go by an older, longer one are
 // served for as long as that.
@@ -51,16 +45,13 @@
 	defer s.mu.Unlock()
 	waits.Idle = s.idle.set(waits.Idle, now)
 	for c := range s.conns {
-		if bound := c.exceeded(waits, now); bound != "" {
-			s.close(c, bound)
-		}
+		s.closeIf(c, func() Reason { return c.exceeded(waits, now) })
 	}
 }
 
-// exceeded returns the bound that the connection exceeds, or an empty one.
+// exceeded returns the bound that the connection exceeds, or an empty one. The lock must be
+// held.
 func (c *conn) exceeded(waits Waits, now time.Time) Reason {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	waited := now.Sub(c.since)
 	switch {
 	case c.active:
@@ -72,26 +63,6 @@
 	return ""
 }
 
-// hasInput reports whether bytes have come on a connection that were not read yet, as after
-// the node stood still.
-func hasInput(c net.Conn) bool {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var b [1]byte
-	n := 0
-	// Control, unlike Read, does not wait for a read that is under way.
-	err = raw.Control(func(fd uintptr) {
-		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
-}
-
 // yieldIdleTime is how long a connection must have been idle to give way to a new one: a caller
 // who sends one request after the other may have sent the next one already.
 const yieldIdleTime = time.Second
@@ -106,7 +77,7 @@
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.options.MaxConns && !s.stopped {
 		if c := s.longestIdle(time.Now()); c != nil {
-			s.close(c, ReasonConns)
+			s.closeIf(c, func() Reason { return ReasonConns })
 			continue
 		}
 		s.full = true
@@ -121,19 +92,18 @@
 	var longest *conn
 	var since time.Time
 	for c := range s.conns {
-		if !c.idle(now, false) {
-			continue
-		}
-		at := c.waitsSince()
-		if now.Sub(at) >= yieldIdleTime && (longest == nil || at.Before(since)) {
+		at, idle := c.idleSince(now)
+		if idle && now.Sub(at) >= yieldIdleTime && (longest == nil || at.Before(since)) {
 			longest, since = c, at
 		}
 	}
 	return longest
 }
 
-func (c *conn) waitsSince() time.Time {
+// idleSince returns since when the connection has waited for its next request, and whether it
+// does.
+func (c *conn) idleSince(now time.Time) (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since
+	return c.since, c.idle(now, false)
 }
--- a/callers/callers.go
+++ b/callers/callers.go
@@ -1,7 +1,7 @@
 // Package callers serves the connections of callers. It bounds how many there are and how
-// long they wait. In a planned stop it closes only connections on which no request has begun,
-// so that each request of which a byte was read is answered. http.Server.Shutdown drops a
-// request whose head was not read whole before.
+// long they wait. In a planned stop it closes only connections on which no request has come,
+// so that each request that has come on one of them is answered. http.Server.Shutdown drops
+// requests that were not read whole before.
 package callers
 
 import (
@@ -143,9 +143,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle(now, begun) && !hasInput(c.Conn) {
-			s.close(c, ReasonStop)
-		}
+		s.closeIf(c, func() Reason {
+			if !c.idle(now, begun) || hasInput(c.Conn) {
+				return ""
+			}
+			return ReasonStop
+		})
 	}
 	return len(s.conns)
 }
@@ -155,12 +158,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		s.close(c, ReasonCut)
+		s.closeIf(c, func() Reason { return ReasonCut })
 	}
 }
 
-// close closes a connection. The lock must be held.
-func (s *Server) close(c *conn, reason Reason) {
+// closeIf closes a connection if there is a reason, which is asked for with the lock of the
+// connection held. The lock of the server must be held.
+func (s *Server) closeIf(c *conn, why func() Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reason := why()
+	if reason == "" {
+		return
+	}
 	if s.options.Closed != nil {
 		s.options.Closed(c.describe(reason, time.Now()))
 	}
@@ -191,27 +201,6 @@
 	}
 }
 
-// trackingListener accepts connections of a server.
-type trackingListener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *trackingListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.server.awaitRoom()
-	now := time.Now()
-	c := &conn{Conn: nc, accepted: now, since: now}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[c] = struct{}{}
-	return c, nil
-}
-
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
@@ -230,28 +219,32 @@
 	since time.Time
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What it takes from the socket is known to be read as soon as it is
+// no longer there, so that nobody who holds the lock misses it.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.setBegun(true)
+	return readSocket(c.Conn, p, func(read func() int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if read() > 0 {
+			c.recordRead()
+		}
+	})
+}
+
+// recordRead records that bytes were read. The lock must be held.
+func (c *conn) recordRead() {
+	c.begun = true
+	if !c.active && !c.partial {
+		c.partial, c.since = true, time.Now()
 	}
-	return n, err
 }
 
 // Write implements net.Conn. A caller sends its next request only after the whole answer.
 func (c *conn) Write(p []byte) (int, error) {
-	c.setBegun(false)
-	return c.Conn.Write(p)
-}
-
-func (c *conn) setBegun(begun bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.begun = begun
-	if begun && !c.active && !c.partial {
-		c.partial, c.since = true, time.Now()
-	}
+	c.begun = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
 }
 
 func (c *conn) setActive(active bool) {
@@ -261,10 +254,8 @@
 }
 
 // idle reports whether no request has begun on the connection or, if begun is set, none has
-// come whole.
+// come whole. The lock must be held.
 func (c *conn) idle(now time.Time, begun bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	switch {
 	case c.active:
 		return false
@@ -276,10 +267,8 @@
 	return !c.begun
 }
 
-// describe describes a connection that is about to be closed.
+// describe describes a connection that is about to be closed. The lock must be held.
 func (c *conn) describe(reason Reason, now time.Time) Closed {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return Closed{
 		Reason: reason, Remote: c.RemoteAddr(), Unread: hasInput(c.Conn), Begun: c.begun && !c.active, Active: c.active, Waited: now.Sub(c.since),
 	}
