callers: a stop answers connections that were not accepted yet

Callers saw: a whole request on a new connection to a node that stops got neither an answer nor a refusal, but a reset.

Cause: Stop closed the listener first. The system had completed connections that waited to be accepted, and had taken their requests; it resets them with the listener.

Change: the listener is closed last: once the connections that were there are closed and none waits to be accepted, or when the time for heads ends. Until then new connections get the refusal of the gateway, which says that the request has not run.

What is left is a connection that comes between the last look and the close.

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -1,7 +1,7 @@
 // Package callers serves the connections of callers. It bounds how many there are and how
 // long they wait. In a planned stop it closes only connections on which no request has come,
-// so that each request that has come on one of them is answered. http.Server.Shutdown drops
-// requests that were not read whole before.
+// and the listener last, so that each request that has reached this node is answered.
+// http.Server.Shutdown drops requests that were not read whole before.
 package callers
 
 import (
@@ -67,8 +67,10 @@
 // Server serves the connections of callers.
 type Server struct {
 	server   *http.Server
-	listener net.Listener
+	listener *trackingListener
 	options  Options
+	// served is closed when Serve has returned.
+	served chan struct{}
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -76,24 +78,28 @@
 	left *sync.Cond
 	// full is set while a new connection waits, because there are MaxConns with a request.
 	full, stopped bool
-	idle          lastingBound
+	// serving is set once Serve was called.
+	serving bool
+	idle    lastingBound
 }
 
 // NewServer returns a server of the connections that a listener accepts. It sets the
 // ConnState of the HTTP server.
 func NewServer(server *http.Server, listener net.Listener, options Options) *Server {
-	s := &Server{server: server, options: options, conns: make(map[*conn]struct{})}
+	s := &Server{server: server, options: options, served: make(chan struct{}), conns: make(map[*conn]struct{})}
 	s.left = sync.NewCond(&s.mu)
 	s.listener = &trackingListener{Listener: listener, server: s}
 	server.ConnState = s.recordState
 	return s
 }
 
-// Serve serves connections until Stop, and returns an error that wraps net.ErrClosed then.
+// Serve serves connections until Stop, is called once, and returns an error that wraps net.ErrClosed then.
 func (s *Server) Serve() error {
-	done := make(chan struct{})
-	defer close(done)
-	go s.sweep(done)
+	s.mu.Lock()
+	s.serving = true
+	s.mu.Unlock()
+	defer close(s.served)
+	go s.sweep(s.served)
 	return s.server.Serve(s.listener)
 }
 
@@ -112,20 +118,29 @@
 	return len(s.conns)
 }
 
-// Stop accepts no more connections, closes those on which no request has begun, and waits
-// until the others are closed, which their handler has to bring about with the header
-// Connection. When heads ends, a request that has come in part is waited for no longer. When
-// ctx ends, Stop closes what is left and returns the cause.
+// Stop closes the connections on which no request has begun, and waits until the others are
+// closed, which their handler has to bring about with the header Connection. It accepts
+// connections until those that were there are closed and no further one waits. When heads
+// ends, a request that has come in part is waited for no longer. When ctx ends, Stop closes
+// what is left and returns the cause.
 func (s *Server) Stop(ctx, heads context.Context) error {
-	// The listener is closed either way.
-	_ = s.listener.Close()
+	began := time.Now()
 	s.mu.Lock()
 	s.stopped = true
 	s.left.Broadcast()
 	s.mu.Unlock()
 	tick := time.NewTicker(stopInterval)
 	defer tick.Stop()
-	for s.closeIdle(time.Now(), heads.Err() != nil) > 0 {
+	for accepting := true; ; {
+		left, early := s.closeIdle(time.Now(), began, heads.Err() != nil)
+		switch {
+		case accepting && (early == 0 && !s.listener.hasPending() || heads.Err() != nil):
+			accepting = false
+			s.closeListener()
+			continue
+		case !accepting && left == 0:
+			return nil
+		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -134,12 +149,25 @@
 			return context.Cause(ctx)
 		}
 	}
-	return nil
+}
+
+// closeListener closes the listener and waits until all connections that it accepted are
+// known.
+func (s *Server) closeListener() {
+	// It is closed either way.
+	_ = s.listener.Close()
+	s.mu.Lock()
+	serving := s.serving
+	s.mu.Unlock()
+	if serving {
+		<-s.served
+	}
 }
 
 // closeIdle closes the connections on which no request has begun, or all on which none has
-// come whole, and returns how many are left. It closes none with input that was not read.
-func (s *Server) closeIdle(now time.Time, begun bool) int {
+// come whole. It closes none with input that was not read. It returns how many are left, and
+// how many of them were accepted before a time.
+func (s *Server) closeIdle(now, before time.Time, begun bool) (left, early int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -150,7 +178,12 @@
 			return ReasonStop
 		})
 	}
-	return len(s.conns)
+	for c := range s.conns {
+		if c.accepted.Before(before) {
+			early++
+		}
+	}
+	return len(s.conns), early
 }
 
 // cut closes all connections.
--- a/callers/sockets.go
+++ b/callers/sockets.go
@@ -32,6 +32,15 @@
 	return c, nil
 }
 
+// hasPending reports whether a connection waits to be accepted.
+func (l *trackingListener) hasPending() bool {
+	pending := 0
+	ok := control(l.Listener, func(fd int) {
+		pending, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ok && pending > 0
+}
+
 // hasInput reports whether bytes have come on a connection that were not read yet, as after
 // the node stood still.
 func hasInput(c net.Conn) bool {
--- a/callers/unread_internal_test.go
+++ b/callers/unread_internal_test.go
@@ -105,3 +105,64 @@
 	stopStarving()
 	is.Equal(countUnanswered(t, conns), 0)
 }
+
+// slowListener accepts a connection only after a pause, as a node does that is short of
+// processor time.
+type slowListener struct {
+	*net.TCPListener
+	pause time.Duration
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(l.pause)
+	return l.TCPListener.Accept()
+}
+
+func TestStopAnswersRequestsOnConnectionsThatWereNotAccepted(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	s := startAnswering(t, slowListener{listener.(*net.TCPListener), 20 * time.Millisecond}, Options{})
+	conns := connectMany(t, listener.Addr(), 20)
+	for _, c := range conns {
+		_, err := fmt.Fprint(c, unreadRequest)
+		is.NoErr(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	is.NoErr(s.Stop(ctx, ctx))
+	is.Equal(countUnanswered(t, conns), 0)
+	_, err = net.Dial("tcp4", listener.Addr().String())
+	is.True(err != nil) // The listener is closed in the end.
+}
+
+// Callers who connect without end do not keep a stop from ending.
+func TestStopEndsWhileCallersGoOnConnecting(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	s := startAnswering(t, listener, Options{})
+	stopped := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-stopped:
+				return
+			default:
+			}
+			if c, err := net.Dial("tcp4", listener.Addr().String()); err == nil {
+				_, _ = fmt.Fprint(c, unreadRequest) // The server may have closed it.
+				time.AfterFunc(time.Second, func() { c.Close() })
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	is.NoErr(s.Stop(ctx, ctx))
+	close(stopped)
+	is.True(time.Since(began) < 3*time.Second)
+}
