callers: a connection with an unread request does not give way to a new one

What callers would see: at a node with as many connections as it may have, a reset in place of an answer to a request on a kept connection.

Change: the system is asked whether input waits; such a connection counts as used now.

Test: TestConnectionWithAnUnreadRequestDoesNotGiveWay failed before (1 of 1).

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -77,7 +77,7 @@
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.options.MaxConns && !s.stopped {
 		if c := s.longestIdle(time.Now()); c != nil {
-			s.closeIf(c, func() Reason { return ReasonConns })
+			s.closeIf(c, func() Reason { return c.yield(time.Now()) })
 			continue
 		}
 		s.full = true
@@ -86,6 +86,18 @@
 	s.full = false
 }
 
+// yield returns the reason to close the connection for a new one. It returns none if a request
+// has come, which is then not looked for again for yieldIdleTime. The lock must be held.
+func (c *conn) yield(now time.Time) Reason {
+	if hasInput(c.Conn) {
+		c.since = now
+	}
+	if !c.idle(now, false) || now.Sub(c.since) < yieldIdleTime {
+		return ""
+	}
+	return ReasonConns
+}
+
 // longestIdle returns the connection without a request that has waited for the longest time,
 // or nil if none has for yieldIdleTime. The lock must be held.
 func (s *Server) longestIdle(now time.Time) *conn {
--- a/callers/unread_internal_test.go
+++ b/callers/unread_internal_test.go
@@ -166,3 +166,24 @@
 	close(stopped)
 	is.True(time.Since(began) < 3*time.Second)
 }
+
+func TestConnectionWithAnUnreadRequestDoesNotGiveWay(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	s := NewServer(&http.Server{}, l, Options{MaxConns: 2})
+	inUse, caller := newConnPair(t)
+	idle, _ := newConnPair(t)
+	now := time.Now()
+	inUse.since, idle.since = now.Add(-3*yieldIdleTime), now.Add(-2*yieldIdleTime)
+	inUse.used, idle.used = true, true
+	s.conns[inUse], s.conns[idle] = struct{}{}, struct{}{}
+	_, err = fmt.Fprint(caller, unreadRequest)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	s.awaitRoom()
+	_, kept := s.conns[inUse]
+	is.True(kept)
+	is.Equal(s.Len(), 1)
+}
