callers: the connections that wait are accepted in one go before the listener closes

Now the listener is closed once the connections that were there before the stop are closed. Right before, the loop that accepts is ended, and what waits is accepted in a loop that does nothing else; the connections are served as usual. What is left is a connection that comes between the last look and the close, a few microseconds.

The soak's callers choose a node anew when a node has closed their connection, as the platform's balancer has it; they had come back to the node that refused them.

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -96,8 +96,12 @@
 // Serve serves connections until Stop, is called once, and returns an error that wraps net.ErrClosed then.
 func (s *Server) Serve() error {
 	s.mu.Lock()
-	s.serving = true
+	stopped := s.stopped
+	s.serving = !stopped
 	s.mu.Unlock()
+	if stopped {
+		return net.ErrClosed
+	}
 	defer close(s.served)
 	go s.sweep(s.served)
 	return s.server.Serve(s.listener)
@@ -120,7 +124,7 @@
 
 // Stop closes the connections on which no request has begun, and waits until the others are
 // closed, which their handler has to bring about with the header Connection. It accepts
-// connections until those that were there are closed and no further one waits. When heads
+// connections until those that were there are closed, and all that wait then. When heads
 // ends, a request that has come in part is waited for no longer. When ctx ends, Stop closes
 // what is left and returns the cause.
 func (s *Server) Stop(ctx, heads context.Context) error {
@@ -134,7 +138,7 @@
 	for accepting := true; ; {
 		left, early := s.closeIdle(time.Now(), began, heads.Err() != nil)
 		switch {
-		case accepting && (early == 0 && !s.listener.hasPending() || heads.Err() != nil):
+		case accepting && (early == 0 || heads.Err() != nil):
 			accepting = false
 			s.closeListener()
 			continue
@@ -151,17 +155,20 @@
 	}
 }
 
-// closeListener closes the listener and waits until all connections that it accepted are
-// known.
+// closeListener accepts the connections that wait at the listener, closes it and serves them.
 func (s *Server) closeListener() {
-	// It is closed either way.
-	_ = s.listener.Close()
+	s.listener.release()
 	s.mu.Lock()
 	serving := s.serving
 	s.mu.Unlock()
 	if serving {
 		<-s.served
 	}
+	last := &acceptedConns{s.listener, s.listener.acceptPending()}
+	// It is closed either way.
+	_ = s.listener.Listener.Close()
+	// It returns once it has begun to serve them, with the error of a closed listener.
+	_ = s.server.Serve(last)
 }
 
 // closeIdle closes the connections on which no request has begun, or all on which none has
@@ -217,6 +224,16 @@
 	s.left.Signal()
 }
 
+// track records an accepted connection.
+func (s *Server) track(nc net.Conn) net.Conn {
+	now := time.Now()
+	c := &conn{Conn: nc, accepted: now, since: now}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return c
+}
+
 // recordState records the state of a connection.
 func (s *Server) recordState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*conn)
--- a/callers/sockets.go
+++ b/callers/sockets.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,21 +16,57 @@
 type trackingListener struct {
 	net.Listener
 	server *Server
+	// released is set when Accept is to return.
+	released atomic.Bool
 }
 
 // Accept implements net.Listener.
 func (l *trackingListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	if err != nil && l.released.Load() {
+		return nil, net.ErrClosed
+	}
 	if err != nil {
 		return nil, err
 	}
 	l.server.awaitRoom()
-	now := time.Now()
-	c := &conn{Conn: nc, accepted: now, since: now}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[c] = struct{}{}
-	return c, nil
+	return l.server.track(nc), nil
+}
+
+// Close implements net.Listener. The HTTP server closes its listener when Accept fails, which
+// is too early after release.
+func (l *trackingListener) Close() error {
+	if l.released.Load() {
+		return nil
+	}
+	return l.Listener.Close()
+}
+
+// release makes Accept return, also while it waits, and leaves connections that are not
+// accepted yet.
+func (l *trackingListener) release() {
+	l.released.Store(true)
+	l.setDeadline(time.Now())
+}
+
+func (l *trackingListener) setDeadline(t time.Time) {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = d.SetDeadline(t) // It fails only if the listener is closed.
+	}
+}
+
+// acceptPending accepts the connections that wait, in one go: until none is left, nothing else
+// is done with them.
+func (l *trackingListener) acceptPending() (conns []net.Conn) {
+	l.setDeadline(time.Time{})
+	for l.hasPending() {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			break
+		}
+		conns = append(conns, l.server.track(nc))
+	}
+	return conns
 }
 
 // hasPending reports whether a connection waits to be accepted.
@@ -41,6 +78,22 @@
 	return ok && pending > 0
 }
 
+// acceptedConns is a listener that returns connections which were accepted before.
+type acceptedConns struct {
+	net.Listener
+	conns []net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *acceptedConns) Accept() (net.Conn, error) {
+	if len(l.conns) == 0 {
+		return nil, net.ErrClosed
+	}
+	c := l.conns[0]
+	l.conns = l.conns[1:]
+	return c, nil
+}
+
 // hasInput reports whether bytes have come on a connection that were not read yet, as after
 // the node stood still.
 func hasInput(c net.Conn) bool {
--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -90,7 +90,7 @@
 }
 
 // caller sends requests one at a time. It keeps its connection, and therefore its
-// node, until a request fails.
+// node, until a request fails or the node closes it.
 type caller struct {
 	env      *environment
 	balancer *balancer
@@ -117,11 +117,11 @@
 	n := c.balancer.pick(c.random, c.env.nodes)
 	for i := 0; ctx.Err() == nil; i++ {
 		r := c.sendRequest(client, n, fmt.Sprintf("%s-%d", c.name, i), c.nextRoute(), c.nextKey())
-		if r.err != nil {
+		if r.err != nil && r.route == "chat" && lastEvent(r.body) > 0 {
+			c.takeUp(r)
+		}
+		if r.err != nil || r.closes {
 			client.CloseIdleConnections()
-			if r.route == "chat" && lastEvent(r.body) > 0 {
-				c.takeUp(r)
-			}
 			n = c.balancer.pick(c.random, c.env.nodes)
 		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(c.maxPause))))
@@ -232,5 +232,6 @@
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	r.status, r.body, r.err = resp.StatusCode, string(answer), err
+	r.closes = resp.Close
 	r.saysLeaving = resp.Header.Get("Server-Leaving") != ""
 }
--- a/standin/entrysoak/history.go
+++ b/standin/entrysoak/history.go
@@ -20,9 +20,11 @@
 	events int
 	// saysLeaving means that the response says that its worker leaves.
 	saysLeaving bool
-	status      int
-	body        string
-	err         error
+	// closes means that the node closes the connection after the response.
+	closes bool
+	status int
+	body   string
+	err    error
 }
 
 // disturbance is the period in which one part of the system, its subject, is
