callers: the next request after an answer that ended in a stop is waited for

Callers saw: a request on a kept connection, sent right after the answer to the one before, crossed the close of a node that stops: a reset in place of an answer.

Cause: an answer that began before the stop does not announce that its connection closes, and Stop closed the connection within 20 ms after its end, when callers that send one request after the other send the next one.

A stop takes up to 0.5 s longer.

Test: TestNextRequestAfterAnAnswerThatEndsInAStopIsAnswered failed before (2 of 2). A request that comes later can still cross the close.

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -16,6 +16,9 @@
 	// firstRequestTime is how long the first request on a new connection is waited for in a
 	// planned stop.
 	firstRequestTime = time.Second
+	// nextRequestTime is how long the next request is waited for after an answer, which may not
+	// have announced that the connection closes.
+	nextRequestTime = 500 * time.Millisecond
 	// stopInterval is how often Stop checks the connections, and sweepInterval how often
 	// Serve looks for those that have waited for too long.
 	stopInterval  = 20 * time.Millisecond
@@ -311,10 +314,10 @@
 		return false
 	case begun:
 		return true
-	case !c.used && now.Sub(c.accepted) < firstRequestTime:
-		return false
+	case !c.used:
+		return !c.begun && now.Sub(c.accepted) >= firstRequestTime
 	}
-	return !c.begun
+	return !c.begun && now.Sub(c.since) >= nextRequestTime
 }
 
 // describe describes a connection that is about to be closed. The lock must be held.
--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -166,3 +166,23 @@
 	_, err := c.answer()
 	is.True(err != nil)
 }
+
+// The answer of a stream that began before a stop cannot announce that its connection closes.
+func TestNextRequestAfterAnAnswerThatEndsInAStopIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s, to := startServer(t, 300*time.Millisecond)
+	c := connect(t, to)
+	_, err := fmt.Fprint(c, head+"\r\nbody")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(t.Context(), t.Context()) }()
+	_, err = c.answer()
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	_, err = fmt.Fprint(c, head+"Last: 1\r\n\r\nbody")
+	is.NoErr(err)
+	_, err = c.answer()
+	is.NoErr(err)
+	is.NoErr(<-stopped)
+}
--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -1,7 +1,9 @@
 package entrysoak
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -31,6 +33,8 @@
 	requestDeadline = 3 * time.Second
 	streamDeadline  = 6 * time.Second
 	patience        = time.Second
+	// maxGap is the longest time for which a caller waits for the next part of an answer.
+	maxGap = 4 * time.Second
 	// One body in slowBodyShare comes in two parts, the first of slowBodyBytes, with a pause of
 	// up to maxBodyPause. One in chunkedShare comes in chunks, without a length.
 	slowBodyShare = 6
@@ -100,6 +104,20 @@
 	nextKey func() string
 	// maxPause is the longest pause between two requests.
 	maxPause time.Duration
+	// kinds are the kinds of requests to choose from; without any, all are alike.
+	kinds []loadKind
+}
+
+// nextRequest returns the next request.
+func (c *caller) nextRequest(id string) request {
+	if len(c.kinds) > 0 {
+		return c.kinds[c.random.IntN(len(c.kinds))].draw(c.random, id, c.nextKey())
+	}
+	r := request{id: id, route: c.nextRoute(), key: c.nextKey()}
+	if isStream(r.route) && c.env.options.Callers > 0 {
+		r.prompt, r.output = 1, eventsPerStream*tokensPerEvent
+	}
+	return r
 }
 
 // nextRoute returns the route of the next request.
@@ -116,7 +134,7 @@
 	defer client.CloseIdleConnections()
 	n := c.balancer.pick(c.random, c.env.nodes)
 	for i := 0; ctx.Err() == nil; i++ {
-		r := c.sendRequest(client, n, fmt.Sprintf("%s-%d", c.name, i), c.nextRoute(), c.nextKey())
+		r := c.sendPrepared(client, n, c.nextRequest(fmt.Sprintf("%s-%d", c.name, i)))
 		if r.err != nil && r.route == "chat" && lastEvent(r.body) > 0 {
 			c.takeUp(r)
 		}
@@ -143,6 +161,9 @@
 	return requestDeadline
 }
 
+// timeLimit returns the time limit of the request.
+func (r request) timeLimit() time.Duration { return cmp.Or(r.limit, deadline(r.route)) }
+
 func isStream(route string) bool { return route == "chat" || route == "draft" }
 
 // newBody returns the body of a request with its length. Some bodies come in two parts, the
@@ -170,6 +191,33 @@
 	return r.Reader.Read(p)
 }
 
+// errAbandoned is the error of a caller who has waited too long for the next part of an answer.
+var errAbandoned = errors.New("entrysoak: the caller waited for too long")
+
+// readAnswer reads an answer, and cancels its request if no part of it comes for maxGap.
+func readAnswer(body io.Reader, cancel func()) (answer []byte, err error) {
+	var abandoned atomic.Bool
+	gap := time.AfterFunc(maxGap, func() {
+		abandoned.Store(true)
+		cancel()
+	})
+	defer gap.Stop()
+	part := make([]byte, 4<<10)
+	for {
+		n, err := body.Read(part)
+		answer = append(answer, part[:n]...)
+		gap.Reset(maxGap)
+		switch {
+		case err == io.EOF:
+			return answer, nil
+		case abandoned.Load():
+			return answer, errAbandoned
+		case err != nil:
+			return answer, err
+		}
+	}
+}
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
@@ -183,7 +231,7 @@
 }
 
 func (c *caller) sendPrepared(client *http.Client, n *node, r request) request {
-	r.node, r.sentAt, r.events = n.name, time.Now(), c.env.options.Events
+	r.node, r.sentAt, r.events = n.name, time.Now(), cmp.Or(r.events, c.env.options.Events)
 	c.send(client, n, &r)
 	r.endedAt = time.Now()
 	c.env.history.addRequest(r)
@@ -205,7 +253,7 @@
 			writtenAt.Store(time.Now().UnixNano())
 		}
 	}}
-	ctx, cancel := context.WithTimeout(context.Background(), deadline(r.route)+patience)
+	ctx, cancel := context.WithTimeout(context.Background(), r.timeLimit()+patience)
 	defer cancel()
 	body, length := c.newBody()
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, body)
@@ -218,8 +266,11 @@
 		req.ContentLength = -1
 	}
 	req.Header.Set("X-Primrosemoor-Attempt-Id", r.id)
-	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(deadline(r.route).Milliseconds()))
+	req.Header.Set("X-Primrosemoor-Deadline-Ms", fmt.Sprint(r.timeLimit().Milliseconds()))
 	req.Header.Set("Api-Key", r.key)
+	if r.output > 0 {
+		req.Header.Set("X-Primrosemoor-Token-Count", fmt.Sprintf("%d,%d", r.prompt, r.output))
+	}
 	if r.resumes != "" {
 		req.Header.Set("Resumes", r.resumes)
 		req.Header.Set("Last-Event-Id", fmt.Sprint(r.after))
@@ -230,7 +281,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
+	answer, err := readAnswer(resp.Body, cancel)
 	r.status, r.body, r.err = resp.StatusCode, string(answer), err
 	r.closes = resp.Close
 	r.saysLeaving = resp.Header.Get("Server-Leaving") != ""
--- a/standin/entrysoak/history.go
+++ b/standin/entrysoak/history.go
@@ -18,6 +18,10 @@
 	writtenAt time.Time
 	// events is the number of events of a stream; 0 is eventsPerStream.
 	events int
+	// limit is the time limit of the request; 0 is that of its route.
+	limit time.Duration
+	// prompt and output are the tokens that the request names; 0 for none.
+	prompt, output int
 	// saysLeaving means that the response says that its worker leaves.
 	saysLeaving bool
 	// closes means that the node closes the connection after the response.
--- a/standin/entrysoak/streams.go
+++ b/standin/entrysoak/streams.go
@@ -50,13 +50,20 @@
 	takeUpPause = 400 * time.Millisecond
 )
 
+// again returns the request that takes the stream of r up after an event.
+func (r request) again(id string, after int) request {
+	return request{
+		id: id, route: r.route, key: r.key, resumes: r.id, after: after, events: r.events, limit: r.limit, prompt: r.prompt, output: r.output,
+	}
+}
+
 // takeUp takes a broken stream up again at any node, as callers do after a broken
 // connection, until it is whole.
 func (c *caller) takeUp(broken request) {
 	after := lastEvent(broken.body)
 	for try := 1; try <= takeUpTries; try++ {
 		client := newClient()
-		r := request{id: fmt.Sprintf("%s-again%d", broken.id, try), route: broken.route, key: broken.key, resumes: broken.id, after: after}
+		r := broken.again(fmt.Sprintf("%s-again%d", broken.id, try), after)
 		r = c.sendPrepared(client, c.balancer.pick(c.random, c.env.nodes), r)
 		client.CloseIdleConnections()
 		if r.status == 200 && r.err == nil {
--- a/standin/entrysoak/world.go
+++ b/standin/entrysoak/world.go
@@ -128,7 +128,7 @@
 	route := func(name, kind, service string, resume bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeoutMs": deadline(name).Milliseconds(), "targetLatencyMs": 500, "priority": 1, "maxAttempts": 2,
+			"timeoutMs": env.options.timeLimit(name).Milliseconds(), "targetLatencyMs": 500, "priority": 1, "maxAttempts": 2,
 			"streamResume": resume, "itlTargetMs": 300,
 		}
 	}
@@ -194,6 +194,9 @@
 	}
 	if service == streamService {
 		wk.Events, wk.Version, wk.ShowVersion, wk.ServiceTime = cmp.Or(env.options.Events, eventsPerStream), version, true, eventTime
+		if env.options.Callers > 0 {
+			wk.Engine = worker.NewEngine(wk.Slots, tokensPerEvent, promptRate, stepPerStream)
+		}
 	}
 	if err := wk.Start(env.store, "a"); err != nil {
 		return err
