node: a stop of a node with its own register drops no request that came in part

Callers saw: a request whose head had come in part when the node stopped got no answer.

Found by looking for the causes of the requests lost around planned work elsewhere.

Change: package callers serves these nodes as well.

Test: TestRequestThatIsThereInPartWhenANodeStopsIsAnswered failed before (2 of 2).

--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/primrosemoor/primrosemoor/callers"
 	"github.com/primrosemoor/primrosemoor/delay"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -24,6 +25,7 @@
 	controller *controller
 	cancel     context.CancelFunc
 	running    sync.WaitGroup
+	callers    *callers.Server
 }
 
 // runner is a component with its own run loop.
@@ -83,7 +85,8 @@
 		l.running.Go(func() { l.logFailure("manager_ended", r.Run(ctx)) })
 	}
 	l.running.Go(func() { l.controller.run(ctx) })
-	l.running.Go(func() { l.logFailure("http_server_ended", l.Front.server.Serve(httpListener)) })
+	l.callers = callers.NewServer(l.Front.server, httpListener, callers.Options{})
+	l.running.Go(func() { l.logFailure("http_server_ended", l.callers.Serve()) })
 	l.Logger.Info().Str("event", "node_started").
 		Str("node", l.Settings.GetNode().GetName()).
 		Str("http", httpListener.Addr().String()).
@@ -93,7 +96,7 @@
 
 // logFailure logs an error unless it is the result of a regular shutdown.
 func (l *lifecycle) logFailure(event string, err error) {
-	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return
 	}
 	l.Logger.Error().Str("event", event).Err(err).Msg("")
@@ -112,7 +115,7 @@
 	delay.Sleep(ctx, l.Settings.GetShutdown().GetReadinessDelay().AsDuration())
 	drainCtx, cancel := context.WithTimeout(ctx, l.Settings.GetShutdown().GetDrainTimeout().AsDuration())
 	defer cancel()
-	err := l.Front.server.Shutdown(drainCtx)
+	err := l.callers.Stop(drainCtx, drainCtx)
 	err = errors.Join(err, l.Dispatcher.Wait(drainCtx))
 	l.cancel()
 	l.Pool.Close()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -131,3 +131,36 @@
 	is.True(strings.HasSuffix(strings.TrimSpace(string(rest)), "data: [DONE]"))
 	is.NoErr(<-stopped)
 }
+
+// http.Server.Shutdown drops a request of which a part has come.
+func TestRequestThatIsThereInPartWhenANodeStopsIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := testSettings(t)
+	app := node.New(s, node.Options{Store: objects.NewMemory()})
+	is.NoErr(app.Start(t.Context()))
+	conn, err := net.Dial("tcp", s.GetHttp().GetListenAddress())
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(waitLimit)))
+	reader := bufio.NewReader(conn)
+	ask := func(text string) {
+		_, err := fmt.Fprint(conn, text)
+		is.NoErr(err)
+	}
+	answered := func() {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+	}
+	ask("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+	answered()
+	ask("GET /healthz HTTP/1.1\r\n")
+	stopped := make(chan error, 1)
+	go func() { stopped <- app.Stop(context.Background()) }()
+	time.Sleep(s.GetShutdown().GetReadinessDelay().AsDuration() + time.Second)
+	ask("Host: h\r\n\r\n")
+	answered()
+	is.NoErr(<-stopped)
+}
