--- a/callers/unread_internal_test.go
+++ b/callers/unread_internal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,20 +63,15 @@
 func starve() (stop func()) {
 	const spinning = 60
 	before := runtime.GOMAXPROCS(1)
-	done := make(chan struct{})
+	var done atomic.Bool
 	for range spinning {
 		go func() {
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
+			for !done.Load() {
 			}
 		}()
 	}
 	return func() {
-		close(done)
+		done.Store(true)
 		runtime.GOMAXPROCS(before)
 	}
 }
--- a/standin/worker/engine.go
+++ b/standin/worker/engine.go
@@ -73,7 +73,12 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	e.reading.Lock()
-	e.reading.Unlock() //nolint:staticcheck // It waits until no prompt is being read.
+	e.awaitReading()
 	return nil
 }
+
+// awaitReading waits while a prompt is being read.
+func (e *Engine) awaitReading() {
+	e.reading.Lock()
+	defer e.reading.Unlock()
+}
