entrytest: tests of versions wait until the node asked lists the workers

Traced: they slept for 0.5 s after workers had started, the time within which all nodes were said to list them. A node that does not own its zone batches changes of the targets for 1 s (targetsPause and drainPauseRatio), so that it may list them 1.25 s after the start. No rule bounds that, and before that the answer that the test did not want is right: one version only, or none of the version sought.

--- a/standin/entrytest/ended_test.go
+++ b/standin/entrytest/ended_test.go
@@ -196,7 +196,7 @@
 	time.Sleep(time.Second)
 	r.edit = func(spec map[string]any) { delete(spec, "tenants") }
 	r.writeConfig()
-	time.Sleep(listedDelay)
+	time.Sleep(500 * time.Millisecond) // The change reaches the nodes.
 	r.store.SetFaults(store.Faults{Down: true})
 	r.replace(releaseWorkers)
 	for i := range releaseStreams {
--- a/standin/entrytest/odd_test.go
+++ b/standin/entrytest/odd_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// members returns the nodes that a node knows, by name.
-func (n *node) members(t *testing.T) string {
+// status returns a node's status.
+func (n *node) status(t *testing.T) (*schema.StatusReply, error) {
 	t.Helper()
 	pool := peer.NewPool(peer.PoolOptions{
 		Identity: peer.Identity{Cluster: "primrosemoor-entry", Node: "operator"}, Meter: peer.NopMeter{},
@@ -34,7 +34,15 @@
 	})
 	defer pool.Close()
 	status := &schema.StatusReply{}
-	if err := pool.Call(t.Context(), fmt.Sprintf("%s:%d", n.ip, peersPort), schema.Method_METHOD_STATUS, &schema.StatusRequest{}, status); err != nil {
+	err := pool.Call(t.Context(), fmt.Sprintf("%s:%d", n.ip, peersPort), schema.Method_METHOD_STATUS, &schema.StatusRequest{}, status)
+	return status, err
+}
+
+// members returns the nodes that a node knows, by name.
+func (n *node) members(t *testing.T) string {
+	t.Helper()
+	status, err := n.status(t)
+	if err != nil {
 		return err.Error()
 	}
 	var names []string
--- a/standin/entrytest/version_test.go
+++ b/standin/entrytest/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,8 +17,23 @@
 // have most of the slots, so that a choice among all targets takes one of them.
 const versionTestStreams = 6
 
-// listedDelay is the time within which all nodes list a worker that has started.
-const listedDelay = 500 * time.Millisecond
+// awaitListed waits until a node lists workers that have started.
+func (env *testEnv) awaitListed(n *node, workers ...*worker.Worker) {
+	env.t.Helper()
+	env.waitFor(n.ip+" lists the workers", func() bool {
+		status, err := n.status(env.t)
+		if err != nil {
+			return false
+		}
+		listed := make(map[string]bool)
+		for _, g := range status.GetGroups() {
+			for _, target := range g.GetTargets() {
+				listed[target.GetName()] = true
+			}
+		}
+		return !slices.ContainsFunc(workers, func(w *worker.Worker) bool { return !listed[w.ID] })
+	})
+}
 
 // streamWorker starts a worker of the streaming service.
 func (env *testEnv) streamWorker(id, version string, eventTime time.Duration) *worker.Worker {
@@ -82,6 +98,7 @@
 // Callers whose stream has broken off come back to any node. The one that began the stream
 // may have stopped, and may be in another zone.
 func TestCallerTakesAStreamUpAtTheVersionThatBeganIt(t *testing.T) {
+	const eventTime = 250 * time.Millisecond
 	for _, c := range []struct {
 		name             string
 		nodes, first, at int
@@ -98,11 +115,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			env := newLoneTestEnv(t)
-			first := env.streamWorker("i-a", "v1", 40*time.Millisecond)
+			first := env.streamWorker("i-a", "v1", eventTime)
 			nodes := env.startNodes(c.nodes)
 			wait := env.beginStreams(nodes[c.first], first)
 			others := env.startOtherVersions()
-			time.Sleep(listedDelay)
+			env.awaitListed(nodes[c.at], others...)
+			time.Sleep(2 * eventTime) // All streams have begun.
 			first.Stop()
 			for _, got := range wait() {
 				is.True(got.err != nil) // No target of its version is left.
@@ -111,7 +129,7 @@
 				stopAll(nodes[c.first : c.first+1])
 			}
 			same := env.streamWorker("i-b", "v1", 5*time.Millisecond)
-			time.Sleep(listedDelay)
+			env.awaitListed(nodes[c.at], same)
 			for i := range versionTestStreams {
 				got := nodes[c.at].resume("chat", fmt.Sprint("again-", i), fmt.Sprint("id-", i), 5)
 				is.NoErr(got.err)
@@ -132,7 +150,7 @@
 	is.NoErr(got.err)
 	is.Equal(got.status, 200)
 	others := env.startOtherVersions()
-	time.Sleep(listedDelay)
+	env.awaitListed(nodes[1], others...)
 	for i := 2; i < 8; i++ {
 		got = nodes[1].resume("chat", fmt.Sprint("again-", i), fmt.Sprint("unknown-", i), 5)
 		is.NoErr(got.err)
