gateway: a stream that another target has taken over is not lost to a suspicion

Callers saw: a stream of the kind that may go on at another target ended early although both targets were sound, at any time.

Cause: a silent target's attempt is cancelled once another one has begun to answer. Before the request went on there, it was judged anew; if a crash that some node had met in the meantime made requests like it suspect, the second answer was dropped as well, and the caller's connection closed. A part of a prompt that hundreds of requests share is enough.

Change: a suspicion ends a search that still runs, but not an answer that has begun. The request is at that target already, so that no further one can crash by it.

Found by reading the ways that only streams have which may be resumed; that the users saw it is suspected only.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -138,17 +138,15 @@
 }
 
 // takeOver is called when the attempt has failed. It waits for the search for another
-// target, and reports whether one has begun to answer.
+// target, unless the request must not be sent any more, and reports whether one has begun to
+// answer. That one is kept in any case: the attempt may have been cancelled for it.
 func (x *exchange) takeOver() bool {
 	s := x.standby
 	if s == nil {
 		return false
 	}
-	if _, blocked := x.blocked(); blocked {
-		x.endStandby()
-		return false
-	}
-	x.closeStandby(true)
+	_, blocked := x.blocked()
+	x.closeStandby(!blocked)
 	if s.found == nil {
 		return false
 	}
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -358,3 +358,36 @@
 	is.True(got.err != nil)
 	is.Equal(len(g.sender.sent()), 2)
 }
+
+// suspectingCulprits suspect every request once they are told to.
+type suspectingCulprits struct {
+	gateway.Culprits
+	suspect atomic.Bool
+}
+
+func (c *suspectingCulprits) Judge(features []culprit.Feature) culprit.Verdict {
+	if c.suspect.Load() {
+		return culprit.Verdict{State: culprit.Suspect}
+	}
+	return c.Culprits.Judge(features)
+}
+
+// A crash elsewhere may make requests suspect while a second target begins to answer.
+func TestStreamThatWasTakenOverIsNotLostToASuspicion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	second := streamScript(streamEvents(4, 6), false)
+	second.delay = 200 * time.Millisecond
+	g := newTestGateway(t, patientRoute(catalog.Streaming), fallsSilent(3, 6), second)
+	culprits := &suspectingCulprits{Culprits: g.culprits}
+	g.gateway.Culprits = culprits
+	go func() {
+		for len(g.sender.sent()) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		culprits.suspect.Store(true)
+	}()
+	got := g.sendPatiently(t)
+	is.NoErr(got.err)
+	is.Equal(got.body, streamEvents(1, 6))
+}
