gateway: a stream is not lost to a second target that begins as its time ends

Callers saw: a stream of the kind that may go on at another target ended early, although both targets were sound, at any time.

Cause: the second target that a silent one's request is sent to has a time to begin its answer. If it began as that time ended, the timer still cancelled it after it had been taken for the successor; the first attempt was then cancelled for it, and no further attempt was allowed. The window is as long as the node takes from reading the answer to stopping the timer: microseconds on an idle processor, a tenth of a second and more on one that stands still.

Change: the timer is stopped before the answer is taken; if it has fired already, the answer is dropped and the first target goes on.

Test: TestStreamIsNotLostToASecondTargetThatBeginsAsItsTimeEnds, 200 streams whose second target begins within 0.2 ms of the end. Found by reading; it fits the kind of the requests in the users' record, of which none needs a planned stop. That they saw it is suspected only.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -292,7 +292,8 @@
 	sendCtx, cancel := context.WithCancelCause(s.ctx)
 	defer context.AfterFunc(ctx, func() { cancel(context.Canceled) })()
 	defer x.gateway.Culprits.Watch(x.features(), func() { cancel(errQuarantinedInFlight) })()
-	defer time.AfterFunc(s.timeout, func() { cancel(errStalled) }).Stop()
+	stall := time.AfterFunc(s.timeout, func() { cancel(errStalled) })
+	defer stall.Stop()
 	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
 	resp, err := x.gateway.Sender.Send(sendCtx, address, x.targetRequest(grant, lastEventID))
 	if err != nil {
@@ -319,6 +320,12 @@
 		a.drop(result)
 		return nil, s.mayAsk()
 	}
+	if !stall.Stop() {
+		// The attempt is cancelled, or will be, although it has just begun.
+		x.logNoStandby(ctx, errStalled)
+		a.drop(balance.Stalled)
+		return nil, s.mayAsk()
+	}
 	return a, false
 }
 
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -311,6 +311,29 @@
 	}
 }
 
+// The second target begins to answer at about the moment at which its time for that ends.
+func TestStreamIsNotLostToASecondTargetThatBeginsAsItsTimeEnds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const margin = 200 * time.Microsecond
+	var lost atomic.Int32
+	var running sync.WaitGroup
+	for range 200 {
+		first := fallsSilent(3, 6)
+		first.silence = 2200 * time.Millisecond // It goes on after that time.
+		second := streamScript(streamEvents(4, 6), false)
+		second.delay = time.Second - rand.N(margin)
+		g := newTestGateway(t, patientRoute(catalog.Streaming), first, second)
+		running.Go(func() {
+			if got := g.sendPatiently(t); got.err != nil || got.body != streamEvents(1, 6) {
+				lost.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	is.Equal(lost.Load(), int32(0))
+}
+
 // workers returns the targets that received a request.
 func workers(sends []sentRequest) map[string]bool {
 	ids := make(map[string]bool)
