--- a/standin/entrysoak/callers.go
+++ b/standin/entrysoak/callers.go
@@ -115,7 +115,7 @@
 	}
 	r := request{id: id, route: c.nextRoute(), key: c.nextKey()}
 	if isStream(r.route) && c.env.options.Callers > 0 {
-		r.prompt, r.output = 1, eventsPerStream*tokensPerEvent
+		r.prompt, r.output = 1, cmp.Or(c.env.options.Events, eventsPerStream)*tokensPerEvent
 	}
 	return r
 }
