--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,14 @@
 $(BIN)/staticcheck: tools/go.mod
 	GOWORK=off go -C tools build -o $(BIN)/ honnef.co/go/tools/cmd/staticcheck
 
+# The commit of the last landing, whose nodes and these work side by side.
+LANDED := bc818c0
+
+.PHONY: schema-check
+
+schema-check: $(BIN)/buf ## Fail if a node of the last landing would misread a message of this one.
+	$(BIN)/buf breaking --against '.git#ref=$(LANDED)'
+
 $(BIN)/buf: tools/go.mod
 	GOWORK=off go -C tools build -o $(BIN)/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go
 
@@ -42,7 +50,7 @@
 SCENARIOS_CI = $(addprefix standin/scenarios/,$(addsuffix .txtar,double-runs not-run entry-kill platform-down graceful-stop tier-order leaving-target))
 SCENARIO = $(BIN)/standin scenario --binaries $(BIN) --seed $(SEED) $(if $(SIZE),--size $(SIZE))
 
-.PHONY: scenario scenario-ci soak soak-entry soak-entry-regressions proof
+.PHONY: scenario scenario-ci soak soak-entry soak-upgrade soak-entry-regressions proof
 
 scenario: build ## Run scenario files: make scenario FILES='a.txtar b.txtar' [SEED=N] [SIZE=drumlin].
 	$(SCENARIO) $(or $(FILES),$(SCENARIOS_ALL))
@@ -75,6 +83,9 @@
 	git archive $(OLD) | tar -x -C $(OLD_BIN)/src
 	cd $(OLD_BIN)/src && go build -o $@ ./cmd/primrosemoor
 
+soak-upgrade: ## Upgrade nodes of the last landing under the soak, with a rollback with even seeds: make soak-upgrade [SEED=N] [SEEDS=COUNT].
+	$(MAKE) soak-entry OLD=$(LANDED)
+
 soak-entry-regressions: build ## Repeat the runs of the soak of entry nodes that once violated a promise.
 	$(SOAK_ENTRY) --regressions
 
