mesh: a test of records waits until only the owners report for their zones

Traced by reading: it recorded the stream once all nodes had heard each other, when two nodes of a zone may still take themselves for its owner, and each tells a node of the zones that follow. The tests of the star wait for onlyReporters before they count; this one now does, too.

--- a/mesh/streams_test.go
+++ b/mesh/streams_test.go
@@ -68,6 +68,8 @@
 	all := slices.Concat(a, b, c, d, e)
 	setNodes(all...)
 	waitForAll(t, all...)
+	owners := map[string]string{"a": "a01", "b": "b01", "c": "c01", "d": "d01", "e": "e01"}
+	waitUntil(t, "only the owners report for their zones", onlyReporters(owners, all...))
 	twoVersions(all...)
 	a[9].streams.Record(7, resume.Origin{Service: "llm", Version: "v2"})
 	// Itself, three hubs, and one node of each of two zones.
