--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	GOWORK=off go -C tools build -o $(BIN)/ honnef.co/go/tools/cmd/staticcheck
 
 # The commit of the last landing, whose nodes and these work side by side.
-LANDED := bc818c0
+LANDED := 74b783c
 
 .PHONY: schema-check
 
