upstream: a reset while the request is written truncates a response without length

A target that answered a long upload at once with a 200 without length, sent a part of its body and reset the connection gave the caller that part as the whole answer. The kernel reports a reset to one call only: the write of the request got it, and the read saw the end of the connection, which ends such a response. Status codes of 000 and 099 were skipped as informational, so that the request waited until its time limit, and 600 and 999 were passed on.

At the end of a response without length the write is now ended, and its error is asked for. A write that is still blocked has met no reset, so that a target which only ends its side still completes its answer. A status outside of 100 to 599 is no response of a target that may have run the request.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -107,7 +107,7 @@
 	cn.maxIdle = keepAliveTimeout(resp.Header)
 	resp.Body = &responseBody{
 		ReadCloser: resp.Body, ctx: ctx, client: c, conn: cn, stopCancel: stopCancel, written: written, acks: acks,
-		reusable: !mismatched && isReusable(r, resp), length: bodyLength(r, resp),
+		reusable: !mismatched && isReusable(r, resp), length: bodyLength(r, resp), closeDelimited: isCloseDelimited(resp),
 	}
 	return resp, nil
 }
@@ -293,9 +293,11 @@
 	acks       *ackWatch
 	reusable   bool
 	length     int64
-	bytesRead  int64
-	reachedEOF bool
-	failed     bool
+	// closeDelimited is set if the end of the connection ends the response.
+	closeDelimited bool
+	bytesRead      int64
+	reachedEOF     bool
+	failed         bool
 }
 
 // Read implements io.Reader. It returns an error that wraps ErrTruncated if the
@@ -307,6 +309,9 @@
 	case err == io.EOF && b.length >= 0 && b.bytesRead < b.length:
 		b.failed = true
 		return n, &truncatedError{io.ErrUnexpectedEOF}
+	case err == io.EOF && b.closeDelimited && b.resetDuringWrite():
+		b.failed = true
+		return n, &truncatedError{syscall.ECONNRESET}
 	case err == io.EOF:
 		b.reachedEOF = true
 	case err != nil:
@@ -342,6 +347,19 @@
 	return b.conn.Conn.Close()
 }
 
+// resetDuringWrite reports whether the connection was reset while the request was being
+// written. The kernel reports a reset once, so that the write may get the error and the
+// read the end of the connection. A write that is still blocked has met no reset; it ends
+// at its deadline.
+func (b *responseBody) resetDuringWrite() bool {
+	if b.conn.Conn.SetWriteDeadline(time.Now()) != nil {
+		return true
+	}
+	err := <-b.written
+	b.written <- err
+	return errors.Is(err, syscall.ECONNRESET)
+}
+
 // requestWritten reports whether the whole request was written.
 func (b *responseBody) requestWritten() bool {
 	select {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -133,6 +133,9 @@
 		if err != nil {
 			return nil, mismatched, err
 		}
+		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+			return nil, mismatched, fmt.Errorf("%w: %03d", errInvalidStatus, resp.StatusCode)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -46,6 +46,9 @@
 	maxMismatchedBytes = 1 << 20
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
+	// minStatus and maxStatus bound the status codes that HTTP defines.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // Address identifies an instance of a target and its host and port.
@@ -99,8 +102,9 @@
 func (e *SendError) Unwrap() error { return e.Err }
 
 var (
-	errMismatched   = errors.New("upstream: too many responses that do not match the request")
-	errHeadTooLarge = errors.New("upstream: the head of the response exceeds the size limit")
+	errMismatched    = errors.New("upstream: too many responses that do not match the request")
+	errInvalidStatus = errors.New("upstream: the status of the response is not defined by HTTP")
+	errHeadTooLarge  = errors.New("upstream: the head of the response exceeds the size limit")
 	// ErrTruncated is returned by a response body that ended early.
 	ErrTruncated = errors.New("upstream: response was truncated")
 )
