gateway: a target that cuts an unread stream is not taken for a failing one

Targets cut a stream that stays unread for some seconds. When the caller of the node was the one that read slowly, the cut counted as a failure of the target, which got a backoff, and as evidence that the request crashes targets. A peer close within a second after a write to the caller that took a second or more now ends the request without either.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,6 +51,8 @@
 	lastEventAt  time.Time
 	longestPause time.Duration
 	eventCount   int
+	// slowWriteEndedAt is when the last write that the caller was slow to read ended.
+	slowWriteEndedAt time.Time
 	// headersSent is set once the headers of a stream were sent to the caller;
 	// position is that of the last event sent.
 	headersSent bool
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
 const eventStreamType = "text/event-stream"
@@ -88,12 +89,36 @@
 		x.recordOrigin(grant.Target)
 	}
 	x.sendStreamHeaders(resp)
+	began := time.Now()
+	defer func() { x.recordWrite(began) }()
 	if _, err := x.writer.Write(events); err != nil {
 		return err
 	}
 	return http.NewResponseController(x.writer).Flush()
 }
 
+const (
+	// slowWriteTime is the shortest time of a write to a caller that reads slowly. Targets
+	// cut a response that stays unread for some seconds.
+	slowWriteTime = time.Second
+	// slowWriteEffect is the time after such a write in which the end of a stream is taken
+	// for that cut: what had arrived before it is relayed within that time.
+	slowWriteEffect = time.Second
+)
+
+// recordWrite records the end of a write to the caller.
+func (x *exchange) recordWrite(began time.Time) {
+	if now := time.Now(); now.Sub(began) >= slowWriteTime {
+		x.slowWriteEndedAt = now
+	}
+}
+
+// cutWhileUnread reports whether a target has closed its connection because the caller read
+// too slowly.
+func (x *exchange) cutWhileUnread(err error) bool {
+	return upstream.IsPeerClosed(err) && !x.slowWriteEndedAt.IsZero() && time.Since(x.slowWriteEndedAt) <= slowWriteEffect
+}
+
 // sendStreamHeaders sends the headers of the first target's response, once.
 func (x *exchange) sendStreamHeaders(resp *http.Response) {
 	if x.headersSent {
@@ -111,8 +136,12 @@
 		grant.Done(balance.Abandoned)
 		return x.endCancelled(ctx, resp.StatusCode)
 	}
-	grant.Done(x.brokenResult(err))
-	x.recordBroken(ctx, grant.Target, x.attemptEvents, err)
+	if x.cutWhileUnread(err) {
+		grant.Done(balance.Abandoned)
+	} else {
+		grant.Done(x.brokenResult(err))
+		x.recordBroken(ctx, grant.Target, x.attemptEvents, err)
+	}
 	if x.resumable() && (x.takeOver() || x.mayRetry() && !errors.Is(err, errEventTooLarge)) {
 		if x.headersSent {
 			x.position.resume()
