fairshare: teams of a tier share the capacity of a service while it is short

The owner of a zone now puts requests of teams that were granted more than their max-min fair share of the last seconds behind those of the others of their tier and rank. Zones tell each other what their teams were granted and have waiting, when that changes, while requests wait. Switched on by the setting sharing.fair.

--- a/balance/manager.go
+++ b/balance/manager.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/fairshare"
 )
 
 const (
@@ -54,6 +55,11 @@
 	// PublishQueue is called on each change of the number of requests of a tier
 	// that wait at this node and can still meet their goal.
 	PublishQueue func(service string, tier, waiting int)
+	// FairShares makes teams of the same tier share the capacity of a service fairly while
+	// requests wait. PublishShare is then called with the work of each of them, a few times a
+	// second and while requests wait; nil if no other node needs it.
+	FairShares   bool
+	PublishShare func(service string, k fairshare.Key, u fairshare.Use)
 }
 
 // Manager owns this node's view of the targets' load. Its methods may be called
@@ -199,6 +205,7 @@
 			m.options.PublishQueue(p.name, tier, waiting)
 		}
 	}
+	m.publishShares(p, now)
 }
 
 // publish reports this node's use of a target to the other nodes.
@@ -210,6 +217,9 @@
 	p := m.pools[service]
 	if p == nil {
 		p = &pool{name: service, targets: make(map[string]*target), publishedWaiting: make(map[int]int)}
+		if m.options.FairShares {
+			p.sharing = newSharing()
+		}
 		m.pools[service] = p
 	}
 	return p
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -19,6 +19,8 @@
 	publishedWaiting map[int]int
 	// routeFailures is the share of requests that fail, by route, over all targets.
 	routeFailures map[string]float64
+	// sharing is nil if teams do not share the capacity fairly.
+	sharing *sharing
 }
 
 // setTargets replaces the targets of the service and returns the new ones. A
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -10,9 +10,11 @@
 type waiter struct {
 	work  *Work
 	reply chan decision
-	// late and valueDensity are the sort keys, updated by each assignment.
+	// late, overShare and valueDensity are the sort keys, updated by each assignment.
 	late         bool
 	valueDensity float64
+	// overShare is set if the team of the request has had more than its fair share of late.
+	overShare bool
 }
 
 // decision is the result of a wait: a choice or a refusal.
@@ -32,7 +34,8 @@
 }
 
 // compareWaiters orders two waiting requests. Those that can still be on time
-// go first, then the more important ones by tier and then by rank. Of equals
+// go first, then the more important ones by tier and then by rank, and those of teams that
+// are within their fair share. Of equals
 // that can be on time, the one with the most value per second of slot time goes
 // first, so that a shortage costs the least value. Late requests of equal tier
 // and rank go in order of arrival, the earliest first.
@@ -46,6 +49,9 @@
 	if c := cmp.Compare(a.work.Rank, b.work.Rank); c != 0 {
 		return c
 	}
+	if c := compareBools(a.overShare, b.overShare); c != 0 {
+		return c
+	}
 	if a.late {
 		return a.work.Arrived.Compare(b.work.Arrived)
 	}
@@ -107,6 +113,7 @@
 		w.late = p.late(w.work, now)
 		w.valueDensity = p.valueDensity(w.work)
 	}
+	p.markOverShare(now)
 	slices.SortStableFunc(p.waiting, p.compareWaiters)
 	counts := p.countOnTime(now)
 	free := p.capacity(now, here, limitShare)
@@ -122,6 +129,7 @@
 		if ok && (c.onTime || w.late) {
 			c.target.addRequest(w.work, now, c.expected)
 			free.addRequest(c.target)
+			p.recordGrant(w.work, now)
 			on.assigned(w, c)
 			continue
 		}
--- a/balance/refused.go
+++ b/balance/refused.go
@@ -53,7 +53,7 @@
 	own, others := p.zoneStates(now, m.location, m.heardShare)
 	entry := m.options.Logger.Info().Str("event", "request_refused").Str("request", w.work.ID).Str("reason", r.Reason).
 		Str("service", p.name).Str("node", cmp.Or(w.work.Node, m.options.Node)).Int("tier", w.work.Tier).Bool("late", w.late).
-		Dur("waited", now.Sub(w.work.Arrived)).Dur("goal_in", w.work.Goal.Sub(now)).Int("waiting", len(p.waiting))
+		Dur("waited", now.Sub(w.work.Arrived)).Dur("goal_in", w.work.Goal.Sub(now)).Int("waiting", len(p.waiting)).Bool("over_share", w.overShare)
 	for _, z := range []struct {
 		prefix string
 		zoneState
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -63,6 +63,7 @@
 	delete(m.remote, e.source)
 	delete(m.remoteQueues.waiting, e.source)
 	for _, p := range m.pools {
+		p.sharing.removeSource(e.source)
 		for _, t := range p.targets {
 			t.advancePrefill(now, p.engine)
 			delete(t.remote, e.source)
--- a/balance/target.go
+++ b/balance/target.go
@@ -19,6 +19,8 @@
 	// Rank orders requests of the same tier: it is the tier of their route, which
 	// differs from Tier if the team sets its own.
 	Rank int
+	// Team is who sent the request; empty if unknown.
+	Team string
 	// PromptTokens is the length of the prompt, which is prefilled before the
 	// first event; 0 for plain services.
 	PromptTokens float64
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/primrosemoor/primrosemoor/clock"
 	"github.com/primrosemoor/primrosemoor/culprit"
 	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/fairshare"
 	"github.com/primrosemoor/primrosemoor/mesh"
 	"github.com/primrosemoor/primrosemoor/owner"
 	"github.com/primrosemoor/primrosemoor/peer"
@@ -125,6 +126,16 @@
 	f.balancer.SetRemoteWaiting(source, q.Service, q.Tier, waiting)
 }
 
+// ShareReported implements mesh.Listener.
+func (f *forwarder) ShareReported(source string, k mesh.ShareKey, share mesh.Share) {
+	f.balancer.SetRemoteShare(source, k.Service, fairshare.Key{Team: k.Team, Tier: k.Tier}, fairshare.Use{
+		Granted: float64(share.GrantedMillis) / millisPerSecond, Waiting: float64(share.WaitingMillis) / millisPerSecond,
+	})
+}
+
+// millisPerSecond converts the work of teams, which nodes exchange in thousandths of a second.
+const millisPerSecond = 1000
+
 // SilentShare implements mesh.Listener.
 func (f *forwarder) SilentShare(share float64, nodes int) {
 	f.allowance.SetNodes(nodes, share)
@@ -186,6 +197,12 @@
 		},
 		PublishSend:  func(target string) { m.Book(targetBooking+target, 1, nil) },
 		PublishQueue: func(service string, tier, waiting int) { m.SetQueue(mesh.Queue{Service: service, Tier: tier}, waiting) },
+		FairShares:   s.GetSharing().GetFair(),
+		PublishShare: func(service string, k fairshare.Key, u fairshare.Use) {
+			m.SetShare(mesh.ShareKey{Service: service, Team: k.Team, Tier: k.Tier}, mesh.Share{
+				GrantedMillis: int(u.Granted * millisPerSecond), WaitingMillis: int(u.Waiting * millisPerSecond),
+			})
+		},
 	})
 	return f.balancer
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -223,6 +223,7 @@
 		Service:               x.service,
 		Tier:                  x.tier(),
 		Rank:                  x.route.Tier,
+		Team:                  x.teamName(),
 		PromptTokens:          float64(x.call.PromptTokens),
 		EstimatedOutputTokens: float64(x.call.LengthHint),
 		Route:                 x.route.Name,
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -53,15 +53,26 @@
 		}
 		u.Queues = append(u.Queues, m)
 	}
+	for k, share := range c.shares {
+		m := &schema.MeshShare{Tier: uint32(k.Tier), GrantedMillis: uint64(share.GrantedMillis), WaitingMillis: uint64(share.WaitingMillis)}
+		var announced string
+		if m.Ref, announced = e.ref("share/" + k.Service + "/" + k.Team); announced != "" {
+			m.Service, m.Team = k.Service, k.Team
+		}
+		u.Shares = append(u.Shares, m)
+	}
 	return u
 }
 
 // decoder maps the refs of a stream to ids.
 type decoder struct {
-	ids map[uint32]string
+	ids    map[uint32]string
+	shares map[uint32]ShareKey
 }
 
-func newDecoder() *decoder { return &decoder{ids: make(map[uint32]string)} }
+func newDecoder() *decoder {
+	return &decoder{ids: make(map[uint32]string), shares: make(map[uint32]ShareKey)}
+}
 
 // id returns the id of a ref, which it stores first if the message carries the id.
 func (d *decoder) id(ref uint32, announcedID string) (string, bool) {
@@ -72,9 +83,19 @@
 	return id, ok
 }
 
+// share returns the key of a share, which it stores first if the message carries it.
+func (d *decoder) share(m *schema.MeshShare) (ShareKey, bool) {
+	if m.GetService() != "" {
+		d.shares[m.GetRef()] = ShareKey{Service: m.GetService(), Team: m.GetTeam()}
+	}
+	k, ok := d.shares[m.GetRef()]
+	k.Tier = int(m.GetTier())
+	return k, ok
+}
+
 // use decodes changed sums; those with an unknown ref are skipped.
 func (d *decoder) use(u *schema.MeshUse) changes {
-	c := changes{targets: make(map[string]TargetUse), teams: make(map[string]TeamUse), queues: make(map[Queue]int)}
+	c := changes{targets: make(map[string]TargetUse), teams: make(map[string]TeamUse), queues: make(map[Queue]int), shares: make(map[ShareKey]Share)}
 	for _, m := range u.GetTargets() {
 		if id, ok := d.id(m.GetRef(), m.GetId()); ok {
 			c.targets[id] = TargetUse{
@@ -93,5 +114,10 @@
 			c.queues[Queue{service, int(m.GetTier())}] = int(m.GetWaiting())
 		}
 	}
+	for _, m := range u.GetShares() {
+		if k, ok := d.share(m); ok {
+			c.shares[k] = Share{int(m.GetGrantedMillis()), int(m.GetWaitingMillis())}
+		}
+	}
 	return c
 }
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -300,7 +300,7 @@
 	if l.sameZone() {
 		c := m.nodeSums.since(l.sentOwn)
 		if toMember {
-			c.targets, c.queues = nil, nil
+			c.targets, c.queues, c.shares = nil, nil, nil
 		}
 		u.Own, l.sentOwn = l.encoder.use(c), c.version
 		hasChanges = hasChanges || !c.empty()
@@ -317,7 +317,7 @@
 			c = c.asOf(before)
 		}
 		if toMember {
-			c.targets = nil
+			c.targets, c.shares = nil, nil
 		}
 		l.sentForwarded[name] = c.version
 		hasChanges = hasChanges || !c.empty()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -58,6 +58,8 @@
 	Booked(team string, amount float64, level *int64, over time.Duration)
 	// QueueLength reports how many requests are queued at a source.
 	QueueLength(source string, q Queue, waiting int)
+	// ShareReported reports the work of a team at a source.
+	ShareReported(source string, k ShareKey, share Share)
 	// SilentShare reports the fraction of the deployment's nodes that are silent,
 	// and the total number of nodes.
 	SilentShare(share float64, nodes int)
@@ -374,6 +376,15 @@
 	m.changed.broadcast()
 }
 
+// SetShare publishes the work of a team at this node.
+func (m *Manager) SetShare(k ShareKey, share Share) {
+	m.nodeSums.setShare(k, share)
+	m.mu.Lock()
+	m.sumShare(k)
+	m.mu.Unlock()
+	m.changed.broadcast()
+}
+
 // Leave announces to the other nodes that this node is stopping.
 func (m *Manager) Leave() {
 	m.mu.Lock()
@@ -415,6 +426,22 @@
 	m.zoneSums.setQueue(q, total)
 }
 
+// sumShare sums the work of a team over this zone. The lock must be held.
+func (m *Manager) sumShare(k ShareKey) {
+	m.nodeSums.mu.Lock()
+	total := m.nodeSums.shares[k].value
+	m.nodeSums.mu.Unlock()
+	for _, s := range m.nodes {
+		if s.active == nil || m.member {
+			continue
+		}
+		share := s.active.shares[k]
+		total.GrantedMillis += share.GrantedMillis
+		total.WaitingMillis += share.WaitingMillis
+	}
+	m.zoneSums.setShare(k, total)
+}
+
 // candidatesInZone returns the nodes of another zone in the order in which links
 // to them are tried: the likely owners first.
 func (m *Manager) candidatesInZone(zone string) []datastore.Node {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -35,6 +35,7 @@
 	loads   map[string]map[string]mesh.TargetUse
 	booked  map[string]float64
 	waiting map[string]map[mesh.Queue]int
+	shares  map[string]map[mesh.ShareKey]mesh.Share
 	silent  float64
 	proof   clock.Instant
 	// version and age are the proof that this node sends to others.
@@ -93,6 +94,7 @@
 	defer n.mu.Unlock()
 	delete(n.loads, source)
 	delete(n.waiting, source)
+	delete(n.shares, source)
 }
 
 func (n *node) Booked(team string, amount float64, _ *int64, _ time.Duration) {
@@ -101,6 +103,15 @@
 	n.booked[team] += amount
 }
 
+func (n *node) ShareReported(source string, k mesh.ShareKey, share mesh.Share) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.shares[source] == nil {
+		n.shares[source] = make(map[mesh.ShareKey]mesh.Share)
+	}
+	n.shares[source][k] = share
+}
+
 func (n *node) QueueLength(source string, q mesh.Queue, waiting int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -150,7 +161,7 @@
 	n := &node{
 		self:  datastore.Node{Name: name, Zone: zone, Address: l.Addr().String()},
 		loads: make(map[string]map[string]mesh.TargetUse), booked: make(map[string]float64),
-		waiting: make(map[string]map[mesh.Queue]int), silent: -1,
+		waiting: make(map[string]map[mesh.Queue]int), shares: make(map[string]map[mesh.ShareKey]mesh.Share), silent: -1,
 	}
 	id := peer.Identity{Cluster: "test", Node: name, AvailabilityZone: zone, Incarnation: uint64(time.Now().UnixNano())}
 	n.pool = peer.NewPool(peer.PoolOptions{Identity: id, Meter: peer.NopMeter{}, DialTimeout: time.Second, CallTimeout: time.Second})
@@ -228,6 +239,26 @@
 	waitUntil(t, "b2 receives the end of the requests of a1", func() bool { return b2.requests("a", "i-1") == 2 })
 }
 
+// The work of a team counts over all zones: a team could otherwise take a share in each.
+func TestSharesAreSummedByZone(t *testing.T) {
+	a1, a2, b1 := startNode(t, "a1", "a"), startNode(t, "a2", "a"), startNode(t, "b1", "b")
+	setNodes(a1, a2, b1)
+	waitForAll(t, a1, a2, b1)
+	large, small := mesh.ShareKey{Service: "s", Team: "large", Tier: 1}, mesh.ShareKey{Service: "s", Team: "small", Tier: 1}
+	share := func(n *node, source string, k mesh.ShareKey) mesh.Share {
+		return locked(n, func() mesh.Share { return n.shares[source][k] })
+	}
+	a1.manager.SetShare(large, mesh.Share{GrantedMillis: 3000, WaitingMillis: 500})
+	a2.manager.SetShare(large, mesh.Share{GrantedMillis: 1000})
+	a2.manager.SetShare(small, mesh.Share{WaitingMillis: 20})
+	waitUntil(t, "a1 receives the work at a2", func() bool { return share(a1, "a2", large) == mesh.Share{GrantedMillis: 1000} })
+	waitUntil(t, "b1 receives the sums of zone a", func() bool {
+		return share(b1, "a", large) == mesh.Share{GrantedMillis: 4000, WaitingMillis: 500} && share(b1, "a", small) == mesh.Share{WaitingMillis: 20}
+	})
+	a2.stop()
+	waitUntil(t, "b1 receives the sum without a2", func() bool { return share(b1, "a", large) == mesh.Share{GrantedMillis: 3000, WaitingMillis: 500} })
+}
+
 func TestSilentNodeIsLostAndItsSuccessorReports(t *testing.T) {
 	is := is.New(t)
 	a1, a2, b1 := startNode(t, "a1", "a"), startNode(t, "a2", "a"), startNode(t, "b1", "b")
--- a/mesh/receive.go
+++ b/mesh/receive.go
@@ -157,13 +157,13 @@
 			s.before = s.forwarded.totals()
 		}
 		m.activateFeed(s, f)
-		c = changes{targets: f.targets, queues: f.queues, teams: c.teams}
+		c = changes{targets: f.targets, queues: f.queues, shares: f.shares, teams: c.teams}
 	}
 	s.lastUpdate = now
 	s.applied++
 	f.seen = s.applied
 	m.recordBookings(s, booked, c.teams, over)
-	m.notifyReport(s, c.targets, c.queues)
+	m.notifyReport(s, c)
 	for id, use := range c.targets {
 		switch {
 		case s.forwarded != nil:
@@ -180,6 +180,14 @@
 			m.sumQueue(q)
 		}
 	}
+	for k, share := range c.shares {
+		switch {
+		case s.forwarded != nil:
+			s.forwarded.setShare(k, share)
+		case s != m.rest:
+			m.sumShare(k)
+		}
+	}
 	if !c.empty() {
 		m.changed.broadcast()
 	}
@@ -218,15 +226,18 @@
 	return booked, true
 }
 
-// notifyReport notifies the listener of loads and queue lengths of a source. The lock
-// must be held.
-func (m *Manager) notifyReport(s *source, targets map[string]TargetUse, queues map[Queue]int) {
-	for id, use := range targets {
+// notifyReport notifies the listener of loads, queue lengths and shares of a source. The
+// lock must be held.
+func (m *Manager) notifyReport(s *source, c changes) {
+	for id, use := range c.targets {
 		m.notify(func(l Listener) { l.TargetLoad(s.name, id, use) })
 	}
-	for q, waiting := range queues {
+	for q, waiting := range c.queues {
 		m.notify(func(l Listener) { l.QueueLength(s.name, q, waiting) })
 	}
+	for k, share := range c.shares {
+		m.notify(func(l Listener) { l.ShareReported(s.name, k, share) })
+	}
 }
 
 // activateFeed makes a feed the active one of its source.
--- a/mesh/receive_test.go
+++ b/mesh/receive_test.go
@@ -26,6 +26,7 @@
 func (nopListener) TargetLoad(string, string, TargetUse)          {}
 func (nopListener) SourceSilent(string)                           {}
 func (nopListener) Booked(string, float64, *int64, time.Duration) {}
+func (nopListener) ShareReported(string, ShareKey, Share)         {}
 func (nopListener) QueueLength(string, Queue, int)                {}
 func (nopListener) SilentShare(float64, int)                      {}
 
--- a/mesh/silence.go
+++ b/mesh/silence.go
@@ -44,6 +44,9 @@
 	for q := range old.queues {
 		m.sumQueue(q)
 	}
+	for k := range old.shares {
+		m.sumShare(k)
+	}
 }
 
 // notifySilentShare notifies the listener if the share of silent nodes or the
--- a/mesh/star.go
+++ b/mesh/star.go
@@ -82,7 +82,7 @@
 		if m.member {
 			m.notify(func(l Listener) { l.SourceSilent(s.name) })
 		} else {
-			m.notifyReport(s, s.active.targets, s.active.queues)
+			m.notifyReport(s, changes{targets: s.active.targets, queues: s.active.queues, shares: s.active.shares})
 		}
 		m.sumAgain(s.active)
 	}
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -43,8 +43,20 @@
 	Tier    int
 }
 
+// ShareKey identifies the work of a team in a tier of a service.
+type ShareKey struct {
+	Service, Team string
+	Tier          int
+}
+
+// Share is that work, in thousandths of a second: what was granted lately, and what waits.
+type Share struct {
+	GrantedMillis, WaitingMillis int
+}
+
 // changes are the sums that changed after a version.
 type changes struct {
+	shares  map[ShareKey]Share
 	targets map[string]TargetUse
 	teams   map[string]TeamUse
 	queues  map[Queue]int
@@ -52,7 +64,7 @@
 }
 
 func (c changes) empty() bool {
-	return len(c.targets) == 0 && len(c.teams) == 0 && len(c.queues) == 0
+	return len(c.targets) == 0 && len(c.teams) == 0 && len(c.queues) == 0 && len(c.shares) == 0
 }
 
 // sums holds the latest value of each sum and the version of its last change, so
@@ -64,6 +76,7 @@
 	targets map[string]versioned[TargetUse]
 	teams   map[string]versioned[TeamUse]
 	queues  map[Queue]versioned[int]
+	shares  map[ShareKey]versioned[Share]
 }
 
 // versioned is a value and the version of its last change.
@@ -77,6 +90,7 @@
 		targets: make(map[string]versioned[TargetUse]),
 		teams:   make(map[string]versioned[TeamUse]),
 		queues:  make(map[Queue]versioned[int]),
+		shares:  make(map[ShareKey]versioned[Share]),
 	}
 }
 
@@ -92,6 +106,12 @@
 	set(s, s.queues, q, waiting)
 }
 
+func (s *sums) setShare(k ShareKey, share Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set(s, s.shares, k, share)
+}
+
 // set stores a value under a new version if it changed. s.mu must be held.
 func set[K, V comparable](s *sums, m map[K]versioned[V], key K, value V) {
 	if m[key].value == value {
@@ -153,6 +173,7 @@
 	c.targets = changedSince(s.targets, version)
 	c.teams = changedSince(s.teams, version)
 	c.queues = changedSince(s.queues, version)
+	c.shares = changedSince(s.shares, version)
 	return c
 }
 
@@ -176,10 +197,13 @@
 	targets map[string]TargetUse
 	teams   map[string]uint64
 	queues  map[Queue]int
+	shares  map[ShareKey]Share
 }
 
 func newReport() *report {
-	return &report{targets: make(map[string]TargetUse), teams: make(map[string]uint64), queues: make(map[Queue]int)}
+	return &report{
+		targets: make(map[string]TargetUse), teams: make(map[string]uint64), queues: make(map[Queue]int), shares: make(map[ShareKey]Share),
+	}
 }
 
 // bookedSince returns how much each team booked from this report to later totals of
@@ -213,5 +237,6 @@
 	}
 	maps.Copy(r.targets, c.targets)
 	maps.Copy(r.queues, c.queues)
+	maps.Copy(r.shares, c.shares)
 	return booked
 }
--- a/mesh/virtual_test.go
+++ b/mesh/virtual_test.go
@@ -110,10 +110,11 @@
 // kill ends the node's process. What it has sent is still delivered.
 func (n *virtualNode) kill() { n.up = false }
 
-func (n *virtualNode) TargetLoad(string, string, TargetUse) {}
-func (n *virtualNode) SourceSilent(string)                  {}
-func (n *virtualNode) QueueLength(string, Queue, int)       {}
-func (n *virtualNode) SilentShare(share float64, nodes int) { n.allowance.SetNodes(nodes, share) }
+func (n *virtualNode) TargetLoad(string, string, TargetUse)  {}
+func (n *virtualNode) SourceSilent(string)                   {}
+func (n *virtualNode) ShareReported(string, ShareKey, Share) {}
+func (n *virtualNode) QueueLength(string, Queue, int)        {}
+func (n *virtualNode) SilentShare(share float64, nodes int)  { n.allowance.SetNodes(nodes, share) }
 func (n *virtualNode) Booked(team string, amount float64, level *int64, over time.Duration) {
 	n.heard[team] += amount
 	n.allowance.RecordRemote(team, amount, level, over)
