where: a command shows where a request would go now, and why

Operators could see why a request went where it did only after it was sent. primrosectl where describes a request to a node, which runs the choice of a target on its present state without adding the request to the queue; the owner of the zone, which chooses, answers.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -57,6 +57,7 @@
 	Register registerCommand `cmd:"" help:"List or edit the register of VMs."`
 	Status   statusCommand   `cmd:"" help:"Show the nodes, the revision in force at each, and their targets."`
 	Explain  explainCommand  `cmd:"" help:"Show the recorded decisions for a request."`
+	Where    whereCommand    `cmd:"" help:"Show where a request would go now, and why, without sending it."`
 	Drain    drainCommand    `cmd:"" help:"Begin a node's graceful shutdown."`
 	Release  releaseCommand  `cmd:"" help:"Release a quarantined request fingerprint."`
 	Load     loadCommand     `cmd:"" help:"Send a generated load to nodes on this VM."`
--- a/entry/status.go
+++ b/entry/status.go
@@ -11,8 +11,8 @@
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
-// serveOperatorCalls serves the calls of primrosectl: the node's status, and the
-// log lines of a recent request.
+// serveOperatorCalls serves the calls of primrosectl: the node's status, the log lines of a
+// recent request, and where a described one would go.
 func (l *lifecycle) serveOperatorCalls() {
 	peer.Handle(l.Server, schema.Method_METHOD_STATUS, func() *schema.StatusRequest { return &schema.StatusRequest{} },
 		func(ctx context.Context, _ peer.Identity, _ *schema.StatusRequest) (*schema.StatusReply, error) {
@@ -22,6 +22,10 @@
 		func(ctx context.Context, _ peer.Identity, q *schema.ExplainRequest) (*schema.ExplainReply, error) {
 			return l.Recorder.Handle(ctx, q)
 		})
+	peer.Handle(l.Server, schema.Method_METHOD_WHERE, func() *schema.WhereRequest { return &schema.WhereRequest{} },
+		func(ctx context.Context, _ peer.Identity, q *schema.WhereRequest) (*schema.WhereReply, error) {
+			return l.where(ctx, q)
+		})
 }
 
 func (l *lifecycle) nodeStatus(ctx context.Context) *schema.StatusReply {
