--- a/standin/entrytest/odd_test.go
+++ b/standin/entrytest/odd_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/standin/store"
@@ -27,15 +29,20 @@
 
 // status returns a node's status.
 func (n *node) status(t *testing.T) (*schema.StatusReply, error) {
+	t.Helper()
+	status := &schema.StatusReply{}
+	return status, n.call(t, schema.Method_METHOD_STATUS, &schema.StatusRequest{}, status)
+}
+
+// call calls a node as an operator.
+func (n *node) call(t *testing.T, method schema.Method, request, reply proto.Message) error {
 	t.Helper()
 	pool := peer.NewPool(peer.PoolOptions{
 		Identity: peer.Identity{Cluster: "primrosemoor-entry", Node: "operator"}, Meter: peer.NopMeter{},
 		DialTimeout: time.Second, CallTimeout: time.Second,
 	})
 	defer pool.Close()
-	status := &schema.StatusReply{}
-	err := pool.Call(t.Context(), fmt.Sprintf("%s:%d", n.ip, peersPort), schema.Method_METHOD_STATUS, &schema.StatusRequest{}, status)
-	return status, err
+	return pool.Call(t.Context(), fmt.Sprintf("%s:%d", n.ip, peersPort), method, request, reply)
 }
 
 // members returns the nodes that a node knows, by name.
