--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -46,6 +46,9 @@
 // TargetLoad is the load that a target reports with a response.
 type TargetLoad struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes at the target at this moment, as a multiple of the usual
+	// time; 0 if unknown.
+	Pace float64
 }
 
 // ResponseInfo holds the decoded headers of a target's response.
