balance, gateway: the load that targets report counts in the choice of a target

A target that shares its machine looked healthy until its streams had slowed down, and requests that others send there were invisible.

gateway passes each report on (TargetLoads). balance multiplies the predicted times by the factor of loadreport, counts requests of other sources as taken slots, and learns prefill rates and slowdowns at the learned pace, so that what one target reports is not learned for all. Without reports all factors are 1. Not switched on in entry yet.

--- a/balance/filter.go
+++ b/balance/filter.go
@@ -8,6 +8,7 @@
 
 // capacity is a snapshot of the free slots of a pool.
 type capacity struct {
+	now time.Time
 	// sameZone and otherZones are the targets with a free slot in this node's
 	// zone and in other zones. All targets of a plain service count as sameZone.
 	sameZone, otherZones []*target
@@ -31,7 +32,7 @@
 // request may stand still. While more than half of the targets are in such a state, the cause
 // is likely elsewhere, and all of them are used.
 func (p *pool) capacity(now time.Time, here location, limitShare float64) capacity {
-	c := capacity{exhausted: func(t *target) bool { return t.exhausted(now, limitShare) }}
+	c := capacity{now: now, exhausted: func(t *target) bool { return t.exhausted(now, limitShare) }}
 	if p.isBrittle(now) {
 		slots := p.divideSlots(here)
 		c.exhausted = func(t *target) bool { return t.exhausted(now, limitShare) || !t.brittleRoom(now, here, slots) }
@@ -43,13 +44,13 @@
 			continue
 		}
 		if t.leaving {
-			if t.load().Requests < t.usableSlots() && !c.exhausted(t) {
+			if t.occupied(now) < t.usableSlots() && !c.exhausted(t) {
 				c.leaving = append(c.leaving, t)
 			}
 			continue
 		}
 		available = true
-		requests := t.load().Requests
+		requests := t.occupied(now)
 		slots := t.usableSlots()
 		if c.exhausted(t) {
 			slots = min(slots, requests)
@@ -76,7 +77,7 @@
 // it.
 func (c *capacity) addRequest(t *target) {
 	c.taken++
-	if t.load().Requests < t.usableSlots() && !c.exhausted(t) {
+	if t.occupied(c.now) < t.usableSlots() && !c.exhausted(t) {
 		return
 	}
 	isTarget := func(other *target) bool { return other == t }
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -125,8 +125,10 @@
 	manager *Manager
 	work    *Work
 	target  *target
-	// load is the load of the target when it was chosen.
+	// load is the load of the target when it was chosen, and pace the factor by which it
+	// was slower than learned; 0 if unknown.
 	load Load
+	pace float64
 }
 
 // FirstEvent implements Reporter.
@@ -153,7 +155,7 @@
 	}
 	t.advancePrefill(now, p.engine)
 	t.finishPrefill(e.request.work)
-	p.engine.learnPrefill(t, e.request.load.PromptTokens, e.request.work.PromptTokens, e.after)
+	p.engine.learnPrefill(t, e.request.load.PromptTokens, e.request.work.PromptTokens, e.request.atLearnedPace(e.after))
 	t.health.recordSuccess()
 	t.endTrial(e.request.work, true, now)
 	m.publish(t)
@@ -170,7 +172,7 @@
 	p, t := m.pools[e.request.work.Service], e.request.target
 	if p != nil && p.engine != nil && t != nil {
 		t.advancePrefill(now, p.engine)
-		p.engine.learnStep(t, e.sample)
+		p.engine.learnSpeed(t, e.sample, now)
 	}
 }
 
@@ -196,8 +198,8 @@
 	t.endTrial(e.request.work, e.result == Answered || e.result == Failed, now)
 	if p.engine != nil {
 		t.advancePrefill(now, p.engine)
-		p.engine.learnStep(t, e.sample)
-		p.engine.learnSlowdown(t, e.sample)
+		p.engine.learnSpeed(t, e.sample, now)
+		p.engine.learnSlowdown(t, t.atLearnedPace(e.sample, now))
 		if e.result == Answered {
 			p.engine.learnLengths(e.request.work.Route, e.request.work.PromptTokens, float64(e.sample.Gaps+1)*p.engine.eventTokens)
 		}
--- a/balance/learn.go
+++ b/balance/learn.go
@@ -63,13 +63,13 @@
 }
 
 // learnStep updates the step time of a target from the shortest gaps of a
-// stream.
-func (e *engine) learnStep(t *target, s Sample) {
+// stream, and returns the weight of that.
+func (e *engine) learnStep(t *target, s Sample) (weight float64) {
 	sample := s.ShortestSpan.Seconds() / gapsPerSample / e.eventTokens
 	if sample <= 0 {
-		return
+		return 0
 	}
-	weight := slowerWeight
+	weight = slowerWeight
 	switch {
 	case t.speed.samples == 0:
 		weight = 1
@@ -78,6 +78,7 @@
 	}
 	t.speed.samples++
 	t.speed.step += weight * (sample - t.speed.step)
+	return weight
 }
 
 // learnPrefill updates the prefill rate from the time to the first event of a
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -203,7 +203,7 @@
 
 // publish reports this node's use of a target to the other nodes.
 func (m *Manager) publish(t *target) {
-	m.options.Publish(t.ID, Use{Load: t.own, Step: seconds(t.speed.step), Limit: t.rate.own(time.Now()), Brittle: t.brittle.own(time.Now())})
+	m.options.Publish(t.ID, Use{Load: t.own, Step: seconds(t.speed.step), Limit: t.rate.own(time.Now()), Brittle: t.brittle.own(time.Now()), Report: t.reports.Observed()})
 }
 
 func (m *Manager) pool(service string) *pool {
@@ -235,7 +235,7 @@
 	if d.refusal != nil {
 		return nil, d.refusal
 	}
-	return NewGrant(d.choice.config, d.choice.prediction(), &inFlightRequest{m, w, d.choice.target, d.choice.load}), nil
+	return NewGrant(d.choice.config, d.choice.prediction(), &inFlightRequest{m, w, d.choice.target, d.choice.load, d.choice.pace}), nil
 }
 
 // ApplyTargets replaces the targets and services by those of a configuration.
@@ -300,7 +300,7 @@
 	select {
 	case d := <-e.waiter.reply:
 		if d.refusal == nil {
-			requestEnded{request: &inFlightRequest{m, e.waiter.work, d.choice.target, d.choice.load}, result: Unsent}.apply(m, now)
+			requestEnded{request: &inFlightRequest{m, e.waiter.work, d.choice.target, d.choice.load, d.choice.pace}, result: Unsent}.apply(m, now)
 		}
 	default:
 	}
--- a/balance/refused.go
+++ b/balance/refused.go
@@ -26,7 +26,7 @@
 		s.overdue++
 	case exhausted:
 		s.exhausted++
-	case t.load().Requests >= t.usableSlots():
+	case t.occupied(now) >= t.usableSlots():
 		s.full++
 	case now.Sub(t.freedAt) < reserve:
 		s.reserved++
--- a/balance/remote.go
+++ b/balance/remote.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/loadreport"
+)
 
 // Use is what a node or a zone uses of a target and knows of it.
 type Use struct {
@@ -12,6 +16,8 @@
 	// Brittle is set if the target has said to it that it falls over when it has to turn a
 	// few requests away.
 	Brittle bool
+	// Report is the last load report of the target to it; the time is zero if there is none.
+	Report loadreport.Report
 }
 
 // SetRemoteUse sets the use of a target by a source, which is a node or a zone.
@@ -47,8 +53,12 @@
 		t.remote[e.source] = remoteLoad{e.use.Load, e.use.PromptTokens, e.use.Limit, e.use.Brittle}
 		t.updateFreed(now)
 		m.bookEarly(t, now)
+		t.reports.Record(e.use.Report)
 		if e.use.Step > 0 {
 			t.speed.reported = e.use.Step.Seconds()
+			if t.speed.samples < minOwnSamples {
+				t.reports.LearnedElsewhere(now)
+			}
 		}
 		if freed {
 			m.markChanged(p)
--- /dev/null
+++ b/balance/reported.go
@@ -0,0 +1,61 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/loadreport"
+)
+
+// RecordLoad records the load that a target has just reported to this node, or to one for
+// which this node chooses targets.
+func (m *Manager) RecordLoad(id string, l loadreport.Load) {
+	m.submit(loadReported{id, l, time.Now()})
+}
+
+type loadReported struct {
+	id   string
+	load loadreport.Load
+	at   time.Time
+}
+
+func (e loadReported) apply(m *Manager, _ time.Time) {
+	if t, _ := m.target(e.id); t != nil {
+		t.reports.Observe(e.load, t.load().Requests, e.at)
+	}
+}
+
+// occupied returns how many requests count as being at the target: those of all nodes and
+// those that others have sent, as the target reports. Requests that were sent since the
+// report count on top of it.
+func (t *target) occupied(now time.Time) int {
+	return t.load().Requests + t.reports.Extra(now, t.Slots)
+}
+
+// plainLoad returns the load of a plain target, 1 if all its slots are taken at its usual
+// pace. At a slow target, the request itself and all before it take longer.
+func (t *target) plainLoad(now time.Time) float64 {
+	work := float64(t.occupied(now)+1) * t.reports.Factor(now, 0)
+	return (work - 1) / float64(t.Slots)
+}
+
+// learnSpeed updates the learned speed of a target, and the pace at which it was learned.
+func (e *engine) learnSpeed(t *target, s Sample, now time.Time) {
+	if weight := e.learnStep(t, s); weight > 0 {
+		t.reports.Learned(weight, now)
+	}
+}
+
+// atLearnedPace returns the gaps of a stream as they would be at the learned speed. What
+// the target reports must not be learned as the effect of other requests' prefills.
+func (t *target) atLearnedPace(s Sample, now time.Time) Sample {
+	s.Total = time.Duration(float64(s.Total) / t.reports.Lasting(now))
+	return s
+}
+
+// atLearnedPace returns the time to the first event as it would be at the learned speed.
+func (f *inFlightRequest) atLearnedPace(after time.Duration) time.Duration {
+	if f.pace <= 0 {
+		return after
+	}
+	return time.Duration(float64(after) / f.pace)
+}
--- a/balance/score.go
+++ b/balance/score.go
@@ -42,9 +42,11 @@
 	// response is expected to end before the caller gives up.
 	onTime, completes bool
 	// load and step are the load and the step time of the target when it was
-	// chosen.
+	// chosen, and pace the factor by which its reports said that it was slower than
+	// learned.
 	load Load
 	step time.Duration
+	pace float64
 }
 
 func (c choice) prediction() Prediction {
@@ -74,19 +76,24 @@
 	if p.engine != nil {
 		t.advancePrefill(now, p.engine)
 	}
-	c := choice{target: t, config: t.Target, load: t.load(), onTime: true, completes: true}
+	c := choice{target: t, config: t.Target, load: t.load(), onTime: true, completes: true, pace: 1}
 	networkCost := here.networkCost(t.Zone)
 	if p.engine == nil {
-		c.expected = time.Duration(float64(c.load.Requests) / float64(t.Slots) * float64(plainLoadCost))
+		c.pace = t.reports.Factor(now, 0)
+		c.expected = time.Duration(t.plainLoad(now) * float64(plainLoadCost))
 		c.cost = c.expected + networkCost
+		c.expected = max(0, c.expected)
 		return c
 	}
 	step := p.engine.stepSeconds(t)
-	c.step = seconds(step)
 	c.expected = p.engine.timeToFirstEvent(t, c.load.PromptTokens, w.PromptTokens)
+	c.pace = t.reports.Factor(now, c.expected)
+	c.expected = time.Duration(c.pace * float64(c.expected))
+	c.step = seconds(c.pace * step)
 	firstEventAt := now.Add(time.Duration(predictionMargin*float64(c.expected)) + networkCost)
 	c.onTime = firstEventAt.Before(w.Goal)
-	c.completes = firstEventAt.Add(p.engine.decodeTime(t, p.engine.expectedOutputTokens(w))).Before(w.End)
+	decode := t.reports.Lasting(now) * float64(p.engine.decodeTime(t, p.engine.expectedOutputTokens(w)))
+	c.completes = firstEventAt.Add(time.Duration(decode)).Before(w.End)
 	scarcity := squaredUtilization * p.engine.defaultStep / step
 	c.cost = c.expected + networkCost + time.Duration(scarcity*float64(fastEngineCost))
 	if !t.speed.known() {
--- a/balance/target.go
+++ b/balance/target.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/loadreport"
 )
 
 // Work is one request that needs a target.
@@ -81,6 +82,8 @@
 	health  health
 	rate    rateLimit
 	brittle brittleness
+	// reports is what the target reports of its load.
+	reports loadreport.Target
 	// leaving is set once the target has said that it leaves, and lastArrival is when the
 	// last request arrived that it may get nevertheless.
 	leaving     bool
@@ -220,7 +223,7 @@
 	if elapsed <= 0 || engine == nil || total <= 0 {
 		return
 	}
-	remainingShare := max(0, 1-elapsed.Seconds()*engine.prefillRate(t)/total)
+	remainingShare := max(0, 1-elapsed.Seconds()*engine.prefillRate(t)/t.reports.Factor(now, 0)/total)
 	for _, p := range t.prefilling {
 		p.remaining = max(p.remaining*remainingShare, p.tokens*minPendingShare)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -83,6 +83,9 @@
 func (x *exchange) recordInfo(target *catalog.Target, info ResponseInfo) {
 	x.gateway.Limits.RecordLimit(target.ID, info.Limit, info.HasLimit)
 	x.gateway.Limits.RecordBrittle(target.ID, info.Brittle)
+	if info.HasLoad && x.gateway.Loads != nil {
+		x.gateway.Loads.RecordLoad(target.ID, info.Load)
+	}
 	if info.Leaving || info.Pause > 0 {
 		x.gateway.Signals.RecordSignal(balance.Signal{
 			Target: target.ID, Started: target.Started, Leaving: info.Leaving, Pause: info.Pause,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,12 @@
 	RecordBrittle(target string, brittle bool)
 }
 
+// TargetLoads learns the loads that targets report in their responses.
+type TargetLoads interface {
+	// RecordLoad records the load that a target has just reported.
+	RecordLoad(target string, load TargetLoad)
+}
+
 // TargetSignals learns what targets ask of this node in their responses.
 type TargetSignals interface {
 	// RecordSignal records what a target asked of this node.
@@ -96,11 +102,13 @@
 	Culprits    Culprits
 	Prober      Prober
 	Limits      TargetLimits
-	Signals     TargetSignals
-	Streams     Streams
-	Links       Links
-	Metrics     Metrics
-	Logger      *log.Logger
+	// Loads is nil if the loads that targets report are not used.
+	Loads   TargetLoads
+	Signals TargetSignals
+	Streams Streams
+	Links   Links
+	Metrics Metrics
+	Logger  *log.Logger
 	// HeldBytes bounds the bytes of answers that all requests together hold back, and
 	// BodyBytes those of their bodies.
 	HeldBytes, BodyBytes int
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -51,6 +51,9 @@
 // may be used by one goroutine at a time.
 type Target struct {
 	last Report
+	// observed is the last report to this node itself. Only that is passed on: reports that
+	// two nodes passed back and forth would stay young.
+	observed Report
 	// paceAt is the time of the last report with a pace, lastPace its pace and mean the
 	// mean of the paces over the last seconds.
 	paceAt         time.Time
@@ -75,7 +78,8 @@
 	if l.Slots > 0 {
 		extra = min(extra, l.Slots)
 	}
-	t.Record(Report{Pace: l.Pace, Extra: extra, At: at})
+	t.observed = Report{Pace: l.Pace, Extra: extra, At: at}
+	t.Record(t.observed)
 }
 
 // Record records a report, unless a newer one is known.
@@ -96,8 +100,8 @@
 	t.lastPace, t.paceAt = pace, r.At
 }
 
-// Last returns the last report; ok is false if there is none.
-func (t *Target) Last() (r Report, ok bool) { return t.last, !t.last.At.IsZero() }
+// Observed returns the last report to this node itself; its time is zero if there is none.
+func (t *Target) Observed() Report { return t.observed }
 
 // Learned says that a measurement has moved the learned speed of the target by a weight
 // towards its present one, so that this share of the present pace is part of that speed.
@@ -108,6 +112,14 @@
 	t.learned = t.learnedPace() + weight*(t.paceAfter(now, 0)-t.learnedPace())
 }
 
+// LearnedElsewhere says that the speed of the target has been measured at other nodes, at
+// the mean pace as far as this one knows.
+func (t *Target) LearnedElsewhere(now time.Time) {
+	if !t.paceAt.IsZero() {
+		t.learned = t.meanAt(now)
+	}
+}
+
 func (t *Target) learnedPace() float64 {
 	if t.learned == 0 {
 		return 1
