mesh, owner, entry: reports of targets reach the nodes that choose targets

The owner of a zone chooses targets, and most responses come to other nodes. OwnerReport carries the load with the first event or the end of the request (fields 8 to 11), so that it costs no message. Between zones MeshTarget carries the latest report of a zone with its age (fields 8 to 10), only with another change of the use of that target and at most every 100 ms for a target of a source on a link. A node passes on only what it or its zone was told, so that no report stays young by being passed back and forth.

Switched on by targets that state their load; builds without the fields report none.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,7 +98,7 @@
 func newGateway(s *schema.GatewaySettings, d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, streams *resume.Finder, m *links.Monitors, sender *links.Switch, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: sender,
-		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: streams, Links: m, Metrics: t, Logger: logger,
+		Culprits: c, Prober: u, Limits: l, Loads: targetLoads{b}, Signals: b, Streams: streams, Links: m, Metrics: t, Logger: logger,
 		HeldBytes: int(s.GetResources().GetMemoryMebibytes() * heldBytesPerMebibyte),
 		BodyBytes: int(s.GetResources().GetMemoryMebibytes() * bodyBytesPerMebibyte),
 	})
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -104,7 +104,7 @@
 	f.balancer.SetRemoteUse(source, target, balance.Use{
 		Load:  balance.Load{Requests: use.Requests, PromptTokens: float64(use.PromptTokens)},
 		Step:  time.Duration(use.StepMicros) * time.Microsecond,
-		Limit: float64(use.LimitMillis) / limitUnit, Brittle: use.Brittle,
+		Limit: float64(use.LimitMillis) / limitUnit, Brittle: use.Brittle, Report: decodeTargetReport(use.Report),
 	})
 }
 
@@ -181,7 +181,7 @@
 		Publish: func(target string, own balance.Use) {
 			m.SetTarget(target, mesh.TargetUse{
 				Requests: own.Requests, PromptTokens: int(own.PromptTokens), StepMicros: int(own.Step.Microseconds()),
-				LimitMillis: int(own.Limit * limitUnit), Brittle: own.Brittle,
+				LimitMillis: int(own.Limit * limitUnit), Brittle: own.Brittle, Report: encodeTargetReport(own.Report),
 			})
 		},
 		PublishSend:  func(target string) { m.Book(targetBooking+target, 1, nil) },
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -20,8 +20,8 @@
 	// long without reports it is forgotten, halfway in as long again, so that a target which
 	// nobody uses any more because it was slow is tried again.
 	meanHalfLife = 2 * time.Second
-	// minPace and maxPace bound what a wrong report can cost.
-	minPace, maxPace = 0.5, 4.0
+	// MinPace and MaxPace bound a reported pace, and so what a wrong report can cost.
+	MinPace, MaxPace = 0.5, 4.0
 	// inTransit is the difference between the requests at a target and the known ones
 	// that one report alone does not show: another node has just sent one, or the
 	// response to one is under way.
@@ -91,7 +91,7 @@
 	if !(r.Pace > 0) {
 		return
 	}
-	pace := min(max(r.Pace, minPace), maxPace)
+	pace := min(max(r.Pace, MinPace), MaxPace)
 	mean, elapsed := 1.0, halfLife
 	if !t.paceAt.IsZero() {
 		mean, elapsed = t.meanAt(r.At), min(r.At.Sub(t.paceAt), meanHalfLife)
@@ -133,7 +133,7 @@
 	if t.paceAt.IsZero() {
 		return 1
 	}
-	return min(max(t.paceAfter(now, over)/t.learnedPace(), minPace), maxPace)
+	return min(max(t.paceAfter(now, over)/t.learnedPace(), MinPace), MaxPace)
 }
 
 // paceAfter returns the expected pace of the target in the mean over a time from now on.
@@ -148,7 +148,7 @@
 	if t.paceAt.IsZero() {
 		return 1
 	}
-	return min(max(t.meanAt(now)/t.learnedPace(), minPace), maxPace)
+	return min(max(t.meanAt(now)/t.learnedPace(), MinPace), MaxPace)
 }
 
 // Extra returns how many requests are at the target beyond those that the nodes know of,
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -60,7 +60,7 @@
 	}
 	is.True(isNear(target.Factor(now, 0), 1)) // The learned speed includes it.
 	target.Observe(Load{Pace: 1, Slots: 8}, 0, now.Add(time.Second))
-	is.Equal(target.Factor(now.Add(time.Second), 0), minPace)
+	is.Equal(target.Factor(now.Add(time.Second), 0), MinPace)
 }
 
 // While a speed is being learned, it and the pace must not count twice.
@@ -122,7 +122,7 @@
 				target.Learned(rapid.Float64Range(0, 1).Draw(t, "weight"), now)
 			}
 			for _, f := range []float64{target.Factor(now, 0), target.Factor(now, time.Second), target.Lasting(now)} {
-				if !(f >= minPace && f <= maxPace) {
+				if !(f >= MinPace && f <= MaxPace) {
 					t.Fatalf("factor %v", f)
 				}
 			}
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -1,14 +1,20 @@
 package mesh
 
-import "github.com/primrosemoor/primrosemoor/schema"
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/schema"
+)
 
 // encoder sends each id in full once per stream and as a short numeric ref
 // afterwards.
 type encoder struct {
 	refs map[string]uint32
+	// reports holds the last reports of targets' loads that were sent.
+	reports map[reportKey]sentReport
 }
 
-func newEncoder() *encoder { return &encoder{refs: make(map[string]uint32)} }
+func newEncoder() *encoder { return &encoder{refs: make(map[string]uint32), reports: make(map[reportKey]sentReport)} }
 
 // ref returns the ref of an id, and the id itself if it is new on the stream.
 func (e *encoder) ref(id string) (uint32, string) {
@@ -20,17 +26,19 @@
 	return r, id
 }
 
-// use encodes changed sums; it returns nil if there are none.
-func (e *encoder) use(c changes) *schema.MeshUse {
+// use encodes changed sums of a source, which is empty for this node; it returns nil if
+// there are none.
+func (e *encoder) use(source string, c changes) *schema.MeshUse {
 	if c.empty() {
 		return nil
 	}
-	u := &schema.MeshUse{}
+	u, now := &schema.MeshUse{}, time.Now()
 	for id, t := range c.targets {
 		m := &schema.MeshTarget{
 			Requests: uint32(t.Requests), PromptTokens: uint32(t.PromptTokens), StepMicros: uint32(t.StepMicros), LimitMillis: uint32(t.LimitMillis),
-			Brittle: t.Brittle,
+			Brittle: t.Brittle, MemoryTokens: uint32(t.MemoryTokens),
 		}
+		e.report(m, reportKey{source, id}, t.Report, now)
 		m.Ref, m.Id = e.ref("target/" + id)
 		if m.Id != "" {
 			m.Id = id
@@ -75,11 +83,12 @@
 // use decodes changed sums; those with an unknown ref are skipped.
 func (d *decoder) use(u *schema.MeshUse) changes {
 	c := changes{targets: make(map[string]TargetUse), teams: make(map[string]TeamUse), queues: make(map[Queue]int)}
+	now := time.Now()
 	for _, m := range u.GetTargets() {
 		if id, ok := d.id(m.GetRef(), m.GetId()); ok {
 			c.targets[id] = TargetUse{
 				Requests: int(m.GetRequests()), PromptTokens: int(m.GetPromptTokens()), StepMicros: int(m.GetStepMicros()), LimitMillis: int(m.GetLimitMillis()),
-				Brittle: m.GetBrittle(),
+				Brittle: m.GetBrittle(), MemoryTokens: int(m.GetMemoryTokens()), Report: decodeReport(m, now),
 			}
 		}
 	}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -302,14 +302,14 @@
 		if toMember {
 			c.targets, c.queues = nil, nil
 		}
-		u.Own, l.sentOwn = l.encoder.use(c), c.version
+		u.Own, l.sentOwn = l.encoder.use("", c), c.version
 		hasChanges = hasChanges || !c.empty()
 	}
 	if !l.sameZone() || toMember {
 		c := l.zoneChanges(toMember)
 		l.sentZone = c.version
 		hasChanges = hasChanges || !c.empty()
-		u.Zones = append(u.Zones, &schema.MeshZone{Zone: m.options.Self.Zone, Use: l.encoder.use(c), Silent: silent})
+		u.Zones = append(u.Zones, &schema.MeshZone{Zone: m.options.Self.Zone, Use: l.encoder.use(m.options.Self.Zone, c), Silent: silent})
 	}
 	for name, z := range forwarded {
 		c := z.sums.since(l.sentForwarded[name])
@@ -321,7 +321,7 @@
 		}
 		l.sentForwarded[name] = c.version
 		hasChanges = hasChanges || !c.empty()
-		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(c), Silent: z.silentNodes})
+		u.Zones = append(u.Zones, &schema.MeshZone{Zone: name, Use: l.encoder.use(name, c), Silent: z.silentNodes})
 	}
 	hasChanges = l.addCrashes(u) || hasChanges
 	hasChanges = l.addStreams(u, toMember) || hasChanges
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -398,6 +398,8 @@
 		total.StepMicros = max(total.StepMicros, u.StepMicros)
 		total.LimitMillis = lowestLimit(total.LimitMillis, u.LimitMillis)
 		total.Brittle = total.Brittle || u.Brittle
+		total.MemoryTokens += u.MemoryTokens
+		total.Report = latestReport(total.Report, u.Report)
 	}
 	m.zoneSums.setTarget(id, total)
 }
--- a/mesh/sums.go
+++ b/mesh/sums.go
@@ -18,6 +18,10 @@
 	// Brittle is set if the target says that it falls over when it has to turn a few
 	// requests away.
 	Brittle bool
+	// MemoryTokens are the tokens of the outstanding requests, prompts and expected output.
+	MemoryTokens int
+	// Report is sent with the next change of another field.
+	Report TargetReport
 }
 
 // lowestLimit returns the lower one of two limits, of which 0 is none.
@@ -83,7 +87,13 @@
 func (s *sums) setTarget(id string, u TargetUse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	set(s, s.targets, id, u)
+	before := s.targets[id]
+	u = u.keepReport(before.value)
+	if u.withoutReport() != before.value.withoutReport() {
+		s.version++
+		before.version = s.version
+	}
+	s.targets[id] = versioned[TargetUse]{u, before.version}
 }
 
 func (s *sums) setQueue(q Queue, waiting int) {
@@ -211,7 +221,9 @@
 			r.teams[name] = total.Booked
 		}
 	}
-	maps.Copy(r.targets, c.targets)
+	for id, use := range c.targets {
+		r.targets[id] = use.keepReport(r.targets[id])
+	}
 	maps.Copy(r.queues, c.queues)
 	return booked
 }
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -11,6 +11,7 @@
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/loadreport"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/owner"
 	"github.com/primrosemoor/primrosemoor/peer"
@@ -170,6 +171,8 @@
 	remoteSignals chan remoteSignal
 	// forgiven are the nodes whose failures were dropped.
 	forgiven chan string
+	// loads holds the loads that targets reported.
+	loads chan reportedTarget
 
 	mu      sync.Mutex
 	target  string
@@ -192,6 +195,7 @@
 	return &fakeBalancer{
 		acquires: make(chan *balance.Work, 16), adopted: make(chan string, 16), reports: make(chan report, 16), target: target,
 		remoteSignals: make(chan remoteSignal, 16), forgiven: make(chan string, 16),
+		loads: make(chan reportedTarget, 16),
 	}
 }
 
@@ -232,6 +236,17 @@
 // ForgiveFailures implements owner.Balancer.
 func (b *fakeBalancer) ForgiveFailures(node, service string) { b.forgiven <- node + " " + service }
 
+// reportedTarget is the load that a target reported.
+type reportedTarget struct {
+	target string
+	load   loadreport.Load
+}
+
+// RecordLoad implements owner.Balancer.
+func (b *fakeBalancer) RecordLoad(target string, l loadreport.Load) {
+	b.loads <- reportedTarget{target, l}
+}
+
 // remoteSignal is what a target asked of another node.
 type remoteSignal struct {
 	node   string
--- a/owner/link.go
+++ b/owner/link.go
@@ -33,6 +33,9 @@
 	// have a target and have not ended. Both are keyed by number.
 	pending map[uint64]*pendingAcquire
 	grants  map[uint64]*remoteGrant
+	// loads holds what targets have reported of their load and the owner does not know yet,
+	// by target.
+	loads map[string]reportedLoad
 	// lastReceived is when the owner's last message came, or when pending last
 	// became non-empty if that is later.
 	lastReceived time.Time
@@ -64,7 +67,7 @@
 	}
 	return &link{
 		ownerName: owner.Name, balancer: balancer, stream: stream, outbox: newOutbox(), lastReceived: time.Now(),
-		pending: make(map[uint64]*pendingAcquire), grants: make(map[uint64]*remoteGrant), done: make(chan struct{}),
+		pending: make(map[uint64]*pendingAcquire), grants: make(map[uint64]*remoteGrant), loads: make(map[string]reportedLoad), done: make(chan struct{}),
 	}, nil
 }
 
@@ -255,6 +258,7 @@
 	if r.Ended {
 		delete(l.grants, g.number)
 	}
+	l.addLoad(r, g.target.ID, time.Now())
 	l.outbox.addReport(r)
 	return true
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,6 +18,7 @@
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/datastore"
+	"github.com/primrosemoor/primrosemoor/loadreport"
 	"github.com/primrosemoor/primrosemoor/peer"
 )
 
@@ -45,6 +46,9 @@
 	// RecordSignal records what a target asked of this node, and reports whether the
 	// owner has to be told.
 	RecordSignal(s balance.Signal) (isNew bool)
+	// RecordLoad records the load that a target has just reported to this node, or to one
+	// for which this node chooses targets.
+	RecordLoad(target string, l loadreport.Load)
 	// ForgiveFailures drops the failures of requests that a node sent to targets of a
 	// service; the node is empty for this one, the service for all of them.
 	ForgiveFailures(node, service string)
@@ -253,6 +257,15 @@
 	}
 }
 
+// RecordLoad records the load that a target has just reported to this node, here and with
+// the next report on a request at the target at the owner.
+func (m *Manager) RecordLoad(target string, l loadreport.Load) {
+	m.options.Balancer.RecordLoad(target, l)
+	if link := m.latestLink(); link != nil {
+		link.recordLoad(target, l)
+	}
+}
+
 // LinksLost says that this node has lost its links to all targets of a service. The
 // failures of its requests then say nothing of these, here and at the owner.
 func (m *Manager) LinksLost(service string) {
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -22,10 +22,11 @@
 
 	mu sync.Mutex
 	// pending holds the cancel functions of requests that wait for a target;
-	// reporters holds the reporters of requests that have one. Both are keyed by
-	// number.
+	// reporters holds the reporters of requests that have one, and targets these targets.
+	// All are keyed by number.
 	pending   map[uint64]context.CancelFunc
 	reporters map[uint64]balance.Reporter
+	targets   map[uint64]string
 }
 
 // Serve grants targets to one other node until its stream ends.
@@ -34,6 +35,7 @@
 	s := &session{
 		node: id.Node, balancer: m.options.Balancer, replies: newReplyBuffer(), asked: make(chan struct{}, 1),
 		pending: make(map[uint64]context.CancelFunc), reporters: make(map[uint64]balance.Reporter),
+		targets: make(map[uint64]string),
 	}
 	var running sync.WaitGroup
 	running.Go(func() { s.sendReplies(ctx, stream) })
@@ -99,7 +101,7 @@
 	cancel, waiting := s.pending[number]
 	delete(s.pending, number)
 	if waiting && err == nil {
-		s.reporters[number] = grant.Reporter()
+		s.reporters[number], s.targets[number] = grant.Reporter(), grant.Target.ID
 	}
 	s.mu.Unlock()
 	var refusal *balance.Refusal
@@ -125,6 +127,7 @@
 	cancel, reporter := s.pending[number], s.reporters[number]
 	delete(s.pending, number)
 	delete(s.reporters, number)
+	delete(s.targets, number)
 	s.mu.Unlock()
 	if cancel != nil {
 		cancel()
@@ -136,11 +139,15 @@
 
 func (s *session) handleReport(r *schema.OwnerReport) {
 	s.mu.Lock()
-	reporter := s.reporters[r.GetNumber()]
+	reporter, target := s.reporters[r.GetNumber()], s.targets[r.GetNumber()]
 	if r.GetEnded() {
 		delete(s.reporters, r.GetNumber())
+		delete(s.targets, r.GetNumber())
 	}
 	s.mu.Unlock()
+	if r.GetHasLoad() && reporter != nil {
+		s.balancer.RecordLoad(target, decodeLoad(r))
+	}
 	switch {
 	case reporter == nil:
 	case r.GetEnded():
