bench/enginesim: engines that share their machines and report their load

The model gets a pace that changes at random times and the report with it, and measures the error of predicted first events, the mean of |ln(real/predicted)|, after 5 s.

The pace at which the speed was learned is now learned with the same weights as the speed, more from fast than from slow samples.

--- a/balance/reported.go
+++ b/balance/reported.go
@@ -40,8 +40,12 @@
 
 // learnSpeed updates the learned speed of a target, and the pace at which it was learned.
 func (e *engine) learnSpeed(t *target, s Sample, now time.Time) {
-	if weight := e.learnStep(t, s); weight > 0 {
-		t.reports.Learned(weight, now)
+	switch weight := e.learnStep(t, s); weight {
+	case 0:
+	case 1:
+		t.reports.Learned(1, 1, now)
+	default:
+		t.reports.Learned(fasterWeight, slowerWeight, now)
 	}
 }
 
--- a/bench/enginesim/engine.go
+++ b/bench/enginesim/engine.go
@@ -6,13 +6,17 @@
 // number of slots, whose steps get longer with each running request; prompts that
 // are prefilled in chunks between steps and delay the whole batch; FIFO queues
 // without priorities; and engines of different speeds. It omits memory limits,
-// prefix caching and preemption. Use it to compare balancing policies; the
+// prefix caching and preemption. Engines may share their machines with other work, which
+// makes them slower and faster many times a second, and report that. Use it to compare balancing policies; the
 // platform's own benchmark decides acceptance.
 package enginesim
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
+
+	"github.com/primrosemoor/primrosemoor/loadreport"
 )
 
 const (
@@ -41,6 +45,10 @@
 	// speed divides the duration of each step.
 	speed    float64
 	incoming chan *job
+	// pace multiplies the duration of each step; nil for 1.
+	pace *pace
+	// load is what the engine reports of its load, as of the last step.
+	load atomic.Pointer[loadreport.Load]
 }
 
 func newEngine(slots int, speed float64) *engine {
@@ -75,6 +83,7 @@
 			batch = append(batch, queue[0])
 			queue = queue[1:]
 		}
+		e.load.Store(&loadreport.Load{Running: len(batch), Waiting: len(queue) + len(e.incoming), Slots: e.slots, Pace: e.pace.at(time.Now())})
 		time.Sleep(e.step(batch))
 		if ctx.Err() != nil {
 			return
@@ -99,7 +108,7 @@
 		}
 	}
 	d += float64(prefillChunkTokens-budget) / prefillRate * float64(time.Second)
-	return time.Duration(d / e.speed)
+	return time.Duration(d / e.speed * e.pace.at(time.Now()))
 }
 
 // dropFinished removes jobs that are complete or canceled by their caller, and
--- a/bench/enginesim/play.go
+++ b/bench/enginesim/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,6 +13,10 @@
 // Outcome counts the requests of one class by result.
 type Outcome struct {
 	Sent, OnTime, Late, Refused, Failed int
+	// Begun counts the answers with a first event whose prediction counts, and
+	// PredictionError is the sum of |ln(real/predicted)| of the times to it.
+	Begun           int
+	PredictionError float64
 }
 
 // Served returns the share of requests that were answered, on time or late.
@@ -32,6 +37,17 @@
 	return earned / possible
 }
 
+// MeanPredictionError returns the mean of |ln(real/predicted)| over the times to the first
+// event.
+func (r Result) MeanPredictionError() float64 {
+	begun, sum := 0, 0.0
+	for _, o := range r {
+		begun += o.Begun
+		sum += o.PredictionError
+	}
+	return sum / float64(max(1, begun))
+}
+
 const (
 	// maxEventGap is the longest time between two events of an answer that is on
 	// time.
@@ -41,6 +57,10 @@
 	callerIdleTimeout = 4 * time.Second
 )
 
+// learningTime is the time at the start whose predictions are not counted: the speeds of the
+// engines are not known then.
+const learningTime = 5 * time.Second
+
 // experiment is the configuration of one run.
 type experiment struct {
 	newPolicies policyFactory
@@ -51,6 +71,10 @@
 	load   float64
 	length time.Duration
 	seed   uint64
+	// paceChange is the mean time between two changes of the pace of an engine, 0 for none;
+	// reports is whether engines report their loads.
+	paceChange time.Duration
+	reports    bool
 }
 
 // run runs the experiment. It must be called in a bubble of testing/synctest.
@@ -62,6 +86,9 @@
 	engines := make([]*engine, len(e.speeds))
 	for i, speed := range e.speeds {
 		engines[i] = newEngine(e.slots, speed)
+		if e.paceChange > 0 {
+			engines[i].pace = newPace(rand.New(rand.NewPCG(e.seed, uint64(i+1))), e.paceChange)
+		}
 		running.Go(func() { engines[i].run(ctx) })
 	}
 	policies, runPolicies := e.newPolicies(e.nodes, len(engines), e.slots)
@@ -73,7 +100,7 @@
 	for _, a := range generateArrivals(rand.New(rand.NewPCG(e.seed, 0)), e.load, e.length, e.nodes) {
 		time.Sleep(time.Until(start.Add(a.at)))
 		callers.Go(func() {
-			recordOutcome := sendRequest(ctx, policies[a.node], engines, a)
+			recordOutcome := sendRequest(ctx, policies[a.node], engines, a, e.reports)
 			mu.Lock()
 			defer mu.Unlock()
 			result[a.class].Sent++
@@ -86,7 +113,7 @@
 
 // sendRequest sends one request as a caller does, reads its events, and returns a
 // function that adds the result to an Outcome.
-func sendRequest(ctx context.Context, p policy, engines []*engine, a arrival) func(*Outcome) {
+func sendRequest(ctx context.Context, p policy, engines []*engine, a arrival, reports bool) func(*Outcome) {
 	class := Classes[a.class]
 	arrived := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, class.Timeout)
@@ -98,7 +125,8 @@
 	if err != nil {
 		return func(o *Outcome) { o.Refused++ }
 	}
-	late, last := false, arrived
+	late, last, sent := false, arrived, time.Now()
+	predicted := func(*Outcome) {}
 	maxGap := class.FirstEventGoal
 	for events := engines[g.engine].submit(ctx, a.promptTokens, class.Events); ; {
 		select {
@@ -106,19 +134,30 @@
 			if !open {
 				g.done(balance.Answered)
 				if late {
-					return func(o *Outcome) { o.Late++ }
+					return func(o *Outcome) { predicted(o); o.Late++ }
+				}
+				return func(o *Outcome) { predicted(o); o.OnTime++ }
+			}
+			if last == arrived {
+				if reports {
+					g.report(*engines[g.engine].load.Load())
+				}
+				if after := time.Since(sent); g.expected > 0 && a.at >= learningTime {
+					predicted = func(o *Outcome) {
+						o.Begun++
+						o.PredictionError += math.Abs(math.Log(after.Seconds() / g.expected.Seconds()))
+					}
 				}
-				return func(o *Outcome) { o.OnTime++ }
 			}
 			g.event()
 			late = late || time.Since(last) > maxGap
 			last, maxGap = time.Now(), maxEventGap
 		case <-time.After(time.Until(last.Add(callerIdleTimeout))):
 			g.done(balance.Abandoned)
-			return func(o *Outcome) { o.Failed++ }
+			return func(o *Outcome) { predicted(o); o.Failed++ }
 		case <-ctx.Done():
 			g.done(balance.Abandoned)
-			return func(o *Outcome) { o.Failed++ }
+			return func(o *Outcome) { predicted(o); o.Failed++ }
 		}
 	}
 }
--- a/bench/enginesim/policy.go
+++ b/bench/enginesim/policy.go
@@ -8,6 +8,7 @@
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/loadreport"
 	"github.com/primrosemoor/primrosemoor/logging"
 )
 
@@ -19,6 +20,10 @@
 	// event must be called for each event, done once at the end.
 	event func()
 	done  func(balance.Result)
+	// report must be called with what the engine reports of its load.
+	report func(loadreport.Load)
+	// expected is the predicted time to the first event, 0 if there is none.
+	expected time.Duration
 }
 
 // policy chooses the engines for the requests of one node. acquire waits until an
@@ -44,7 +49,7 @@
 		}
 	}
 	n.outstanding[least]++
-	return grant{engine: least, event: func() {}, done: func(balance.Result) {
+	return grant{engine: least, event: func() {}, report: func(loadreport.Load) {}, done: func(balance.Result) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.outstanding[least]--
@@ -63,7 +68,10 @@
 	if _, err := fmt.Sscanf(g.Target.ID, "engine-%d", &engine); err != nil {
 		return grant{}, fmt.Errorf("target %s: %w", g.Target.ID, err)
 	}
-	return grant{engine: engine, event: func() { g.Event(time.Now()) }, done: g.Done}, nil
+	return grant{
+		engine: engine, event: func() { g.Event(time.Now()) }, done: g.Done, expected: g.Prediction.Expected,
+		report: func(l loadreport.Load) { b.manager.RecordLoad(g.Target.ID, l) },
+	}, nil
 }
 
 // policyFactory creates a policy for each node. run serves their background work
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -14,8 +14,9 @@
 
 const (
 	// halfLife is the time in which the weight of a report halves, as the figures change
-	// many times a second.
-	halfLife = 150 * time.Millisecond
+	// many times a second. In bench/enginesim, 150 ms and more make predictions worse where
+	// they change 17 times a second, and 100 ms hardly does.
+	halfLife = 100 * time.Millisecond
 	// meanHalfLife is the time in which the mean pace follows a change halfway. After as
 	// long without reports it is forgotten, halfway in as long again, so that a target which
 	// nobody uses any more because it was slow is tried again.
@@ -103,13 +104,20 @@
 // Observed returns the last report to this node itself; its time is zero if there is none.
 func (t *Target) Observed() Report { return t.observed }
 
-// Learned says that a measurement has moved the learned speed of the target by a weight
-// towards its present one, so that this share of the present pace is part of that speed.
-func (t *Target) Learned(weight float64, now time.Time) {
+// Learned says that the learned speed of the target has been updated by a measurement,
+// which has one of two weights, depending on whether it is faster or slower than what was
+// learned. The pace is learned alike, so that it is the one at which the speed was learned:
+// at one that changes often, more of the faster paces than of the slower ones.
+func (t *Target) Learned(faster, slower float64, now time.Time) {
 	if t.paceAt.IsZero() {
 		return
 	}
-	t.learned = t.learnedPace() + weight*(t.paceAfter(now, 0)-t.learnedPace())
+	pace, learned := t.paceAfter(now, 0), t.learnedPace()
+	weight := slower
+	if pace < learned {
+		weight = faster
+	}
+	t.learned = learned + weight*(pace-learned)
 }
 
 // LearnedElsewhere says that the speed of the target has been measured at other nodes, at
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -22,7 +22,7 @@
 func TestTargetWithoutReportsCountsAsBefore(t *testing.T) {
 	is := is.New(t)
 	var target Target
-	target.Learned(0.5, start)
+	target.Learned(0.5, 0.5, start)
 	is.Equal(target.Factor(start, 0), 1.0)
 	is.Equal(target.Lasting(start), 1.0)
 	is.Equal(target.Extra(start, 8), 0)
@@ -56,7 +56,7 @@
 	for range 100 {
 		now = now.Add(200 * time.Millisecond)
 		target.Observe(Load{Pace: 2.5, Slots: 8}, 0, now)
-		target.Learned(0.05, now)
+		target.Learned(0.3, 0.05, now)
 	}
 	is.True(isNear(target.Factor(now, 0), 1)) // The learned speed includes it.
 	target.Observe(Load{Pace: 1, Slots: 8}, 0, now.Add(time.Second))
@@ -72,7 +72,7 @@
 		now = now.Add(200 * time.Millisecond)
 		target.Observe(Load{Pace: 2.5, Slots: 8}, 0, now)
 		step += 0.05 * (2.5 - step)
-		target.Learned(0.05, now)
+		target.Learned(0.3, 0.05, now)
 		if i > 40 {
 			is.True(math.Abs(step*target.Factor(now, 0)-2.5) < 0.25)
 		}
@@ -119,7 +119,7 @@
 			l := Load{Running: count.Draw(t, "running"), Waiting: count.Draw(t, "waiting"), Slots: count.Draw(t, "slots"), Pace: rapid.Float64().Draw(t, "pace")}
 			target.Observe(l, rapid.IntRange(0, 10).Draw(t, "known"), now)
 			if rapid.Bool().Draw(t, "learned") {
-				target.Learned(rapid.Float64Range(0, 1).Draw(t, "weight"), now)
+				target.Learned(rapid.Float64Range(0, 1).Draw(t, "faster"), rapid.Float64Range(0, 1).Draw(t, "slower"), now)
 			}
 			for _, f := range []float64{target.Factor(now, 0), target.Factor(now, time.Second), target.Lasting(now)} {
 				if !(f >= MinPace && f <= MaxPace) {
