balance, mesh: an engine gets no request beyond its memory

Requests whose prompts and outputs need more than an engine's memory together crash it, with all that run there. What the requests of all nodes need is counted now, by prompt and expected output (MeshTarget.memory_tokens), and an engine gets no request that takes it beyond 0.9 of the memory that the configuration states. A request that is larger alone goes to an idle engine. Without a stated memory nothing changes; builds without the field count as using none.

--- a/balance/engine.go
+++ b/balance/engine.go
@@ -22,7 +22,9 @@
 
 // engine holds the settings and estimates that all engines of a service share.
 type engine struct {
-	slots       int
+	slots int
+	// cacheTokens is the memory of an engine in tokens, 0 if it is not stated.
+	cacheTokens float64
 	eventTokens float64
 	// prefillTokensPerStep is how many prompt tokens are prefilled in the
 	// duration of one decode step.
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -194,6 +194,7 @@
 	t.own.Requests--
 	overdue := t.isOverdue(e.request.work, now)
 	t.finishPrefill(e.request.work)
+	t.releaseMemory(e.request.work)
 	t.updateFreed(now)
 	t.endTrial(e.request.work, e.result == Answered || e.result == Failed, now)
 	if p.engine != nil {
@@ -263,6 +264,7 @@
 		expected = p.engine.timeToFirstEvent(t, e.request.load.PromptTokens, e.request.work.PromptTokens)
 	}
 	t.addRequest(e.request.work, now, expected)
+	t.holdMemory(e.request.work, p.memoryTokens(e.request.work))
 	if e.firstEventSeen {
 		t.finishPrefill(e.request.work)
 	}
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -375,5 +375,6 @@
 		p.engine = newEngine()
 	}
 	p.engine.slots = c.Slots
+	p.engine.cacheTokens = float64(c.CacheTokens)
 	p.engine.eventTokens = float64(c.EventTokens)
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -40,6 +40,9 @@
 		if t.reserved(now) && !p.occupiesLong(w) {
 			continue
 		}
+		if !p.hasMemory(t, w, now) {
+			continue
+		}
 		if c := p.score(t, w, now, here, squaredUtilization); c.better(best) {
 			best = c
 		}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -121,6 +121,7 @@
 		c, ok := p.pick(w.work, now, here, &free, reserve)
 		if ok && (c.onTime || w.late) {
 			c.target.addRequest(w.work, now, c.expected)
+			c.target.holdMemory(w.work, p.memoryTokens(w.work))
 			free.addRequest(c.target)
 			on.assigned(w, c)
 			continue
--- a/balance/target.go
+++ b/balance/target.go
@@ -61,6 +61,9 @@
 	// PromptTokens estimates how many prompt tokens were sent and are not
 	// prefilled yet.
 	PromptTokens float64
+	// MemoryTokens are the tokens of those requests, prompts and expected output, at
+	// engines whose memory is stated.
+	MemoryTokens float64
 }
 
 // target holds the state of one target.
@@ -69,6 +72,8 @@
 	own Load
 	// prefilling holds this node's requests whose prompts are being prefilled.
 	prefilling map[*Work]*pendingPrompt
+	// memory holds the tokens that count for each of this node's requests.
+	memory map[*Work]float64
 	// remote holds the loads from other nodes and zones.
 	remote map[string]remoteLoad
 	// prefillUpdatedAt is when the pending prompt tokens were last reduced by the
@@ -101,6 +106,7 @@
 	for _, l := range t.remote {
 		total.Requests += l.Requests
 		total.PromptTokens += l.PromptTokens
+		total.MemoryTokens += l.MemoryTokens
 	}
 	return total
 }
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -102,7 +102,7 @@
 // TargetLoad implements mesh.Listener.
 func (f *forwarder) TargetLoad(source, target string, use mesh.TargetUse) {
 	f.balancer.SetRemoteUse(source, target, balance.Use{
-		Load:  balance.Load{Requests: use.Requests, PromptTokens: float64(use.PromptTokens)},
+		Load:  balance.Load{Requests: use.Requests, PromptTokens: float64(use.PromptTokens), MemoryTokens: float64(use.MemoryTokens)},
 		Step:  time.Duration(use.StepMicros) * time.Microsecond,
 		Limit: float64(use.LimitMillis) / limitUnit, Brittle: use.Brittle, Report: decodeTargetReport(use.Report),
 	})
@@ -180,7 +180,7 @@
 		Node: s.GetNode().GetName(), Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Drain: s.GetBounds().GetDrain().AsDuration(), Logger: logger,
 		Publish: func(target string, own balance.Use) {
 			m.SetTarget(target, mesh.TargetUse{
-				Requests: own.Requests, PromptTokens: int(own.PromptTokens), StepMicros: int(own.Step.Microseconds()),
+				Requests: own.Requests, PromptTokens: int(own.PromptTokens), MemoryTokens: int(own.MemoryTokens), StepMicros: int(own.Step.Microseconds()),
 				LimitMillis: int(own.Limit * limitUnit), Brittle: own.Brittle, Report: encodeTargetReport(own.Report),
 			})
 		},
--- a/mesh/reports_test.go
+++ b/mesh/reports_test.go
@@ -66,6 +66,13 @@
 	is.Equal(latestReport(older, TargetReport{}), older)
 }
 
+func TestMemoryInUseSurvivesTheWire(t *testing.T) {
+	is := is.New(t)
+	s := newSums()
+	s.setTarget("i-1", TargetUse{Requests: 1, MemoryTokens: 7000})
+	is.Equal(newDecoder().use(newEncoder().use("", s.since(0))).targets["i-1"], TargetUse{Requests: 1, MemoryTokens: 7000})
+}
+
 func TestBuildsWithoutReportsReportNone(t *testing.T) {
 	is := is.New(t)
 	use := newDecoder().use(&schema.MeshUse{Targets: []*schema.MeshTarget{{Ref: 1, Id: "i-1", Requests: 3}}}).targets["i-1"]
