balance: requests that have just ended are not taken for those of other sources

A report may be as old as its response: the figures are those of the start of the request. When requests that ran together had ended, the last report showed them as requests that no node had sent, and the target counted as full. Reports are compared with the most requests that were known in the last 250 to 500 ms now.

The test failed before: 8 of 8 slots counted as taken with one request running.

--- a/balance/reported.go
+++ b/balance/reported.go
@@ -20,10 +20,52 @@
 
 func (e loadReported) apply(m *Manager, _ time.Time) {
 	if t, _ := m.target(e.id); t != nil {
-		t.reports.Observe(e.load, t.load().Requests, e.at)
+		t.observe(e.load, e.at)
 	}
 }
 
+// observe records a load that the target has reported. It may be the one at the start of the
+// request, and requests that have ended since are no requests of others.
+func (t *target) observe(l loadreport.Load, now time.Time) {
+	t.reports.Observe(l, max(t.load().Requests, t.recentRequests.max(now)), now)
+}
+
+// peakInterval is the time after which requests that have ended may no longer be part of a
+// report; they are part of it up to twice as long. Most first events and plain responses
+// come within it.
+const peakInterval = 250 * time.Millisecond
+
+// recentPeak is the largest of the values of a count in the last one to two intervals.
+type recentPeak struct {
+	// value is the present one, and current and previous are the largest ones of the
+	// interval from start on and of the one before.
+	value, current, previous int
+	start                    time.Time
+}
+
+// set sets the present value.
+func (p *recentPeak) set(value int, now time.Time) {
+	p.advance(now)
+	p.value, p.current = value, max(p.current, value)
+}
+
+func (p *recentPeak) max(now time.Time) int {
+	p.advance(now)
+	return max(p.current, p.previous)
+}
+
+func (p *recentPeak) advance(now time.Time) {
+	switch elapsed := now.Sub(p.start); {
+	case elapsed < peakInterval:
+		return
+	case elapsed < 2*peakInterval:
+		p.previous = p.current
+	default:
+		p.previous = p.value
+	}
+	p.current, p.start = p.value, now
+}
+
 // occupied returns how many requests count as being at the target: those of all nodes and
 // those that others have sent, as the target reports. Requests that were sent since the
 // report count on top of it.
--- a/balance/reported_test.go
+++ b/balance/reported_test.go
@@ -13,8 +13,7 @@
 )
 
 func (p *testPool) report(id string, l loadreport.Load) {
-	t := p.targets[id]
-	t.reports.Observe(l, t.load().Requests, p.now)
+	p.targets[id].observe(l, p.now)
 }
 
 // A target that shares its machine looked healthy until its streams had slowed down.
@@ -66,6 +65,22 @@
 	is.Equal(p.assignNow(), []string{"r>B"})
 }
 
+// A report that is as old as its response would show requests that have ended as those of
+// others.
+func TestRequestsThatHaveJustEndedAreNotThoseOfOthers(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(2 * time.Millisecond)
+	p.setFreeSlots("A", 0)
+	p.now = p.now.Add(10 * time.Second)
+	p.setFreeSlots("A", 7)
+	p.now = p.now.Add(100 * time.Millisecond)
+	p.report("A", loadreport.Load{Running: 8, Slots: 8})
+	is.Equal(p.targets["A"].occupied(p.now), 1)
+	p.now = p.now.Add(2 * peakInterval)
+	p.report("A", loadreport.Load{Running: 8, Slots: 8})
+	is.Equal(p.targets["A"].occupied(p.now), 8)
+}
+
 // All nodes that read the same report would send to the same target.
 func TestWhatWasSentSinceAReportCountsOnTopOfIt(t *testing.T) {
 	is := is.New(t)
--- a/balance/target.go
+++ b/balance/target.go
@@ -89,6 +89,8 @@
 	brittle brittleness
 	// reports is what the target reports of its load.
 	reports loadreport.Target
+	// recentRequests are the known requests at the target in the last moments.
+	recentRequests recentPeak
 	// leaving is set once the target has said that it leaves, and lastArrival is when the
 	// last request arrived that it may get nevertheless.
 	leaving     bool
@@ -124,7 +126,9 @@
 
 // updateFreed records when a full target gets a free slot.
 func (t *target) updateFreed(now time.Time) {
-	full := t.load().Requests >= t.Slots
+	requests := t.load().Requests
+	t.recentRequests.set(requests, now)
+	full := requests >= t.Slots
 	if t.full && !full {
 		t.freedAt = now
 	}
