--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -64,6 +64,17 @@
 	// RetryAfter is the time, in seconds, that an overloaded worker states in
 	// Retry-After; 0 is none.
 	RetryAfter float64
+	// Pace is how long work takes, in hundredths of the usual time, which the worker adds
+	// to its load reports; with 0 it takes as long as usual and is not reported.
+	Pace int
+}
+
+// slowed returns how long work takes that usually takes d.
+func (f Faults) slowed(d time.Duration) time.Duration {
+	if f.Pace == 0 {
+		return d
+	}
+	return d * time.Duration(f.Pace) / 100
 }
 
 // Arrival is one request that reached the worker.
@@ -271,7 +282,7 @@
 	case w.Events > 0:
 		w.serveStream(rw, r, f)
 	default:
-		time.Sleep(w.ServiceTime)
+		time.Sleep(f.slowed(w.ServiceTime))
 		fmt.Fprintf(rw, "answer to %s", id)
 	}
 }
@@ -325,7 +336,11 @@
 	w.running++
 	w.runCounts[id]++
 	w.teamByID[id] = team
-	return w.faults, fmt.Sprintf("%d,0,%d", w.running, w.Slots)
+	load := fmt.Sprintf("%d,0,%d", w.running, w.Slots)
+	if w.faults.Pace > 0 {
+		load += fmt.Sprintf(",%d", w.faults.Pace)
+	}
+	return w.faults, load
 }
 
 // refusedWithin returns how many requests the worker has turned away in the last time. The
@@ -360,7 +375,7 @@
 		if f.CutAfter > 0 && id > f.CutAfter {
 			panic(http.ErrAbortHandler)
 		}
-		pause := w.ServiceTime
+		pause := f.slowed(w.ServiceTime)
 		if f.SilentAfter > 0 && id == f.SilentAfter+1 {
 			pause += f.Silence
 		}
