--- a/balance/grant.go
+++ b/balance/grant.go
@@ -80,6 +80,10 @@
 	Load Load
 	// Step is the step time of the target; 0 if the service has no engines.
 	Step time.Duration
+	// Pace is the factor by which the target was slower than learned, as it reported, 0 if
+	// unknown, and Extra counts the requests that others were reported to have there.
+	Pace  float64
+	Extra int
 }
 
 // Grant is the permission to send one request to one target. Its methods are
--- a/balance/score.go
+++ b/balance/score.go
@@ -47,10 +47,12 @@
 	load Load
 	step time.Duration
 	pace float64
+	// extra counts the requests that others were reported to have there.
+	extra int
 }
 
 func (c choice) prediction() Prediction {
-	return Prediction{Expected: c.expected, Load: c.load, Step: c.step}
+	return Prediction{Expected: c.expected, Load: c.load, Step: c.step, Pace: c.pace, Extra: c.extra}
 }
 
 // location holds this node's zone and the region of each zone.
@@ -76,7 +78,7 @@
 	if p.engine != nil {
 		t.advancePrefill(now, p.engine)
 	}
-	c := choice{target: t, config: t.Target, load: t.load(), onTime: true, completes: true, pace: 1}
+	c := choice{target: t, config: t.Target, load: t.load(), onTime: true, completes: true, pace: 1, extra: t.reports.Extra(now, t.Slots)}
 	networkCost := here.networkCost(t.Zone)
 	if p.engine == nil {
 		c.pace = t.reports.Factor(now, 0)
--- a/balance/status.go
+++ b/balance/status.go
@@ -11,6 +11,12 @@
 	// Slots counts the slots of the available targets, InUse the requests of all
 	// nodes in flight there.
 	Slots, InUse int
+	// Pace is the mean factor by which the available targets are slower than learned, as
+	// they report, and Extra counts the requests of other sources there. MemoryTokens are
+	// the tokens of the requests of all nodes there.
+	Pace         float64
+	Extra        int
+	MemoryTokens float64
 	Targets      []TargetStatus
 	// Waiting counts this node's waiting requests by tier.
 	Waiting map[int]int
@@ -46,11 +52,16 @@
 	var list []PoolStatus
 	for _, p := range m.pools {
 		s := PoolStatus{Service: p.name, Waiting: make(map[int]int)}
+		available := 0
 		for _, t := range p.targets {
 			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Draining: t.leaves(), Load: t.load()})
 			if !t.leaves() && !t.health.inBackoff(now) {
 				s.Slots += t.Slots
 				s.InUse += t.load().Requests
+				s.Extra += t.reports.Extra(now, t.Slots)
+				s.MemoryTokens += t.load().MemoryTokens
+				available++
+				s.Pace += (t.reports.Factor(now, 0) - s.Pace) / float64(available)
 			}
 		}
 		for _, w := range p.waiting {
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -3,10 +3,12 @@
 import (
 	"math"
 
+	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/loadreport"
 	"github.com/primrosemoor/primrosemoor/mesh"
 	"github.com/primrosemoor/primrosemoor/owner"
+	"github.com/primrosemoor/primrosemoor/telemetry"
 )
 
 // pacePercent is the number of units of mesh.TargetReport.PacePercent in the usual pace.
@@ -30,3 +32,23 @@
 func decodeTargetReport(r mesh.TargetReport) loadreport.Report {
 	return loadreport.Report{Pace: float64(r.PacePercent) / pacePercent, Extra: r.Extra, At: r.At}
 }
+
+func (l *lifecycle) pace() []telemetry.Gauge {
+	return l.poolGauges(func(p balance.PoolStatus) float64 { return p.Pace })
+}
+
+func (l *lifecycle) extra() []telemetry.Gauge {
+	return l.poolGauges(func(p balance.PoolStatus) float64 { return float64(p.Extra) })
+}
+
+func (l *lifecycle) memoryTokens() []telemetry.Gauge {
+	return l.poolGauges(func(p balance.PoolStatus) float64 { return p.MemoryTokens })
+}
+
+// poolGauges returns a figure of each service.
+func (l *lifecycle) poolGauges(value func(balance.PoolStatus) float64) (gauges []telemetry.Gauge) {
+	for _, p := range l.poolStatus() {
+		gauges = append(gauges, telemetry.Gauge{Service: p.Service, Tier: -1, Value: value(p)})
+	}
+	return gauges
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -46,6 +46,9 @@
 		{"store.era", "How often the store has come back from an older copy, as it counts.", l.storeEra},
 		{"targets.slots", "Slots of the targets that may be used, by service.", l.slots},
 		{"targets.taken", "Requests that all nodes have outstanding at those targets, by service.", l.inFlight},
+		{"targets.pace", "Mean factor by which those targets are slower than learned, as they report, by service.", l.pace},
+		{"targets.extra", "Requests of other sources at those targets, as these report, by service.", l.extra},
+		{"targets.memory.tokens", "Tokens of the requests that all nodes have outstanding at those targets, by service.", l.memoryTokens},
 	} {
 		if err := l.Metrics.ObserveGauge(g.name, g.description, g.values); err != nil {
 			return err
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -25,6 +25,9 @@
 	if x.call.Resumes != "" {
 		entry.Str("resumes", x.call.Resumes).Str("after_event", x.call.LastEventID)
 	}
+	if p := grant.Prediction; p.Pace > 0 && p.Pace != 1 || p.Extra > 0 {
+		entry.Float64("pace", p.Pace).Int("extra", p.Extra)
+	}
 	entry.Dur("waited", waited).Dur("expected", grant.Prediction.Expected).Dur("step", grant.Prediction.Step).
 		Int("running", grant.Prediction.Load.Requests).Float64("backlog_tokens", grant.Prediction.Load.PromptTokens).
 		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Str("team", x.teamName()).Msg("")
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -133,6 +133,7 @@
 		Number: number, Target: g.Target.ID, Service: g.Target.Service, Address: g.Target.Address, Zone: g.Target.Zone,
 		Started: g.Target.Started, Version: g.Target.Version, ExpectedMicros: g.Prediction.Expected.Microseconds(),
 		Requests: uint32(g.Prediction.Load.Requests), PromptTokens: g.Prediction.Load.PromptTokens, StepMicros: g.Prediction.Step.Microseconds(),
+		PacePercent: uint32(g.Prediction.Pace * percent), ExtraRequests: uint32(g.Prediction.Extra),
 	}
 }
 
@@ -140,6 +141,7 @@
 	return balance.Prediction{
 		Expected: micros(g.GetExpectedMicros()), Step: micros(g.GetStepMicros()),
 		Load: balance.Load{Requests: int(g.GetRequests()), PromptTokens: g.GetPromptTokens()},
+		Pace: float64(g.GetPacePercent()) / percent, Extra: int(g.GetExtraRequests()),
 	}
 }
 
