balance: reports hold a request back for 100 ms at most

If all targets report that they are full, or so slow that no request can be on time, requests waited until they were refused, although the nodes knew of free slots. False reports must not cost more than today, and while all slots are in use, what other zones have just sent looks like requests of others.

After 100 ms a request is judged by the nodes' own counts and the learned speed. The test failed without the change: no request was placed.

--- a/balance/filter.go
+++ b/balance/filter.go
@@ -17,6 +17,9 @@
 	// leaving are those that have said that they leave, if all targets leave or cannot be
 	// reached.
 	leaving []*target
+	// reportedFull are those that have a free slot as far as the nodes know, but not as they
+	// report.
+	reportedFull []*target
 	// slots and taken count all slots of the available targets and those in use.
 	slots, taken int
 	// exhausted reports whether a target takes no request now: its limit allows none, or it
@@ -58,6 +61,8 @@
 		c.slots += slots
 		c.taken += min(requests, slots)
 		switch {
+		case requests >= slots && t.load().Requests < slots && !t.health.suspect(now) && !c.exhausted(t) && (ignoreOverdue || !t.overdue(now)):
+			c.reportedFull = append(c.reportedFull, t)
 		case requests >= slots || !ignoreOverdue && t.overdue(now):
 		case t.health.suspect(now):
 			c.suspects = append(c.suspects, t)
@@ -77,6 +82,9 @@
 // it.
 func (c *capacity) addRequest(t *target) {
 	c.taken++
+	if t.load().Requests >= t.usableSlots() || c.exhausted(t) {
+		c.reportedFull = slices.DeleteFunc(c.reportedFull, func(other *target) bool { return other == t })
+	}
 	if t.occupied(c.now) < t.usableSlots() && !c.exhausted(t) {
 		return
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -26,6 +26,11 @@
 	if best, ok := p.best(c.suspects, w, now, here, c, reserve); ok {
 		return best, true
 	}
+	if !waitsForReports(w, now) {
+		if best, ok := p.best(c.reportedFull, w, now, here, c, reserve); ok {
+			return best, true
+		}
+	}
 	return p.best(c.leaving, w, now, here, c, reserve)
 }
 
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -119,7 +119,7 @@
 			reserve = queues.reserveTime(p.name, w.work.Tier, counts[w.work.Tier])
 		}
 		c, ok := p.pick(w.work, now, here, &free, reserve)
-		if ok && (c.onTime || w.late) {
+		if ok && (c.onTime || w.late || c.onTimeAsLearned && !waitsForReports(w.work, now)) {
 			c.target.addRequest(w.work, now, c.expected)
 			c.target.holdMemory(w.work, p.memoryTokens(w.work))
 			free.addRequest(c.target)
--- a/balance/reported.go
+++ b/balance/reported.go
@@ -66,6 +66,15 @@
 	p.current, p.start = p.value, now
 }
 
+// maxReportedWait is how long a request waits because targets with a free slot have reported
+// that they are full or slow. Then it is judged by the nodes' own counts and the learned
+// speed, so that false reports cost no more, and neither do requests that other zones have
+// just sent and that look like those of others. Figures change many times within that time.
+const maxReportedWait = 100 * time.Millisecond
+
+// waitsForReports reports whether what targets report may still hold a request back.
+func waitsForReports(w *Work, now time.Time) bool { return now.Sub(w.Arrived) < maxReportedWait }
+
 // occupied returns how many requests count as being at the target: those of all nodes and
 // those that others have sent, as the target reports. Requests that were sent since the
 // report count on top of it.
--- a/balance/reported_test.go
+++ b/balance/reported_test.go
@@ -65,6 +65,27 @@
 	is.Equal(p.assignNow(), []string{"r>B"})
 }
 
+// False reports of all targets must not cost more than a short wait: the requests would be
+// refused while all slots are free.
+func TestRequestsWaitOnlyShortlyBecauseOfReports(t *testing.T) {
+	for name, load := range map[string]loadreport.Load{"full": {Running: 1000, Slots: 8}, "slow": {Slots: 8, Pace: 400}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTestPool(4*time.Millisecond, 4*time.Millisecond)
+			report := func() {
+				p.report("A", load)
+				p.report("B", load)
+			}
+			p.enqueue(p.work("r", 0, func(w *Work) { w.PromptTokens, w.Goal = 15_000, p.now.Add(800*time.Millisecond) }))
+			report()
+			is.Equal(len(p.assignNow()), 0)
+			p.now = p.now.Add(maxReportedWait)
+			report()
+			is.Equal(len(p.assignNow()), 1)
+		})
+	}
+}
+
 // A report that is as old as its response would show requests that have ended as those of
 // others.
 func TestRequestsThatHaveJustEndedAreNotThoseOfOthers(t *testing.T) {
--- a/balance/score.go
+++ b/balance/score.go
@@ -41,6 +41,8 @@
 	// onTime says whether the goal is expected to be met, completes whether the
 	// response is expected to end before the caller gives up.
 	onTime, completes bool
+	// onTimeAsLearned says whether the goal is expected to be met at the learned speed.
+	onTimeAsLearned bool
 	// load and step are the load and the step time of the target when it was
 	// chosen, and pace the factor by which its reports said that it was slower than
 	// learned.
@@ -89,6 +91,7 @@
 	}
 	step := p.engine.stepSeconds(t)
 	c.expected = p.engine.timeToFirstEvent(t, c.load.PromptTokens, w.PromptTokens)
+	c.onTimeAsLearned = now.Add(time.Duration(predictionMargin*float64(c.expected)) + networkCost).Before(w.Goal)
 	c.pace = t.reports.Factor(now, c.expected)
 	c.expected = time.Duration(c.pace * float64(c.expected))
 	c.step = seconds(c.pace * step)
