entry: only the owner of a zone reports requests of others

In a zone of 8 nodes or more a member knows only its own requests at a target. When it chose one itself, for a request that only one target may get, it would have told the other zones all requests of its zone as requests of others, which these count already. Found in review; the new test states it.

--- a/entry/loads.go
+++ b/entry/loads.go
@@ -23,10 +23,17 @@
 	l.Manager.RecordLoad(target, loadreport.Load(load))
 }
 
-func encodeTargetReport(r loadreport.Report) mesh.TargetReport {
+// encodeTargetReport returns a report as other nodes are told it. A node that does not own its
+// zone may not know what the others of a large zone have sent, and would report that as the
+// requests of others.
+func encodeTargetReport(r loadreport.Report, ownsZone bool) mesh.TargetReport {
 	// Beyond its bounds a pace counts as these.
 	pace := math.Round(min(r.Pace, loadreport.MaxPace) * pacePercent)
-	return mesh.TargetReport{PacePercent: int(pace), Extra: r.Extra, At: r.At}
+	report := mesh.TargetReport{PacePercent: int(pace), At: r.At}
+	if ownsZone {
+		report.Extra = r.Extra
+	}
+	return report
 }
 
 func decodeTargetReport(r mesh.TargetReport) loadreport.Report {
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -181,7 +181,7 @@
 		Publish: func(target string, own balance.Use) {
 			m.SetTarget(target, mesh.TargetUse{
 				Requests: own.Requests, PromptTokens: int(own.PromptTokens), MemoryTokens: int(own.MemoryTokens), StepMicros: int(own.Step.Microseconds()),
-				LimitMillis: int(own.Limit * limitUnit), Brittle: own.Brittle, Report: encodeTargetReport(own.Report),
+				LimitMillis: int(own.Limit * limitUnit), Brittle: own.Brittle, Report: encodeTargetReport(own.Report, m.Owner().Name == s.GetNode().GetName()),
 			})
 		},
 		PublishSend:  func(target string) { m.Book(targetBooking+target, 1, nil) },
