--- a/balance/reported_test.go
+++ b/balance/reported_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,6 +120,26 @@
 	is.Equal(p.targets["B"].occupied(p.now), b)
 }
 
+// The owners of many zones read the same reports at the same time.
+func TestZonesThatReadTheSameReportDoNotAllSendToTheSameTarget(t *testing.T) {
+	is := is.New(t)
+	const zones, targets = 300, 10
+	atFastest := 0
+	for range zones {
+		p := newTestPool(slices.Repeat([]time.Duration{2 * time.Millisecond}, targets)...)
+		for _, t := range p.targets {
+			t.Zone = "b"
+		}
+		p.report("A", loadreport.Load{Slots: 8, Pace: 0.5})
+		p.enqueue(p.work("r", 0, nil))
+		if p.assignNow()[0] == "r>A" {
+			atFastest++
+		}
+	}
+	is.True(atFastest > zones/targets)                         // It counts.
+	is.True(atFastest < zones*3/2*otherZoneCandidates/targets) // Most did not compare it.
+}
+
 // The others' prefill times would be learned from what only this target reports.
 func TestReportedPaceIsNotLearnedForTheService(t *testing.T) {
 	is := is.New(t)
