--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,8 @@
 	RecordBrittle(target string, brittle bool)
 }
 
-// TargetLoads learns the loads that targets report in their responses.
+// TargetLoads learns the loads that targets report in their responses. Without one they are
+// not used.
 type TargetLoads interface {
 	// RecordLoad records the load that a target has just reported.
 	RecordLoad(target string, load TargetLoad)
@@ -102,13 +103,12 @@
 	Culprits    Culprits
 	Prober      Prober
 	Limits      TargetLimits
-	// Loads is nil if the loads that targets report are not used.
-	Loads   TargetLoads
-	Signals TargetSignals
-	Streams Streams
-	Links   Links
-	Metrics Metrics
-	Logger  *log.Logger
+	Loads       TargetLoads
+	Signals     TargetSignals
+	Streams     Streams
+	Links       Links
+	Metrics     Metrics
+	Logger      *log.Logger
 	// HeldBytes bounds the bytes of answers that all requests together hold back, and
 	// BodyBytes those of their bodies.
 	HeldBytes, BodyBytes int
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -14,7 +14,9 @@
 	reports map[reportKey]sentReport
 }
 
-func newEncoder() *encoder { return &encoder{refs: make(map[string]uint32), reports: make(map[reportKey]sentReport)} }
+func newEncoder() *encoder {
+	return &encoder{refs: make(map[string]uint32), reports: make(map[reportKey]sentReport)}
+}
 
 // ref returns the ref of an id, and the id itself if it is new on the stream.
 func (e *encoder) ref(id string) (uint32, string) {
