--- a/balance/grant.go
+++ b/balance/grant.go
@@ -80,6 +80,10 @@
 	Load Load
 	// Step is the step time of the target; 0 if the service has no engines.
 	Step time.Duration
+	// Pace is the factor by which the target was slower than learned, as it reported, 0 if
+	// unknown, and Extra counts the requests that others were reported to have there.
+	Pace  float64
+	Extra int
 }
 
 // Grant is the permission to send one request to one target. Its methods are
@@ -125,8 +129,10 @@
 	manager *Manager
 	work    *Work
 	target  *target
-	// load is the load of the target when it was chosen.
+	// load is the load of the target when it was chosen, and pace the factor by which it
+	// was slower than learned; 0 if unknown.
 	load Load
+	pace float64
 }
 
 // FirstEvent implements Reporter.
@@ -153,7 +159,7 @@
 	}
 	t.advancePrefill(now, p.engine)
 	t.finishPrefill(e.request.work)
-	p.engine.learnPrefill(t, e.request.load.PromptTokens, e.request.work.PromptTokens, e.after)
+	p.engine.learnPrefill(t, e.request.load.PromptTokens, e.request.work.PromptTokens, e.request.atLearnedPace(e.after))
 	t.health.recordSuccess()
 	t.endTrial(e.request.work, true, now)
 	m.publish(t)
@@ -170,7 +176,7 @@
 	p, t := m.pools[e.request.work.Service], e.request.target
 	if p != nil && p.engine != nil && t != nil {
 		t.advancePrefill(now, p.engine)
-		p.engine.learnStep(t, e.sample)
+		p.engine.learnSpeed(t, e.sample, now)
 	}
 }
 
@@ -192,12 +198,13 @@
 	t.own.Requests--
 	overdue := t.isOverdue(e.request.work, now)
 	t.finishPrefill(e.request.work)
+	t.releaseMemory(e.request.work)
 	t.updateFreed(now)
 	t.endTrial(e.request.work, e.result == Answered || e.result == Failed, now)
 	if p.engine != nil {
 		t.advancePrefill(now, p.engine)
-		p.engine.learnStep(t, e.sample)
-		p.engine.learnSlowdown(t, e.sample)
+		p.engine.learnSpeed(t, e.sample, now)
+		p.engine.learnSlowdown(t, t.atLearnedPace(e.sample, now))
 		if e.result == Answered {
 			p.engine.learnLengths(e.request.work.Route, e.request.work.PromptTokens, float64(e.sample.Gaps+1)*p.engine.eventTokens)
 		}
@@ -261,6 +268,7 @@
 		expected = p.engine.timeToFirstEvent(t, e.request.load.PromptTokens, e.request.work.PromptTokens)
 	}
 	t.addRequest(e.request.work, now, expected)
+	t.holdMemory(e.request.work, p.memoryTokens(e.request.work))
 	if e.firstEventSeen {
 		t.finishPrefill(e.request.work)
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -26,6 +26,11 @@
 	if best, ok := p.best(c.suspects, w, now, here, c, reserve); ok {
 		return best, true
 	}
+	if !waitsForReports(w, now) {
+		if best, ok := p.best(c.reportedFull, w, now, here, c, reserve); ok {
+			return best, true
+		}
+	}
 	return p.best(c.leaving, w, now, here, c, reserve)
 }
 
@@ -40,6 +45,9 @@
 		if t.reserved(now) && !p.occupiesLong(w) {
 			continue
 		}
+		if !p.hasMemory(t, w, now) {
+			continue
+		}
 		if c := p.score(t, w, now, here, squaredUtilization); c.better(best) {
 			best = c
 		}
--- a/balance/preview.go
+++ b/balance/preview.go
@@ -45,6 +45,7 @@
 	ExcludedOverdue  Exclusion = "overdue"
 	ExcludedLimit    Exclusion = "limit"
 	ExcludedFull     Exclusion = "full"
+	ExcludedMemory   Exclusion = "memory"
 	ExcludedReserved Exclusion = "reserved"
 )
 
@@ -96,7 +97,7 @@
 	if preview.Refusal != nil || preview.Ahead > 0 {
 		return preview
 	}
-	if c, ok := p.pick(w, now, here, &free, reserve); ok && (c.onTime || p.late(w, now)) {
+	if c, ok := p.pick(w, now, here, &free, reserve); ok && (c.onTime || p.late(w, now) || c.onTimeAsLearned && !waitsForReports(w, now)) {
 		preview.Target = c.target.ID
 	}
 	return preview
@@ -139,10 +140,12 @@
 		return ExcludedPaused
 	case free.exhausted(t):
 		return ExcludedLimit
-	case t.load().Requests >= t.usableSlots():
+	case t.occupied(now) >= t.usableSlots():
 		return ExcludedFull
 	case !listed(free.sameZone) && !listed(free.otherZones) && !listed(free.suspects) && !listed(free.leaving):
 		return ExcludedOverdue
+	case !p.hasMemory(t, w, now):
+		return ExcludedMemory
 	case !eligible(t, w, now, p.slotReserveTime(t, here, reserve)) || t.reserved(now) && !p.occupiesLong(w):
 		return ExcludedReserved
 	default:
--- a/balance/target.go
+++ b/balance/target.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/loadreport"
 )
 
 // Work is one request that needs a target.
@@ -62,6 +63,9 @@
 	// PromptTokens estimates how many prompt tokens were sent and are not
 	// prefilled yet.
 	PromptTokens float64
+	// MemoryTokens are the tokens of those requests, prompts and expected output, at
+	// engines whose memory is stated.
+	MemoryTokens float64
 }
 
 // target holds the state of one target.
@@ -70,6 +74,8 @@
 	own Load
 	// prefilling holds this node's requests whose prompts are being prefilled.
 	prefilling map[*Work]*pendingPrompt
+	// memory holds the tokens that count for each of this node's requests.
+	memory map[*Work]float64
 	// remote holds the loads from other nodes and zones.
 	remote map[string]remoteLoad
 	// prefillUpdatedAt is when the pending prompt tokens were last reduced by the
@@ -83,6 +89,10 @@
 	health  health
 	rate    rateLimit
 	brittle brittleness
+	// reports is what the target reports of its load.
+	reports loadreport.Target
+	// recentRequests are the known requests at the target in the last moments.
+	recentRequests recentPeak
 	// leaving is set once the target has said that it leaves, and lastArrival is when the
 	// last request arrived that it may get nevertheless.
 	leaving     bool
@@ -100,6 +110,7 @@
 	for _, l := range t.remote {
 		total.Requests += l.Requests
 		total.PromptTokens += l.PromptTokens
+		total.MemoryTokens += l.MemoryTokens
 	}
 	return total
 }
@@ -117,7 +128,9 @@
 
 // updateFreed records when a full target gets a free slot.
 func (t *target) updateFreed(now time.Time) {
-	full := t.load().Requests >= t.Slots
+	requests := t.load().Requests
+	t.recentRequests.set(requests, now)
+	full := requests >= t.Slots
 	if t.full && !full {
 		t.freedAt = now
 	}
@@ -222,7 +235,7 @@
 	if elapsed <= 0 || engine == nil || total <= 0 {
 		return
 	}
-	remainingShare := max(0, 1-elapsed.Seconds()*engine.prefillRate(t)/total)
+	remainingShare := max(0, 1-elapsed.Seconds()*engine.prefillRate(t)/t.reports.Factor(now, 0)/total)
 	for _, p := range t.prefilling {
 		p.remaining = max(p.remaining*remainingShare, p.tokens*minPendingShare)
 	}
--- a/ctl/where.go
+++ b/ctl/where.go
@@ -68,14 +68,14 @@
 		outcome = fmt.Sprintf("it would wait behind %d requests", r.GetAhead())
 	}
 	fmt.Fprintf(a.Stdout, "decided by %s, route %q, service %s, tier %d: %s\n\n", r.GetNode(), r.GetRoute(), r.GetService(), r.GetTier(), outcome)
-	t := table{header: []string{"TARGET", "ZONE", "STATE", "IN FLIGHT", "SLOTS", "PENDING TOKENS", "STEP", "EXPECTED", "COST", "ON TIME"}}
+	t := table{header: []string{"TARGET", "ZONE", "STATE", "IN FLIGHT", "SLOTS", "PENDING TOKENS", "STEP", "PACE", "EXPECTED", "COST", "ON TIME"}}
 	for _, x := range r.GetTargets() {
 		state := "usable"
 		if x.GetExcluded() != "" {
 			state = "not used: " + x.GetExcluded()
 		}
 		t.add(x.GetId(), x.GetAvailabilityZone(), state, x.GetRequests(), x.GetSlots(), fmt.Sprintf("%.0f", x.GetPromptTokens()),
-			micros(x.GetStepMicros()), micros(x.GetExpectedMicros()), micros(x.GetCostMicros()), x.GetOnTime())
+			micros(x.GetStepMicros()), fmt.Sprintf("%d%%", x.GetPacePercent()), micros(x.GetExpectedMicros()), micros(x.GetCostMicros()), x.GetOnTime())
 	}
 	return t.write(a.Stdout)
 }
--- a/entry/where.go
+++ b/entry/where.go
@@ -39,7 +39,7 @@
 			Id: t.ID, AvailabilityZone: t.Zone, Excluded: string(t.Excluded), Slots: uint32(t.Slots),
 			Requests: uint32(t.Prediction.Load.Requests), PromptTokens: t.Prediction.Load.PromptTokens,
 			ExpectedMicros: t.Prediction.Expected.Microseconds(), CostMicros: t.Cost.Microseconds(), OnTime: t.OnTime,
-			StepMicros: t.Prediction.Step.Microseconds(),
+			StepMicros: t.Prediction.Step.Microseconds(), PacePercent: uint32(t.Prediction.Pace * percent),
 		})
 	}
 	return reply, nil
@@ -48,6 +48,9 @@
 // serviceTimeLimit is the time limit of a request that is described by its service only.
 const serviceTimeLimit = 10 * time.Second
 
+// percent is the number of units of a pace in the usual one.
+const percent = 100
+
 // describedWork returns the work of a request that is described by its host and path, or by
 // its service. Of a route with several services the one with the highest weight counts.
 func describedWork(table *catalog.Table, q *schema.WhereRequest, now time.Time) (*balance.Work, error) {
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -103,9 +103,9 @@
 // TargetLoad implements mesh.Listener.
 func (f *forwarder) TargetLoad(source, target string, use mesh.TargetUse) {
 	f.balancer.SetRemoteUse(source, target, balance.Use{
-		Load:  balance.Load{Requests: use.Requests, PromptTokens: float64(use.PromptTokens)},
+		Load:  balance.Load{Requests: use.Requests, PromptTokens: float64(use.PromptTokens), MemoryTokens: float64(use.MemoryTokens)},
 		Step:  time.Duration(use.StepMicros) * time.Microsecond,
-		Limit: float64(use.LimitMillis) / limitUnit, Brittle: use.Brittle,
+		Limit: float64(use.LimitMillis) / limitUnit, Brittle: use.Brittle, Report: decodeTargetReport(use.Report),
 	})
 }
 
@@ -191,8 +191,8 @@
 		Node: s.GetNode().GetName(), Zone: s.GetNode().GetAvailabilityZone(), Regions: regions, Drain: s.GetBounds().GetDrain().AsDuration(), Logger: logger,
 		Publish: func(target string, own balance.Use) {
 			m.SetTarget(target, mesh.TargetUse{
-				Requests: own.Requests, PromptTokens: int(own.PromptTokens), StepMicros: int(own.Step.Microseconds()),
-				LimitMillis: int(own.Limit * limitUnit), Brittle: own.Brittle,
+				Requests: own.Requests, PromptTokens: int(own.PromptTokens), MemoryTokens: int(own.MemoryTokens), StepMicros: int(own.Step.Microseconds()),
+				LimitMillis: int(own.Limit * limitUnit), Brittle: own.Brittle, Report: encodeTargetReport(own.Report, m.Owner().Name == s.GetNode().GetName()),
 			})
 		},
 		PublishSend:  func(target string) { m.Book(targetBooking+target, 1, nil) },
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,13 @@
 	RecordBrittle(target string, brittle bool)
 }
 
+// TargetLoads learns the loads that targets report in their responses. Without one they are
+// not used.
+type TargetLoads interface {
+	// RecordLoad records the load that a target has just reported.
+	RecordLoad(target string, load TargetLoad)
+}
+
 // TargetSignals learns what targets ask of this node in their responses.
 type TargetSignals interface {
 	// RecordSignal records what a target asked of this node.
@@ -96,6 +103,7 @@
 	Culprits    Culprits
 	Prober      Prober
 	Limits      TargetLimits
+	Loads       TargetLoads
 	Signals     TargetSignals
 	Streams     Streams
 	Links       Links
