gateway: refund requests that no target has run

Callers whose request was refused, timed out in the queue, or who left while it waited, had it charged to their team all the same; when they came back, it was charged again and the team got 429 within its limit.

The gateway refunds a charge once, when the request ends and before the caller is told, if no byte of it may have reached a target that has not stated that it did not run it. request_ended names the refunded amount (returned), and the counter limits_returned_total sums it by service and tier.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,6 +43,7 @@
 	x.startStandby(ctx, grant.Target.ID, cancel, x.possibleRuns+1)
 	defer x.endStandby()
 	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
+	x.sending = true
 	resp, err := x.gateway.Sender.Send(attemptCtx, address, x.targetRequest(grant, x.lastEventID()))
 	if err != nil {
 		return x.handleSendError(ctx, grant, err)
@@ -53,9 +54,11 @@
 	x.recordInfo(grant.Target, info)
 	x.targetInfo = info
 	if info.NotRun {
+		x.sending = false
 		return x.handleNotRun(ctx, grant, resp)
 	}
 	x.possibleRuns++
+	x.sending = false
 	return x.relay(ctx, grant, resp, info)
 }
 
@@ -147,6 +150,7 @@
 		x.sends++
 		x.possibleRuns++
 	}
+	x.sending = false
 	if ctx.Err() != nil {
 		grant.Done(balance.Abandoned)
 		// Another target may have got the request meanwhile.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,6 +36,10 @@
 	// those that may have run it.
 	sends, possibleRuns int
 	tried               []string
+	// charge is what the request has taken of its team's limit; sending is set from the
+	// start of a send until it is known whether the target may have run the request.
+	charge  charge
+	sending bool
 	// spare is a target that was asked while another one was silent, and cancelled when
 	// that went on. It counts among possibleRuns, so that it may be asked again when no
 	// further target may; empty if there is none.
@@ -160,24 +164,6 @@
 	return nil
 }
 
-// takeAllowance charges the request to its team's limit.
-func (x *exchange) takeAllowance() *errorResponse {
-	if x.team == nil || x.team.Rate <= 0 {
-		return nil
-	}
-	amount := 1.0
-	if x.team.ByTokens {
-		amount = x.team.DefaultTokens
-		if x.call.HasTokens {
-			amount = float64(x.call.PromptTokens + x.call.OutputTokens)
-		}
-	}
-	if retryAfter, ok := x.gateway.Allowance.Take(x.team, amount); !ok {
-		return errLimitExceeded(retryAfter)
-	}
-	return nil
-}
-
 // run sends the request to targets until one has responded or no retry is
 // allowed.
 func (x *exchange) run() {
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -248,6 +249,25 @@
 	retryAfter time.Duration
 	mu         sync.Mutex
 	amount     float64
+	returned   []refund
+}
+
+// refund is a charge that was refunded.
+type refund struct {
+	amount  float64
+	charged time.Time
+}
+
+func (a *fakeAllowance) Return(_ *catalog.Team, amount float64, charged time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.returned = append(a.returned, refund{amount, charged})
+}
+
+func (a *fakeAllowance) refunds() []refund {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.returned)
 }
 
 func (a *fakeAllowance) Take(_ *catalog.Team, amount float64) (time.Duration, bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	// Take charges an amount to a team. If the team is over its limit, it charges
 	// nothing and returns how long to wait before trying again.
 	Take(team *catalog.Team, amount float64) (retryAfter time.Duration, ok bool)
+	// Return refunds a charge, at all nodes. charged is when it was taken.
+	Return(team *catalog.Team, amount float64, charged time.Time)
 }
 
 // RetryBudget bounds the retries of a service.
@@ -164,6 +166,7 @@
 		call:    g.HeaderCodec.Read(r.Header),
 	}
 	defer func() { x.bodyHeld.release() }()
+	defer x.returnCharge()
 	if errResp := x.admit(); errResp != nil {
 		x.sendError(errResp)
 		return
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -108,7 +108,8 @@
 // recordEnd records the end of the request in the metrics and an entry of the log, with the
 // error that led to it, if any.
 func (x *exchange) recordEnd(entry *log.Entry, cause string, status int, err error) {
-	x.recordMetrics(cause, status)
+	returned := x.returnCharge()
+	x.recordMetrics(cause, status, returned)
 	entry.Str("event", "request_ended").Str("request", x.call.ID).Str("cause", cause).
 		Int("status", status).Int("sends", x.sends).Int("ran", x.possibleRuns).Dur("after", time.Since(x.arrived)).
 		Int("prompt_tokens", x.call.PromptTokens).Int("hint", x.call.LengthHint).Dur("limit", x.call.Timeout)
@@ -118,6 +119,9 @@
 	if !x.firstEventAt.IsZero() {
 		entry.Dur("first", x.firstEventAt.Sub(x.arrived)).Dur("longest_pause", x.longestPause).Int("events", x.eventCount)
 	}
+	if returned > 0 {
+		entry.Float64("returned", returned)
+	}
 	x.logTargetInfo(entry)
 	if err != nil {
 		entry.Err(err)
@@ -138,8 +142,8 @@
 	}
 }
 
-func (x *exchange) recordMetrics(cause string, status int) {
-	e := telemetry.EndedRequest{Service: x.service, Cause: cause, Tier: x.tier(), Status: status}
+func (x *exchange) recordMetrics(cause string, status int, returned float64) {
+	e := telemetry.EndedRequest{Service: x.service, Cause: cause, Tier: x.tier(), Status: status, Returned: returned}
 	if x.route != nil {
 		e.Kind = x.route.Kind.String()
 	}
--- a/telemetry/entry.go
+++ b/telemetry/entry.go
@@ -20,7 +20,7 @@
 	*exporter
 	requests, dispatches, retries   metric.Int64Counter
 	storeCalls, dials, droppedLines metric.Int64Counter
-	callersClosed                   metric.Int64Counter
+	callersClosed, returned         metric.Int64Counter
 	firstResponse, queueTime        metric.Float64Histogram
 }
 
@@ -41,6 +41,7 @@
 		{&t.storeCalls, "store.calls", "Calls to the platform's store, by call and status; 0 is no answer."},
 		{&t.dials, "upstream.connections", "New connections to targets."},
 		{&t.droppedLines, "log.dropped.lines", "Log lines that were not written, by event."},
+		{&t.returned, "limits.returned", "What was charged to teams and refunded as no target ran the request, by service and tier, in the limits' units."},
 		{&t.callersClosed, "callers.closed", "Connections of callers that this node closed, by reason."},
 	} {
 		if *c.counter, err = e.meter.Int64Counter(namePrefix+c.name, metric.WithDescription(c.description)); err != nil {
@@ -70,6 +71,8 @@
 	// FirstResponse is the time from the arrival to the response or to the first
 	// event of a stream, or 0 if there was none.
 	FirstResponse time.Duration
+	// Returned is what was refunded to the request's team, as no target ran it.
+	Returned float64
 }
 
 // RequestEnded records one request that has ended.
@@ -77,6 +80,9 @@
 	tier := strconv.Itoa(r.Tier)
 	result := t.seriesFor(labels{kind: r.Kind, service: r.Service, tier: tier, state: strconv.Itoa(r.Status), cause: r.Cause})
 	t.requests.Add(context.Background(), 1, result.add...)
+	if r.Returned > 0 {
+		t.returned.Add(context.Background(), int64(r.Returned), t.seriesFor(labels{service: r.Service, tier: tier}).add...)
+	}
 	if r.FirstResponse > 0 {
 		t.firstResponse.Record(context.Background(), r.FirstResponse.Seconds(), t.seriesFor(labels{kind: r.Kind, service: r.Service, tier: tier}).record...)
 	}
