--- a/quota/refund_test.go
+++ b/quota/refund_test.go
@@ -306,3 +306,40 @@
 		}
 	}
 }
+
+// A refund of what a node booked while it was silent is used again at once, although the
+// booking was offset against what was left to that node.
+func TestLateRefundOfASilentNodeIsGivenBackAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		team := &catalog.Team{Name: "t", Rate: 100_000, Burst: 100_000, ByTokens: true}
+		a := NewAllowance(slack, nopPublisher{})
+		a.SetNodes(2, 0)
+		time.Sleep(20 * time.Second)
+		a.SetNodes(2, 0.5)
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			a.Take(team, 5_000)
+		}
+		a.SetNodes(2, 0)
+		a.RecordRemote("t", 80_000, nil, 2*time.Second)
+		a.Take(team, 1_000)
+		b := a.buckets["t"]
+		level, used := b.level, b.used.sum
+		a.RecordRemoteReturn("t", 30_000, 500*time.Millisecond, nil)
+		is.True(b.level >= level+29_999)
+		is.True(b.level <= level+30_001)
+		is.True(b.used.sum < used-29_999)
+	})
+}
+
+// The time that a refund takes with a full window of records, for docs/CAPACITY.md.
+func BenchmarkRefund(b *testing.B) {
+	team := &catalog.Team{Name: "t", Rate: 1e9, Burst: 1e9, ByTokens: true}
+	a := NewAllowance(slack, nopPublisher{})
+	a.SetNodes(2, 0)
+	for b.Loop() {
+		a.Take(team, 1)
+		a.Return(team, 1, time.Now().Add(-500*time.Millisecond))
+	}
+}
