--- a/balance/manager.go
+++ b/balance/manager.go
@@ -24,6 +24,8 @@
 	ReasonNoTarget  = "no_target"
 	ReasonNoVersion = "no_target_of_version"
 	ReasonStopping  = "stopping"
+	// ReasonNoFreeSlot is that of a request that must not wait.
+	ReasonNoFreeSlot = "no_free_slot"
 )
 
 // Refusal is the error for a request that gets no target.
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -31,12 +31,15 @@
 	return !now.Add(seconds(predictionMargin * minSeconds)).Before(w.Goal)
 }
 
-// compareWaiters orders two waiting requests. Those that can still be on time
+// compareWaiters orders two waiting requests. Second copies of requests go last. Those that can still be on time
 // go first, then the more important ones by tier and then by rank. Of equals
 // that can be on time, the one with the most value per second of slot time goes
 // first, so that a shortage costs the least value. Late requests of equal tier
 // and rank go in order of arrival, the earliest first.
 func (p *pool) compareWaiters(a, b *waiter) int {
+	if c := compareBools(a.work.NoWait, b.work.NoWait); c != 0 {
+		return c
+	}
 	if c := compareBools(a.late, b.late); c != 0 {
 		return c
 	}
@@ -118,7 +121,7 @@
 		if p.engine != nil {
 			reserve = queues.reserveTime(p.name, w.work.Tier, counts[w.work.Tier])
 		}
-		c, ok := p.pick(w.work, now, here, &free, reserve)
+		c, ok := p.choose(w.work, now, here, &free, reserve, len(kept)+queues.waitingFor(p.name))
 		if ok && (c.onTime || w.late) {
 			c.target.addRequest(w.work, now, c.expected)
 			free.addRequest(c.target)
@@ -140,6 +143,8 @@
 // refuse returns the refusal of a request that got no target now, or nil if it may wait.
 func (p *pool) refuse(w *waiter, now time.Time, onTimeWaiting bool, paused *pausedNodes) *Refusal {
 	switch {
+	case w.work.NoWait:
+		return &Refusal{Reason: ReasonNoFreeSlot, RetryAfter: minRetryAfter}
 	case !now.Before(w.work.Patience) || w.late && onTimeWaiting:
 		return p.refusal(w.work, now)
 	case paused.contains(w.work.Node):
--- a/balance/refused.go
+++ b/balance/refused.go
@@ -51,7 +51,11 @@
 // logRefused logs a refusal with what it was based on.
 func (m *Manager) logRefused(p *pool, w *waiter, r *Refusal, now time.Time) {
 	own, others := p.zoneStates(now, m.location, m.heardShare)
-	entry := m.options.Logger.Info().Str("event", "request_refused").Str("request", w.work.ID).Str("reason", r.Reason).
+	event := "request_refused"
+	if w.work.NoWait {
+		event = "copy_refused"
+	}
+	entry := m.options.Logger.Info().Str("event", event).Str("request", w.work.ID).Str("reason", r.Reason).
 		Str("service", p.name).Str("node", cmp.Or(w.work.Node, m.options.Node)).Int("tier", w.work.Tier).Bool("late", w.late).
 		Dur("waited", now.Sub(w.work.Arrived)).Dur("goal_in", w.work.Goal.Sub(now)).Int("waiting", len(p.waiting))
 	for _, z := range []struct {
--- a/balance/target.go
+++ b/balance/target.go
@@ -46,6 +46,12 @@
 	Only string
 	// Node is the node that sends the request; empty for this node.
 	Node string
+	// NoWait is set for a second copy of a slow request. It is refused at once unless a slot
+	// is free and nothing waits for the service.
+	NoWait bool
+	// MaxInUse is the share of the service's slots in use above which such a copy is
+	// refused; 0 stands for maxInUseForCopies.
+	MaxInUse float64
 }
 
 // Allows reports whether the request may go to a target, whatever the state of that.
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -93,6 +93,7 @@
 		ArrivedMicros: w.Arrived.Sub(now).Microseconds(), GoalMicros: w.Goal.Sub(now).Microseconds(),
 		PatienceMicros: w.Patience.Sub(now).Microseconds(), EndMicros: w.End.Sub(now).Microseconds(),
 		Tried: w.Tried, Version: w.Version,
+		NoWait: w.NoWait, MaxInUsePercent: uint32(100 * w.MaxInUse),
 	}
 }
 
@@ -105,6 +106,7 @@
 		Arrived: now.Add(micros(a.GetArrivedMicros())), Goal: now.Add(micros(a.GetGoalMicros())),
 		Patience: now.Add(micros(a.GetPatienceMicros())), End: now.Add(micros(a.GetEndMicros())),
 		Tried: a.GetTried(), Version: a.GetVersion(),
+		NoWait: a.GetNoWait(), MaxInUse: float64(a.GetMaxInUsePercent()) / 100,
 	}
 }
 
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -346,3 +346,18 @@
 		t.Fatal("the request is still counted")
 	}
 }
+
+// Without the flag a copy waits in the owner's queue.
+func TestOwnerLearnsThatACopyMustNotWait(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "n1", "n2")
+	c.setOwner("n1")
+	c.waitUntilLinked("n2")
+	w := newWork("r1")
+	w.NoWait, w.MaxInUse = true, 0.65
+	_, err := c.nodes["n2"].manager.Acquire(t.Context(), w)
+	is.NoErr(err)
+	got := <-c.nodes["n1"].balancer.acquires
+	is.True(got.NoWait)
+	is.Equal(got.MaxInUse, 0.65)
+}
--- a/quota/retries.go
+++ b/quota/retries.go
@@ -67,7 +67,18 @@
 }
 
 // AllowRetry implements gateway.RetryBudget.
-func (r *Retries) AllowRetry(service string) bool {
+func (r *Retries) AllowRetry(service string) bool { return r.allow(service, 1) }
+
+// hedgeShare is the fraction of the budget that second copies of slow requests may fill: a
+// retry saves a request that would be lost otherwise, a copy only makes one faster.
+const hedgeShare = 0.5
+
+// AllowHedge takes a second copy of a slow request from the budget, or reports that more than
+// hedgeShare of it is used.
+func (r *Retries) AllowHedge(service string) bool { return r.allow(service, hedgeShare) }
+
+// allow takes a send from a share of the budget, or reports that this is exhausted.
+func (r *Retries) allow(service string, share float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(service)
@@ -78,7 +89,7 @@
 	if r.nodes > 0 {
 		allowed += extraShare * r.limits.Extra / float64(r.nodes)
 	}
-	if s.retries.sum+1 > allowed {
+	if s.retries.sum+1 > share*allowed {
 		return false
 	}
 	s.retries.add(now, 1)
--- a/quota/retries_test.go
+++ b/quota/retries_test.go
@@ -106,3 +106,24 @@
 		}
 	}
 }
+
+// Copies that fill the budget would leave requests whose target failed without a retry.
+func TestCopiesLeaveHalfOfTheBudgetToRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := NewRetries(RetryLimits{Ratio: 0.2, Window: 10 * time.Second})
+		for range 200 {
+			r.RecordFirstAttempt("s")
+		}
+		copies, retries := 0, 0
+		for r.AllowHedge("s") {
+			copies++
+		}
+		for r.AllowRetry("s") {
+			retries++
+		}
+		is.Equal(copies, 10)
+		is.Equal(copies+retries, 20)
+		is.True(!r.AllowHedge("s"))
+	})
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -92,6 +92,9 @@
 		c.checkAddress("seeds", seed, true)
 	}
 	c.checkBounds()
+	if share := s.GetHedging().GetMaxShare(); !(share >= 0 && share <= 1) {
+		c.report("hedging.max_share", fmt.Sprint(share), "set a share from 0, which sends no copies, to 1")
+	}
 	if !slices.Contains(logLevels, s.GetLog().GetLevel()) {
 		c.report("log.level", fmt.Sprintf("%q", s.GetLog().GetLevel()), "set it to debug, info, warn or error")
 	}
--- a/telemetry/entry.go
+++ b/telemetry/entry.go
@@ -20,7 +20,7 @@
 	*exporter
 	requests, dispatches, retries   metric.Int64Counter
 	storeCalls, dials, droppedLines metric.Int64Counter
-	callersClosed                   metric.Int64Counter
+	callersClosed, copies           metric.Int64Counter
 	firstResponse, queueTime        metric.Float64Histogram
 }
 
@@ -41,6 +41,7 @@
 		{&t.storeCalls, "store.calls", "Calls to the platform's store, by call and status; 0 is no answer."},
 		{&t.dials, "upstream.connections", "New connections to targets."},
 		{&t.droppedLines, "log.dropped.lines", "Log lines that were not written, by event."},
+		{&t.copies, "entry.copies", "Second copies of slow requests, by service and what became of them; each is counted as sent, too."},
 		{&t.callersClosed, "callers.closed", "Connections of callers that this node closed, by reason."},
 	} {
 		if *c.counter, err = e.meter.Int64Counter(namePrefix+c.name, metric.WithDescription(c.description)); err != nil {
@@ -95,6 +96,11 @@
 	t.retries.Add(context.Background(), 1, t.seriesFor(labels{service: service}).add...)
 }
 
+// CopyCounted counts one second copy of a slow request that was sent or has ended.
+func (t *EntryMetrics) CopyCounted(service, outcome string) {
+	t.copies.Add(context.Background(), 1, t.seriesFor(labels{service: service, state: outcome}).add...)
+}
+
 // StoreCall counts one call to the platform's store; a status of 0 means that there
 // was no response.
 func (t *EntryMetrics) StoreCall(call string, status int) {
