gateway, entry: a slow request is sent a second time within hedging.max_share

What callers saw: with four targets that are each slow for 100 ms in 2.5 s, 99 % of the responses came within 700 ms, although other targets had free slots.

The standby of a silent target now has an earlier trigger: once the first attempt has waited for longer than 95 % of the recent responses of its route, another target is asked for at once or not at all, and the first usable response is kept.

--- a/balance/copy_test.go
+++ b/balance/copy_test.go
@@ -109,3 +109,40 @@
 		is.True(refusedAtOnce(t, m, copyOf("i-1")))
 	})
 }
+
+// Each copy that wins ends the first attempt, so that the load of a slow target does not keep
+// others away from it.
+func TestTargetWhoseRequestsAreOvertakenIsUsedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := startPair(t)
+		end := func(version string, results ...balance.Result) {
+			for _, r := range results {
+				w := work()
+				w.Version = version
+				grant, err := m.Acquire(t.Context(), w)
+				is.NoErr(err)
+				grant.Done(r)
+			}
+		}
+		chosen := func() string {
+			grant, err := m.Acquire(t.Context(), work())
+			is.NoErr(err)
+			defer grant.Done(balance.Unsent)
+			return grant.Target.ID
+		}
+		end("v1", balance.Overtaken, balance.Overtaken)
+		for range 20 {
+			is.Equal(chosen(), "i-2")
+		}
+		end("v1", balance.Answered)
+		seen := make(map[string]bool)
+		for range 20 { // It takes requests as before.
+			seen[chosen()] = true
+		}
+		is.Equal(len(seen), 2)
+		end("v1", balance.Overtaken, balance.Overtaken)
+		occupy(t, m, 5)
+		is.Equal(chosen(), "i-1") // The other one is full.
+	})
+}
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -34,11 +34,14 @@
 	// Unreported means that the node which sent the request fell silent or had no link,
 	// which says nothing of the target.
 	Unreported
+	// Overtaken means that a second copy of the request at another target was faster.
+	Overtaken
 )
 
 var resultNames = [...]string{
 	Answered: "answered", Failed: "failed", Unsent: "unsent", Abandoned: "abandoned", Rejected: "rejected",
 	Unreachable: "unreachable", Broken: "broken", Stalled: "stalled", Superseded: "superseded", Unreported: "unreported",
+	Overtaken: "overtaken",
 }
 
 // String returns the result's name in log lines.
@@ -219,6 +222,8 @@
 		}
 	case Stalled:
 		t.health.recordSilence(e.request.work.Node, now)
+	case Overtaken:
+		t.health.recordOvertaken(now)
 	}
 	if t.health.backoffUntil.After(backoff) {
 		m.logBackoff(t, e, now)
--- a/balance/health.go
+++ b/balance/health.go
@@ -23,6 +23,13 @@
 	// routeFailureWeight is the weight of one outcome in the failure share of a
 	// route over all targets of a service.
 	routeFailureWeight = 0.01
+	// overtakenLimit is how many requests in a row have to be overtaken by their copies until
+	// the target counts as slow: one in twenty is overtaken at a sound target.
+	overtakenLimit = 2
+	// initialSlowTime is how long such a target is suspect. It doubles with each further
+	// request that is overtaken, up to maxSlowTime.
+	initialSlowTime = 250 * time.Millisecond
+	maxSlowTime     = time.Second
 )
 
 // health is the failure record of a target.
@@ -36,6 +43,10 @@
 	// at any target, as of updatedAt.
 	excess    float64
 	updatedAt time.Time
+	// overtaken counts the requests that were overtaken by their copies since the last
+	// success; the target is slow until slowUntil.
+	overtaken int
+	slowUntil time.Time
 }
 
 // inBackoff reports whether no requests are to be sent to the target for now.
@@ -47,8 +58,19 @@
 // request at a time.
 func (h *health) onTrial() bool { return h.failures > 0 }
 
-// suspect reports whether the target fails more requests than others do.
-func (h *health) suspect(now time.Time) bool { return h.currentExcess(now) > suspectExcess }
+// suspect reports whether the target fails more requests than others do, or is slow now.
+func (h *health) suspect(now time.Time) bool {
+	return now.Before(h.slowUntil) || h.currentExcess(now) > suspectExcess
+}
+
+// recordOvertaken records that a copy of a request was faster at another target. Since that
+// ends the request here, the load of a slow target no longer shows that it is slow.
+func (h *health) recordOvertaken(now time.Time) {
+	h.overtaken++
+	if h.overtaken >= overtakenLimit {
+		h.slowUntil = now.Add(min(initialSlowTime<<min(h.overtaken-overtakenLimit, 8), maxSlowTime))
+	}
+}
 
 // recordFailure records that a request of a node failed.
 func (h *health) recordFailure(node string, now time.Time) {
@@ -80,7 +102,7 @@
 }
 
 func (h *health) recordSuccess() {
-	h.failures = 0
+	h.failures, h.overtaken, h.slowUntil = 0, 0, time.Time{}
 	clear(h.failuresOf)
 	h.backoffUntil = time.Time{}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/primrosemoor/primrosemoor/datastore"
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/gateway"
+	"github.com/primrosemoor/primrosemoor/hedge"
 	"github.com/primrosemoor/primrosemoor/links"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/owner"
@@ -61,6 +62,7 @@
 			newForwardServer,
 			newSwitch,
 			newRetries,
+			newHedges,
 			newGateway,
 		),
 		fx.Invoke(appendLifecycle),
@@ -86,6 +88,10 @@
 	return f.retries
 }
 
+func newHedges(s *schema.GatewaySettings, r *quota.Retries, t *telemetry.EntryMetrics) *hedge.Manager {
+	return hedge.NewManager(hedge.Options{MaxShare: s.GetHedging().GetMaxShare(), AllowRetry: r.AllowHedge, Count: t.CopyCounted})
+}
+
 const (
 	// heldBytesPerMebibyte is how many bytes of answers requests may hold back together per
 	// mebibyte of the node's memory: an eighth of it, because slices that grow take up to
@@ -95,9 +101,9 @@
 	bodyBytesPerMebibyte = 1 << 18
 )
 
-func newGateway(s *schema.GatewaySettings, d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, streams *resume.Finder, m *links.Monitors, sender *links.Switch, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(s *schema.GatewaySettings, d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, streams *resume.Finder, m *links.Monitors, sender *links.Switch, h *hedge.Manager, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: sender,
+		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Hedges: h, Sender: sender,
 		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: streams, Links: m, Metrics: t, Logger: logger,
 		HeldBytes: int(s.GetResources().GetMemoryMebibytes() * heldBytesPerMebibyte),
 		BodyBytes: int(s.GetResources().GetMemoryMebibytes() * bodyBytesPerMebibyte),
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -20,6 +20,7 @@
 	"github.com/primrosemoor/primrosemoor/explain"
 	"github.com/primrosemoor/primrosemoor/forward"
 	"github.com/primrosemoor/primrosemoor/gateway"
+	"github.com/primrosemoor/primrosemoor/hedge"
 	"github.com/primrosemoor/primrosemoor/links"
 	"github.com/primrosemoor/primrosemoor/logging"
 	"github.com/primrosemoor/primrosemoor/mesh"
@@ -56,6 +57,7 @@
 	ForOthers *forward.Server
 	Gateway   *gateway.Gateway
 	Retries   *quota.Retries
+	Hedges    *hedge.Manager
 	Recorder  *explain.Recorder
 	Archive   *resume.Archive
 	Forwarder *forwarder
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -52,12 +52,13 @@
 }
 
 // applySettings applies those of the validated settings that take effect without a
-// restart: the seeds, and the bounds of key revocation, limits and retries.
+// restart: the seeds, the limit of second copies, and the bounds of key revocation, limits and retries.
 func (l *lifecycle) applySettings(s *schema.GatewaySettings) {
 	b := s.GetBounds()
 	l.Datastore.SetRevocation(b.GetRevocation().AsDuration())
 	l.Allowance.SetSlack(limitSlack(b))
 	l.Retries.ApplyLimits(retryLimits(b))
+	l.Hedges.SetMaxShare(s.GetHedging().GetMaxShare())
 	l.seeds.Store(&s.Seeds)
 }
 
@@ -66,7 +67,7 @@
 func needsRestart(current, updated *schema.GatewaySettings) bool {
 	restartOnly := func(s *schema.GatewaySettings) *schema.GatewaySettings {
 		c := proto.CloneOf(s)
-		c.Seeds = nil
+		c.Seeds, c.Hedging = nil, nil
 		c.Bounds = &schema.GatewayBounds{Grace: s.GetBounds().GetGrace(), Drain: s.GetBounds().GetDrain()}
 		return c
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,7 +40,9 @@
 	defer cancel(nil)
 	x.watchQuarantine(cancel)
 	defer x.stopWatch()
-	x.startStandby(ctx, grant.Target.ID, cancel, x.possibleRuns+1)
+	x.beginFirstSend()
+	defer x.endFirstSend()
+	x.startStandby(ctx, grant.Target, cancel, x.possibleRuns+1)
 	defer x.endStandby()
 	address := upstream.Address{ID: grant.Target.ID, Host: grant.Target.Address}
 	resp, err := x.gateway.Sender.Send(attemptCtx, address, x.targetRequest(grant, x.lastEventID()))
@@ -66,7 +68,7 @@
 	x.targetInfo = a.info
 	x.watchQuarantine(a.cancel)
 	defer x.stopWatch()
-	x.startStandby(ctx, a.grant.Target.ID, a.cancel, x.possibleRuns)
+	x.startStandby(ctx, a.grant.Target, a.cancel, x.possibleRuns)
 	defer x.endStandby()
 	return x.relay(ctx, a.grant, a.resp, a.info)
 }
--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -39,9 +39,10 @@
 // awaitAnswer waits until a usable answer has begun: with its first event, or with the
 // whole of an answer that is no stream. A stream that has not brought an event within
 // handoverLimit counts as begun. If events were passed on before, the answer has to
-// continue them. It returns why the answer is of no use otherwise, and what that says of
+// continue them. A second copy of a slow request (hedged) has begun only with its first event:
+// until then the first target may be faster. It returns why the answer is of no use otherwise, and what that says of
 // the target.
-func (x *exchange) awaitAnswer(a *begunAttempt, streaming bool, lastEventID string) (balance.Result, error) {
+func (x *exchange) awaitAnswer(a *begunAttempt, streaming, hedged bool, lastEventID string) (balance.Result, error) {
 	switch {
 	case isTampered(a.resp, a.info):
 		return balance.Broken, errUnusable
@@ -51,7 +52,10 @@
 	held := &holding{all: x.gateway.held}
 	read, limit := held.readWhole, (<-chan time.Time)(nil)
 	if x.isStream(a.resp) {
-		read, limit = held.firstEventReader(streaming, lastEventID), time.After(handoverLimit)
+		read = held.firstEventReader(streaming, lastEventID)
+		if !hedged {
+			limit = time.After(handoverLimit)
+		}
 	}
 	body := prefetch(a.resp.Body, a.cancel, held, read)
 	a.resp.Body = body
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -126,6 +126,8 @@
 	switch {
 	case x.quarantinedInFlight.Load():
 		return balance.Abandoned
+	case errors.Is(err, errHedged):
+		return balance.Overtaken
 	case errors.Is(err, errStalled):
 		return failureOf(err, balance.Stalled)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,6 +44,8 @@
 	// successor is the attempt that has taken over from it.
 	standby   *standby
 	successor *begunAttempt
+	// firstSend is the first send of a request that may be hedged.
+	firstSend firstSend
 	// firstEventAt is when the first event arrived.
 	firstEventAt time.Time
 	// lastEventAt is when the last event arrived, longestPause the longest time
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -328,6 +328,16 @@
 
 // newTestGatewayWith returns a gateway whose options are changed by edit.
 func newTestGatewayWith(tb testing.TB, route *catalog.Route, edit func(*gateway.Options), scripts ...targetScript) *testGateway {
+	tb.Helper()
+	g := newTestGatewayWithoutServer(tb, route, edit, scripts...)
+	g.server = httptest.NewServer(g.gateway)
+	tb.Cleanup(g.server.Close)
+	return g
+}
+
+// newTestGatewayWithoutServer returns a gateway that is called directly, for tests in virtual
+// time.
+func newTestGatewayWithoutServer(tb testing.TB, route *catalog.Route, edit func(*gateway.Options), scripts ...targetScript) *testGateway {
 	tb.Helper()
 	config := &catalog.Config{
 		Version: 1, Routes: []*catalog.Route{route},
@@ -368,9 +378,7 @@
 	}
 	edit(&options)
 	g.gateway = gateway.New(options)
-	g.server = httptest.NewServer(g.gateway)
 	tb.Cleanup(func() {
-		g.server.Close()
 		cancel()
 		<-done
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,15 +92,17 @@
 	Balancer    Balancer
 	Allowance   Allowance
 	Retries     RetryBudget
-	Sender      Sender
-	Culprits    Culprits
-	Prober      Prober
-	Limits      TargetLimits
-	Signals     TargetSignals
-	Streams     Streams
-	Links       Links
-	Metrics     Metrics
-	Logger      *log.Logger
+	// Hedges is nil if no request is sent a second time because its target is slow.
+	Hedges   Hedges
+	Sender   Sender
+	Culprits Culprits
+	Prober   Prober
+	Limits   TargetLimits
+	Signals  TargetSignals
+	Streams  Streams
+	Links    Links
+	Metrics  Metrics
+	Logger   *log.Logger
 	// HeldBytes bounds the bytes of answers that all requests together hold back, and
 	// BodyBytes those of their bodies.
 	HeldBytes, BodyBytes int
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/primrosemoor/primrosemoor/balance"
 )
@@ -41,9 +42,12 @@
 		return x.handleBrokenResponse(ctx, grant, err)
 	}
 	if !complete && !x.standby.pause() {
-		return x.handleBrokenResponse(ctx, grant, errStalled)
+		return x.handleBrokenResponse(ctx, grant, x.standby.cause())
 	}
 	x.recordSurvival()
+	if isSuccess(resp.StatusCode) {
+		x.recordFirstResponse(time.Now())
+	}
 	if x.headersSent || resp.StatusCode >= http.StatusInternalServerError && (x.takeOver() || x.mayRetry()) {
 		grant.Done(balance.Failed)
 		return x.headersSent && x.endCancelled(ctx, resp.StatusCode)
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -11,6 +11,7 @@
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/culprit"
+	"github.com/primrosemoor/primrosemoor/hedge"
 	"github.com/primrosemoor/primrosemoor/upstream"
 )
 
@@ -46,9 +47,11 @@
 	ctx      context.Context
 	// yield cancels the attempt once another target has taken over.
 	yield   context.CancelCauseFunc
-	target  string
+	target  *catalog.Target
 	timeout time.Duration
 	timer   *time.Timer
+	// began is when the watch began.
+	began time.Time
 	// searches counts the running search, of which there is one at most.
 	searches sync.WaitGroup
 
@@ -71,24 +74,31 @@
 	// spare is a target that received the request and was cancelled because the first one
 	// went on; empty if there is none.
 	spare string
+	// copy is the state of a second copy of the request while its target is slow, but not
+	// silent for long enough for a search.
+	copy copyState
 	// maxRuns is how many more targets may run the request.
 	maxRuns int
 }
 
 // startStandby watches the attempt at a target, if the request may be sent to another
 // one. runs counts the attempt itself as a possible run.
-func (x *exchange) startStandby(ctx context.Context, target string, yield context.CancelCauseFunc, runs int) {
+func (x *exchange) startStandby(ctx context.Context, target *catalog.Target, yield context.CancelCauseFunc, runs int) {
 	x.standby = nil
 	if !x.mayRetryAfterRuns(runs) {
 		return
 	}
 	s := &standby{
-		exchange: x, ctx: ctx, yield: yield, target: target, timeout: x.stallTimeout(),
+		exchange: x, ctx: ctx, yield: yield, target: target, timeout: x.stallTimeout(), began: time.Now(),
 		lastEventID: x.lastEventID(), version: x.version, lastEventAt: x.lastEventAt, streaming: x.headersSent,
 		tried: slices.Clone(x.tried), maxRuns: x.route.MaxAttempts - runs,
 	}
+	wait := s.timeout
+	if delay, ok := x.copyDelay(); ok && delay < s.timeout {
+		wait, s.copy.due = delay, true
+	}
 	s.mu.Lock()
-	s.timer = time.AfterFunc(s.timeout, s.search)
+	s.timer = time.AfterFunc(wait, s.act)
 	s.mu.Unlock()
 	x.standby = s
 }
@@ -104,7 +114,7 @@
 	if s.found != nil {
 		return false
 	}
-	s.paused = true
+	s.paused, s.copy.due = true, false
 	s.timer.Stop()
 	if s.cancelSearch != nil {
 		s.cancelSearch()
@@ -112,6 +122,14 @@
 	return true
 }
 
+// cause returns why the attempt ends once pause has returned false.
+func (s *standby) cause() error {
+	if s.copy.sent {
+		return errHedged
+	}
+	return errStalled
+}
+
 // resume continues the watch after events of a target of the version were passed on.
 func (s *standby) resume(lastEventID, version string, lastEventAt time.Time) {
 	if s == nil {
@@ -150,7 +168,11 @@
 	if s.found == nil {
 		return false
 	}
-	x.logTakenOver(s.target, s.found.grant)
+	if s.copy.sent {
+		s.copyWon()
+	} else {
+		x.logTakenOver(s.target.ID, s.found.grant)
+	}
 	x.successor = s.found
 	return true
 }
@@ -163,6 +185,9 @@
 	}
 	x.closeStandby(false)
 	if s.found != nil {
+		if s.copy.sent {
+			s.copyEnded(s.found.grant.Target, hedge.Cancelled)
+		}
 		s.found.drop(balance.Superseded)
 	}
 }
@@ -185,7 +210,7 @@
 		return
 	}
 	defer s.searches.Done()
-	s.exchange.logSilent(s.target, s.timeout)
+	s.exchange.logSilent(s.target.ID, s.timeout)
 	for again := true; again; {
 		var a *begunAttempt
 		if a, again = s.ask(ctx); a != nil {
@@ -193,7 +218,7 @@
 			return
 		}
 	}
-	s.end()
+	s.end(s.timeout)
 }
 
 // begin reports whether a search may begin, and returns its context. No other target can
@@ -211,14 +236,14 @@
 	return ctx, true
 }
 
-// end ends a search that found no target. Another one may begin later.
-func (s *standby) end() {
+// end ends a search that found no target. Another one may begin after a time.
+func (s *standby) end(after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cancelSearch()
 	s.cancelSearch, s.sending = nil, false
 	if !s.closing && !s.paused {
-		s.timer.Reset(s.timeout)
+		s.timer.Reset(after)
 	}
 }
 
@@ -226,8 +251,9 @@
 func (s *standby) mayAsk() bool { return s.runs < s.maxRuns && len(s.tried) < maxTargets }
 
 // offer passes on an attempt that has begun to answer, unless the first target has made
-// progress in the meantime.
-func (s *standby) offer(ctx context.Context, a *begunAttempt) {
+// progress in the meantime. It reports whether the attempt is used, for which the first one is
+// cancelled.
+func (s *standby) offer(ctx context.Context, a *begunAttempt) bool {
 	s.mu.Lock()
 	if ctx.Err() == nil {
 		s.found = a
@@ -236,10 +262,11 @@
 	if s.found == nil {
 		s.spare = a.grant.Target.ID
 		a.drop(balance.Superseded)
-		s.end()
-		return
+		s.end(s.timeout)
+		return false
 	}
-	s.yield(errStalled)
+	s.yield(s.cause())
+	return true
 }
 
 // ask sends the request to another target. It returns the attempt if the target has
@@ -259,6 +286,17 @@
 		x.logNoStandby(ctx, err)
 		return nil, false
 	}
+	if !x.gateway.Retries.AllowRetry(x.service) {
+		grant.Done(balance.Unsent)
+		x.logNoStandby(ctx, errRetryBudget)
+		return nil, false
+	}
+	return s.sendTo(ctx, grant)
+}
+
+// sendTo sends the request to a target that was granted and that it may go to.
+func (s *standby) sendTo(ctx context.Context, grant *balance.Grant) (a *begunAttempt, again bool) {
+	x := s.exchange
 	s.tried = append(s.tried, grant.Target.ID)
 	x.logPlaced(grant, len(s.tried))
 	x.gateway.Metrics.RequestRetried(x.service)
@@ -276,8 +314,6 @@
 		return errNotWanted
 	case g.Culprits.Judge(s.exchange.features()).State != culprit.Clear:
 		return errQuarantinedInFlight
-	case !g.Retries.AllowRetry(s.exchange.service):
-		return errRetryBudget
 	}
 	return nil
 }
@@ -308,7 +344,7 @@
 		return nil, s.mayAsk()
 	}
 	s.runs++
-	if result, err := x.awaitAnswer(a, streaming, lastEventID); err != nil {
+	if result, err := x.awaitAnswer(a, streaming, s.copy.sent, lastEventID); err != nil {
 		x.logNoStandby(ctx, err)
 		if sendCtx.Err() == nil {
 			x.recordBroken(s.ctx, grant.Target, 0, err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,7 +42,7 @@
 		progress := len(ready) > 0
 		if progress {
 			if !x.standby.pause() {
-				return x.handleBrokenStream(ctx, grant, resp, errStalled)
+				return x.handleBrokenStream(ctx, grant, resp, x.standby.cause())
 			}
 			x.recordEvents(grant, time.Now(), ready)
 		}
@@ -177,6 +177,7 @@
 	}
 	if x.firstEventAt.IsZero() {
 		x.firstEventAt = now
+		x.recordFirstResponse(now)
 	} else {
 		x.longestPause = max(x.longestPause, now.Sub(x.lastEventAt))
 	}
