gateway: a request whose copy broke may go to that target again

What callers saw: a copy that broke used up the attempts of the route, so that a request whose first target broke later ended with 502 although it could have been repeated without the copy. The copy's target counts already, so that it may be asked again, as one may that was cancelled.

The test failed before (502). Tests also cover a caller that leaves, an older owner, and the setting.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,8 +36,8 @@
 	// those that may have run it.
 	sends, possibleRuns int
 	tried               []string
-	// spare is a target that was asked while another one was silent, and cancelled when
-	// that went on. It counts among possibleRuns, so that it may be asked again when no
+	// spare is a target that was asked while another one was silent or slow, and cancelled when
+	// that went on, or one that broke a second copy. It counts among possibleRuns, so that it may be asked again when no
 	// further target may; empty if there is none.
 	spare string
 	// standby looks for another target while that of the current attempt is silent;
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -142,6 +142,10 @@
 	s.copy.sent = false
 	s.copyEnded(grant.Target, outcome)
 	if a == nil {
+		if s.runs > 0 {
+			// It counts among the targets of the route, so that it may be asked again.
+			s.spare = grant.Target.ID
+		}
 		s.end(s.untilSearch())
 	}
 }
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/gateway"
 	"github.com/primrosemoor/primrosemoor/hedge"
@@ -229,6 +230,71 @@
 	is.Equal(sends[2].to.ID, sends[0].to.ID)
 }
 
+// A copy that broke has used up the attempts of the route. Where the first target breaks
+// later, the request may still go to the copy's target again.
+func TestRequestWhoseCopyBrokeIsRepeatedWhereTheFirstTargetBreaks(t *testing.T) {
+	is := is.New(t)
+	first := slowFirst(catalog.Idempotent)
+	first.truncated = true
+	g, _ := newHedgingGateway(t, patientRoute(catalog.Idempotent), first, targetScript{resetAfterSend: true}, signedOK("repeated"))
+	got := g.sendPatiently(t)
+	is.NoErr(got.err)
+	is.Equal(got.body, "repeated")
+	sends := g.sender.sent()
+	is.Equal(len(sends), 3)
+	is.Equal(sends[2].to.ID, sends[1].to.ID)
+}
+
+func TestBothAttemptsEndWhenTheCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	g, h := newHedgingGateway(t, patientRoute(catalog.Idempotent), targetScript{hang: true}, targetScript{hang: true})
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan callerResponse)
+	go func() { done <- g.send(t, ctx, nil) }()
+	for len(g.sender.sent()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	<-done
+	for _, s := range g.sender.sent() {
+		is.True(endedWithin(s, 500*time.Millisecond))
+	}
+	g.server.Close() // Waits for the request to end.
+	is.Equal(h.counts[hedge.Cancelled], 1)
+}
+
+// queueingBalancer has requests wait that must not, as an owner of an older release does.
+type queueingBalancer struct {
+	gateway.Balancer
+	withdrawn chan struct{}
+}
+
+func (b queueingBalancer) Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error) {
+	if !w.NoWait {
+		return b.Balancer.Acquire(ctx, w)
+	}
+	<-ctx.Done()
+	close(b.withdrawn)
+	return nil, context.Cause(ctx)
+}
+
+func TestCopyThatAnOlderOwnerHasWaitIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	g, h := newHedgingGateway(t, patientRoute(catalog.Idempotent), slowFirst(catalog.Idempotent))
+	b := queueingBalancer{g.gateway.Balancer, make(chan struct{})}
+	g.gateway.Balancer = b
+	done := make(chan callerResponse)
+	go func() { done <- g.sendPatiently(t) }()
+	<-b.withdrawn
+	select {
+	case <-done:
+		t.Fatal("the copy has waited until the first target responded")
+	default:
+	}
+	is.Equal((<-done).body, "first")
+	is.Equal(h.counts[hedge.Sent], 0)
+}
+
 func TestNoCopyOfARequestThatMustNotRunTwice(t *testing.T) {
 	once := patientRoute(catalog.Idempotent)
 	once.MaxAttempts = 1
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -72,7 +72,7 @@
 	tried       []string
 	sends, runs int
 	// spare is a target that received the request and was cancelled because the first one
-	// went on; empty if there is none.
+	// went on, or that broke a second copy; empty if there is none.
 	spare string
 	// copy is the state of a second copy of the request while its target is slow, but not
 	// silent for long enough for a search.
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -40,6 +40,7 @@
 		"bounds.retry_window":        "[bounds]\nretry_window = \"-1s\"\n",
 		"bounds.revocation":          "[bounds]\nrevocation = \"-5s\"\n",
 		"bounds":                     "[bounds]\nlimit_slack = -1.0\n",
+		"hedging.max_share":          "[hedging]\nmax_share = 1.5\n",
 		"resources.file_descriptors": "[resources]\nfile_descriptors = 10\n",
 		"colour":                     "[colour]\nhue = 1\n",
 	} {
