hedge: no target is asked for a copy soon after one was refused

While slots are short nearly all requests of a route are slow, and each would ask the owner of its zone for a copy: at 21 requests a second a node, as many asks again, just when the owner is busiest. After a refusal a node now asks for no copy of the service for 0.5 s. The test failed to build before, as the pause did not exist.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -23,6 +23,8 @@
 	Decide(service string, now time.Time) hedge.Verdict
 	// Take counts a copy in the limits, or returns why it must not be sent.
 	Take(service string, now time.Time) (hedge.Reason, bool)
+	// RecordRefusal records that no target was granted to a copy.
+	RecordRefusal(service string, now time.Time)
 	// Count records what became of a copy.
 	Count(service string, o hedge.Outcome)
 }
@@ -172,6 +174,9 @@
 	defer cancel()
 	grant, err := x.gateway.Balancer.Acquire(askCtx, w)
 	if err != nil {
+		if ctx.Err() == nil {
+			h.RecordRefusal(x.service, time.Now())
+		}
 		return nil, err
 	}
 	if err = s.forbidden(grant.Target); err == nil {
@@ -194,11 +199,11 @@
 
 // Error implements error.
 func (e copyLimitError) Error() string {
-	remedy := "raise hedging.max_share"
-	if hedge.Reason(e) == hedge.ReasonRetries {
-		remedy = "raise the retry budget"
+	remedies := map[hedge.Reason]string{
+		hedge.ReasonOff: "set hedging.max_share", hedge.ReasonShare: "raise hedging.max_share",
+		hedge.ReasonRetries: "raise the retry budget", hedge.ReasonRefused: "add targets",
 	}
-	return "gateway: no second copy of the request is sent: " + string(e) + " is used up; if more are wanted, " + remedy
+	return "gateway: no second copy of the request is sent: " + string(e) + "; if more are wanted, " + remedies[hedge.Reason(e)]
 }
 
 // copyWon records that the copy is used. Where no further target may be asked, the request may
--- a/hedge/decide.go
+++ b/hedge/decide.go
@@ -3,6 +3,8 @@
 // part of their requests, and others have free slots meanwhile.
 package hedge
 
+import "time"
+
 const (
 	// fullInUse is the share of a service's slots in use up to which the whole limit may be
 	// used, and maxInUse that from which no copy is sent. With random arrivals at 36 slots,
@@ -12,6 +14,10 @@
 	maxInUse  = 0.7
 )
 
+// refusalPause is how long no target is asked for after a copy was refused one. When capacity
+// is short most requests are slow, and the owner of the zone would be asked for a copy of each.
+const refusalPause = 500 * time.Millisecond
+
 // Reason says why no copy is sent.
 type Reason string
 
@@ -23,6 +29,8 @@
 	ReasonShare Reason = "max_share"
 	// ReasonRetries means that the retry budget has no room beside the retries.
 	ReasonRetries Reason = "retry_budget"
+	// ReasonRefused means that a copy has lately found no free slot.
+	ReasonRefused Reason = "no_free_slot"
 )
 
 // Usage is what a node has sent of a service within the window.
@@ -30,6 +38,8 @@
 	// Requests counts those that were sent to a first target, Copies those that were sent a
 	// second time.
 	Requests, Copies float64
+	// Refused is set if a copy has found no free slot within refusalPause.
+	Refused bool
 }
 
 // Verdict is a decision on one copy.
@@ -50,6 +60,9 @@
 	if maxShare <= 0 {
 		return Verdict{Reason: ReasonOff}
 	}
+	if u.Refused {
+		return Verdict{Reason: ReasonRefused}
+	}
 	allowed := maxShare * u.Requests
 	if u.Copies+1 > allowed {
 		return Verdict{Reason: ReasonShare}
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -129,6 +129,13 @@
 	return "", true
 }
 
+// RecordRefusal records that no target was granted to a copy.
+func (m *Manager) RecordRefusal(service string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.window(service, now).refusedAt = now
+}
+
 // Count records what became of a copy.
 func (m *Manager) Count(service string, o Outcome) { m.options.Count(service, string(o)) }
 
@@ -155,6 +162,8 @@
 	last  int64
 	slots [windowSlots]Usage
 	sum   Usage
+	// refusedAt is when a copy was last refused a target.
+	refusedAt time.Time
 }
 
 func (w *usageWindow) advance(now time.Time) {
@@ -183,5 +192,7 @@
 
 func (w *usageWindow) usage(now time.Time) Usage {
 	w.advance(now)
-	return w.sum
+	u := w.sum
+	u.Refused = !w.refusedAt.IsZero() && now.Sub(w.refusedAt) < refusalPause
+	return u
 }
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -70,6 +70,21 @@
 	is.Equal(reason, hedge.ReasonRetries)
 }
 
+// While all requests are slow because slots are short, the owner of a zone would be asked
+// for a copy of each.
+func TestNoTargetIsAskedForSoonAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	m := newManager(0.5, always)
+	now := time.Unix(0, 0)
+	for range 100 {
+		m.RecordRequest("s", now)
+	}
+	m.RecordRefusal("s", now)
+	is.Equal(m.Decide("s", now.Add(400*time.Millisecond)).Reason, hedge.ReasonRefused)
+	is.True(m.Decide("other", now).Reason != hedge.ReasonRefused)
+	is.True(m.Decide("s", now.Add(600*time.Millisecond)).Send)
+}
+
 func TestDelayIsThatOfTheSlowestResponsesOfTheRoute(t *testing.T) {
 	is := is.New(t)
 	m := newManager(0.05, always)
@@ -117,3 +132,15 @@
 	}
 	is.True(candidates < 1000) // A tenth at the most; the quantile leaves a twentieth.
 }
+
+// BenchmarkRequest is what a request costs that is sent, waits for its delay and responds.
+func BenchmarkRequest(b *testing.B) {
+	m := newManager(0.05, always)
+	now := time.Unix(0, 0)
+	for i := range b.N {
+		now = now.Add(10 * time.Millisecond)
+		m.RecordRequest("s", now)
+		m.Delay("s", "r")
+		m.RecordTime("s", "r", time.Duration(20+i%50)*time.Millisecond, now)
+	}
+}
