gateway: no copy of a long prompt that is as quick as expected

The delay is that of all requests of a route, so that the longest prompts would take most of the copies although they are as slow at any engine. At engines a request now also waits for twice the expected time.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,7 +40,7 @@
 	defer cancel(nil)
 	x.watchQuarantine(cancel)
 	defer x.stopWatch()
-	x.beginFirstSend()
+	x.beginFirstSend(grant.Prediction)
 	defer x.endFirstSend()
 	x.startStandby(ctx, grant.Target, cancel, x.possibleRuns+1)
 	defer x.endStandby()
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -33,6 +33,11 @@
 // request wait; its answer otherwise takes a fraction of a millisecond within the zone.
 const copyAskLimit = 20 * time.Millisecond
 
+// slowFactor is how many times the time that was expected of its engine a request waits before
+// a copy is sent. The longest prompts of a route would take most of the copies otherwise,
+// although they are as slow at any engine.
+const slowFactor = 2
+
 var (
 	// errHedged is the cause of an attempt's end if a second copy has been faster.
 	errHedged = errors.New("gateway: a second copy was faster")
@@ -52,7 +57,7 @@
 
 // beginFirstSend records that the request is about to be sent, if it may be hedged: it may be
 // repeated, and it is neither sent again nor continues a stream that has begun.
-func (x *exchange) beginFirstSend() {
+func (x *exchange) beginFirstSend(p balance.Prediction) {
 	h := x.gateway.Hedges
 	if h == nil {
 		return
@@ -66,6 +71,9 @@
 		return
 	}
 	delay, _ := h.Delay(x.service, x.route.Name)
+	if delay > 0 && p.Step > 0 {
+		delay = max(delay, slowFactor*p.Expected)
+	}
 	x.firstSend.at, x.firstSend.delay = now, delay
 }
 
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -295,6 +295,36 @@
 	is.Equal(h.counts[hedge.Sent], 0)
 }
 
+// predictingBalancer expects a time to the first event, as of an engine.
+type predictingBalancer struct {
+	gateway.Balancer
+	expected time.Duration
+}
+
+func (b predictingBalancer) Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error) {
+	grant, err := b.Balancer.Acquire(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	return balance.NewGrant(grant.Target, balance.Prediction{Expected: b.expected, Step: 3 * time.Millisecond}, grant.Reporter()), nil
+}
+
+// The longest prompts of a route are among its slowest responses at any target, and would take
+// most of the copies.
+func TestNoCopyOfALongPromptThatIsAsQuickAsExpected(t *testing.T) {
+	for expected, sends := range map[time.Duration]int{10 * time.Millisecond: 2, 400 * time.Millisecond: 1} {
+		t.Run(expected.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g, _ := newHedgingGateway(t, patientRoute(catalog.Streaming), slowFirst(catalog.Streaming), targetScript{hang: true})
+			g.gateway.Balancer = predictingBalancer{g.gateway.Balancer, expected}
+			got := g.sendPatiently(t)
+			is.NoErr(got.err)
+			is.Equal(len(g.sender.sent()), sends)
+		})
+	}
+}
+
 func TestNoCopyOfARequestThatMustNotRunTwice(t *testing.T) {
 	once := patientRoute(catalog.Idempotent)
 	once.MaxAttempts = 1
