--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -40,8 +40,8 @@
 // whole of an answer that is no stream. A stream that has not brought an event within
 // handoverLimit counts as begun. If events were passed on before, the answer has to
 // continue them. A second copy of a slow request (hedged) has begun only with its first event:
-// until then the first target may be faster. It returns why the answer is of no use otherwise, and what that says of
-// the target.
+// until then the first target may be faster. It returns why the answer is of no use
+// otherwise, and what that says of the target.
 func (x *exchange) awaitAnswer(a *begunAttempt, streaming, hedged bool, lastEventID string) (balance.Result, error) {
 	switch {
 	case isTampered(a.resp, a.info):
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -149,15 +149,16 @@
 	if ctx.Err() != nil {
 		outcome = hedge.Cancelled
 	}
-	s.copy.sent = false
 	s.copyEnded(grant.Target, outcome)
-	if a == nil {
-		if s.runs > 0 {
-			// It counts among the targets of the route, so that it may be asked again.
-			s.spare = grant.Target.ID
-		}
-		s.end(s.untilSearch())
+	if a != nil {
+		return
+	}
+	if s.runs > 0 {
+		// It counts among the targets of the route, so that it may be asked again.
+		s.spare = grant.Target.ID
 	}
+	s.copy.sent = false
+	s.end(s.untilSearch())
 }
 
 // untilSearch returns when a search for another target is due.
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -262,6 +262,7 @@
 	if s.found == nil {
 		s.spare = a.grant.Target.ID
 		a.drop(balance.Superseded)
+		s.copy.sent = false
 		s.end(s.timeout)
 		return false
 	}
