--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -40,14 +40,16 @@
 	// start of a send until it is known whether the target may have run the request.
 	charge  charge
 	sending bool
-	// spare is a target that was asked while another one was silent, and cancelled when
-	// that went on. It counts among possibleRuns, so that it may be asked again when no
+	// spare is a target that was asked while another one was silent or slow, and cancelled when
+	// that went on, or one that broke a second copy. It counts among possibleRuns, so that it may be asked again when no
 	// further target may; empty if there is none.
 	spare string
 	// standby looks for another target while that of the current attempt is silent;
 	// successor is the attempt that has taken over from it.
 	standby   *standby
 	successor *begunAttempt
+	// firstSend is the first send of a request that may be hedged.
+	firstSend firstSend
 	// firstEventAt is when the first event arrived.
 	firstEventAt time.Time
 	// lastEventAt is when the last event arrived, longestPause the longest time
