--- /dev/null
+++ b/rollout/lease.go
@@ -0,0 +1,39 @@
+package rollout
+
+import "time"
+
+const (
+	// The lease is leaseShare of the time limit, between minLease and maxLease, so that a
+	// rollout outlives its decider without many writes.
+	leaseShare = 0.15
+	minLease   = 3 * time.Second
+	maxLease   = 10 * time.Second
+	// renewDivisor divides the lease to give the time after which it is renewed: two writes
+	// may fail.
+	renewDivisor = 3
+)
+
+// leaseOf returns the lease of the decider of a rollout with a time limit.
+func leaseOf(duration time.Duration) time.Duration {
+	return min(max(share(duration, leaseShare), minLease), maxLease)
+}
+
+// lease is what a node knows of the right to decide.
+type lease struct {
+	holder string
+	// length is the lease that the holder wrote, and seen when this node first saw the write.
+	// The node measures the lease by its own clock alone: clocks of nodes differ.
+	length time.Duration
+	seen   time.Time
+}
+
+// mayDecide reports whether a process may write the status. The store accepts only one of
+// several writes on the same revision.
+func (l lease) mayDecide(self string, now time.Time) bool {
+	return l.holder == "" || l.holder == self || now.Sub(l.seen) > l.length
+}
+
+// renewDue reports whether a process has to write the status though nothing has changed.
+func (l lease) renewDue(self string, now time.Time) bool {
+	return l.holder != self || now.Sub(l.seen) >= l.length/renewDivisor
+}
