--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -126,6 +126,12 @@
 	if b.GetRetryRatio() < 0 || b.GetRetryExtra() < 0 || b.GetLimitOvershoot() < 0 || b.GetLimitSlack() < 0 {
 		c.report("bounds", "a negative share", "set retry_ratio, retry_extra, limit_overshoot and limit_slack to zero or more")
 	}
+	if b.GetExposureShare() < 0 || b.GetExposureShare() >= 1 || b.GetExposureSlack() < 0 {
+		c.report("bounds.exposure_share", fmt.Sprint(b.GetExposureShare()), "set a share below 1, and exposure_slack to zero or more")
+	}
+	if d := b.GetRollback().AsDuration(); d < 0 {
+		c.report("bounds.rollback", d.String(), "set a time above zero, or leave it out if there are no rollouts")
+	}
 	if d := b.GetRevocation().AsDuration(); d < 0 {
 		c.report("bounds.revocation", d.String(), "set a time above zero, or leave it out if none is promised")
 	}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -39,6 +39,8 @@
 		"bounds.grace":               "[bounds]\ngrace = \"0s\"\n",
 		"bounds.retry_window":        "[bounds]\nretry_window = \"-1s\"\n",
 		"bounds.revocation":          "[bounds]\nrevocation = \"-5s\"\n",
+		"bounds.exposure_share":      "[bounds]\nexposure_share = 1.5\n",
+		"bounds.rollback":            "[bounds]\nrollback = \"-5s\"\n",
 		"bounds":                     "[bounds]\nlimit_slack = -1.0\n",
 		"resources.file_descriptors": "[resources]\nfile_descriptors = 10\n",
 		"colour":                     "[colour]\nhue = 1\n",
