rollout, balance, owner: requests keep to the versions that a rollout allows

rollout.Balancer stands before the choice of a target: under trial it sends the share of each route to the new version, later all or none. balance.Work.Barred names the versions that a request must not go to, and travels to the owner of the zone. The Decider follows the orders at the node that reads the store for all, and writes phases under a lease. A request whose barred versions hid its only target among those picked at random stayed in the queue; the pick now looks at all of them. Nothing is wired yet.

--- a/balance/manager.go
+++ b/balance/manager.go
@@ -265,7 +265,7 @@
 	if len(p.targets) == 0 {
 		return &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}
 	}
-	if w.Version == "" && w.Only == "" {
+	if w.Version == "" && w.Only == "" && len(w.Barred) == 0 {
 		return nil
 	}
 	for _, t := range p.targets {
--- a/balance/target.go
+++ b/balance/target.go
@@ -41,6 +41,8 @@
 	// Version is the software version that the target must have, because targets of that
 	// version have produced the beginning of the stream; empty for any.
 	Version string
+	// Barred lists versions that the target must not have, because a rollout sends them nothing.
+	Barred []string
 	// Only is the one target that the request may be sent to; empty for any. Owners do not
 	// learn of it.
 	Only string
@@ -50,7 +52,7 @@
 
 // Allows reports whether the request may go to a target, whatever the state of that.
 func (w *Work) Allows(t *catalog.Target) bool {
-	return (w.Version == "" || w.Version == t.Version) && (w.Only == "" || w.Only == t.ID) && !slices.Contains(w.Tried, t.ID)
+	return (w.Version == "" || w.Version == t.Version) && (w.Only == "" || w.Only == t.ID) && !slices.Contains(w.Barred, t.Version) && !slices.Contains(w.Tried, t.ID)
 }
 
 // Load is the number of requests and prompt tokens in flight at a target.
--- a/balance/version_test.go
+++ b/balance/version_test.go
@@ -101,3 +101,37 @@
 	p.refuseUnservable()
 	is.Equal(len(p.waiting), 0)
 }
+
+func bars(version string) func(*Work) { return func(w *Work) { w.Barred = []string{version} } }
+
+// During a rollout, a target of a barred version must get nothing, however free it is.
+func TestRequestGetsNoTargetOfABarredVersion(t *testing.T) {
+	is := is.New(t)
+	p := newVersionedPool()
+	p.enqueue(p.work("r", 0, bars("2")), p.work("other", 1, nil))
+	is.Equal(p.assignNow(), []string{"r>A", "other>B"})
+	p.setFreeSlots("A", 0)
+	p.enqueue(p.work("r2", 0, bars("2")))
+	is.Equal(len(p.assignNow()), 0)
+	p.targets["A"].Draining = true
+	p.refuseUnservable()
+	is.Equal(len(p.waiting), 0) // It would wait for a version that has no target left.
+}
+
+// Targets of other zones are picked at random, so that those with a barred version must not
+// hide the one that may be used.
+func TestRequestFindsTheOneTargetOfItsVersionInAnotherZone(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		p := newTestPool(9*time.Millisecond, 3*time.Millisecond, 3*time.Millisecond, 3*time.Millisecond, 3*time.Millisecond, 3*time.Millisecond)
+		for id, target := range p.targets {
+			target.Zone, target.Version = "other", "2"
+			if id == "A" {
+				target.Version = "1"
+			}
+		}
+		p.now = p.now.Add(time.Minute)
+		p.enqueue(p.work("r", 0, bars("2")))
+		is.Equal(p.assignNow(), []string{"r>A"})
+	}
+}
--- a/owner/codec.go
+++ b/owner/codec.go
@@ -92,7 +92,7 @@
 		PromptTokens: w.PromptTokens, HintTokens: w.EstimatedOutputTokens,
 		ArrivedMicros: w.Arrived.Sub(now).Microseconds(), GoalMicros: w.Goal.Sub(now).Microseconds(),
 		PatienceMicros: w.Patience.Sub(now).Microseconds(), EndMicros: w.End.Sub(now).Microseconds(),
-		Tried: w.Tried, Version: w.Version,
+		Tried: w.Tried, Version: w.Version, BarredVersions: w.Barred,
 	}
 }
 
@@ -104,7 +104,7 @@
 		PromptTokens: a.GetPromptTokens(), EstimatedOutputTokens: a.GetHintTokens(),
 		Arrived: now.Add(micros(a.GetArrivedMicros())), Goal: now.Add(micros(a.GetGoalMicros())),
 		Patience: now.Add(micros(a.GetPatienceMicros())), End: now.Add(micros(a.GetEndMicros())),
-		Tried: a.GetTried(), Version: a.GetVersion(),
+		Tried: a.GetTried(), Version: a.GetVersion(), Barred: a.GetBarredVersions(),
 	}
 }
 
--- /dev/null
+++ b/rollout/access.go
@@ -0,0 +1,147 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+	"github.com/primrosemoor/primrosemoor/clock"
+)
+
+// access says which versions a request may go to.
+type access struct {
+	// barred lists the versions that it must not go to.
+	barred []string
+	// try is the version under trial that the request is to go to, empty for none. It counts
+	// as sent there until the try is given back.
+	try string
+	// refused is set if the request needs a version that gets nothing any more.
+	refused bool
+	// tracked is set if the service has an order or several versions. changed is closed when
+	// the phase of a rollout changes, nil if the service has none that is in progress.
+	tracked bool
+	changed <-chan struct{}
+}
+
+// oldRetention is how long the versions that a rollout has replaced get nothing after its end.
+// Their targets stop at once, but may be listed for a while.
+const oldRetention = time.Minute
+
+// access decides which versions a request may go to. mayTry is set if it may go to a version
+// under trial, and anyVersion if no target of a completed one was left for it.
+func (m *Manager) access(w *balance.Work, mayTry, anyVersion bool) access {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[w.Service]
+	if s == nil || s.rollout == nil && len(s.versions) < 2 {
+		return access{}
+	}
+	now, r := m.options.Now(), s.rollout
+	a := access{tracked: true}
+	if r != nil && !r.phase.Ended() {
+		a.changed = m.changed
+	}
+	switch {
+	case w.Version != "" || w.Only != "":
+		// A stream goes on at its version, as long as that is sent anything.
+		a.refused = r != nil && r.stopped() && w.Version == r.Target
+	case r == nil:
+		a.barred = s.unsettled(m.known, m.knownAt)
+	case r.stopped():
+		a.barred = []string{r.Target}
+	case r.phase == Completed && now.Sub(r.phaseSince) > oldRetention:
+	case r.phase == Shifting || r.phase == Completed:
+		if s.versions[r.Target] != nil && !anyVersion {
+			a.barred = slices.Collect(maps.Keys(r.old))
+		}
+	case len(s.versions) == 1:
+		// The version that is ordered serves alone already.
+	case r.phase == Trial && mayTry && len(w.Tried) == 0 && m.inContact(r, now) && s.versions[r.Target] != nil && m.takeTry(r, w.Route):
+		a.try = r.Target
+	default:
+		a.barred = []string{r.Target}
+	}
+	return a
+}
+
+// stopped reports whether nothing is sent to the new version.
+func (r *rollout) stopped() bool { return r.phase == Reverted || r.bad && r.phase != Completed }
+
+// inContact reports whether this node's knowledge of an order is recent.
+func (m *Manager) inContact(r *rollout, now clock.Instant) bool {
+	return m.known && now.Sub(r.heardAt) <= contactLimit
+}
+
+// takeTry counts a request of a route as sent to the version under trial, unless this
+// node's share is used up.
+func (m *Manager) takeTry(r *rollout, route string) bool {
+	c := r.route(route)
+	if !mayTry(c.sends, c.tries, TrialShare(m.options.Bound), c.start) {
+		return false
+	}
+	c.tries++
+	return true
+}
+
+// giveBack takes back a try that was not sent.
+func (m *Manager) giveBack(service, version, route string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.services[service]; s != nil && s.rollout != nil && s.rollout.Target == version {
+		if c := s.rollout.route(route); c.tries > 0 {
+			c.tries--
+		}
+	}
+}
+
+// unsettled returns the versions that get nothing, though no order is known: those for which
+// an order may exist that this node has not heard of, because it has just started, is cut off,
+// or because their targets came before the order. The one that has served for longest is none
+// of them.
+func (s *service) unsettled(known bool, knownAt clock.Instant) (barred []string) {
+	oldest := ""
+	for name, v := range s.versions {
+		o := s.versions[oldest]
+		if o == nil || v.started < o.started || v.started == o.started && name < oldest {
+			oldest = name
+		}
+	}
+	for name, v := range s.versions {
+		if name != oldest && (!known || knownAt.Sub(v.firstSeen) < newVersionDelay) {
+			barred = append(barred, name)
+		}
+	}
+	return barred
+}
+
+// begin records that a request is sent to a target of a version, and returns the rollout that
+// its outcome counts for, nil if there is none. It reports whether the request may be sent
+// there: the phase may have changed while it waited.
+func (m *Manager) begin(w *balance.Work, version string, tried bool) (r *rollout, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[w.Service]
+	if s == nil || s.rollout == nil {
+		return nil, true
+	}
+	r = s.rollout
+	isNew := version == r.Target
+	switch {
+	case isNew && r.stopped():
+		return nil, false
+	case isNew && !tried && w.Version == "" && w.Only == "" && r.phase < Shifting && len(s.versions) > 1:
+		// The order came while the request waited.
+		return nil, false
+	case r.phase.Ended():
+		return nil, true
+	}
+	c := r.route(w.Route)
+	if len(w.Tried) == 0 {
+		c.sends++
+	}
+	if isNew && !tried && r.phase == Trial {
+		c.tries++
+	}
+	return r, true
+}
--- /dev/null
+++ b/rollout/gossip.go
@@ -0,0 +1,109 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// OwnNode is the key of the outcomes at the sender's node in Report.Sums; the others are
+// those of zones.
+const OwnNode = ""
+
+// Report is what a node tells another one of an order.
+type Report struct {
+	Order
+	Phase   Phase
+	Elapsed time.Duration
+	Bad     bool
+	// Age is the time since the order was last known to exist.
+	Age  time.Duration
+	Sums map[string]Tally
+}
+
+// Reports is what a node tells another one of all orders.
+type Reports struct {
+	List []Report
+	// Age is the time since the sender knew all orders.
+	Age time.Duration
+}
+
+// Receiver says where reports go to.
+type Receiver uint8
+
+// The receivers of reports. A node of this zone gets the outcomes of this node and of the
+// other zones, a member of a large zone also those of this zone, and another zone only the
+// latter.
+const (
+	ToNode Receiver = iota
+	ToMember
+	ToZone
+)
+
+// Reports returns what this node knows of the orders, and a number that changes with the
+// phases; ok is false if it does not know them.
+func (m *Manager) Reports(to Receiver) (reports Reports, version uint64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.known {
+		return Reports{}, m.version, false
+	}
+	now := m.options.Now()
+	reports.Age = now.Sub(m.knownAt)
+	for _, s := range m.services {
+		r := s.rollout
+		if r == nil {
+			continue
+		}
+		report := Report{
+			Order: r.Order, Phase: r.phase, Elapsed: now.Sub(r.began), Bad: r.bad, Age: now.Sub(r.heardAt), Sums: make(map[string]Tally),
+		}
+		if to != ToNode {
+			report.Sums[m.options.Zone] = m.zoneTotal(r)
+		}
+		if to != ToZone {
+			report.Sums[OwnNode] = maps.Clone(r.own)
+			for zone, z := range r.zones {
+				if zone != m.options.Zone {
+					report.Sums[zone] = maps.Clone(z)
+				}
+			}
+		}
+		reports.List = append(reports.List, report)
+	}
+	slices.SortFunc(reports.List, func(a, b Report) int { return strings.Compare(a.Service, b.Service) })
+	return reports, m.version, true
+}
+
+// Apply applies what a process of a zone has told. Its sums only rise, so that a report that
+// is lost or comes late changes nothing in the end.
+func (m *Manager) Apply(process, zone string, reports Reports) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Now()
+	m.recordKnown(now.Add(-reports.Age))
+	for _, report := range reports.List {
+		heardAt := now.Add(-report.Age)
+		if m.knownAt.Sub(heardAt) > removalDelay {
+			continue
+		}
+		r, _ := m.observe(report.Order, report.Phase, report.Elapsed, report.Bad, heardAt)
+		if r == nil {
+			continue
+		}
+		for source, tally := range report.Sums {
+			into, key := r.zones, source
+			if source == OwnNode {
+				into, key = r.nodes, process
+			}
+			if source == OwnNode && (zone != m.options.Zone || process == m.options.Process) {
+				continue
+			}
+			if into[key] == nil {
+				into[key] = make(Tally)
+			}
+			into[key].raise(tally)
+		}
+	}
+}
--- a/rollout/lease.go
+++ b/rollout/lease.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosemoor/primrosemoor/clock"
+)
 
 const (
 	// The lease is leaseShare of the time limit, between minLease and maxLease, so that a
@@ -24,16 +28,18 @@
 	// length is the lease that the holder wrote, and seen when this node first saw the write.
 	// The node measures the lease by its own clock alone: clocks of nodes differ.
 	length time.Duration
-	seen   time.Time
+	seen   clock.Instant
+	// revision is that of the object with the write.
+	revision uint64
 }
 
 // mayDecide reports whether a process may write the status. The store accepts only one of
 // several writes on the same revision.
-func (l lease) mayDecide(self string, now time.Time) bool {
+func (l lease) mayDecide(self string, now clock.Instant) bool {
 	return l.holder == "" || l.holder == self || now.Sub(l.seen) > l.length
 }
 
 // renewDue reports whether a process has to write the status though nothing has changed.
-func (l lease) renewDue(self string, now time.Time) bool {
+func (l lease) renewDue(self string, now clock.Instant) bool {
 	return l.holder != self || now.Sub(l.seen) >= l.length/renewDivisor
 }
