mesh, platform: rollouts in the updates of the mesh and in the store

Each link tells the phases at once and the sums of outcomes every 200 ms: those of the node and of other zones within a zone, those of the zone between zones. platform reads the kind rollouts and writes statuses on a revision; the stand-in of the store takes such writes. In a test of 13 nodes in a large and two small zones, each node counts each outcome once, and keeps those of a node that has stopped.

--- a/mesh/link.go
+++ b/mesh/link.go
@@ -43,6 +43,9 @@
 	sentCrashes uint64
 	// sentStreams is the version of the records of streams that were last sent.
 	sentStreams uint64
+	// sentRollouts is the version of the rollouts' phases that was last sent, at rolloutsAt.
+	sentRollouts uint64
+	rolloutsAt   time.Time
 	// sentForwarded are the versions of the other zones' sums that were last sent;
 	// nil until the first update on a stream.
 	sentForwarded map[string]uint64
@@ -183,6 +186,7 @@
 func (l *link) begin() {
 	l.encoder = newEncoder()
 	l.sentOwn, l.sentZone, l.sentCrashes, l.sentStreams, l.sentForwarded, l.toMember = 0, 0, 0, 0, nil, false
+	l.rolloutsAt = time.Time{}
 }
 
 // open opens the stream. It fails after connectTimeout or when a retry is
@@ -325,6 +329,7 @@
 	}
 	hasChanges = l.addCrashes(u) || hasChanges
 	hasChanges = l.addStreams(u, toMember) || hasChanges
+	hasChanges = l.addRollouts(u, toMember) || hasChanges
 	hasChanges = hasChanges || u.GetLeaving() != l.sentLeaving || u.GetAble() != l.sentReady || u.GetStarted() != l.sentStarted
 	l.sentLeaving, l.sentReady, l.sentStarted = u.GetLeaving(), u.GetAble(), u.GetStarted()
 	if hasChanges || due {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -104,7 +104,9 @@
 	CrashRelay CrashRelay
 	// StreamRelay is nil if nodes do not tell each other where streams began.
 	StreamRelay StreamRelay
-	Logger      *log.Logger
+	// RolloutRelay is nil if rollouts are not followed.
+	RolloutRelay RolloutRelay
+	Logger       *log.Logger
 }
 
 // Manager maintains the links to other nodes. Its methods may be called by any
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -16,6 +16,7 @@
 	"github.com/primrosemoor/primrosemoor/mesh"
 	"github.com/primrosemoor/primrosemoor/peer"
 	"github.com/primrosemoor/primrosemoor/resume"
+	"github.com/primrosemoor/primrosemoor/rollout"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -48,6 +49,7 @@
 	content  []byte
 	culprits *culprit.Manager
 	streams  *resume.Registry
+	rollouts *rollout.Manager
 }
 
 func (n *node) Era() uint64 { return locked(n, func() uint64 { return max(n.era, n.storeEra) }) }
@@ -157,8 +159,11 @@
 	n.server = peer.NewServer(id, peer.NopMeter{}, nil)
 	n.culprits = culprit.New(func() { n.manager.CrashesChanged() }, logging.Discard())
 	n.streams = resume.NewRegistry(func() { n.manager.StreamsChanged() })
+	n.rollouts = rollout.New(rollout.Options{
+		Zone: zone, Process: mesh.ProcessName(id), Bound: 0.1, Logger: logging.Discard(), Now: clock.Now, OnChanged: func() { n.manager.RolloutsChanged() },
+	})
 	n.manager = mesh.New(mesh.Options{
-		Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, ObjectRelay: n, CrashRelay: n.culprits, StreamRelay: n.streams,
+		Self: n.self, Pool: n.pool, Listener: n, ProofRelay: n, ObjectRelay: n, CrashRelay: n.culprits, StreamRelay: n.streams, RolloutRelay: n.rollouts,
 		Logger: logging.Discard(),
 	})
 	n.server.HandleStream(schema.Method_METHOD_MESH, n.manager.Serve)
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -28,6 +28,7 @@
 		m.handleUpdate(in, u)
 		m.applyCrashes(u)
 		m.applyStreams(in.from, u)
+		m.applyRollouts(in.from, u)
 		if time.Since(acked) < ackInterval {
 			continue
 		}
--- a/rollout/cluster_test.go
+++ b/rollout/cluster_test.go
@@ -145,7 +145,7 @@
 	}
 	c.mu.Unlock()
 	tell := func(from, to *clusterNode, as Receiver) {
-		if reports, _, ok := from.manager.Reports(as); ok {
+		if reports, ok := from.manager.Reports(as); ok {
 			to.manager.Apply(from.name, from.zone, reports)
 		}
 	}
--- a/rollout/gossip.go
+++ b/rollout/gossip.go
@@ -41,13 +41,19 @@
 	ToZone
 )
 
-// Reports returns what this node knows of the orders, and a number that changes with the
-// phases; ok is false if it does not know them.
-func (m *Manager) Reports(to Receiver) (reports Reports, version uint64, ok bool) {
+// Version returns a number that changes with the phases.
+func (m *Manager) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
+// Reports returns what this node knows of the orders; ok is false if it does not know them.
+func (m *Manager) Reports(to Receiver) (reports Reports, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.known {
-		return Reports{}, m.version, false
+		return Reports{}, false
 	}
 	now := m.options.Now()
 	reports.Age = now.Sub(m.knownAt)
@@ -73,7 +79,7 @@
 		reports.List = append(reports.List, report)
 	}
 	slices.SortFunc(reports.List, func(a, b Report) int { return strings.Compare(a.Service, b.Service) })
-	return reports, m.version, true
+	return reports, true
 }
 
 // Apply applies what a process of a zone has told. Its sums only rise, so that a report that
@@ -107,3 +113,34 @@
 		}
 	}
 }
+
+// State is what this node knows of a rollout.
+type State struct {
+	Order
+	Phase Phase
+	// Bad is set if the outcomes have shown the version to be bad.
+	Bad bool
+	// Before and After are the outcomes at all nodes, of the other versions and of the new one.
+	Before, After Counts
+}
+
+// States returns what this node knows of the rollouts.
+func (m *Manager) States() (states []State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.services {
+		if s.rollout == nil {
+			continue
+		}
+		state := State{Order: s.rollout.Order, Phase: s.rollout.phase, Bad: s.rollout.bad}
+		for series, c := range m.total(s.rollout) {
+			if series.New {
+				state.After = state.After.plus(c)
+			} else {
+				state.Before = state.Before.plus(c)
+			}
+		}
+		states = append(states, state)
+	}
+	return states
+}
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -15,6 +15,8 @@
 	maxWatchWait = 30 * time.Second
 	pathPrefix   = "/api/objects/"
 	headerEra    = "Store-Era"
+	// statusSuffix follows the name of an object whose status is written.
+	statusSuffix = "/status"
 )
 
 // ServeHTTP implements http.Handler.
@@ -164,6 +166,7 @@
 	if method == http.MethodPost {
 		name = body.Metadata.Name
 	}
+	name, isStatus := strings.CutSuffix(name, statusSuffix)
 	current, exists := s.kinds[kind][name]
 	conflict := body.Metadata.Revision != 0 && body.Metadata.Revision != current.Metadata.Revision
 	switch {
@@ -173,6 +176,8 @@
 		return http.StatusCreated, s.put(kind, name, body.Spec)
 	case !exists:
 		return http.StatusNotFound, Object{}
+	case isStatus:
+		return http.StatusOK, s.putStatus(kind, current, body.Status)
 	case method == http.MethodDelete:
 		s.remove(kind, name)
 		return http.StatusOK, current
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -180,13 +180,30 @@
 	s.revision++
 	o := Object{Metadata: Metadata{Name: name, Revision: s.revision, Created: s.revision, Finalizers: []string{}}, Spec: spec}
 	if existed {
-		o.Metadata.Created = old.Metadata.Created
+		o.Metadata.Created, o.Status = old.Metadata.Created, old.Status
 	}
 	objects[name] = o
 	s.appendEvent(kind, Event{Object: o})
 	return o
 }
 
+// putStatus replaces the status of an object, which raises its revision.
+func (s *Store) putStatus(kind string, o Object, status json.RawMessage) Object {
+	s.revision++
+	o.Metadata.Revision, o.Status = s.revision, status
+	s.kinds[kind][o.Metadata.Name] = o
+	s.appendEvent(kind, Event{Object: o})
+	return o
+}
+
+// Object returns an object, or false if there is none.
+func (s *Store) Object(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.kinds[kind][name]
+	return o, ok
+}
+
 func (s *Store) remove(kind, name string) bool {
 	o, ok := s.kinds[kind][name]
 	if !ok {
