entry: rollouts are followed where the settings bound the exposure

An operator's order in the store moves a service to a new version. Without exposure_share and rollback in the settings nothing is followed and nothing changes.

--- a/balance/status.go
+++ b/balance/status.go
@@ -19,6 +19,7 @@
 // TargetStatus is the current state of one target.
 type TargetStatus struct {
 	ID       string
+	Version  string
 	Draining bool
 	// Load is the load from all nodes.
 	Load Load
@@ -47,7 +48,7 @@
 	for _, p := range m.pools {
 		s := PoolStatus{Service: p.name, Waiting: make(map[int]int)}
 		for _, t := range p.targets {
-			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Draining: t.leaves(), Load: t.load()})
+			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Version: t.Version, Draining: t.leaves(), Load: t.load()})
 			if !t.leaves() && !t.health.inBackoff(now) {
 				s.Slots += t.Slots
 				s.InUse += t.load().Requests
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
 	"github.com/primrosemoor/primrosemoor/resume"
+	"github.com/primrosemoor/primrosemoor/rollout"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
@@ -48,6 +49,8 @@
 			newStreams,
 			newArchive,
 			newStreamFinder,
+			newRollouts,
+			newDecider,
 			newMesh,
 			newBalancer,
 			newOwner,
@@ -95,9 +98,9 @@
 	bodyBytesPerMebibyte = 1 << 18
 )
 
-func newGateway(s *schema.GatewaySettings, d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, streams *resume.Finder, m *links.Monitors, sender *links.Switch, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(s *schema.GatewaySettings, d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, streams *resume.Finder, m *links.Monitors, sender *links.Switch, ro *rollout.Manager, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: b, Allowance: a, Retries: r, Sender: sender,
+		Config: d, HeaderCodec: platform.HeaderCodec{}, Balancer: withRollouts(ro, b), Allowance: a, Retries: r, Sender: sender,
 		Culprits: c, Prober: u, Limits: l, Signals: b, Streams: streams, Links: m, Metrics: t, Logger: logger,
 		HeldBytes: int(s.GetResources().GetMemoryMebibytes() * heldBytesPerMebibyte),
 		BodyBytes: int(s.GetResources().GetMemoryMebibytes() * bodyBytesPerMebibyte),
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -28,6 +28,7 @@
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
 	"github.com/primrosemoor/primrosemoor/resume"
+	"github.com/primrosemoor/primrosemoor/rollout"
 	"github.com/primrosemoor/primrosemoor/schema"
 	"github.com/primrosemoor/primrosemoor/telemetry"
 	"github.com/primrosemoor/primrosemoor/upstream"
@@ -58,6 +59,8 @@
 	Retries   *quota.Retries
 	Recorder  *explain.Recorder
 	Archive   *resume.Archive
+	Rollouts  *rollout.Manager
+	Decider   *rollout.Decider
 	Forwarder *forwarder
 	Reload    Reload `optional:"true"`
 }
@@ -114,7 +117,7 @@
 			l.Logger.Error().Str("event", "listener_failed").Str("address", listen.GetPeers()).Err(err).Msg("")
 		}
 	})
-	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.Links.Run, l.Archive.Run, l.announce, l.bootstrapFromSeeds, l.reload} {
+	for _, run := range []func(context.Context){l.Balancer.Run, l.Mesh.Run, l.Owner.Run, l.publishEligibility, l.Datastore.Run, l.Upstream.Run, l.Links.Run, l.Archive.Run, l.runRollouts, l.announce, l.bootstrapFromSeeds, l.reload} {
 		l.wg.Go(func() { run(ctx) })
 	}
 	callerServer := &http.Server{
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/primrosemoor/primrosemoor/platform"
 	"github.com/primrosemoor/primrosemoor/quota"
 	"github.com/primrosemoor/primrosemoor/resume"
+	"github.com/primrosemoor/primrosemoor/rollout"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -75,6 +76,7 @@
 	datastore *datastore.Manager
 	streams   *resume.Registry
 	archive   *resume.Archive
+	rollouts  *rollout.Manager
 	listed    listedNodes
 	unlisted  unlisted
 }
@@ -163,9 +165,9 @@
 	return culprit.New(func() { f.mesh.CrashesChanged() }, logger)
 }
 
-func newMesh(f *forwarder, self datastore.Node, pool *peer.Pool, server *peer.Server, culprits *culprit.Manager, streams *resume.Registry, logger *log.Logger) *mesh.Manager {
+func newMesh(f *forwarder, self datastore.Node, pool *peer.Pool, server *peer.Server, culprits *culprit.Manager, streams *resume.Registry, rollouts *rollout.Manager, logger *log.Logger) *mesh.Manager {
 	f.mesh = mesh.New(mesh.Options{
-		Self: self, Pool: pool, Listener: f, ProofRelay: f, ObjectRelay: f, CrashRelay: culprits, StreamRelay: streams, Logger: logger,
+		Self: self, Pool: pool, Listener: f, ProofRelay: f, ObjectRelay: f, CrashRelay: culprits, StreamRelay: streams, RolloutRelay: rolloutRelay(rollouts), Logger: logger,
 	})
 	server.HandleStream(schema.Method_METHOD_MESH, f.mesh.Serve)
 	return f.mesh
@@ -224,6 +226,9 @@
 		Nodes:       func() int { return f.mesh.Nodes() },
 		Logger:      logger,
 		OnTargets: func(targets []*catalog.Target, services map[string]*catalog.Service) {
+			if f.rollouts != nil {
+				f.rollouts.UpdateTargets(targets)
+			}
 			f.streams.Update(f.datastore.Table().Config.Routes, targets)
 			f.balancer.ApplyTargets(f.streams.Admit(targets), services)
 			f.archive.Wake()
