rollout: few requests wait for a version without free targets

After a try that got no target, the node tries none for a second. A response counts as slow from three times the usual time instead of 2.5, because sound engines differ in speed.

--- a/rollout/access.go
+++ b/rollout/access.go
@@ -57,7 +57,7 @@
 		}
 	case len(s.versions) == 1:
 		// The version that is ordered serves alone already.
-	case r.phase == Trial && mayTry && len(w.Tried) == 0 && m.inContact(r, now) && s.versions[r.Target] != nil && m.takeTry(r, w.Route):
+	case mayTry && len(w.Tried) == 0 && s.versions[r.Target] != nil && m.triesNow(r, now) && m.takeTry(r, w.Route):
 		a.try = r.Target
 	default:
 		a.barred = []string{r.Target}
@@ -68,6 +68,11 @@
 // stopped reports whether nothing is sent to the new version.
 func (r *rollout) stopped() bool { return r.phase == Reverted || r.bad && r.phase != Completed }
 
+// triesNow reports whether requests are sent to a version under trial now.
+func (m *Manager) triesNow(r *rollout, now clock.Instant) bool {
+	return r.phase == Trial && now >= r.tryFrom && m.inContact(r, now)
+}
+
 // inContact reports whether this node's knowledge of an order is recent.
 func (m *Manager) inContact(r *rollout, now clock.Instant) bool {
 	return m.known && now.Sub(r.heardAt) <= contactLimit
@@ -84,6 +89,10 @@
 	return true
 }
 
+// tryPause is the time after a request got no target of the version under trial in which no
+// other one waits for it. The targets may not have started yet, or all have failed.
+const tryPause = time.Second
+
 // giveBack takes back a try that was not sent.
 func (m *Manager) giveBack(service, version, route string) {
 	m.mu.Lock()
@@ -92,6 +101,7 @@
 		if c := s.rollout.route(route); c.tries > 0 {
 			c.tries--
 		}
+		s.rollout.tryFrom = m.options.Now().Add(tryPause)
 	}
 }
 
--- a/rollout/cluster_test.go
+++ b/rollout/cluster_test.go
@@ -430,3 +430,35 @@
 	}
 	return versions
 }
+
+// Callers must not wait for a version under trial of which no target answers.
+func TestFewRequestsWaitForAVersionWithoutFreeTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, sound)
+		n := c.start(0, 1)
+		c.run(2*time.Second, nil)
+		c.order(20 * time.Second)
+		c.run(time.Second, nil)
+		n.balancer.Next = fullVersion{n, "v2"}
+		began := time.Now()
+		for range 1000 {
+			is.Equal(n.request("chat"), "v1")
+		}
+		is.True(time.Since(began) <= 2*tryWait)
+	})
+}
+
+// fullVersion lets requests for a version wait.
+type fullVersion struct {
+	*clusterNode
+	version string
+}
+
+func (f fullVersion) Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error) {
+	if w.Version == f.version {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
+	return f.clusterNode.Acquire(ctx, w)
+}
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -85,6 +85,8 @@
 	phaseSince clock.Instant
 	// began is the time of the order; heardAt is when the order was last known to exist.
 	began, heardAt clock.Instant
+	// tryFrom is when the next request may wait for a target of the version under trial.
+	tryFrom clock.Instant
 	// bad is set once the outcomes have shown the version to be bad.
 	bad bool
 	// old are the other versions that served before the end of the rollout.
--- a/rollout/outcome.go
+++ b/rollout/outcome.go
@@ -11,10 +11,10 @@
 
 const (
 	// A response is slow if it takes slowFactor times as long as is usual at the other
-	// versions: bad versions are several times slower. Once these get no requests, what was
+	// versions: bad versions are several times slower, and sound engines differ in speed. Once these get no requests, what was
 	// usual is of the past, when the load may have been lower, and shiftedSlowFactor holds.
-	slowFactor        = 2.5
-	shiftedSlowFactor = 5
+	slowFactor        = 3.0
+	shiftedSlowFactor = 5.0
 	// usualSamples is the number of responses of which the median counts as usual, and
 	// minUsualSamples that from which it is known.
 	usualSamples    = 32
