mesh, rollout: members of large zones tell and get sums only

A report with 13 zones of five routes is 3,795 B, and a hub of 23 nodes would have sent and got 110 of them a second each. Members now tell hubs their own outcomes (324 B) and get two sums (613 B).

--- a/mesh/rollouts.go
+++ b/mesh/rollouts.go
@@ -13,9 +13,9 @@
 // changes. It is shorter than heartbeatInterval, so that each heartbeat has one.
 const rolloutInterval = 200 * time.Millisecond
 
-// RolloutRelay holds what this node knows of the rollouts. The nodes of a zone tell each
-// other the outcomes at their nodes and those of the other zones, and the owner of a zone
-// tells other zones the sums of its zone.
+// RolloutRelay holds what this node knows of the rollouts. The nodes of a small zone, and the
+// hubs of a large one, tell each other the outcomes at their nodes and those of the other
+// zones. Members tell hubs theirs and get sums, and other zones get the sums of the zone.
 type RolloutRelay interface {
 	// Version returns a number that changes with the phases.
 	Version() uint64
@@ -49,6 +49,8 @@
 		to = rollout.ToZone
 	case toMember:
 		to = rollout.ToMember
+	case l.fromMember():
+		to = rollout.ToHub
 	}
 	reports, ok := relay.Reports(to)
 	if !ok {
@@ -63,6 +65,13 @@
 	return true
 }
 
+// fromMember reports whether this node reports to hubs only.
+func (l *link) fromMember() bool {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	return l.manager.member
+}
+
 // applyRollouts applies the rollouts in an update.
 func (m *Manager) applyRollouts(from peer.Identity, u *schema.MeshUpdate) {
 	if m.options.RolloutRelay == nil || u.RolloutsAgeMicros == nil {
--- a/rollout/gossip.go
+++ b/rollout/gossip.go
@@ -7,9 +7,12 @@
 	"time"
 )
 
-// OwnNode is the key of the outcomes at the sender's node in Report.Sums; the others are
-// those of zones.
-const OwnNode = ""
+// OwnNode and OtherZones are the keys in Report.Sums of the outcomes at the sender's node, and
+// of the sum over all zones but the sender's. The others are those of single zones.
+const (
+	OwnNode    = ""
+	OtherZones = "*"
+)
 
 // Report is what a node tells another one of an order.
 type Report struct {
@@ -32,11 +35,12 @@
 // Receiver says where reports go to.
 type Receiver uint8
 
-// The receivers of reports. A node of this zone gets the outcomes of this node and of the
-// other zones, a member of a large zone also those of this zone, and another zone only the
-// latter.
+// The receivers of reports. A node of this zone that reports to all others gets the outcomes
+// at this node and in each other zone; a hub those at this node; a member of a large zone the
+// sums of this zone and of all others; another zone those of this one.
 const (
 	ToNode Receiver = iota
+	ToHub
 	ToMember
 	ToZone
 )
@@ -65,16 +69,8 @@
 		report := Report{
 			Order: r.Order, Phase: r.phase, Elapsed: now.Sub(r.began), Bad: r.bad, Age: now.Sub(r.heardAt), Sums: make(map[string]Tally),
 		}
-		if to != ToNode {
-			report.Sums[m.options.Zone] = m.zoneTotal(r)
-		}
-		if to != ToZone {
-			report.Sums[OwnNode] = maps.Clone(r.own)
-			for zone, z := range r.zones {
-				if zone != m.options.Zone {
-					report.Sums[zone] = maps.Clone(z)
-				}
-			}
+		if !r.phase.Ended() {
+			m.addSums(report.Sums, r, to)
 		}
 		reports.List = append(reports.List, report)
 	}
@@ -82,6 +78,26 @@
 	return reports, true
 }
 
+// addSums adds the outcomes that a receiver gets. The lock must be held.
+func (m *Manager) addSums(sums map[string]Tally, r *rollout, to Receiver) {
+	if to == ToNode || to == ToHub {
+		sums[OwnNode] = maps.Clone(r.own)
+	}
+	if to == ToMember || to == ToZone {
+		sums[m.options.Zone] = m.zoneTotal(r)
+	}
+	if to == ToMember {
+		sums[OtherZones] = m.otherZones(r)
+	}
+	if to == ToNode {
+		for zone, z := range r.zones {
+			if zone != m.options.Zone && zone != OtherZones {
+				sums[zone] = maps.Clone(z)
+			}
+		}
+	}
+}
+
 // Apply applies what a process of a zone has told. Its sums only rise, so that a report that
 // is lost or comes late changes nothing in the end.
 func (m *Manager) Apply(process, zone string, reports Reports) {
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -263,11 +263,20 @@
 // total returns the outcomes at all nodes. The lock must be held.
 func (m *Manager) total(r *rollout) Tally {
 	t := m.zoneTotal(r)
+	t.add(m.otherZones(r))
+	return t
+}
+
+// otherZones returns the outcomes in the other zones: the sum of what is known of each, or
+// what a hub has summed up, whichever is more. The lock must be held.
+func (m *Manager) otherZones(r *rollout) Tally {
+	t := make(Tally)
 	for zone, z := range r.zones {
-		if zone != m.options.Zone {
+		if zone != m.options.Zone && zone != OtherZones {
 			t.add(z)
 		}
 	}
+	t.raise(r.zones[OtherZones])
 	return t
 }
 
