--- a/entry/reload.go
+++ b/entry/reload.go
@@ -67,7 +67,10 @@
 	restartOnly := func(s *schema.GatewaySettings) *schema.GatewaySettings {
 		c := proto.CloneOf(s)
 		c.Seeds = nil
-		c.Bounds = &schema.GatewayBounds{Grace: s.GetBounds().GetGrace(), Drain: s.GetBounds().GetDrain()}
+		b := s.GetBounds()
+		c.Bounds = &schema.GatewayBounds{
+			Grace: b.GetGrace(), Drain: b.GetDrain(), ExposureShare: b.GetExposureShare(), ExposureSlack: b.GetExposureSlack(), Rollback: b.GetRollback(),
+		}
 		return c
 	}
 	return !proto.Equal(restartOnly(current), restartOnly(updated))
--- a/rollout/balancer.go
+++ b/rollout/balancer.go
@@ -55,6 +55,10 @@
 			if ok && r == nil {
 				return grant, nil
 			}
+			if ok && a.try != "" {
+				b.Manager.options.Logger.Info().Str("event", "rollout_tried").Str("request", w.ID).Str("service", w.Service).
+					Str("route", w.Route).Str("version", a.try).Str("target", grant.Target.ID).Msg("")
+			}
 			if ok {
 				return balance.NewGrant(grant.Target, grant.Prediction, &observer{
 					Reporter: grant.Reporter(), manager: b.Manager, rollout: r, work: w, target: grant.Target, sentAt: b.Manager.options.Now(),
