rollout: slow responses are told by the times at all nodes

At 74 nodes and 100 requests a second, a node sees some ten responses of a route within a trial, too few to know what is usual there, so that slow versions would pass. The sums now carry counts and logarithms of the old versions' times, and their geometric mean over all nodes counts. A version that was reverted gets nothing under the next order either, a lease is renewed after half of it, and a request that needs a version finds its only target in other zones.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -23,8 +23,8 @@
 	if best, ok := p.best(c.candidates(), w, now, here, c, reserve); ok {
 		return best, true
 	}
-	if len(w.Barred) > 0 {
-		// Those that were picked at random may all have a barred version.
+	if w.Version != "" || len(w.Barred) > 0 {
+		// Those that were picked at random may all have other versions.
 		if best, ok := p.best(c.otherZones, w, now, here, c, reserve); ok {
 			return best, true
 		}
--- a/mesh/rollouts.go
+++ b/mesh/rollouts.go
@@ -92,7 +92,8 @@
 	for zone, tally := range r.Sums {
 		sums := &schema.MeshRolloutSums{Zone: zone}
 		for series, c := range tally {
-			o := &schema.MeshRolloutOutcome{Route: series.Route, Responses: c.Responses, Failures: c.Failures, Slow: c.Slow}
+			o := &schema.MeshRolloutOutcome{Route: series.Route, Responses: c.Responses, Failures: c.Failures, Slow: c.Slow,
+				FirstCount: c.First.Count, FirstLogMillis: c.First.LogMillis, GapCount: c.Gaps.Count, GapLogMillis: c.Gaps.LogMillis}
 			if series.New {
 				o.Version = r.Target
 			}
@@ -116,6 +117,8 @@
 		for _, o := range sums.GetOutcomes() {
 			tally[rollout.Series{Route: o.GetRoute(), New: o.GetVersion() == m.GetTarget()}] = rollout.Counts{
 				Responses: o.GetResponses(), Failures: o.GetFailures(), Slow: o.GetSlow(),
+				First: rollout.Times{Count: o.GetFirstCount(), LogMillis: o.GetFirstLogMillis()},
+				Gaps:  rollout.Times{Count: o.GetGapCount(), LogMillis: o.GetGapLogMillis()},
 			}
 		}
 		r.Sums[sums.GetZone()] = tally
--- a/rollout/access.go
+++ b/rollout/access.go
@@ -62,6 +62,9 @@
 	default:
 		a.barred = []string{r.Target}
 	}
+	if s.reverted != "" && a.try == "" && (r == nil || r.Target != s.reverted) {
+		a.barred = append(a.barred, s.reverted)
+	}
 	return a
 }
 
--- a/rollout/lease.go
+++ b/rollout/lease.go
@@ -12,9 +12,9 @@
 	leaseShare = 0.15
 	minLease   = 3 * time.Second
 	maxLease   = 10 * time.Second
-	// renewDivisor divides the lease to give the time after which it is renewed: two writes
-	// may fail.
-	renewDivisor = 3
+	// renewDivisor divides the lease to give the time after which it is renewed. A write that
+	// fails is repeated every 0.5 s in the other half.
+	renewDivisor = 2
 )
 
 // leaseOf returns the lease of the decider of a rollout with a time limit.
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -67,6 +67,9 @@
 type service struct {
 	versions map[string]*version
 	rollout  *rollout
+	// reverted is the version that the last order, which has been replaced or removed, ended
+	// without; empty if there is none, or its targets are no longer listed.
+	reverted string
 }
 
 // version is a version of which targets are listed.
@@ -97,6 +100,8 @@
 	// zones the sums of zones, this one included, as others report them.
 	own          Tally
 	nodes, zones map[string]Tally
+	// usual are the times of the old versions by route, at all nodes.
+	usual map[string]usualTimes
 	// lastBroken is when a response of a target last broke off.
 	lastBroken map[instance]clock.Instant
 }
@@ -131,19 +136,22 @@
 		switch {
 		case r == nil:
 		case m.knownAt.Sub(r.heardAt) > removalDelay:
-			s.rollout = nil
+			s.endOrder()
 			m.logPhase("rollout_removed", r)
 			m.announce()
-		case !r.bad && !r.phase.Ended() && m.total(r).Bad():
-			m.setBad(r)
+		case !r.bad && !r.phase.Ended():
+			total := m.total(r)
+			r.usual = total.usualTimes()
+			if total.Bad() {
+				m.setBad(r, total)
+			}
 		}
 	}
 }
 
-// setBad cuts a version off. The lock must be held.
-func (m *Manager) setBad(r *rollout) {
+// setBad cuts a version off for its outcomes. The lock must be held.
+func (m *Manager) setBad(r *rollout, total Tally) {
 	r.bad = true
-	total := m.total(r)
 	for series, c := range total {
 		m.options.Logger.Warn().Str("event", "rollout_outcomes").Str("service", r.Service).Str("target", r.Target).Str("route", series.Route).
 			Bool("new", series.New).Uint64("responses", c.Responses).Uint64("failures", c.Failures).Uint64("slow", c.Slow).Msg("")
@@ -210,6 +218,9 @@
 	maps.DeleteFunc(m.coldUntil, func(i instance, _ clock.Instant) bool { return !listed[i] })
 	for name, s := range m.services {
 		maps.DeleteFunc(s.versions, func(_ string, v *version) bool { return v.targets == 0 })
+		if s.versions[s.reverted] == nil {
+			s.reverted = ""
+		}
 		s.recordOld()
 		if len(s.versions) == 0 && s.rollout == nil {
 			delete(m.services, name)
@@ -217,6 +228,15 @@
 	}
 }
 
+// endOrder drops the order. A version that was reverted gets nothing as long as its targets are
+// listed, unless it is ordered again.
+func (s *service) endOrder() {
+	if s.rollout != nil && s.rollout.stopped() {
+		s.reverted = s.rollout.Target
+	}
+	s.rollout = nil
+}
+
 // recordOld records the versions that the rollout replaces.
 func (s *service) recordOld() {
 	if s.rollout == nil || s.rollout.phase.Ended() {
@@ -236,6 +256,7 @@
 	s := m.service(o.Service)
 	r = s.rollout
 	if r == nil || r.Revision < o.Revision {
+		s.endOrder()
 		r = &rollout{
 			Order: o, phaseSince: now, began: now, old: make(map[string]bool), routes: make(map[string]*routeCounts),
 			own: make(Tally), nodes: make(map[string]Tally), zones: make(map[string]Tally), lastBroken: make(map[instance]clock.Instant),
@@ -292,14 +313,12 @@
 	return t
 }
 
-// routeCounts are the requests of a route that this node has sent since the order, and its
-// response times at the other versions.
+// routeCounts are the requests of a route that this node has sent since the order.
 type routeCounts struct {
 	// sends counts requests, tries those that went to the new version.
 	sends, tries uint64
 	// start is uniform in [0, 1).
-	start      float64
-	first, gap usual
+	start float64
 }
 
 func (r *rollout) route(name string) *routeCounts {
--- /dev/null
+++ b/rollout/manager_test.go
@@ -0,0 +1,87 @@
+package rollout
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"github.com/primrosemoor/primrosemoor/balance"
+)
+
+// newLoneNode returns a node that lists targets of some versions and knows an order for v2.
+func newLoneNode(t *testing.T, versions int, phase Phase) *clusterNode {
+	n := &clusterNode{cluster: &cluster{t: t, versions: versions}}
+	n.manager = New(Options{Zone: "z", Process: "n", Bound: bound, Logger: &log.Logger{Level: log.PanicLevel}, Now: virtualNow})
+	n.balancer = &Balancer{Manager: n.manager, Next: n}
+	n.manager.UpdateTargets(targetsOf(versions))
+	n.manager.Apply("x", "y", Reports{List: []Report{{Order: Order{"s", "v2", time.Minute, 5}, Phase: phase}}})
+	return n
+}
+
+func (n *clusterNode) acquire(version string) (string, *balance.Grant) {
+	grant, err := n.balancer.Acquire(n.t.Context(), &balance.Work{Service: "s", Route: "chat", Version: version})
+	if err != nil {
+		return "", nil
+	}
+	return grant.Target.Version, grant
+}
+
+// Targets of a version that was reverted drain only some seconds later, when the next order
+// may have come.
+func TestRevertedVersionGetsNothingAfterTheNextOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newLoneNode(t, 3, Reverted)
+		served := make(map[string]int)
+		n.manager.Apply("x", "y", Reports{List: []Report{{Order: Order{"s", "v3", time.Minute, 9}, Phase: Ordered}}})
+		for range 100 {
+			version, _ := n.acquire("")
+			served[version]++
+		}
+		is.Equal(served, map[string]int{"v1": 100})
+	})
+}
+
+// In a large deployment each node sees few requests of a route, and has to tell slow responses
+// by what is usual at all nodes.
+func TestSlowResponsesAreKnownAtANodeWithFewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newLoneNode(t, 2, Trial)
+		usual := Counts{Responses: 20}
+		for range 20 {
+			usual.First = usual.First.plus(timesOf(30 * time.Millisecond))
+		}
+		n.manager.Apply("x", "y", Reports{List: []Report{{
+			Order: Order{"s", "v2", time.Minute, 5}, Phase: Trial, Sums: map[string]Tally{"y": {Series{Route: "chat"}: usual}},
+		}}})
+		n.manager.judge()
+		for _, takes := range []time.Duration{50, 100, 200} {
+			_, grant := n.acquire("v2")
+			time.Sleep(takes * time.Millisecond)
+			grant.Done(balance.Answered)
+		}
+		is.Equal(n.manager.States()[0].After, Counts{Responses: 3, Slow: 2})
+	})
+}
+
+// A machine that fails breaks all responses of its target at once, which says little of the
+// version.
+func TestResponsesThatOneTargetBreaksTogetherCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newLoneNode(t, 2, Trial)
+		var grants []*balance.Grant
+		for range 40 {
+			_, grant := n.acquire("v2")
+			grants = append(grants, grant)
+		}
+		for _, grant := range grants {
+			grant.Done(balance.Broken)
+		}
+		is.Equal(n.manager.States()[0].After.Failures, uint64(2)) // It has two targets.
+	})
+}
--- a/rollout/outcome.go
+++ b/rollout/outcome.go
@@ -1,7 +1,7 @@
 package rollout
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/balance"
@@ -15,36 +15,63 @@
 	// usual is of the past, when the load may have been lower, and shiftedSlowFactor holds.
 	slowFactor        = 3.0
 	shiftedSlowFactor = 5.0
-	// usualSamples is the number of responses of which the median counts as usual, and
-	// minUsualSamples that from which it is known.
-	usualSamples    = 32
+	// minUsualSamples is the number of responses from which it is known what is usual.
 	minUsualSamples = 8
 	// brokenInterval is the time in which responses of one target that break off count once:
 	// a target that crashes breaks all of its responses.
 	brokenInterval = time.Second
 )
 
-// usual is the median of the last response times.
-type usual struct {
-	samples []time.Duration
-	next    int
-	median  time.Duration
+// Times sums up times, so that the usual one is known from the responses at all nodes: in a
+// large deployment no node sees enough on a quiet route.
+type Times struct {
+	Count uint64
+	// LogMillis is the sum of thousandths of the binary logarithms of the microseconds.
+	LogMillis uint64
 }
 
-func (u *usual) add(d time.Duration) {
-	if len(u.samples) < usualSamples {
-		u.samples = append(u.samples, d)
-	} else {
-		u.samples[u.next] = d
+const logUnit = 1000
+
+func timesOf(d time.Duration) Times {
+	if d <= 0 {
+		return Times{}
+	}
+	return Times{1, uint64(logUnit * math.Log2(max(1, float64(d)/float64(time.Microsecond))))}
+}
+
+func (t Times) plus(o Times) Times { return Times{t.Count + o.Count, t.LogMillis + o.LogMillis} }
+
+func (t Times) most(o Times) Times {
+	return Times{max(t.Count, o.Count), max(t.LogMillis, o.LogMillis)}
+}
+
+// usual returns the geometric mean, which few slow responses hardly move; 0 if it is not
+// known.
+func (t Times) usual() time.Duration {
+	if t.Count < minUsualSamples {
+		return 0
 	}
-	u.next = (u.next + 1) % usualSamples
-	sorted := slices.Sorted(slices.Values(u.samples))
-	u.median = sorted[len(sorted)/2]
+	return time.Duration(math.Exp2(float64(t.LogMillis)/float64(t.Count)/logUnit) * float64(time.Microsecond))
+}
+
+// usualTimes are the usual times of a route at the old versions; 0 if not known.
+type usualTimes struct{ first, gap time.Duration }
+
+// slow reports whether a response took more than a multiple of what is usual.
+func (u usualTimes) slow(first, gap time.Duration, factor float64) bool {
+	exceeds := func(d, usual time.Duration) bool { return usual > 0 && float64(d) > factor*float64(usual) }
+	return exceeds(first, u.first) || exceeds(gap, u.gap)
 }
 
-// exceeded reports whether a time is more than a multiple of the usual one.
-func (u *usual) exceeded(d time.Duration, factor float64) bool {
-	return len(u.samples) >= minUsualSamples && float64(d) > factor*float64(u.median)
+// usualTimes returns the usual times of each route at the old versions.
+func (t Tally) usualTimes() map[string]usualTimes {
+	usual := make(map[string]usualTimes)
+	for s, c := range t {
+		if !s.New {
+			usual[s.Route] = usualTimes{c.First.usual(), c.Gaps.usual()}
+		}
+	}
+	return usual
 }
 
 // observer passes a request's progress on, and records its outcome.
@@ -91,7 +118,7 @@
 	if r.phase == Shifting {
 		factor = shiftedSlowFactor
 	}
-	slow := !cold && (route.first.exceeded(first, factor) || gap > 0 && route.gap.exceeded(gap, factor))
+	slow := !cold && r.usual[o.work.Route].slow(first, gap, factor)
 	c := Counts{Responses: 1}
 	switch result {
 	case balance.Answered, balance.Abandoned:
@@ -102,10 +129,7 @@
 			c.Slow = 1
 		}
 		if !isNew && !cold && result == balance.Answered {
-			route.first.add(first)
-			if gap > 0 {
-				route.gap.add(gap)
-			}
+			c.First, c.Gaps = timesOf(first), timesOf(gap)
 		}
 	case balance.Broken, balance.Stalled:
 		if now.Sub(r.lastBroken[i]) < brokenInterval {
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -6,14 +6,17 @@
 type Counts struct {
 	// Responses counts all outcomes, Failures and Slow parts of them.
 	Responses, Failures, Slow uint64
+	// First and Gaps sum up the times to the first event or the response, and the mean gaps
+	// between events.
+	First, Gaps Times
 }
 
 func (c Counts) plus(o Counts) Counts {
-	return Counts{c.Responses + o.Responses, c.Failures + o.Failures, c.Slow + o.Slow}
+	return Counts{c.Responses + o.Responses, c.Failures + o.Failures, c.Slow + o.Slow, c.First.plus(o.First), c.Gaps.plus(o.Gaps)}
 }
 
 func (c Counts) most(o Counts) Counts {
-	return Counts{max(c.Responses, o.Responses), max(c.Failures, o.Failures), max(c.Slow, o.Slow)}
+	return Counts{max(c.Responses, o.Responses), max(c.Failures, o.Failures), max(c.Slow, o.Slow), c.First.most(o.First), c.Gaps.most(o.Gaps)}
 }
 
 // Series identifies the outcomes of one route at the new version, or at all others.
@@ -43,8 +46,8 @@
 	return changed
 }
 
-// routes calls f for each route with the outcomes at both sides.
-func (t Tally) routes(f func(route string, before, after Counts)) {
+// each calls f for each route with the outcomes at both sides.
+func (t Tally) each(f func(route string, before, after Counts)) {
 	for s, c := range t {
 		if s.New {
 			f(s.Route, t[Series{Route: s.Route}], c)
@@ -72,7 +75,7 @@
 func (t Tally) Bad() bool {
 	var failures, slow excess
 	bad := false
-	t.routes(func(_ string, before, after Counts) {
+	t.each(func(_ string, before, after Counts) {
 		f := excessOf(before.Failures, before.Responses, after.Failures, after.Responses)
 		s := excessOf(before.Slow, before.Responses, after.Slow, after.Responses)
 		bad = bad || f.significant() || s.significant()
@@ -124,7 +127,7 @@
 // requests.
 func (t Tally) Evidence(share float64) Evidence {
 	evidence, responses := Sufficient, uint64(0)
-	t.routes(func(_ string, before, after Counts) {
+	t.each(func(_ string, before, after Counts) {
 		needed := min(enoughResponses, math.Floor(enoughShare*share*float64(before.Responses)))
 		if float64(after.Responses) < needed {
 			evidence = Missing
