rollout: a decider that fails in the end leaves another one the time

A lease of 15 % of the time limit (9 s of 60 s) was longer than what was left after the last moment to complete (8 %, 4.8 s), so that by arithmetic a rollout whose decider fails then misses the limit. The lease is now 8 %, 2 to 5 s, and a rollout completes 12 %, 3 to 8 s, before the limit at the latest.

--- a/rollout/decisions_test.go
+++ b/rollout/decisions_test.go
@@ -101,12 +101,15 @@
 	is := is.New(t)
 	now := clock.Instant(time.Hour)
 	l := lease{holder: "n1", length: leaseOf(time.Minute), seen: now}
-	is.Equal(l.length, 9*time.Second)
+	is.Equal(l.length, 4800*time.Millisecond)
 	is.True(l.mayDecide("n1", now))
-	is.True(!l.renewDue("n1", now.Add(4*time.Second)))
-	is.True(l.renewDue("n1", now.Add(4500*time.Millisecond)))
-	is.True(!l.mayDecide("n2", now.Add(9*time.Second)))
-	is.True(l.mayDecide("n2", now.Add(9*time.Second+1)))
-	is.True(l.renewDue("n2", now.Add(10*time.Second)))
+	is.True(!l.renewDue("n1", now.Add(2*time.Second)))
+	is.True(l.renewDue("n1", now.Add(2400*time.Millisecond)))
+	is.True(!l.mayDecide("n2", now.Add(4800*time.Millisecond)))
+	is.True(l.mayDecide("n2", now.Add(4800*time.Millisecond+1)))
+	is.True(l.renewDue("n2", now.Add(5*time.Second)))
 	is.True(lease{}.mayDecide("n2", now))
+	for d := 10 * time.Second; d < time.Hour; d += time.Second {
+		is.True(leaseOf(d)+readerDelay <= endMargin(d)) // A decider that fails in the end misses the time limit.
+	}
 }
--- a/rollout/lease.go
+++ b/rollout/lease.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// The lease is leaseShare of the time limit, between minLease and maxLease, so that a
-	// rollout outlives its decider without many writes.
-	leaseShare = 0.15
-	minLease   = 3 * time.Second
-	maxLease   = 10 * time.Second
+	// The lease is leaseShare of the time limit, between minLease and maxLease: shorter than
+	// endMargin, so that a rollout whose decider fails in the end still ends in time.
+	leaseShare = 0.08
+	minLease   = 2 * time.Second
+	maxLease   = 5 * time.Second
 	// renewDivisor divides the lease to give the time after which it is renewed. A write that
 	// fails is repeated every 0.5 s in the other half.
 	renewDivisor = 2
--- a/rollout/phase.go
+++ b/rollout/phase.go
@@ -13,9 +13,9 @@
 	minShiftShare = 0.08
 	// endShare of the time limit is left at the end of a rollout for a decider that fails,
 	// between minEndMargin and maxEndMargin.
-	endShare     = 0.08
-	minEndMargin = 1500 * time.Millisecond
-	maxEndMargin = 5 * time.Second
+	endShare     = 0.12
+	minEndMargin = 3 * time.Second
+	maxEndMargin = 8 * time.Second
 )
 
 // Progress is what the next phase of a rollout depends on.
