rollout, entry: a node that is cut off does not decide, and later releases are not barred

A node that hears less than half of the others would have taken itself for the reader, and decided from a part of the outcomes. A node that started after a rollout had completed took versions of a later release, which came without an order, for replaced ones and sent them nothing for a minute; the new test failed before.

--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -18,6 +18,10 @@
 	"github.com/primrosemoor/primrosemoor/telemetry"
 )
 
+// maxSilentShare is the greatest share of silent nodes with which a node follows the orders and
+// decides. One that hears fewer is cut off: it would decide from a part of the outcomes.
+const maxSilentShare = 0.5
+
 // newRollouts returns nil if the settings do not bound the exposure to bad versions: rollouts
 // are then not followed.
 func newRollouts(s *schema.GatewaySettings, f *forwarder, id peer.Identity, logger *log.Logger) *rollout.Manager {
@@ -38,7 +42,7 @@
 	}
 	return &rollout.Decider{
 		Manager: rollouts, Source: store.Rollouts(), Write: store.WriteRollout, Logger: logger,
-		Reads: func() bool { return f.mesh.ReadsForAll() },
+		Reads: func() bool { return f.mesh.ReadsForAll() && f.allowance.SilentShare() <= maxSilentShare },
 		Running: func(service, version string) int {
 			ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 			defer cancel()
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -267,10 +267,10 @@
 		return nil, false
 	}
 	r.heardAt, r.began = max(r.heardAt, heardAt), min(r.began, now.Add(-elapsed))
-	s.recordOld()
 	if phase > r.phase {
 		r.phase, r.phaseSince, changed = phase, now, true
 	}
+	s.recordOld()
 	if bad && !r.bad {
 		r.bad, changed = true, true
 	}
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -85,3 +85,18 @@
 		is.Equal(n.manager.States()[0].After.Failures, uint64(2)) // It has two targets.
 	})
 }
+
+// A node that starts after a rollout has ended knows of no old version: what it lists beside
+// the target belongs to a later release.
+func TestVersionThatComesAfterACompletedRolloutIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newLoneNode(t, 2, Completed)
+		served := make(map[string]bool)
+		for range 100 {
+			version, _ := n.acquire("")
+			served[version] = true
+		}
+		is.Equal(served, map[string]bool{"v1": true, "v2": true})
+	})
+}
