--- a/balance/status.go
+++ b/balance/status.go
@@ -25,6 +25,7 @@
 // TargetStatus is the current state of one target.
 type TargetStatus struct {
 	ID       string
+	Version  string
 	Draining bool
 	// Load is the load from all nodes.
 	Load Load
@@ -54,7 +55,7 @@
 		s := PoolStatus{Service: p.name, Waiting: make(map[int]int)}
 		available := 0
 		for _, t := range p.targets {
-			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Draining: t.leaves(), Load: t.load()})
+			s.Targets = append(s.Targets, TargetStatus{ID: t.ID, Version: t.Version, Draining: t.leaves(), Load: t.load()})
 			if !t.leaves() && !t.health.inBackoff(now) {
 				s.Slots += t.Slots
 				s.InUse += t.load().Requests
