balance, rollout: one fastest target in a test; slow requests that a copy overtook count

A version whose slow requests are overtaken by second copies would otherwise look sound during a rollout.

--- a/balance/version_test.go
+++ b/balance/version_test.go
@@ -108,6 +108,7 @@
 func TestRequestGetsNoTargetOfABarredVersion(t *testing.T) {
 	is := is.New(t)
 	p := newVersionedPool()
+	p.targets["C"].speed.reported = p.targets["A"].speed.reported // B is the fastest.
 	p.enqueue(p.work("r", 0, bars("2")), p.work("other", 1, nil))
 	is.Equal(p.assignNow(), []string{"r>A", "other>B"})
 	p.setFreeSlots("A", 0)
--- a/rollout/outcome.go
+++ b/rollout/outcome.go
@@ -121,8 +121,8 @@
 	slow := !cold && r.usual[o.work.Route].slow(first, gap, factor)
 	c := Counts{Responses: 1}
 	switch result {
-	case balance.Answered, balance.Abandoned:
-		if result == balance.Abandoned && !slow {
+	case balance.Answered, balance.Abandoned, balance.Overtaken:
+		if result != balance.Answered && !slow {
 			return
 		}
 		if slow {
