--- a/quota/quota.go
+++ b/quota/quota.go
@@ -186,6 +186,8 @@
 		return retryAfter(need-b.level, rate), b.level, false
 	}
 	if !usageUnknown && b.used.sum > limit {
+		// All nodes would begin together with what they saved up when the window has room.
+		b.ownLevel, b.ownRefilledAt = min(0, b.ownLevel), now
 		return retryAfter(amount, rate), b.level, false
 	}
 	// The rate is what the reachable nodes, this one included, may use together.
--- a/quota/refund_test.go
+++ b/quota/refund_test.go
@@ -280,15 +280,20 @@
 
 // Most charges are refunded for a while, and then none, because targets have become free.
 // What hundreds of nodes run stays within the limit and its slack. Guards against nodes
-// that expect refunds of the same charges and use them before they come.
+// that expect refunds of the same charges and use them before they come, and against nodes
+// that all begin at once when the window has room again.
 func TestManyNodesStayWithinTheLimitWhenRefundsEnd(t *testing.T) {
-	for _, nodes := range []int{12, 60, 300} {
+	for _, k := range []struct {
+		nodes int
+		seed  uint64
+	}{{12, 4}, {60, 4}, {60, 31}, {60, 48}, {74, 31}, {74, 48}, {300, 4}} {
+		nodes := k.nodes
 		for _, refused := range []float64{0.5, 0.9} {
-			t.Run(fmt.Sprint(nodes, " nodes, ", refused, " refused"), func(t *testing.T) {
+			t.Run(fmt.Sprint(nodes, " nodes, ", refused, " refused, seed ", k.seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					team := &catalog.Team{Name: "t", Rate: 350_000, Burst: 350_000, ByTokens: true}
 					w := &waitingRequests{cluster: newCluster(nodes, 250*time.Millisecond), team: team}
-					r := rand.New(rand.NewPCG(4, uint64(nodes)))
+					r := rand.New(rand.NewPCG(k.seed, uint64(nodes)))
 					load := func(d time.Duration, refused float64) {
 						for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 							w.deliver()
