balance: shares heard before the targets of a service are known count

A node that starts hears the shares of other zones before it has read the targets, and dropped them. A share is reported again only when it changes by a tenth, so that the node divided the capacity by its own counts until then: a team that gets most of the work of other zones went first there.

The share of an unknown service is now kept. The test fails without that (large is granted before small).

--- a/balance/sharing.go
+++ b/balance/sharing.go
@@ -148,8 +148,14 @@
 	use             fairshare.Use
 }
 
+// apply keeps the share of a service that this node does not know yet as well: a steady one
+// is not reported again.
 func (e shareReported) apply(m *Manager, _ time.Time) {
-	if p := m.pools[e.service]; p != nil && p.sharing != nil {
+	p := m.pools[e.service]
+	if p == nil && m.options.FairShares && e.use != (fairshare.Use{}) {
+		p = m.pool(e.service)
+	}
+	if p != nil && p.sharing != nil {
 		p.sharing.account.SetRemote(e.source, e.key, e.use)
 	}
 }
--- a/balance/sharing_test.go
+++ b/balance/sharing_test.go
@@ -117,3 +117,42 @@
 		}
 	})
 }
+
+// A node that has just started hears the shares of other zones before it knows the targets.
+// Those that do not change are not reported again, so it must not lose them.
+func TestSharesHeardBeforeTheTargetsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := balance.NewManager(balance.Options{
+			Node: "n1", Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
+			Publish: func(string, balance.Use) {}, PublishSend: func(string) {}, PublishQueue: func(string, int, int) {},
+			FairShares: true,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go m.Run(ctx)
+		m.SetRemoteShare("b", "s", fairshare.Key{Team: "large"}, fairshare.Use{Granted: 100})
+		m.ApplyTargets([]*catalog.Target{{ID: "i-1", Service: "s", Zone: "a", Slots: 1}}, nil)
+		acquire := func(team string) *balance.Grant {
+			now := time.Now()
+			grant, err := m.Acquire(ctx, &balance.Work{
+				Service: "s", Team: team, Arrived: now, Goal: now.Add(time.Second), Patience: now.Add(time.Second), End: now.Add(time.Second),
+			})
+			is.NoErr(err)
+			return grant
+		}
+		first := acquire("other")
+		granted := make(chan string, 2)
+		for _, team := range []string{"large", "small"} {
+			go func() {
+				grant := acquire(team)
+				granted <- team
+				grant.Done(balance.Answered)
+			}()
+			synctest.Wait()
+		}
+		first.Done(balance.Answered)
+		is.Equal(<-granted, "small")
+		is.Equal(<-granted, "large")
+	})
+}
