mesh: refs of shares tell services and teams with slashes apart

The ref of a share was looked up by service/team, so that service a/b with team c and service a with team b/c had the same one: the receiver counted the work of both for the one that was announced first. The service is quoted now. The test fails on the code before.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/primrosemoor/primrosemoor/schema"
@@ -66,7 +67,7 @@
 	for k, share := range c.shares {
 		m := &schema.MeshShare{Tier: uint32(k.Tier), GrantedMillis: uint64(share.GrantedMillis), WaitingMillis: uint64(share.WaitingMillis)}
 		var announced string
-		if m.Ref, announced = e.ref("share/" + k.Service + "/" + k.Team); announced != "" {
+		if m.Ref, announced = e.ref("share/" + strconv.Quote(k.Service) + "/" + k.Team); announced != "" {
 			m.Service, m.Team = k.Service, k.Team
 		}
 		u.Shares = append(u.Shares, m)
--- a/mesh/codec_test.go
+++ b/mesh/codec_test.go
@@ -24,3 +24,15 @@
 	is.NoErr(proto.Unmarshal(raw, c))
 	is.Equal(decodeChanges(c), d)
 }
+
+// The work of one team must not count for another one whose name and service read alike
+// together.
+func TestSharesOfNamesWithSlashesAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	shares := map[ShareKey]Share{
+		{Service: "a/b", Team: "c"}: {GrantedMillis: 1},
+		{Service: "a", Team: "b/c"}: {GrantedMillis: 2},
+	}
+	u := newEncoder().use("", changes{shares: shares})
+	is.Equal(newDecoder().use(u).shares, shares)
+}
