quota: a remote refund older than the window removes nothing from later bookings

What callers saw: nothing at once; a team could use part of its limit twice. Cause: for a charge that had left the window, removeUsed looked up the slots after it by their number modulo the slots of a window, which are those of recent bookings. A target that turns a request away after more than the window (time limits go up to 15 s) brings that about. Change: only slots that are still in the window are looked up.

--- a/quota/refund.go
+++ b/quota/refund.go
@@ -109,7 +109,9 @@
 	if own || at < 0 {
 		return removed
 	}
-	for slot := at + 1; slot <= min(at+laterSlots, b.used.lastSlot) && removed < amount; slot++ {
+	// A slot that has left the window shares its place with one of now.
+	first := max(at+1, b.used.lastSlot-windowSlots+1)
+	for slot := first; slot <= min(at+laterSlots, b.used.lastSlot) && removed < amount; slot++ {
 		take(slot)
 	}
 	return removed
--- a/quota/refund_test.go
+++ b/quota/refund_test.go
@@ -334,6 +334,31 @@
 }
 
 // The time that a refund takes with a full window of records, for docs/CAPACITY.md.
+// A refund of another node for a charge that has left the window, such as that of a request
+// which its target turned away after 8 s, takes nothing from what was booked since. Guards
+// against slots of the window that are looked up by the number of one that has left it: what
+// other requests use would be admitted a second time.
+func TestRemoteRefundOlderThanTheWindowRemovesNothing(t *testing.T) {
+	for _, age := range []time.Duration{8500 * time.Millisecond, 9 * time.Second, 15 * time.Second} {
+		t.Run(age.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := NewAllowance(Slack{Window: 8 * time.Second}, nopPublisher{})
+				a.SetNodes(2, 0)
+				// Bookings in each slot of the window.
+				for range 160 {
+					time.Sleep(125 * time.Millisecond)
+					a.RecordRemote("t", 100, nil, 0)
+				}
+				b := a.bucket("t")
+				before := b.used.sum
+				a.RecordRemoteReturn("t", 1000, age, nil)
+				is.Equal(b.used.sum, before)
+			})
+		})
+	}
+}
+
 func BenchmarkRefund(b *testing.B) {
 	team := &catalog.Team{Name: "t", Rate: 1e9, Burst: 1e9, ByTokens: true}
 	a := NewAllowance(slack, nopPublisher{})
