rollout: hold back a version that is listed after an order has ended

Callers of a service with an earlier order got the next version as soon as its targets were listed, also when its own order came a moment later, and without a bound on its share. The same holds for a third version that is listed during a rollout. Versions listed after the phase began now get the same pause, unless no other is left. TestVersionListedAfterAnEndedOrderIsHeldBack failed before.

--- a/rollout/access.go
+++ b/rollout/access.go
@@ -65,9 +65,32 @@
 	if s.reverted != "" && a.try == "" && (r == nil || r.Target != s.reverted) {
 		a.barred = append(a.barred, s.reverted)
 	}
+	if r != nil && w.Version == "" && w.Only == "" {
+		a.barred = append(a.barred, s.heldBack(a.barred, m.knownAt)...)
+	}
 	return a
 }
 
+// heldBack returns the versions, beside those that are barred already, that were listed after
+// the phase of the known order began and get nothing yet: another order for them may follow.
+// It is empty if no other version would be left.
+func (s *service) heldBack(barred []string, knownAt clock.Instant) (held []string) {
+	allowed := 0
+	for name, v := range s.versions {
+		if slices.Contains(barred, name) {
+			continue
+		}
+		allowed++
+		if name != s.rollout.Target && v.firstSeen > s.rollout.phaseSince && knownAt.Sub(v.firstSeen) < newVersionDelay {
+			held = append(held, name)
+		}
+	}
+	if len(held) == allowed {
+		return nil
+	}
+	return held
+}
+
 // stopped reports whether nothing is sent to the new version.
 func (r *rollout) stopped() bool { return r.phase == Reverted || r.bad && r.phase != Completed }
 
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -100,3 +100,29 @@
 		is.Equal(served, map[string]bool{"v1": true, "v2": true})
 	})
 }
+
+// The object of an order that has ended stays in the store. Targets of the next version may
+// still be listed before the order that bounds what they get.
+func TestVersionListedAfterAnEndedOrderIsHeldBack(t *testing.T) {
+	for _, phase := range []Phase{Completed, Reverted} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := newLoneNode(t, 2, phase)
+			time.Sleep(2 * oldRetention)
+			n.versions = 3
+			n.manager.UpdateTargets(targetsOf(3))
+			for range 100 {
+				version, _ := n.acquire("")
+				is.True(version != "v3")
+			}
+			time.Sleep(newVersionDelay)
+			n.manager.Apply("x", "y", Reports{List: []Report{{Order: Order{"s", "v2", time.Minute, 5}, Phase: phase}}})
+			served := make(map[string]bool)
+			for range 100 {
+				version, _ := n.acquire("")
+				served[version] = true
+			}
+			is.True(served["v3"]) // It serves beside the others without an order.
+		})
+	}
+}
