rollout: requests do not wait or fail for targets that leave while a version is held back

Where versions are replaced without an order, a request was refused with 503 for up to 1.5 s, or until the node knew the orders, if all targets that served before left, and one that waited for targets that had crashed went on waiting after the version that had come was free to use. Cause: the versions held back were decided once, on arrival, and a refusal for want of another version was final. A request that has been sent nowhere may now go to the version that is held back when no other is left, and those that wait ask again when the pause ends and when the node first knows the orders. TestVersionThatIsHeldBackServesWhenNoOtherIsLeft and TestRequestThatWaitsIsServedOnceAVersionIsNoLongerHeldBack failed before.

--- a/rollout/access.go
+++ b/rollout/access.go
@@ -19,9 +19,13 @@
 	// refused is set if the request needs a version that gets nothing any more.
 	refused bool
 	// tracked is set if the service has an order or several versions. changed is closed when
-	// the phase of a rollout changes, nil if the service has none that is in progress.
+	// the phase of a rollout changes, nil if the service has none that is in progress and no
+	// version that is held back.
 	tracked bool
 	changed <-chan struct{}
+	// recheck is the time after which a version may no longer be held back; 0 if that
+	// shows as a change.
+	recheck time.Duration
 }
 
 // oldRetention is how long the versions that a rollout has replaced get nothing after its end.
@@ -42,12 +46,15 @@
 	if r != nil && !r.phase.Ended() {
 		a.changed = m.changed
 	}
+	var held []string
 	switch {
 	case w.Version != "" || w.Only != "":
 		// A stream goes on at its version, as long as that is sent anything.
 		a.refused = r != nil && r.stopped() && w.Version == r.Target
+	case r == nil && anyVersion && len(w.Tried) == 0:
+		// All targets that served before leave.
 	case r == nil:
-		a.barred = s.unsettled(m.known, m.knownAt)
+		held = s.unsettled(m.known, m.knownAt)
 	case r.stopped():
 		a.barred = []string{r.Target}
 	case r.phase == Completed && now.Sub(r.phaseSince) > oldRetention:
@@ -66,11 +73,31 @@
 		a.barred = append(a.barred, s.reverted)
 	}
 	if r != nil && w.Version == "" && w.Only == "" {
-		a.barred = append(a.barred, s.heldBack(a.barred, m.knownAt)...)
+		held = s.heldBack(a.barred, m.knownAt)
+	}
+	if len(held) > 0 {
+		a.barred = append(a.barred, held...)
+		a.changed = m.changed
+		if m.known {
+			a.recheck = s.untilRelease(held, now)
+		}
 	}
 	return a
 }
 
+// minRecheck bounds how often a request that waits asks again while a node is cut off and
+// therefore holds versions back.
+const minRecheck = 250 * time.Millisecond
+
+// untilRelease returns the time after which the first of the versions may be released.
+func (s *service) untilRelease(held []string, now clock.Instant) time.Duration {
+	until := newVersionDelay
+	for _, name := range held {
+		until = min(until, s.versions[name].firstSeen.Add(newVersionDelay).Sub(now))
+	}
+	return max(until, minRecheck)
+}
+
 // heldBack returns the versions, beside those that are barred already, that were listed after
 // the phase of the known order began and get nothing yet: another order for them may follow.
 // It is empty if no other version would be left.
--- a/rollout/balancer.go
+++ b/rollout/balancer.go
@@ -92,6 +92,9 @@
 		narrowed.Version = a.try
 		defer time.AfterFunc(tryWait, func() { cancel(errTryOver) }).Stop()
 	}
+	if a.recheck > 0 {
+		defer time.AfterFunc(a.recheck, func() { cancel(errPhaseChanged) }).Stop()
+	}
 	if a.changed != nil {
 		done := make(chan struct{})
 		defer close(done)
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -209,8 +209,13 @@
 	}
 }
 
+// recordKnown records when this node knew all orders. The lock must be held.
 func (m *Manager) recordKnown(at clock.Instant) {
+	isFirst := !m.known
 	m.known, m.knownAt = true, max(m.knownAt, at)
+	if isFirst {
+		m.announce() // Requests that wait may go to other versions now.
+	}
 }
 
 // progress returns what the next phase of an order depends on; ok is false if this node knows
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,3 +127,65 @@
 		})
 	}
 }
+
+// withoutOld stands for the choice while the targets of v1 leave, or have crashed and may come
+// back: a request that may not go to v2 is refused, or waits.
+type withoutOld struct {
+	*clusterNode
+	wait bool
+}
+
+func (o withoutOld) Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error) {
+	narrowed := *w
+	narrowed.Barred = append([]string{"v1"}, w.Barred...)
+	grant, err := o.clusterNode.Acquire(ctx, &narrowed)
+	if err != nil && o.wait {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
+	return grant, err
+}
+
+// Versions may be replaced without an order as before: callers must not be refused because
+// the targets that come are held back while those that served leave.
+func TestVersionThatIsHeldBackServesWhenNoOtherIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newLoneNode(t, 1, Ordered)
+		n.manager = New(n.manager.options)
+		n.balancer = &Balancer{Manager: n.manager, Next: withoutOld{n, false}}
+		n.versions = 2
+		n.manager.UpdateTargets(targetsOf(2))
+		version, _ := n.acquire("")
+		is.Equal(version, "v2")
+	})
+}
+
+// A request that waits while a version is held back must not wait on for the others, which may
+// have crashed, once that version gets requests.
+func TestRequestThatWaitsIsServedOnceAVersionIsNoLongerHeldBack(t *testing.T) {
+	for _, knownAfter := range []time.Duration{0, 3 * time.Second} { // The latter after a restart.
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := newLoneNode(t, 1, Ordered)
+			n.manager = New(n.manager.options)
+			n.balancer = &Balancer{Manager: n.manager, Next: withoutOld{n, true}}
+			n.versions = 2
+			n.manager.UpdateTargets(targetsOf(2))
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			go func() {
+				for time.Sleep(knownAfter); ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
+					n.manager.Apply("x", "y", Reports{})
+				}
+			}()
+			began := time.Now()
+			grant, err := n.balancer.Acquire(ctx, &balance.Work{Service: "s", Route: "chat"})
+			is.NoErr(err)
+			is.Equal(grant.Target.Version, "v2")
+			is.True(time.Since(began) < max(knownAfter, newVersionDelay)+time.Second)
+			cancel()
+			time.Sleep(time.Second) // The reports end.
+		})
+	}
+}
