rollout: a node that is cut off continues no stream at a version under trial

A node that had not heard of the order for 2 s, and so could not know that the version was bad, still sent it the rest of streams that had begun there, and requests that name a target. Cause: only new requests were checked for contact. Such a request is refused with 503 before it is sent, and can go on through another node. TestStreamIsNotContinuedAtAVersionUnderTrialByANodeThatIsCutOff failed before.

--- a/rollout/access.go
+++ b/rollout/access.go
@@ -50,7 +50,7 @@
 	switch {
 	case w.Version != "" || w.Only != "":
 		// A stream goes on at its version, as long as that is sent anything.
-		a.refused = r != nil && r.stopped() && w.Version == r.Target
+		a.refused = r != nil && w.Version == r.Target && (r.stopped() || m.isCutOff(s, now))
 	case r == nil && anyVersion && len(w.Tried) == 0:
 		// All targets that served before leave.
 	case r == nil:
@@ -131,6 +131,12 @@
 	return m.known && now.Sub(r.heardAt) <= contactLimit
 }
 
+// isCutOff reports whether the version under trial gets nothing, not even the rest of a stream,
+// because this node may not know that it is bad.
+func (m *Manager) isCutOff(s *service, now clock.Instant) bool {
+	return s.rollout.phase == Trial && len(s.versions) > 1 && !m.inContact(s.rollout, now)
+}
+
 // takeTry counts a request of a route as sent to the version under trial, unless this
 // node's share is used up.
 func (m *Manager) takeTry(r *rollout, route string) bool {
@@ -191,7 +197,7 @@
 	r = s.rollout
 	isNew := version == r.Target
 	switch {
-	case isNew && r.stopped():
+	case isNew && (r.stopped() || m.isCutOff(s, m.options.Now())):
 		return nil, false
 	case isNew && !tried && w.Version == "" && w.Only == "" && r.phase < Shifting && len(s.versions) > 1:
 		// The order came while the request waited.
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -189,3 +189,20 @@
 		})
 	}
 }
+
+// A stream goes on at its version only. A node that is cut off may not know that this one is
+// bad, and must not send the rest of a stream there.
+func TestStreamIsNotContinuedAtAVersionUnderTrialByANodeThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newLoneNode(t, 2, Trial)
+		version, grant := n.acquire("v2")
+		is.Equal(version, "v2")
+		grant.Done(balance.Answered)
+		time.Sleep(contactLimit + time.Second)
+		version, _ = n.acquire("v2")
+		is.Equal(version, "")
+		version, _ = n.acquire("v1")
+		is.Equal(version, "v1")
+	})
+}
