--- a/rollout/access.go
+++ b/rollout/access.go
@@ -19,9 +19,13 @@
 	// refused is set if the request needs a version that gets nothing any more.
 	refused bool
 	// tracked is set if the service has an order or several versions. changed is closed when
-	// the phase of a rollout changes, nil if the service has none that is in progress.
+	// the phase of a rollout changes, nil if the service has none that is in progress and no
+	// version that is held back.
 	tracked bool
 	changed <-chan struct{}
+	// recheck is the time after which a version may no longer be held back; 0 if that
+	// shows as a change.
+	recheck time.Duration
 }
 
 // oldRetention is how long the versions that a rollout has replaced get nothing after its end.
@@ -42,12 +46,15 @@
 	if r != nil && !r.phase.Ended() {
 		a.changed = m.changed
 	}
+	var held []string
 	switch {
 	case w.Version != "" || w.Only != "":
 		// A stream goes on at its version, as long as that is sent anything.
-		a.refused = r != nil && r.stopped() && w.Version == r.Target
+		a.refused = r != nil && w.Version == r.Target && (r.stopped() || m.isCutOff(s, now))
+	case r == nil && anyVersion && len(w.Tried) == 0:
+		// All targets that served before leave.
 	case r == nil:
-		a.barred = s.unsettled(m.known, m.knownAt)
+		held = s.unsettled(m.known, m.knownAt)
 	case r.stopped():
 		a.barred = []string{r.Target}
 	case r.phase == Completed && now.Sub(r.phaseSince) > oldRetention:
@@ -65,9 +72,52 @@
 	if s.reverted != "" && a.try == "" && (r == nil || r.Target != s.reverted) {
 		a.barred = append(a.barred, s.reverted)
 	}
+	if r != nil && w.Version == "" && w.Only == "" {
+		held = s.heldBack(a.barred, m.knownAt)
+	}
+	if len(held) > 0 {
+		a.barred = append(a.barred, held...)
+		a.changed = m.changed
+		if m.known {
+			a.recheck = s.untilRelease(held, now)
+		}
+	}
 	return a
 }
 
+// minRecheck bounds how often a request that waits asks again while a node is cut off and
+// therefore holds versions back.
+const minRecheck = 250 * time.Millisecond
+
+// untilRelease returns the time after which the first of the versions may be released.
+func (s *service) untilRelease(held []string, now clock.Instant) time.Duration {
+	until := newVersionDelay
+	for _, name := range held {
+		until = min(until, s.versions[name].firstSeen.Add(newVersionDelay).Sub(now))
+	}
+	return max(until, minRecheck)
+}
+
+// heldBack returns the versions, beside those that are barred already, that were listed after
+// the phase of the known order began and get nothing yet: another order for them may follow.
+// It is empty if no other version would be left.
+func (s *service) heldBack(barred []string, knownAt clock.Instant) (held []string) {
+	allowed := 0
+	for name, v := range s.versions {
+		if slices.Contains(barred, name) {
+			continue
+		}
+		allowed++
+		if name != s.rollout.Target && v.firstSeen > s.rollout.phaseSince && knownAt.Sub(v.firstSeen) < newVersionDelay {
+			held = append(held, name)
+		}
+	}
+	if len(held) == allowed {
+		return nil
+	}
+	return held
+}
+
 // stopped reports whether nothing is sent to the new version.
 func (r *rollout) stopped() bool { return r.phase == Reverted || r.bad && r.phase != Completed }
 
@@ -81,6 +131,12 @@
 	return m.known && now.Sub(r.heardAt) <= contactLimit
 }
 
+// isCutOff reports whether the version under trial gets nothing, not even the rest of a stream,
+// because this node may not know that it is bad.
+func (m *Manager) isCutOff(s *service, now clock.Instant) bool {
+	return s.rollout.phase == Trial && len(s.versions) > 1 && !m.inContact(s.rollout, now)
+}
+
 // takeTry counts a request of a route as sent to the version under trial, unless this
 // node's share is used up.
 func (m *Manager) takeTry(r *rollout, route string) bool {
@@ -141,7 +197,7 @@
 	r = s.rollout
 	isNew := version == r.Target
 	switch {
-	case isNew && r.stopped():
+	case isNew && (r.stopped() || m.isCutOff(s, m.options.Now())):
 		return nil, false
 	case isNew && !tried && w.Version == "" && w.Only == "" && r.phase < Shifting && len(s.versions) > 1:
 		// The order came while the request waited.
