entry: primrosectl where keeps to the versions that a rollout allows

The command asked the balancer without the versions that a rollout bars, which the gateway adds to each request. During a trial or after a revert it named targets of the new version for requests that never go there. The request now counts as one that is not part of the trial.

--- a/entry/where.go
+++ b/entry/where.go
@@ -9,6 +9,7 @@
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
 	"github.com/primrosemoor/primrosemoor/fault"
+	"github.com/primrosemoor/primrosemoor/rollout"
 	"github.com/primrosemoor/primrosemoor/schema"
 )
 
@@ -18,7 +19,7 @@
 	if table == nil {
 		return nil, fault.New(schema.ErrorKind_ERROR_KIND_UNREACHABLE, "the node has no configuration yet", "ask again, or ask another node")
 	}
-	work, err := describedWork(table, q, time.Now())
+	work, err := describedWork(table, l.Rollouts, q, time.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -52,8 +53,9 @@
 const percent = 100
 
 // describedWork returns the work of a request that is described by its host and path, or by
-// its service. Of a route with several services the one with the highest weight counts.
-func describedWork(table *catalog.Table, q *schema.WhereRequest, now time.Time) (*balance.Work, error) {
+// its service. Of a route with several services the one with the highest weight counts. The
+// request is not part of a rollout's trial, as most are not.
+func describedWork(table *catalog.Table, rollouts *rollout.Manager, q *schema.WhereRequest, now time.Time) (*balance.Work, error) {
 	w := &balance.Work{
 		Service: q.GetService(), Tier: int(q.GetTier()), Rank: int(q.GetTier()), Team: q.GetTeam(), Version: q.GetVersion(),
 		PromptTokens: q.GetPromptTokens(), EstimatedOutputTokens: q.GetHintTokens(), Arrived: now,
@@ -79,6 +81,9 @@
 	}
 	w.Goal, w.End = now.Add(goal), now.Add(limit)
 	w.Patience = w.End
+	if rollouts != nil {
+		w.Barred = rollouts.Barred(w)
+	}
 	return w, nil
 }
 
--- a/rollout/access.go
+++ b/rollout/access.go
@@ -68,6 +68,16 @@
 	return a
 }
 
+// Barred returns the versions that a request which is not part of a trial must not be sent to
+// now. It changes nothing.
+func (m *Manager) Barred(w *balance.Work) []string {
+	a := m.access(w, false, false)
+	if a.refused {
+		return []string{w.Version}
+	}
+	return a.barred
+}
+
 // stopped reports whether nothing is sent to the new version.
 func (r *rollout) stopped() bool { return r.phase == Reverted || r.bad && r.phase != Completed }
 
