balance, fairshare: grants that did not run count for no share

The work of a request counted for its team from the grant on, also when it was not sent, the target rejected it or could not be reached, and again for each further grant. A team whose requests were turned away by targets, or given back by a rollout that changes its phase, then counted as over its share and waited behind teams that had got work. Such grants are now taken back. The test fails without that for unsent and for rejected requests.

--- a/balance/grant.go
+++ b/balance/grant.go
@@ -136,6 +136,8 @@
 	// was slower than learned; 0 if unknown.
 	load Load
 	pace float64
+	// granted is the work that this node counted as granted to the team.
+	granted grantedWork
 }
 
 // FirstEvent implements Reporter.
@@ -212,6 +214,9 @@
 			p.engine.learnLengths(e.request.work.Route, e.request.work.PromptTokens, float64(e.sample.Gaps+1)*p.engine.eventTokens)
 		}
 	}
+	if e.result == Unsent || e.result == Rejected || e.result == Unreachable {
+		p.returnGrant(e.request.work, e.request.granted, now)
+	}
 	backoff := t.health.backoffUntil
 	switch e.result {
 	case Answered:
--- a/balance/manager.go
+++ b/balance/manager.go
@@ -247,7 +247,7 @@
 	if d.refusal != nil {
 		return nil, d.refusal
 	}
-	return NewGrant(d.choice.config, d.choice.prediction(), &inFlightRequest{m, w, d.choice.target, d.choice.load, d.choice.pace}), nil
+	return NewGrant(d.choice.config, d.choice.prediction(), &inFlightRequest{m, w, d.choice.target, d.choice.load, d.choice.pace, d.choice.granted}), nil
 }
 
 // ApplyTargets replaces the targets and services by those of a configuration.
@@ -312,7 +312,7 @@
 	select {
 	case d := <-e.waiter.reply:
 		if d.refusal == nil {
-			requestEnded{request: &inFlightRequest{m, e.waiter.work, d.choice.target, d.choice.load, d.choice.pace}, result: Unsent}.apply(m, now)
+			requestEnded{request: &inFlightRequest{m, e.waiter.work, d.choice.target, d.choice.load, d.choice.pace, d.choice.granted}, result: Unsent}.apply(m, now)
 		}
 	default:
 	}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -133,7 +133,7 @@
 			c.target.addRequest(w.work, now, c.expected)
 			c.target.holdMemory(w.work, p.memoryTokens(w.work))
 			free.addRequest(c.target)
-			p.recordGrant(w.work, now)
+			c.granted = p.recordGrant(w.work, now)
 			on.assigned(w, c)
 			continue
 		}
--- a/balance/score.go
+++ b/balance/score.go
@@ -51,6 +51,8 @@
 	pace float64
 	// extra counts the requests that others were reported to have there.
 	extra int
+	// granted is the work that counts as granted to the team.
+	granted grantedWork
 }
 
 func (c choice) prediction() Prediction {
--- a/balance/sharing.go
+++ b/balance/sharing.go
@@ -52,10 +52,26 @@
 	return p.engine.slotSeconds(w)
 }
 
+// grantedWork is the work that counts as granted to the team of a request, zero if none does.
+type grantedWork struct {
+	work float64
+	at   time.Time
+}
+
 // recordGrant records that a request was granted a target.
-func (p *pool) recordGrant(w *Work, now time.Time) {
-	if p.sharing != nil {
-		p.sharing.account.Grant(shareKey(w), p.work(w), now)
+func (p *pool) recordGrant(w *Work, now time.Time) grantedWork {
+	if p.sharing == nil {
+		return grantedWork{}
+	}
+	g := grantedWork{p.work(w), now}
+	p.sharing.account.Grant(shareKey(w), g.work, now)
+	return g
+}
+
+// returnGrant takes back the work of a request that its target has not run.
+func (p *pool) returnGrant(w *Work, g grantedWork, now time.Time) {
+	if p.sharing != nil && g.work > 0 {
+		p.sharing.account.Return(shareKey(w), g.work, g.at, now)
 	}
 }
 
--- a/balance/sharing_test.go
+++ b/balance/sharing_test.go
@@ -118,41 +118,80 @@
 	})
 }
 
+// lone is a manager of one target with one slot, where teams share fairly.
+type lone struct {
+	*testing.T
+	manager *balance.Manager
+}
+
+func newLone(t *testing.T) lone {
+	l := lone{t, balance.NewManager(balance.Options{
+		Node: "n1", Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
+		Publish: func(string, balance.Use) {}, PublishSend: func(string) {}, PublishQueue: func(string, int, int) {},
+		FairShares: true,
+	})}
+	go l.manager.Run(t.Context())
+	return l
+}
+
+func (l lone) applyTargets() {
+	l.manager.ApplyTargets([]*catalog.Target{{ID: "i-1", Service: "s", Zone: "a", Slots: 1}}, nil)
+}
+
+func (l lone) acquire(team string) *balance.Grant {
+	now := time.Now()
+	grant, err := l.manager.Acquire(l.Context(), &balance.Work{
+		Service: "s", Team: team, Arrived: now, Goal: now.Add(time.Second), Patience: now.Add(time.Second), End: now.Add(time.Second),
+	})
+	is.New(l.T).NoErr(err)
+	return grant
+}
+
+// order returns the order in which requests of teams that wait, and have arrived in this
+// order, are granted the target.
+func (l lone) order(teams ...string) (order []string) {
+	first := l.acquire("other")
+	granted := make(chan string, len(teams))
+	for _, team := range teams {
+		go func() {
+			grant := l.acquire(team)
+			granted <- team
+			grant.Done(balance.Answered)
+		}()
+		synctest.Wait()
+	}
+	first.Done(balance.Answered)
+	for range teams {
+		order = append(order, <-granted)
+	}
+	return order
+}
+
 // A node that has just started hears the shares of other zones before it knows the targets.
 // Those that do not change are not reported again, so it must not lose them.
 func TestSharesHeardBeforeTheTargetsCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		m := balance.NewManager(balance.Options{
-			Node: "n1", Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
-			Publish: func(string, balance.Use) {}, PublishSend: func(string) {}, PublishQueue: func(string, int, int) {},
-			FairShares: true,
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go m.Run(ctx)
-		m.SetRemoteShare("b", "s", fairshare.Key{Team: "large"}, fairshare.Use{Granted: 100})
-		m.ApplyTargets([]*catalog.Target{{ID: "i-1", Service: "s", Zone: "a", Slots: 1}}, nil)
-		acquire := func(team string) *balance.Grant {
-			now := time.Now()
-			grant, err := m.Acquire(ctx, &balance.Work{
-				Service: "s", Team: team, Arrived: now, Goal: now.Add(time.Second), Patience: now.Add(time.Second), End: now.Add(time.Second),
-			})
-			is.NoErr(err)
-			return grant
-		}
-		first := acquire("other")
-		granted := make(chan string, 2)
-		for _, team := range []string{"large", "small"} {
-			go func() {
-				grant := acquire(team)
-				granted <- team
-				grant.Done(balance.Answered)
-			}()
-			synctest.Wait()
-		}
-		first.Done(balance.Answered)
-		is.Equal(<-granted, "small")
-		is.Equal(<-granted, "large")
+		l := newLone(t)
+		l.manager.SetRemoteShare("b", "s", fairshare.Key{Team: "large"}, fairshare.Use{Granted: 100})
+		l.applyTargets()
+		is.New(t).Equal(l.order("large", "small"), []string{"small", "large"})
 	})
 }
+
+// A team whose requests were granted a target and did not run has got no work, and must not
+// wait behind one that has.
+func TestGrantsThatDidNotRunCountForNoShare(t *testing.T) {
+	for _, result := range []balance.Result{balance.Unsent, balance.Rejected} {
+		t.Run(result.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLone(t)
+				l.applyTargets()
+				l.acquire("served").Done(balance.Answered)
+				for range 3 {
+					l.acquire("unserved").Done(result)
+				}
+				is.New(t).Equal(l.order("unserved", "served"), []string{"unserved", "served"})
+			})
+		})
+	}
+}
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -62,6 +62,11 @@
 	a.own[k] = decaying{a.own[k].value(now) + work, now}
 }
 
+// Return takes back work that was granted here at an instant and has not been done.
+func (a *Account) Return(k Key, work float64, granted, now time.Time) {
+	a.own[k] = decaying{max(0, a.own[k].value(now)-decaying{work, granted}.value(now)), now}
+}
+
 // Own returns the work granted here lately by key, and forgets what has decayed.
 func (a *Account) Own(now time.Time) map[Key]float64 {
 	granted := make(map[Key]float64, len(a.own))
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -163,3 +163,19 @@
 		}
 	})
 }
+
+// Work that is taken back later must leave nothing, and take nothing of other grants.
+func TestReturnedWorkLeavesWhatElseWasGranted(t *testing.T) {
+	is := is.New(t)
+	k, start := fairshare.Key{Team: "a"}, time.Unix(1000, 0)
+	later := start.Add(3 * time.Second)
+	with, without := fairshare.NewAccount(), fairshare.NewAccount()
+	with.Grant(k, 5, start)
+	for _, a := range []*fairshare.Account{with, without} {
+		a.Grant(k, 2, start.Add(time.Second))
+	}
+	with.Return(k, 5, start, later)
+	is.True(math.Abs(with.Own(later)[k]-without.Own(later)[k]) < 1e-9)
+	with.Return(k, 100, later, later)
+	is.Equal(len(with.Own(later)), 0) // never below zero
+}
