balance: granted work is published for some seconds after the queue is empty

When the last waiting request of a service had a target, its zone told the others at once that its teams had been granted nothing. A queue that is empty for moments only made the share of a large team alternate between its real value and zero in the other zones, where it then went first. The work is now published, with its decay, for 4 s (two half-lives) after requests last waited. The test fails on the code before (a use of zero 500 ms after the queue was empty).

--- a/balance/manager.go
+++ b/balance/manager.go
@@ -59,7 +59,7 @@
 	PublishQueue func(service string, tier, waiting int)
 	// FairShares makes teams of the same tier share the capacity of a service fairly while
 	// requests wait. PublishShare is then called with the work of each of them, a few times a
-	// second and while requests wait; nil if no other node needs it.
+	// second, while requests wait and for some seconds afterwards; nil if no other node needs it.
 	FairShares   bool
 	PublishShare func(service string, k fairshare.Key, u fairshare.Use)
 }
@@ -170,10 +170,10 @@
 	}
 }
 
-// anyWaiting reports whether a request waits for a target.
+// anyWaiting reports whether a request waits for a target, or has until shortly before.
 func (m *Manager) anyWaiting() bool {
 	for _, p := range m.pools {
-		if len(p.waiting) > 0 {
+		if len(p.waiting) > 0 || p.sharing.publishes() {
 			return true
 		}
 	}
@@ -186,6 +186,8 @@
 	for _, p := range m.pools {
 		if len(p.waiting) > 0 {
 			m.assign(p, now)
+		} else {
+			m.publishShares(p, now)
 		}
 	}
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -53,5 +53,5 @@
 			return false
 		}
 	}
-	return len(p.targets) == 0 && len(p.waiting) == 0
+	return len(p.targets) == 0 && len(p.waiting) == 0 && !p.sharing.publishes()
 }
--- a/balance/sharing.go
+++ b/balance/sharing.go
@@ -14,6 +14,10 @@
 	// sharesInterval is how often the work of the teams is published while requests wait. It
 	// is a small part of the seconds for which granted work counts.
 	sharesInterval = 250 * time.Millisecond
+	// sharesHold is the time for which granted work is published after the queue has become
+	// empty, which it often is for moments only. After two half-lives a quarter of the work
+	// counts.
+	sharesHold = 4 * time.Second
 	// maxPublishedShares bounds the teams of a service whose work is published: those with
 	// most of it. Hundreds of teams would cost more than their small shares are worth.
 	maxPublishedShares = 32
@@ -29,6 +33,8 @@
 	// published holds what was published at publishedAt.
 	published   map[fairshare.Key]fairshare.Use
 	publishedAt time.Time
+	// waitedAt is when requests last waited.
+	waitedAt time.Time
 }
 
 func newSharing() *sharing {
@@ -41,6 +47,9 @@
 	}
 }
 
+// publishes reports whether other nodes have been told of work.
+func (s *sharing) publishes() bool { return s != nil && len(s.published) > 0 }
+
 func shareKey(w *Work) fairshare.Key { return fairshare.Key{Team: w.Team, Tier: w.Tier} }
 
 // work returns the seconds for which a request occupies a slot of typical speed; 1 for plain
@@ -96,19 +105,22 @@
 	}
 }
 
-// publishShares publishes the work of the teams while requests wait, and that none does once
-// they are gone.
+// publishShares publishes the work of the teams while requests wait and for sharesHold
+// afterwards, and then that there is none.
 func (m *Manager) publishShares(p *pool, now time.Time) {
 	s := p.sharing
 	if s == nil || m.options.PublishShare == nil {
 		return
 	}
 	idle := len(p.waiting) == 0
-	if idle && len(s.published) == 0 || !idle && now.Sub(s.publishedAt) < sharesInterval {
+	if !idle {
+		s.waitedAt = now
+	}
+	if idle && len(s.published) == 0 || now.Sub(s.publishedAt) < sharesInterval {
 		return
 	}
 	uses := make(map[fairshare.Key]fairshare.Use)
-	if !idle {
+	if now.Sub(s.waitedAt) < sharesHold {
 		uses = s.uses(p.waitingWork(), now)
 	}
 	for k := range s.published {
--- a/balance/sharing_test.go
+++ b/balance/sharing_test.go
@@ -195,3 +195,37 @@
 		})
 	}
 }
+
+// Where the queue of a zone is empty for moments only, other zones must go on counting what
+// its teams were granted: a team would be within its share there at each such moment.
+func TestGrantedWorkIsPublishedForSomeTimeAfterTheQueueIsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		published := make(map[string]fairshare.Use)
+		var mu sync.Mutex
+		use := func(team string) fairshare.Use {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return published[team]
+		}
+		l := lone{t, balance.NewManager(balance.Options{
+			Node: "n1", Zone: "a", Regions: map[string]string{"a": "r"}, Logger: logging.Discard(),
+			Publish: func(string, balance.Use) {}, PublishSend: func(string) {}, PublishQueue: func(string, int, int) {},
+			FairShares: true,
+			PublishShare: func(_ string, k fairshare.Key, u fairshare.Use) {
+				mu.Lock()
+				defer mu.Unlock()
+				published[k.Team] = u
+			},
+		})}
+		go l.manager.Run(t.Context())
+		l.applyTargets()
+		l.order("large", "small")
+		time.Sleep(500 * time.Millisecond)
+		is.True(use("large").Granted > 0.5 && use("large").Waiting == 0)
+		time.Sleep(10 * time.Second)
+		is.Equal(use("large"), fairshare.Use{})
+		is.Equal(use("small"), fairshare.Use{})
+	})
+}
