balance: a request holds no more than the memory of an engine

The length of a response that a caller states has no bound. One of 2^32 tokens and more wrapped in the 32 bits that tell other zones of the memory in use, so that they took an engine that must get nothing else for an empty one. The test fails on the code before (4.3e9 tokens at an engine of 10,000).

--- a/balance/memory.go
+++ b/balance/memory.go
@@ -8,12 +8,12 @@
 const usableMemoryShare = 0.9
 
 // memoryTokens returns the tokens that a request takes of an engine's memory, its prompt
-// and its expected output; 0 if the configuration states no memory.
+// and its expected output, at most all of it; 0 if the configuration states no memory.
 func (p *pool) memoryTokens(w *Work) float64 {
 	if p.engine == nil || p.engine.cacheTokens == 0 {
 		return 0
 	}
-	return w.PromptTokens + p.engine.expectedOutputTokens(w)
+	return min(w.PromptTokens+p.engine.expectedOutputTokens(w), p.engine.cacheTokens)
 }
 
 // hasMemory reports whether an engine has memory for one more request. It answers the load of
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -103,3 +103,14 @@
 		}
 	})
 }
+
+// An absurd length that a caller states would not fit the field that tells other zones of it,
+// and they would take the engine for an empty one.
+func TestRequestHoldsNoMoreThanTheMemoryOfAnEngine(t *testing.T) {
+	is := is.New(t)
+	p := newMemoryPool(10_000)
+	p.enqueue(p.sized("absurd", 100, 1<<32))
+	makeLate(p.waiting[0].work)
+	is.Equal(len(p.assignNow()), 1)
+	is.Equal(p.targets["A"].own.MemoryTokens+p.targets["B"].own.MemoryTokens, 10_000.0)
+}
