balance: the work of a request is at most its time limit

An absurd length that one caller stated counted as granted work of that size. The capacity of the tier then looked so large that no team was over its share, and the shares of all others were off until that work had decayed. No request occupies a slot for longer than its time limit. The test fails on the code before: the large team was not over its share.

--- a/balance/sharing.go
+++ b/balance/sharing.go
@@ -53,12 +53,17 @@
 func shareKey(w *Work) fairshare.Key { return fairshare.Key{Team: w.Team, Tier: w.Tier} }
 
 // work returns the seconds for which a request occupies a slot of typical speed; 1 for plain
-// services, whose requests are alike.
+// services, whose requests are alike. It is at most the request's time limit, as the length
+// that a caller states has no bound.
 func (p *pool) work(w *Work) float64 {
 	if p.engine == nil {
 		return 1
 	}
-	return p.engine.slotSeconds(w)
+	work := p.engine.slotSeconds(w)
+	if limit := w.End.Sub(w.Arrived).Seconds(); limit > 0 {
+		work = min(work, limit)
+	}
+	return work
 }
 
 // grantedWork is the work that counts as granted to the team of a request, zero if none does.
