balance: a preview passes waiting requests that no free target may take

primrosectl where said that a request would wait as soon as any request waited ahead of it, also one that waits for another version, memory or a pause to end while targets are free that serve this one. The choice is now run on the targets that the waiting requests have left. The test fails on the code before (no target named, the assignment that follows chooses B).

--- a/balance/preview.go
+++ b/balance/preview.go
@@ -15,7 +15,8 @@
 	Target string
 	// Refusal is set if it would be refused at once.
 	Refusal *Refusal
-	// Ahead counts the waiting requests that would be granted a target first.
+	// Ahead counts the waiting requests that are considered first. Those that may not take the
+	// free targets do not hold the request back.
 	Ahead int
 	// Targets holds all targets of the service: those that may take the request, the best
 	// first, and then the others by their id.
@@ -77,10 +78,16 @@
 		e.reply <- Preview{Refusal: &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}}
 		return
 	}
+	if m.changed[p] {
+		// The free targets are those that the requests which wait have left.
+		delete(m.changed, p)
+		m.assign(p, now)
+	}
 	e.reply <- p.preview(e.work, now, m.location, m.heardShare, &m.remoteQueues)
 }
 
-// preview runs the choice for a request that is not added to the queue.
+// preview runs the choice for a request that is not added to the queue. The waiting requests
+// must have been assigned.
 func (p *pool) preview(w *Work, now time.Time, here location, limitShare float64, queues *remoteQueues) Preview {
 	preview := Preview{Refusal: p.unservable(w)}
 	p.updateFastestStep(now)
@@ -94,7 +101,7 @@
 		preview.Targets = append(preview.Targets, p.previewTarget(t, w, now, here, &free, reserve))
 	}
 	slices.SortFunc(preview.Targets, compareTargetPreviews)
-	if preview.Refusal != nil || preview.Ahead > 0 {
+	if preview.Refusal != nil {
 		return preview
 	}
 	if c, ok := p.pick(w, now, here, &free, reserve); ok && (c.onTime || p.late(w, now) || c.onTimeAsLearned && !waitsForReports(w, now)) {
--- a/balance/preview_test.go
+++ b/balance/preview_test.go
@@ -56,6 +56,23 @@
 	is.Equal(preview.Target, "")
 }
 
+// A request that waits for a version without a free slot does not hold back those that come
+// after it, and an operator must not be told so.
+func TestPreviewPassesRequestsThatNoFreeTargetMayTake(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(2*time.Millisecond, 2*time.Millisecond)
+	p.targets["A"].Version, p.targets["B"].Version = "v1", "v2"
+	p.setFreeSlots("A", 0)
+	p.enqueue(p.work("resumed", 0, func(w *Work) { w.Version = "v1" }))
+	is.Equal(len(p.assignNow()), 0)
+	w := p.work("chat", 1, nil)
+	preview := p.previewNow(w)
+	is.Equal(preview.Ahead, 1)
+	is.Equal(preview.Target, "B")
+	p.enqueue(w)
+	is.Equal(p.assignNow(), []string{"chat>B"})
+}
+
 func TestPreviewOfAServiceWithoutTargetsIsARefusal(t *testing.T) {
 	is := is.New(t)
 	p := newTestPool()
