--- a/rollout/access.go
+++ b/rollout/access.go
@@ -118,6 +118,16 @@
 	return held
 }
 
+// Barred returns the versions that a request which is not part of a trial must not be sent to
+// now. It changes nothing.
+func (m *Manager) Barred(w *balance.Work) []string {
+	a := m.access(w, false, false)
+	if a.refused {
+		return []string{w.Version}
+	}
+	return a.barred
+}
+
 // stopped reports whether nothing is sent to the new version.
 func (r *rollout) stopped() bool { return r.phase == Reverted || r.bad && r.phase != Completed }
 
