gateway: a refusal by one target promises nothing while another may have run the request

What callers saw: a 429, 408 or 503, which promises that the request was not run, although a second copy of it may have run at another target. Cause: the response of the first target was passed on as it was. Change: such a status is 502 if more than one target may have run the request; this also holds for a retry after a broken attempt. Result: the new test got 429, 408 and 503 before the change, and gets 502 now.

--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -245,6 +245,24 @@
 	is.Equal(sends[2].to.ID, sends[1].to.ID)
 }
 
+// A first target that refuses the request speaks for itself only. Guards against a status that
+// promises that the request was not run, while the target of the copy may have run it.
+func TestRefusalOfTheFirstTargetPromisesNothingForTheCopy(t *testing.T) {
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusServiceUnavailable} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			first := targetScript{status: status, header: http.Header{headerSeal: {"s"}}, delay: 500 * time.Millisecond}
+			g, h := newHedgingGateway(t, patientRoute(catalog.Idempotent), first, targetScript{hang: true}, first)
+			got := g.sendPatiently(t)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusBadGateway)
+			is.Equal(h.counts[hedge.Sent], 1)
+			is.Equal(len(g.allowance.refunds()), 0)
+		})
+	}
+}
+
 func TestBothAttemptsEndWhenTheCallerLeaves(t *testing.T) {
 	is := is.New(t)
 	g, h := newHedgingGateway(t, patientRoute(catalog.Idempotent), targetScript{hang: true}, targetScript{hang: true})
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -53,6 +53,11 @@
 		return x.headersSent && x.endCancelled(ctx, resp.StatusCode)
 	}
 	x.endStandby()
+	if x.possibleRuns > 1 && promisesNotRun(resp.StatusCode) {
+		// The target speaks for itself; another one may have run the request.
+		grant.Done(resultOf(resp.StatusCode))
+		return x.endWithError(errUnknownEffect("refused_after_run"))
+	}
 	x.copyHeaders(resp)
 	if complete && x.request.Method != http.MethodHead {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
@@ -74,6 +79,17 @@
 	return true
 }
 
+// promisesNotRun reports whether a status tells the caller that the request was not run and
+// never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // resultOf returns what a complete response says of its target. A timeout at the
 // target is no failure of it, since the request's time limit may have been short.
 func resultOf(status int) balance.Result {
