gateway: a request counts once for the retry budget

What callers saw: nothing by itself; while targets were unreachable, the budget of retries, and of second copies, grew to up to four times what the requests allow. Cause: each attempt whose connection could not be made was counted as a request again. Change: a request is counted at its first attempt only. Result: the new test counted 4 for one request before, and 1 now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,7 +102,10 @@
 func (x *exchange) countSend() bool {
 	g := x.gateway
 	if x.sends == 0 {
-		g.Retries.RecordFirstAttempt(x.service)
+		if !x.countedFirst {
+			x.countedFirst = true
+			g.Retries.RecordFirstAttempt(x.service)
+		}
 		return true
 	}
 	if !g.Retries.AllowRetry(x.service) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -36,6 +36,8 @@
 	// those that may have run it.
 	sends, possibleRuns int
 	tried               []string
+	// countedFirst is set once the request counts among those that allow retries.
+	countedFirst bool
 	// charge is what the request has taken of its team's limit; sending is set from the
 	// start of a send until it is known whether the target may have run the request.
 	charge  charge
--- a/gateway/reroute_test.go
+++ b/gateway/reroute_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/primrosemoor/primrosemoor/balance"
 	"github.com/primrosemoor/primrosemoor/catalog"
+	"github.com/primrosemoor/primrosemoor/gateway"
 )
 
 // emptiedBalancer refuses requests for a service, whose route changes at that moment.
@@ -45,3 +46,23 @@
 	is.Equal(g.send(t, t.Context(), nil).status, 503)
 	is.Equal(len(g.sender.sent()), 0)
 }
+
+// countingRetryBudget counts the requests that allow retries.
+type countingRetryBudget struct{ first int }
+
+func (r *countingRetryBudget) RecordFirstAttempt(string) { r.first++ }
+func (r *countingRetryBudget) AllowRetry(string) bool    { return true }
+
+// While targets are unreachable, a request that is granted several of them one after the other
+// is still one request. Guards against a retry budget that grows with the failures.
+func TestRequestAtUnreachableTargetsCountsOnceForTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	unreachable := targetScript{unsent: true}
+	retries := &countingRetryBudget{}
+	g := newTestGatewayWith(t, newRoute(catalog.NonIdempotent), func(o *gateway.Options) { o.Retries = retries },
+		unreachable, unreachable, unreachable, signedOK("reached"))
+	got := g.send(t, t.Context(), nil)
+	is.NoErr(got.err)
+	is.Equal(got.body, "reached")
+	is.Equal(retries.first, 1)
+}
