rollout: check a request that waited again when it gets a target

Under overload, requests that waited when the free targets of a new version were listed all went there, beyond the share of the trial and uncounted: those of a service with one version, or whose last order has ended, were not compared with the versions in force once granted. The decision on arrival is now repeated at the grant, with the same function, and a grant that no longer fits is given back unsent. TestRequestThatWaitedWhenAVersionWasListedDoesNotGoThere failed before in the first case of three.

--- a/rollout/access.go
+++ b/rollout/access.go
@@ -37,6 +37,11 @@
 func (m *Manager) access(w *balance.Work, mayTry, anyVersion bool) access {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.accessNow(w, mayTry, anyVersion)
+}
+
+// accessNow is access with the lock held. Without mayTry it changes nothing.
+func (m *Manager) accessNow(w *balance.Work, mayTry, anyVersion bool) access {
 	s := m.services[w.Service]
 	if s == nil || s.rollout == nil && len(s.versions) < 2 {
 		return access{}
@@ -186,11 +191,14 @@
 
 // begin records that a request is sent to a target of a version, and returns the rollout that
 // its outcome counts for, nil if there is none. It reports whether the request may be sent
-// there: the phase may have changed while it waited.
-func (m *Manager) begin(w *balance.Work, version string, tried bool) (r *rollout, ok bool) {
+// there: the phase may have changed, or the version have been listed, while it waited.
+func (m *Manager) begin(w *balance.Work, version string, tried, anyVersion bool) (r *rollout, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[w.Service]
+	if a := m.accessNow(w, false, anyVersion); !tried && slices.Contains(a.barred, version) {
+		return nil, false
+	}
 	if s == nil || s.rollout == nil {
 		return nil, true
 	}
--- a/rollout/balancer.go
+++ b/rollout/balancer.go
@@ -41,9 +41,6 @@
 		if a.refused {
 			return nil, &balance.Refusal{Reason: balance.ReasonNoVersion, RetryAfter: noVersionRetryAfter}
 		}
-		if !a.tracked {
-			return b.Next.Acquire(ctx, w)
-		}
 		grant, err := b.acquire(ctx, w, a)
 		if err != nil && a.try != "" {
 			b.Manager.giveBack(w.Service, a.try, w.Route)
@@ -51,7 +48,7 @@
 		var refusal *balance.Refusal
 		switch {
 		case err == nil:
-			r, ok := b.Manager.begin(w, grant.Target.Version, a.try != "")
+			r, ok := b.Manager.begin(w, grant.Target.Version, a.try != "", anyVersion)
 			if ok && r == nil {
 				return grant, nil
 			}
@@ -84,6 +81,9 @@
 // acquire waits for a target of the versions that a request may go to, until the phase
 // changes.
 func (b *Balancer) acquire(ctx context.Context, w *balance.Work, a access) (*balance.Grant, error) {
+	if !a.tracked {
+		return b.Next.Acquire(ctx, w)
+	}
 	narrowed := *w
 	narrowed.Barred = a.barred
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,3 +207,55 @@
 		is.Equal(version, "v1")
 	})
 }
+
+// afterListing grants a target of the latest version to a request that has waited since before
+// that was listed, as a queue does whose targets were all busy.
+type afterListing struct {
+	*clusterNode
+	during func()
+}
+
+func (a *afterListing) Acquire(ctx context.Context, w *balance.Work) (*balance.Grant, error) {
+	if a.during != nil {
+		a.during()
+		a.during = nil
+		return preferLatest{a.clusterNode}.Acquire(ctx, w)
+	}
+	return a.clusterNode.Acquire(ctx, w)
+}
+
+// preferLatest grants the target with the highest id that the request allows.
+type preferLatest struct{ *clusterNode }
+
+func (p preferLatest) Acquire(_ context.Context, w *balance.Work) (*balance.Grant, error) {
+	for _, target := range slices.Backward(targetsOf(p.versions)) {
+		if w.Allows(target) {
+			return balance.NewGrant(target, balance.Prediction{}, noReporter{}), nil
+		}
+	}
+	return nil, &balance.Refusal{Reason: balance.ReasonNoVersion}
+}
+
+// Under overload many requests wait when the free targets of a new version are listed. They
+// must not all go there.
+func TestRequestThatWaitedWhenAVersionWasListedDoesNotGoThere(t *testing.T) {
+	before := Report{Order: Order{"s", "v1", time.Minute, 3}, Phase: Completed}
+	order := Report{Order: Order{"s", "v2", time.Minute, 5}, Phase: Ordered}
+	for _, test := range []struct{ before, during []Report }{{}, {during: []Report{order}}, {before: []Report{before}}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := newLoneNode(t, 1, Ordered)
+			n.manager = New(n.manager.options)
+			n.manager.Apply("x", "y", Reports{List: test.before})
+			n.manager.UpdateTargets(targetsOf(1))
+			time.Sleep(time.Minute)
+			n.balancer = &Balancer{Manager: n.manager, Next: &afterListing{n, func() {
+				n.versions = 2
+				n.manager.UpdateTargets(targetsOf(2))
+				n.manager.Apply("x", "y", Reports{List: test.during})
+			}}}
+			version, _ := n.acquire("")
+			is.Equal(version, "v1")
+		})
+	}
+}
