platform, rollout: an order of the same version after one that has ended is a new one

An operator who ordered a version again after it had been reverted got nothing: the store keeps the status when the order is written, so that the new order counted as ended and missed its time limit. The status now names the time limit of its order, in which alone an order of the same version can differ. A rollout in progress goes on, and a status without the limit (of an older build) counts as before. TestOrderOfTheSameVersionAfterOneThatHasEndedIsANewOne failed before.

--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -155,7 +155,7 @@
 		return
 	}
 	status := Status{
-		Phase: next, Target: o.Target, Order: o.Order.Revision, Decider: d.Manager.options.Process,
+		Phase: next, Target: o.Target, Order: o.Order.Revision, Duration: o.Duration, Decider: d.Manager.options.Process,
 		Lease: leaseOf(o.Duration), Elapsed: p.Elapsed, Written: time.Now(),
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -60,6 +60,8 @@
 	Target string
 	// Order is the revision of the order that the status belongs to.
 	Order uint64
+	// Duration is the time limit of that order, 0 if it is not known.
+	Duration time.Duration
 	// Decider is the process that decides until Lease has passed since the write.
 	Decider string
 	Lease   time.Duration
