callers: a connection is closed while bytes are read from it

What callers saw: a node that closed a connection (idle, head too slow, to make room, in a stop) at the moment at which bytes came on it served nobody from then on: all that needs the lock of the server waited, new connections among it.

Cause: closeIf closed the socket with the lock of the connection held. The close waits for a reader that is at the socket, and the reader waits for that lock.

Change: the connection is marked under its lock, after which nothing is read from it, and closed without the lock.

TestConnectionIsClosedWhileBytesAreRead failed before (the close had not ended after 5 s) and passes; the package passes.

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -208,17 +208,27 @@
 // closeIf closes a connection if there is a reason, which is asked for with the lock of the
 // connection held. The lock of the server must be held.
 func (s *Server) closeIf(c *conn, why func() Reason) {
+	if !s.leaveIf(c, why) {
+		return
+	}
+	// It waits for a reader, which may wait for the lock of the connection.
+	c.Conn.Close()
+	s.forget(c)
+}
+
+// leaveIf ends what is read from a connection if there is a reason.
+func (s *Server) leaveIf(c *conn, why func() Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reason := why()
 	if reason == "" {
-		return
+		return false
 	}
 	if s.options.Closed != nil {
 		s.options.Closed(c.describe(reason, time.Now()))
 	}
-	c.Conn.Close()
-	s.forget(c)
+	c.gone = true
+	return true
 }
 
 // forget removes a connection. The lock must be held.
@@ -270,15 +280,18 @@
 	// since is when the connection began to wait for the next request, or for the rest of
 	// its head.
 	since time.Time
+	// gone is set once it was decided to close the connection.
+	gone bool
 }
 
 // Read implements net.Conn. What it takes from the socket is known to be read as soon as it is
-// no longer there, so that nobody who holds the lock misses it.
+// no longer there, so that nobody who holds the lock misses it. Nothing is taken once it was
+// decided to close the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	return readSocket(c.Conn, p, func(read func() int) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if read() > 0 {
+		if !c.gone && read() > 0 {
 			c.recordRead()
 		}
 	})
