gateway: stalled bodies give way, and refusals do not wait for bodies

What callers saw: bodies of legal size that stopped just short of their end kept their share of the memory for as long as their connections stayed open, so that no body of a like size was served (503 bodies_full). A refusal that was known before the body (404, 401, 503, 413) came only once 256 KiB of the body, or all of it, had come: never, if it stopped.

Cause: nothing ended the reading of a body. net/http reads up to 256 KiB of a body before it writes an answer that keeps its connection.

Change: while a body waits for room, others that come at less than 16 KiB/s, or have been silent for 2 s, are given up (503 body_stalled, not run), those first that hold most and have held it for longest. A body ends 30 s after the time limit of its request (408 body_late, not run). What is free for each body takes from the room of larger ones, so that 2,050 small bodies and a few large ones do not add up. A refusal ends its connection and is sent at once, unless a body of 16 KiB at most comes within 20 ms. A time limit at that of the request was tried and dropped: TestRequestThatIsCompleteLongAfterItsTimeLimitIsAnswered holds that its caller is answered.

--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -39,12 +39,17 @@
 type bodyBudget struct {
 	limit int64
 
-	mu      sync.Mutex
-	used    int64
+	mu   sync.Mutex
+	used int64
+	// free is what bodies hold of what is free for each. It takes from the room of others, so
+	// that very many small bodies and a few large ones together hold no more than either may.
+	free    int64
 	waiters []*bodyWaiter
 	serial  uint64
 	// meanHold is how long bodies are held, on average.
 	meanHold time.Duration
+	// reading are the bodies that have not come whole.
+	reading map[*bodyHolding]struct{}
 }
 
 type bodyWaiter struct {
@@ -55,7 +60,7 @@
 }
 
 // fits reports whether so many bytes may be taken. The lock must be held.
-func (b *bodyBudget) fits(bytes int64) bool { return bytes <= b.limit-b.used-bytes }
+func (b *bodyBudget) fits(bytes int64) bool { return bytes <= b.limit-b.used-b.free-bytes }
 
 // take takes bytes of the budget, and waits for at most a time until there is room for them.
 func (b *bodyBudget) take(ctx context.Context, bytes int64, tier int, wait time.Duration) error {
@@ -71,14 +76,7 @@
 	b.waiters = slices.Insert(b.waiters, i, w)
 	b.admit()
 	b.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-w.room:
-		return nil
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	b.awaitRoom(ctx, w, wait)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if i := slices.Index(b.waiters, w); i >= 0 {
@@ -89,6 +87,28 @@
 	return nil
 }
 
+// awaitRoom waits until there is room for a waiter, for at most a time, and gives up stalled
+// bodies meanwhile.
+func (b *bodyBudget) awaitRoom(ctx context.Context, w *bodyWaiter, wait time.Duration) {
+	timer, tick := time.NewTimer(wait), time.NewTicker(bodyShedInterval)
+	defer timer.Stop()
+	defer tick.Stop()
+	for {
+		b.mu.Lock()
+		b.shedStalled(time.Now())
+		b.mu.Unlock()
+		select {
+		case <-w.room:
+			return
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 func compareWaiters(a, b *bodyWaiter) int {
 	return cmp.Or(cmp.Compare(a.bytes, b.bytes), cmp.Compare(a.tier, b.tier), cmp.Compare(a.serial, b.serial))
 }
@@ -102,6 +122,15 @@
 	}
 }
 
+// holdFree sets what a body holds that is free.
+func (b *bodyBudget) holdFree(h *bodyHolding, bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.free += bytes - h.free
+	h.free = bytes
+	b.admit()
+}
+
 // release gives bytes back that were held for a time.
 func (b *bodyBudget) release(bytes int64, held time.Duration) {
 	b.mu.Lock()
@@ -132,13 +161,21 @@
 	all  *bodyBudget
 	tier int
 	// wait is how long the body may still wait for room.
-	wait  time.Duration
-	taken int64
-	since time.Time
+	wait time.Duration
+	// taken is what counts against the budget, free what does not.
+	taken, free int64
+	since       time.Time
+	// began is when the body began to be read, pace how fast it comes. shed is set if it was
+	// given up for others; cancel ends its reads then.
+	began  time.Time
+	pace   bodyPace
+	shed   bool
+	cancel func()
 }
 
 // grow takes what a buffer of so many bytes needs beyond what it has.
 func (h *bodyHolding) grow(ctx context.Context, bytes int64) error {
+	h.all.holdFree(h, min(bytes, freeBodyBytes))
 	more := max(0, bytes-freeBodyBytes) - h.taken
 	if more <= 0 {
 		return nil
@@ -151,12 +188,19 @@
 	if h.taken == 0 {
 		h.since = time.Now()
 	}
+	h.all.mu.Lock()
+	defer h.all.mu.Unlock()
 	h.taken += more
+	// The time in which the body waited for room says nothing of its pace.
+	h.pace = newBodyPace(time.Now())
 	return nil
 }
 
 // release ends the holding.
 func (h *bodyHolding) release() {
+	if h.free > 0 {
+		h.all.holdFree(h, 0)
+	}
 	if h.taken > 0 {
 		h.all.release(h.taken, time.Since(h.since))
 		h.taken = 0
@@ -180,6 +224,7 @@
 	for {
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		h.all.recordPace(h, n)
 		switch {
 		case err == io.EOF && length >= 0 && int64(len(body)) < length:
 			return nil, io.ErrUnexpectedEOF
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -29,6 +29,8 @@
 	body    []byte
 	// bodyHeld is what the body takes of the budget of all bodies.
 	bodyHeld bodyHolding
+	// bodyRead is set once the body has come whole, bodyEnded if no more of it may be read.
+	bodyRead, bodyEnded bool
 	// deadline is when the timeout of the caller or the route ends.
 	deadline time.Time
 
@@ -146,14 +148,19 @@
 		// It is read to its bound, so that its caller gets the answer.
 		_, err = io.Copy(io.Discard, source)
 	} else {
-		x.body, err = x.bodyHeld.read(x.request.Context(), source, x.request.ContentLength)
+		x.body, err = x.readBodyInTime(source)
 	}
+	x.bodyRead, x.bodyEnded = err == nil, err != nil
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return errTooLarge()
 	case errors.Is(err, errBodiesFull):
 		return errNotRun("bodies_full", x.gateway.bodies.retryAfter(max(x.request.ContentLength, freeBodyBytes)))
+	case errors.Is(err, errBodyStalled):
+		return errNotRun("body_stalled", x.gateway.bodies.retryAfter(max(x.request.ContentLength, freeBodyBytes)))
+	case isLate(err):
+		return errLateBody()
 	case err != nil:
 		return errUnreadableBody()
 	}
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -51,6 +51,10 @@
 	return &errorResponse{status: http.StatusBadRequest, cause: "body_unreadable", message: "the body could not be read whole; send it again"}
 }
 
+func errLateBody() *errorResponse {
+	return &errorResponse{status: http.StatusRequestTimeout, cause: "body_late", message: "the body did not come within the time limit; the request was not run; send it faster"}
+}
+
 func errLimitExceeded(retryAfter time.Duration) *errorResponse {
 	return &errorResponse{http.StatusTooManyRequests, "limit_exceeded", "the team is over its limit; come back later", retryAfter}
 }
@@ -84,6 +88,7 @@
 	if errResp.retryAfter > 0 {
 		h.Set("Retry-After", x.gateway.HeaderCodec.RetryAfter(errResp.retryAfter))
 	}
+	x.refuseBody()
 	x.announceClose()
 	x.logEnded(errResp.cause, errResp.status)
 	x.writer.WriteHeader(errResp.status)
