callers: the heads of all requests are bounded together, and unfinished requests give way

What callers saw: 500 clients that stop just short of the end of a head of 60 kB took a node of 64 MiB to 69 MiB with one long line, and to 486 MiB with very many short fields; on a node of 175 MiB a mixed crowd of 2,000 took 483 MiB, and 649 MiB if it came back whenever it was turned away. The system ends such a process. Clients that took all connections and stopped within their bodies kept all others out for good. A refused caller that still wrote was reset after 0.5 s.

Cause: each head may have 64 KiB, of which net/http holds up to 16 times as much, and nothing bounded them together. Only idle connections gave way to new ones. net/http half-closes a connection before it ends it, but our connections hid CloseWrite from it.

Change: the cost of heads is bounded by a sixteenth of the memory beside 8 KiB that are free for each; beyond it, the unfinished request with the largest product of cost and age is closed. If neither an idle connection nor one that lingers can make room, the request that has been unfinished for longest does. A connection whose caller still sends after its refusal is read for 10 s and 16 MiB at most.

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -67,8 +67,19 @@
 // who sends one request after the other may have sent the next one already.
 const yieldIdleTime = time.Second
 
-// awaitRoom waits until there is room for a new connection. It closes the one that has been
-// idle for the longest time, and for yieldIdleTime at least, if there is none.
+// yieldUnfinishedTime is how long ago the head or the body of a request must have begun for its
+// connection to give way to a new one, and passedTime how long it is not looked at again if it
+// had input that was not read.
+const (
+	yieldUnfinishedTime = time.Second
+	passedTime          = 250 * time.Millisecond
+)
+
+// awaitRoom waits until there is room for a new connection. If there is none, it closes one
+// that has been answered and whose caller still sends, or else the one that has been idle for
+// the longest time, and for yieldIdleTime at least, or else the one whose request has been
+// unfinished for the longest time: callers who take all connections and end no request do not
+// keep others out.
 func (s *Server) awaitRoom() {
 	if s.options.MaxConns <= 0 {
 		return
@@ -80,6 +91,10 @@
 			s.closeIf(c, func() Reason { return c.yield(time.Now()) })
 			continue
 		}
+		if c := s.longestUnfinished(time.Now()); c != nil {
+			s.closeIf(c, func() Reason { return c.yieldUnfinished(time.Now()) })
+			continue
+		}
 		s.full = true
 		s.left.Wait()
 	}
@@ -89,6 +104,9 @@
 // yield returns the reason to close the connection for a new one. It returns none if a request
 // has come, which is then not looked for again for yieldIdleTime. The lock must be held.
 func (c *conn) yield(now time.Time) Reason {
+	if c.lingering {
+		return ReasonConns
+	}
 	if hasInput(c.Conn) {
 		c.since = now
 	}
@@ -113,9 +131,47 @@
 }
 
 // idleSince returns since when the connection has waited for its next request, and whether it
-// does.
+// does. A connection that lingers is the first to give way.
 func (c *conn) idleSince(now time.Time) (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lingering {
+		return time.Time{}, true
+	}
 	return c.since, c.idle(now, false)
 }
+
+// longestUnfinished returns the connection whose request has been unfinished for the longest
+// time, or nil if none has for yieldUnfinishedTime. The lock must be held.
+func (s *Server) longestUnfinished(now time.Time) *conn {
+	var longest *conn
+	var since time.Time
+	for c := range s.conns {
+		at, unfinished := c.unfinishedSince(now)
+		if unfinished && now.Sub(at) >= yieldUnfinishedTime && (longest == nil || at.Before(since)) {
+			longest, since = c, at
+		}
+	}
+	return longest
+}
+
+// unfinishedSince returns since when the request on the connection has been unfinished, and
+// whether it is and has no input that was not read a moment ago.
+func (c *conn) unfinishedSince(now time.Time) (since time.Time, unfinished bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.unfinished() && now.Sub(c.passedAt) >= passedTime
+}
+
+// yieldUnfinished returns the reason to close the connection for a new one, or none if its
+// request has come whole by now or has input that was not read. The lock must be held.
+func (c *conn) yieldUnfinished(now time.Time) Reason {
+	if hasInput(c.Conn) {
+		c.passedAt = now
+		return ""
+	}
+	if !c.unfinished() {
+		return ""
+	}
+	return ReasonConns
+}
--- a/callers/callers.go
+++ b/callers/callers.go
@@ -36,6 +36,9 @@
 type Options struct {
 	// MaxConns bounds the connections; 0 means that there is no bound.
 	MaxConns int
+	// HeadBytes bounds the memory that the heads of all requests take, beside what is free of
+	// each; 0 means that there is no bound.
+	HeadBytes int64
 	// Waits returns the bounds in force; nil means that there are none.
 	Waits func() Waits
 	// Closed is called with each connection that the server closes before its caller does,
@@ -51,6 +54,7 @@
 	ReasonIdle  Reason = "idle"
 	ReasonHead  Reason = "head"
 	ReasonConns Reason = "connections"
+	ReasonHeads Reason = "heads"
 	ReasonStop  Reason = "stop"
 	// ReasonCut is the end of the time for a planned stop.
 	ReasonCut Reason = "cut"
@@ -84,15 +88,18 @@
 	// serving is set once Serve was called.
 	serving bool
 	idle    lastingBound
+	heads   headBudget
 }
 
 // NewServer returns a server of the connections that a listener accepts. It sets the
-// ConnState of the HTTP server.
+// ConnState of the HTTP server, and wraps its ConnContext and its Handler.
 func NewServer(server *http.Server, listener net.Listener, options Options) *Server {
 	s := &Server{server: server, options: options, served: make(chan struct{}), conns: make(map[*conn]struct{})}
+	s.heads.limit = options.HeadBytes
 	s.left = sync.NewCond(&s.mu)
 	s.listener = &trackingListener{Listener: listener, server: s}
 	server.ConnState = s.recordState
+	s.recordRequests()
 	return s
 }
 
@@ -182,7 +189,7 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		s.closeIf(c, func() Reason {
-			if !c.idle(now, begun) || hasInput(c.Conn) {
+			if !c.idle(now, begun) || !c.lingering && hasInput(c.Conn) {
 				return ""
 			}
 			return ReasonStop
@@ -227,10 +234,20 @@
 	if s.options.Closed != nil {
 		s.options.Closed(c.describe(reason, time.Now()))
 	}
-	c.gone = true
+	c.leave()
 	return true
 }
 
+// forgetClosed removes a connection that is closed.
+func (s *Server) forgetClosed(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leave()
+	s.forget(c)
+}
+
 // forget removes a connection. The lock must be held.
 func (s *Server) forget(c *conn) {
 	delete(s.conns, c)
@@ -240,7 +257,7 @@
 // track records an accepted connection.
 func (s *Server) track(nc net.Conn) net.Conn {
 	now := time.Now()
-	c := &conn{Conn: nc, accepted: now, since: now}
+	c := &conn{Conn: nc, server: s, heads: &s.heads, accepted: now, since: now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -258,15 +275,17 @@
 		c.setActive(state == http.StateActive)
 		s.left.Signal()
 	case http.StateClosed, http.StateHijacked:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.forget(c)
+		if _, lingers := c.lingered(time.Now()); !lingers {
+			s.forgetClosed(c)
+		}
 	}
 }
 
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
+	server   *Server
+	heads    *headBudget
 	accepted time.Time
 
 	mu sync.Mutex
@@ -280,7 +299,19 @@
 	// since is when the connection began to wait for the next request, or for the rest of
 	// its head.
 	since time.Time
-	// gone is set once it was decided to close the connection.
+	// headBytes and headLines are what has come of a head that is not whole; charged is what
+	// the head takes of the budget of all heads.
+	headBytes, headLines int
+	charged              int64
+	// handled is set once the handler has the request, bodyOpen while its body has not come
+	// whole, and written once a part of its answer was written.
+	handled, bodyOpen, written bool
+	// lingering is set while what comes after an answer is discarded.
+	lingering      bool
+	lingeringSince time.Time
+	// passedAt is when the connection last had input that was not read when it was to give way.
+	passedAt time.Time
+	// gone is set once the server has forgotten the connection.
 	gone bool
 }
 
@@ -288,27 +319,40 @@
 // no longer there, so that nobody who holds the lock misses it. Nothing is taken once it was
 // decided to close the connection.
 func (c *conn) Read(p []byte) (int, error) {
-	return readSocket(c.Conn, p, func(read func() int) {
+	exceeded := false
+	n, err := readSocket(c.Conn, p, func(read func() int) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if !c.gone && read() > 0 {
-			c.recordRead()
+		if c.gone {
+			return
+		}
+		if n := read(); n > 0 {
+			c.recordRead(p[:n])
+			exceeded = c.partial && c.charged > 0 && c.heads.exceeded()
 		}
 	})
+	if exceeded {
+		c.server.shedHeads()
+	}
+	return n, err
 }
 
 // recordRead records that bytes were read. The lock must be held.
-func (c *conn) recordRead() {
+func (c *conn) recordRead(p []byte) {
 	c.begun = true
-	if !c.active && !c.partial {
+	if c.active {
+		return
+	}
+	if !c.partial {
 		c.partial, c.since = true, time.Now()
 	}
+	c.recordHead(p)
 }
 
 // Write implements net.Conn. A caller sends its next request only after the whole answer.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.begun = false
+	c.begun, c.written = false, true
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
@@ -317,12 +361,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active, c.used, c.partial, c.since = active, true, false, time.Now()
+	c.headBytes, c.headLines = 0, 0
+	c.handled, c.bodyOpen = false, false
+	if !active {
+		c.written = false
+		c.charge(0)
+	}
 }
 
 // idle reports whether no request has begun on the connection or, if begun is set, none has
 // come whole. The lock must be held.
 func (c *conn) idle(now time.Time, begun bool) bool {
 	switch {
+	case c.lingering:
+		return begun || now.Sub(c.lingeringSince) >= stopLingerTime
 	case c.active:
 		return false
 	case begun:
--- a/callers/sockets.go
+++ b/callers/sockets.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -108,8 +109,23 @@
 // readSocket reads from a connection. Each attempt to read is made by a function that it passes
 // to around, which returns the bytes read.
 func readSocket(c net.Conn, p []byte, around func(read func() int)) (int, error) {
+	if len(p) == 0 {
+		return c.Read(p)
+	}
+	return attemptReads(c, p, func(fd int) (n int, err error) {
+		around(func() int {
+			n, err = readDescriptor(fd, p)
+			return n
+		})
+		return n, err
+	})
+}
+
+// attemptReads reads from a connection by a function that is called whenever it may be
+// readable, or into p if the connection has no descriptor.
+func attemptReads(c net.Conn, p []byte, attempt func(fd int) (int, error)) (int, error) {
 	socket, ok := c.(syscall.Conn)
-	if !ok || len(p) == 0 {
+	if !ok {
 		return c.Read(p)
 	}
 	raw, err := socket.SyscallConn()
@@ -119,13 +135,7 @@
 	n := 0
 	var readErr error
 	err = raw.Read(func(fd uintptr) (done bool) {
-		around(func() int {
-			n, readErr = unix.Read(int(fd), p)
-			for errors.Is(readErr, unix.EINTR) {
-				n, readErr = unix.Read(int(fd), p)
-			}
-			return n
-		})
+		n, readErr = attempt(int(fd))
 		return !errors.Is(readErr, unix.EAGAIN)
 	})
 	switch {
@@ -139,6 +149,28 @@
 	return n, nil
 }
 
+// readDescriptor reads once, and again if a signal has interrupted it.
+func readDescriptor(fd int, p []byte) (int, error) {
+	for {
+		n, err := unix.Read(fd, p)
+		if !errors.Is(err, unix.EINTR) {
+			return n, err
+		}
+	}
+}
+
+// discardBuffers are in use only while there is something to discard.
+var discardBuffers = sync.Pool{New: func() any { return new([4 << 10]byte) }}
+
+// discardSocket waits until bytes come on a connection, and discards some of them.
+func discardSocket(c net.Conn) (int, error) {
+	return attemptReads(c, make([]byte, 1), func(fd int) (int, error) {
+		buffer := discardBuffers.Get().(*[4 << 10]byte)
+		defer discardBuffers.Put(buffer)
+		return readDescriptor(fd, buffer[:])
+	})
+}
+
 // control calls look with the descriptor of a socket, and reports whether it could. Unlike a
 // read or an accept, look does not wait for one that is under way.
 func control(socket any, look func(fd int)) bool {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,8 @@
 	heldBytesPerMebibyte = 1 << 17
 	// bodyBytesPerMebibyte is how many bytes of bodies they may hold: a quarter.
 	bodyBytesPerMebibyte = 1 << 18
+	// headBytesPerMebibyte is how much of it the heads of requests may take: a sixteenth.
+	headBytesPerMebibyte = 1 << 16
 )
 
 func newGateway(s *schema.GatewaySettings, d *datastore.Manager, b *owner.Manager, l *balance.Manager, a *quota.Allowance, r *quota.Retries, u *upstream.Client, c *culprit.Manager, streams *resume.Finder, m *links.Monitors, sender *links.Switch, t *telemetry.EntryMetrics, logger *log.Logger) *gateway.Gateway {
--- a/entry/lifecycle.go
+++ b/entry/lifecycle.go
@@ -124,6 +124,7 @@
 	maxCallers := int(l.Settings.GetResources().GetFileDescriptors() / callerDescriptorDivisor)
 	l.callers = callers.NewServer(callerServer, callerListener, callers.Options{
 		MaxConns: maxCallers, Waits: l.callerWaits, Closed: l.callerClosed,
+		HeadBytes: int64(l.Settings.GetResources().GetMemoryMebibytes() * headBytesPerMebibyte),
 	})
 	l.readinessServer = &http.Server{Handler: http.HandlerFunc(l.handleReadiness), ReadHeaderTimeout: headerTimeout}
 	if err := l.serveMetrics(); err != nil {
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -39,6 +39,9 @@
 		name, description string
 		values            func() []telemetry.Gauge
 	}{
+		{"callers.connections", "Connections of callers.", l.callerConnections},
+		{"callers.head.bytes", "What the heads of requests take of their budget.", l.headBytes},
+		{"callers.body.bytes", "What the bodies of requests take of their budget.", l.bodyBytes},
 		{"configuration.proof.age.seconds", "Time since the configuration was known to be the newest.", l.proofAge},
 		{"configuration.version", "Version of the configuration in force.", l.configVersion},
 		{"peers.silent.share", "Share of the nodes that is not heard of.", l.silentShare},
@@ -54,6 +57,18 @@
 	return nil
 }
 
+func (l *lifecycle) callerConnections() []telemetry.Gauge {
+	return []telemetry.Gauge{{Tier: -1, Value: float64(l.callers.Len())}}
+}
+
+func (l *lifecycle) headBytes() []telemetry.Gauge {
+	return []telemetry.Gauge{{Tier: -1, Value: float64(l.callers.HeadBytesUsed())}}
+}
+
+func (l *lifecycle) bodyBytes() []telemetry.Gauge {
+	return []telemetry.Gauge{{Tier: -1, Value: float64(l.Gateway.BodyBytesUsed())}}
+}
+
 func (l *lifecycle) proofAge() []telemetry.Gauge {
 	if _, age, ok := l.Datastore.Proof(); ok {
 		return []telemetry.Gauge{{Tier: -1, Value: age.Seconds()}}
