gateway: a body that states more than the limit is refused unread

What callers saw: a request whose stated length exceeds the limit was answered (413) only once as much as the limit had come: never, if the caller stopped before.

Cause: it was read to the limit, so that its caller got the answer before its connection was reset.

The new case of entryflood.TestRefusalReachesAClientThatReadsLate failed before (no answer in 10 s) and passes (4 of 4 cases); the tests of gateway on bodies and refusals pass twice.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -142,14 +141,12 @@
 		limit = defaultMaxBodyBytes
 	}
 	x.bodyHeld = bodyHolding{all: x.gateway.bodies, tier: x.tier(), wait: bodyWait(time.Until(x.deadline))}
-	source := http.MaxBytesReader(x.writer, x.request.Body, limit)
-	var err error
 	if x.request.ContentLength > limit {
-		// It is read to its bound, so that its caller gets the answer.
-		_, err = io.Copy(io.Discard, source)
-	} else {
-		x.body, err = x.readBodyInTime(source)
+		return errTooLarge()
 	}
+	source := http.MaxBytesReader(x.writer, x.request.Body, limit)
+	var err error
+	x.body, err = x.readBodyInTime(source)
 	x.bodyRead, x.bodyEnded = err == nil, err != nil
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/standin/entryflood/flood_test.go
+++ b/standin/entryflood/flood_test.go
@@ -221,6 +221,7 @@
 		body, pieces int
 	}{
 		{"length beyond the limit", "413", fmt.Sprintf("Content-Length: %d", 4*maxBodyBytes), 4 * maxBodyBytes, 8},
+		{"length beyond the limit, body that stops", "413", fmt.Sprintf("Content-Length: %d", 4*maxBodyBytes), 10, 1},
 		{"chunks beyond the limit", "413", "Transfer-Encoding: chunked", 4 * maxBodyBytes, 8},
 		{"unknown route, body that stops", "404", fmt.Sprintf("Content-Length: %d", 100<<10), 10, 1},
 	} {
