--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,6 +17,7 @@
 	"versions": runVersions,
 	"bodies":   runBodies,
 	"helper":   runHelper,
+	"takeup":   runTakeUp,
 }
 
 func main() {
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -39,10 +39,16 @@
 
 var errNoPort = errors.New("no free port")
 
-// freePort returns a port of the loopback address that is free now.
+// portsGiven holds the ports that freePort has returned.
+var portsGiven sync.Map
+
+// freePort returns a port of the loopback address that is free now and nobody else has got.
 func freePort() (int, error) {
 	for range portTries {
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if _, given := portsGiven.LoadOrStore(port, true); given {
+			continue
+		}
 		if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			return port, l.Close()
 		}
