review: cases 8 and 9 swapped by gravity; case 9 has its requesters come after the cut

Cause: in case 9 requests that had waited since before the cut were answered with 503 some milliseconds after their timeout. The check stays as it was.

Case 8 (streams taken up) is unchanged but for its number.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/primrosemoor ] && [ -x target/review-2/standins2 ] || { echo "build first: the deploy file's build, review/build-2.sh" >&2; exit 2; }
-exec target/review-2/standins2 helper "$folder"
+exec target/review-2/standins2 takeup "$folder"
